--- /dev/null
+++ b/cmd/dykewing/main.go
@@ -0,0 +1,150 @@
+// Command dykewing runs one role of the serving system, or a development fleet.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/config"
+	"github.com/dykewing/dykewing/internal/daemon"
+	"github.com/dykewing/dykewing/internal/dev"
+	"github.com/dykewing/dykewing/internal/logging"
+)
+
+// Exit codes.
+const (
+	exitFailure  = 1
+	exitSettings = 2
+)
+
+func main() {
+	application := kingpin.New("dykewing", "Serving system for online and batch inference on one fleet.")
+	roles := map[string]*roleFlags{}
+	for _, role := range []api.Role{api.RoleSidecar, api.RoleRouter, api.RoleStore} {
+		command := application.Command(string(role), fmt.Sprintf("Run a %s.", role))
+		roles[command.FullCommand()] = newRoleFlags(role, command)
+	}
+	check := application.Command("check-settings", "Check a settings file and exit.")
+	checkFile := check.Arg("file", "The settings file.").Required().String()
+	development := newDevFlags(application.Command("dev", "Run a small fleet with stand-ins in this process."))
+
+	command := kingpin.MustParse(application.Parse(os.Args[1:]))
+	switch command {
+	case check.FullCommand():
+		checkSettings(*checkFile)
+	case "dev":
+		exitOn(runDev(development), exitFailure)
+	default:
+		runRole(roles[command])
+	}
+}
+
+type roleFlags struct {
+	role      api.Role
+	file      *string
+	overrides map[string]*string
+}
+
+func newRoleFlags(role api.Role, command *kingpin.CmdClause) *roleFlags {
+	flags := &roleFlags{role: role, overrides: map[string]*string{}}
+	flags.file = command.Flag("settings", "The settings file.").Required().String()
+	for flag, key := range map[string]string{
+		"id": "node.id", "address": "node.address", "region": "node.region", "zone": "node.zone",
+		"log-level": "log.level", "data-folder": "store.data_folder", "callers-address": "sidecar.address",
+	} {
+		flags.overrides[key] = command.Flag(flag, "Goes before "+key+" of the file.").String()
+	}
+	return flags
+}
+
+func (f *roleFlags) load() (config.Settings, error) {
+	overrides := map[string]any{}
+	for key, value := range f.overrides {
+		if *value != "" {
+			overrides[key] = *value
+		}
+	}
+	return config.Load(*f.file, overrides)
+}
+
+func checkSettings(file string) {
+	_, err := config.Load(file, nil)
+	exitOn(err, exitSettings)
+	fmt.Printf("%s: no fault found\n", file)
+}
+
+func runRole(flags *roleFlags) {
+	settings, err := flags.load()
+	exitOn(err, exitSettings)
+	logger, err := logging.New(settings.Log, os.Stderr)
+	exitOn(err, exitSettings)
+	ctx, kill := stopSignals()
+	process, err := daemon.New(flags.role, settings, logger)
+	exitOn(err, exitFailure)
+	exitOn(process.Run(ctx, kill), exitFailure)
+}
+
+// stopSignals gives a context that the first SIGTERM or interrupt ends, and one
+// that the second ends.
+func stopSignals() (ctx, kill context.Context) {
+	ctx, stop := context.WithCancel(context.Background())
+	kill, end := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		stop()
+		<-signals
+		end()
+	}()
+	return ctx, kill
+}
+
+type devFlags struct {
+	exercise *bool
+	address  *string
+	logLevel *string
+}
+
+func newDevFlags(command *kingpin.CmdClause) *devFlags {
+	return &devFlags{
+		exercise: command.Flag("exercise", "Send requests through the fleet, print what happened, and exit.").Bool(),
+		address:  command.Flag("callers-address", "Where callers connect.").Default("127.0.0.1:0").String(),
+		logLevel: command.Flag("log-level", "debug, info, warn or error.").Default("warn").Enum("debug", "info", "warn", "error"),
+	}
+}
+
+func runDev(flags *devFlags) error {
+	logger, err := logging.New(config.Log{Level: *flags.logLevel, Format: "text"}, os.Stderr)
+	if err != nil {
+		return err
+	}
+	ctx, _ := stopSignals()
+	options := dev.DefaultOptions(logger)
+	options.CallersAddress = *flags.address
+	fleet, err := dev.Start(ctx, options)
+	if err != nil {
+		return err
+	}
+	defer fleet.Stop()
+	if *flags.exercise {
+		return dev.Exercise(ctx, fleet, os.Stdout)
+	}
+	fmt.Printf("Base URL for callers: %s\nStop with Ctrl-C.\n", fleet.URL())
+	<-ctx.Done()
+	return nil
+}
+
+func exitOn(err error, code int) {
+	if err == nil {
+		return
+	}
+	fmt.Fprintf(os.Stderr, "dykewing: %v\n", err)
+	os.Exit(code)
+}
--- /dev/null
+++ b/cmd/dykewingsim/main.go
@@ -0,0 +1,30 @@
+// Command dykewingsim has the stand-ins of the platform, the load generator,
+// the experiments and the scale run.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+const exitFailure = 1
+
+func main() {
+	application := kingpin.New("dykewingsim", "Stand-ins, load and experiments of dykewing.")
+	registerEngine(application)
+	kingpin.MustParse(application.Parse(os.Args[1:]))
+}
+
+// action turns a subcommand's function into kingpin's; its error ends the
+// program with a clear line and a non-zero code.
+func action(run func() error) kingpin.Action {
+	return func(*kingpin.ParseContext) error {
+		if err := run(); err != nil {
+			fmt.Fprintf(os.Stderr, "dykewingsim: %v\n", err)
+			os.Exit(exitFailure)
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,119 @@
+// Package config reads and checks the settings file of a process.
+//
+// The file is strict YAML: an unknown key, a bad address or a value out of
+// range is refused with its key and line.
+package config
+
+import (
+	"time"
+
+	"github.com/dykewing/dykewing/api"
+)
+
+// Settings are all settings of a process; each role reads its own part.
+type Settings struct {
+	Node            Node            `koanf:"node"`
+	Peers           []string        `koanf:"peers" validate:"dive,hostport_ip"`
+	Membership      Membership      `koanf:"membership"`
+	KeyValueService KeyValueService `koanf:"key_value_service"`
+	MachineList     MachineList     `koanf:"machine_list"`
+	Sidecar         Sidecar         `koanf:"sidecar"`
+	Router          Router          `koanf:"router"`
+	Store           Store           `koanf:"store"`
+	Log             Log             `koanf:"log"`
+}
+
+// Node says who and where the process is.
+type Node struct {
+	ID      string `koanf:"id" validate:"required,max=128"`
+	Address string `koanf:"address" validate:"required,hostport_ip"` // internal protocol, metrics and health
+	Region  string `koanf:"region" validate:"required,max=128"`
+	Zone    string `koanf:"zone" validate:"required,max=128"`
+	// StopTimeout bounds how long a planned stop waits for streams.
+	StopTimeout time.Duration `koanf:"stop_timeout" validate:"min=1s,max=24h"`
+}
+
+// Location is the node's region and zone.
+func (n Node) Location() api.Location {
+	return api.Location{Region: api.RegionName(n.Region), Zone: api.ZoneName(n.Zone)}
+}
+
+// Membership sets the heartbeats between processes.
+type Membership struct {
+	Interval       time.Duration `koanf:"interval" validate:"min=10ms,max=1m"`
+	SuspectTimeout time.Duration `koanf:"suspect_timeout" validate:"min=50ms,max=10m"`
+}
+
+// KeyValueService says where the operators' table is.
+type KeyValueService struct {
+	Endpoints         []string      `koanf:"endpoints" validate:"dive,url"`
+	Prefix            string        `koanf:"prefix" validate:"required,startswith=/"`
+	Timeout           time.Duration `koanf:"timeout" validate:"min=10ms,max=1m"`
+	RequestsPerSecond float64       `koanf:"requests_per_second" validate:"gt=0,max=100000"`
+	// Watchers is how many routers of the fleet watch the service.
+	Watchers int `koanf:"watchers" validate:"min=1,max=100"`
+}
+
+// MachineList says where the platform lists workers, in the HTTP
+// service-discovery JSON that Prometheus published.
+type MachineList struct {
+	URL      string        `koanf:"url" validate:"omitempty,url"`
+	Interval time.Duration `koanf:"interval" validate:"min=10ms,max=10m"`
+}
+
+// Sidecar is for the role beside callers.
+type Sidecar struct {
+	Address          string        `koanf:"address" validate:"omitempty,hostport_ip"` // where callers connect
+	DefaultDeadline  time.Duration `koanf:"default_deadline" validate:"min=100ms,max=24h"`
+	MaximumBodyBytes int64         `koanf:"maximum_body_bytes" validate:"min=1024,max=1073741824"`
+	MaximumFileBytes int64         `koanf:"maximum_file_bytes" validate:"min=1024,max=17179869184"`
+}
+
+// Router is for the role that is home of workers.
+type Router struct {
+	BatchReserve  float64       `koanf:"batch_reserve" validate:"min=0,max=1"` // share of slots that batch leaves free
+	ClaimWait     time.Duration `koanf:"claim_wait" validate:"min=10ms,max=1m"`
+	LoadInterval  time.Duration `koanf:"load_interval" validate:"min=10ms,max=1m"`
+	EngineTimeout time.Duration `koanf:"engine_timeout" validate:"min=100ms,max=24h"`
+}
+
+// Store is for the role with a small disk.
+type Store struct {
+	DataFolder      string        `koanf:"data_folder"`
+	Groups          int           `koanf:"groups" validate:"min=1,max=1024"`
+	Replicas        int           `koanf:"replicas" validate:"min=1,max=7"` // of each group
+	Heartbeat       time.Duration `koanf:"heartbeat" validate:"min=5ms,max=10s"`
+	ElectionTimeout time.Duration `koanf:"election_timeout" validate:"min=20ms,max=1m"`
+	GrantLifetime   time.Duration `koanf:"grant_lifetime" validate:"min=100ms,max=24h"`
+	Retention       time.Duration `koanf:"retention" validate:"min=1m"` // of ended jobs, files and records
+}
+
+// Log sets the log output.
+type Log struct {
+	Level  string `koanf:"level" validate:"oneof=debug info warn error"`
+	Format string `koanf:"format" validate:"oneof=text json"`
+}
+
+// Default gives the settings that hold where the file is silent.
+func Default() Settings {
+	return Settings{
+		Node:       Node{Region: "local", Zone: "local", StopTimeout: 10 * time.Minute},
+		Membership: Membership{Interval: time.Second, SuspectTimeout: 5 * time.Second},
+		KeyValueService: KeyValueService{
+			Prefix: "/dykewing/", Timeout: 2 * time.Second, RequestsPerSecond: 20, Watchers: 3,
+		},
+		MachineList: MachineList{Interval: 2 * time.Second},
+		Sidecar: Sidecar{
+			DefaultDeadline: 2 * time.Minute, MaximumBodyBytes: 8 << 20, MaximumFileBytes: 1 << 30,
+		},
+		Router: Router{
+			BatchReserve: 0.125, ClaimWait: 2 * time.Second,
+			LoadInterval: 250 * time.Millisecond, EngineTimeout: 10 * time.Minute,
+		},
+		Store: Store{
+			Groups: 3, Replicas: 3, Heartbeat: 50 * time.Millisecond, ElectionTimeout: 300 * time.Millisecond,
+			GrantLifetime: time.Minute, Retention: 30 * 24 * time.Hour,
+		},
+		Log: Log{Level: "info", Format: "text"},
+	}
+}
--- /dev/null
+++ b/internal/dev/fleet.go
@@ -0,0 +1,282 @@
+// Package dev runs a small fleet of the real roles with stand-ins for the
+// platform in one process on loopback, and exercises it.
+package dev
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/config"
+	"github.com/dykewing/dykewing/internal/daemon"
+	"github.com/dykewing/dykewing/internal/kv"
+	"github.com/dykewing/dykewing/internal/standin/engine"
+	"github.com/dykewing/dykewing/internal/standin/keyvalue"
+	"github.com/dykewing/dykewing/internal/standin/machinelist"
+	"github.com/dykewing/dykewing/table"
+)
+
+const (
+	loopback          = "127.0.0.1:0"
+	heartbeatInterval = 100 * time.Millisecond
+	suspectTimeout    = time.Second
+	readyTimeout      = 20 * time.Second
+)
+
+// The services and places of the development fleet.
+const (
+	ModelService       = api.ServiceName("dev-model")
+	ApplicationService = api.ServiceName("dev-calendar")
+	OldPlace           = api.PlaceName("old")
+	NewPlace           = api.PlaceName("new")
+)
+
+// Options of a Fleet.
+type Options struct {
+	CallersAddress string // where callers connect; port 0 is ephemeral
+	Routers        int
+	Stores         int
+	WorkersPerRow  int
+	Log            *logrus.Logger
+}
+
+// DefaultOptions are the smallest fleet that has every role.
+func DefaultOptions(log *logrus.Logger) Options {
+	return Options{CallersAddress: loopback, Routers: 2, Stores: 1, WorkersPerRow: 2, Log: log}
+}
+
+// Fleet is a running development fleet.
+type Fleet struct {
+	options     Options
+	folder      string
+	servers     []*http.Server
+	daemons     []*daemon.Daemon
+	stops       []context.CancelFunc // one a daemon: planned stop
+	running     sync.WaitGroup
+	sidecar     *daemon.Daemon
+	keyValue    kv.Service
+	keyValueURL string
+	listURL     string
+	workers     []api.Worker
+	engines     map[api.WorkerID]*engine.Engine
+	list        *machinelist.Server
+}
+
+// Start starts the fleet and returns once it is ready for requests.
+func Start(ctx context.Context, options Options) (*Fleet, error) {
+	fleet := &Fleet{options: options, engines: map[api.WorkerID]*engine.Engine{}}
+	if err := fleet.start(ctx); err != nil {
+		fleet.Stop()
+		return nil, err
+	}
+	return fleet, nil
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	folder, err := os.MkdirTemp("", "dykewing-dev-")
+	if err != nil {
+		return fmt.Errorf("make data folder: %w", err)
+	}
+	f.folder = folder
+	if err := f.startPlatform(ctx); err != nil {
+		return err
+	}
+	if err := f.startDaemons(ctx); err != nil {
+		return err
+	}
+	return f.awaitReady(ctx)
+}
+
+// serve starts an HTTP server of a stand-in and gives its address.
+func (f *Fleet) serve(handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", fmt.Errorf("listen for a stand-in: %w", err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: suspectTimeout}
+	f.servers = append(f.servers, server)
+	f.running.Go(func() { _ = server.Serve(listener) })
+	return listener.Addr().String(), nil
+}
+
+func (f *Fleet) startPlatform(ctx context.Context) error {
+	address, err := f.serve(keyvalue.NewServer())
+	if err != nil {
+		return err
+	}
+	f.keyValueURL = "http://" + address
+	f.keyValue = kv.NewEtcd([]string{f.keyValueURL}, time.Second, 1000)
+	f.list = machinelist.NewServer(heartbeatInterval)
+	address, err = f.serve(f.list)
+	if err != nil {
+		return err
+	}
+	f.listURL = "http://" + address + "/"
+	for _, row := range initialRows() {
+		if err := f.startWorkers(row); err != nil {
+			return err
+		}
+		if err := f.SetRow(ctx, row); err != nil {
+			return err
+		}
+	}
+	f.list.Set(f.workers)
+	return nil
+}
+
+func initialRows() []api.Row {
+	return []api.Row{
+		{Service: ModelService, Place: OldPlace, Weight: 100, BatchAllowance: 8, Priority: 1, Repeatable: true},
+		{Service: ModelService, Place: NewPlace, Weight: 0, BatchAllowance: 8, Priority: 1, Repeatable: true},
+		{Service: ApplicationService, Place: OldPlace, Weight: 1, Priority: 1},
+	}
+}
+
+func (f *Fleet) startWorkers(row api.Row) error {
+	for i := range f.options.WorkersPerRow {
+		id := api.WorkerID(fmt.Sprintf("%s-%s-%d", row.Service, row.Place, i))
+		stub := engine.New(engine.DefaultSettings())
+		address, err := f.serve(stub)
+		if err != nil {
+			return err
+		}
+		f.engines[id] = stub
+		f.workers = append(f.workers, api.Worker{
+			ID: id, Address: address, Service: row.Service, Place: row.Place,
+			Location: api.Location{Region: "local", Zone: "local"}, Slots: engine.DefaultSettings().Slots,
+		})
+	}
+	return nil
+}
+
+// SetRow writes a row of the table.
+func (f *Fleet) SetRow(ctx context.Context, row api.Row) error {
+	value, err := table.Encode(row, fmt.Sprintf("dev-%d", time.Now().UnixNano()))
+	if err != nil {
+		return err
+	}
+	key := table.StoreKey(config.Default().KeyValueService.Prefix, row.Key())
+	swap := kv.Swap{Key: key, Value: value}
+	for {
+		result, err := f.keyValue.Swap(ctx, swap)
+		if err != nil {
+			return err
+		}
+		if result.Succeeded {
+			return nil
+		}
+		if result.Standing == nil {
+			return fmt.Errorf("write row %s: the key changes too often", row.Key())
+		}
+		swap.Expected = result.Standing.Revision
+	}
+}
+
+func (f *Fleet) startDaemons(ctx context.Context) error {
+	for i := range f.options.Routers {
+		if err := f.startDaemon(ctx, api.RoleRouter, i); err != nil {
+			return err
+		}
+	}
+	for i := range f.options.Stores {
+		if err := f.startDaemon(ctx, api.RoleStore, i); err != nil {
+			return err
+		}
+	}
+	return f.startDaemon(ctx, api.RoleSidecar, 0)
+}
+
+func (f *Fleet) startDaemon(ctx context.Context, role api.Role, number int) error {
+	settings := config.Default()
+	settings.Node.ID = fmt.Sprintf("%s-%d", role, number)
+	settings.Node.Address = loopback
+	settings.Membership = config.Membership{Interval: heartbeatInterval, SuspectTimeout: suspectTimeout}
+	settings.KeyValueService.Endpoints = []string{f.keyValueURL}
+	settings.MachineList = config.MachineList{URL: f.listURL, Interval: heartbeatInterval}
+	settings.Sidecar.Address = f.options.CallersAddress
+	settings.Store.DataFolder = fmt.Sprintf("%s/store-%d", f.folder, number)
+	settings.Store.Replicas = f.options.Stores
+	for _, peer := range f.daemons {
+		settings.Peers = append(settings.Peers, peer.Node.Address())
+	}
+	started, err := daemon.New(role, settings, f.options.Log)
+	if err != nil {
+		return fmt.Errorf("start %s: %w", settings.Node.ID, err)
+	}
+	running, stop := context.WithCancel(ctx)
+	f.daemons = append(f.daemons, started)
+	f.stops = append(f.stops, stop)
+	if role == api.RoleSidecar {
+		f.sidecar = started
+	}
+	f.running.Go(func() {
+		if err := started.Run(running, context.Background()); err != nil {
+			f.options.Log.WithError(err).Errorf("%s ended.", settings.Node.ID)
+		}
+	})
+	return nil
+}
+
+// awaitReady waits until the sidecar has a table and a home for every row, and
+// each group has a leader.
+func (f *Fleet) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for !f.ready() {
+		select {
+		case <-time.After(heartbeatInterval / 2):
+		case <-ctx.Done():
+			return fmt.Errorf("wait for the fleet: not ready after %v", readyTimeout)
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) ready() bool {
+	if f.sidecar.Node.Table() == nil {
+		return false
+	}
+	workers, leaders := 0, map[api.GroupID]bool{}
+	for _, node := range f.sidecar.Node.Nodes() {
+		for _, service := range node.Summary.Services {
+			workers += service.Workers
+		}
+		for _, group := range node.Summary.Groups {
+			if group.Leading {
+				leaders[group.Group] = true
+			}
+		}
+	}
+	return workers == len(f.workers) && len(leaders) == config.Default().Store.Groups
+}
+
+// URL is the base URL that callers use.
+func (f *Fleet) URL() string { return "http://" + f.sidecar.Sidecar.Address() + "/v1" }
+
+// StopRouter stops one router as planned.
+func (f *Fleet) StopRouter(number int) { f.stops[number]() }
+
+// Stop stops everything: daemons as planned, callers' side first, then the
+// stand-ins, and removes the data.
+func (f *Fleet) Stop() {
+	for i := len(f.stops) - 1; i >= 0; i-- {
+		f.stops[i]()
+	}
+	for _, server := range f.servers {
+		shutdown, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		_ = server.Shutdown(shutdown)
+		cancel()
+		_ = server.Close()
+	}
+	f.running.Wait()
+	if f.folder != "" {
+		_ = os.RemoveAll(f.folder)
+	}
+}
--- /dev/null
+++ b/internal/kv/wire.go
@@ -0,0 +1,160 @@
+package kv
+
+// The JSON bodies of the etcd v3 HTTP mapping: bytes are base64 (Go's []byte),
+// 64-bit integers are strings. Source: etcd API reference v3.5 (rpc.proto and
+// its grpc-gateway mapping).
+
+// Paths of the mapping.
+const (
+	PathRange       = "/v3/kv/range"
+	PathTxn         = "/v3/kv/txn"
+	PathWatch       = "/v3/watch"
+	PathLeaseGrant  = "/v3/lease/grant"
+	PathLeaseKeep   = "/v3/lease/keepalive"
+	PathLeaseRevoke = "/v3/lease/revoke"
+)
+
+// WireHeader is the header of each answer.
+type WireHeader struct {
+	Revision int64 `json:"revision,string,omitempty"`
+}
+
+// WirePair is a key-value pair.
+type WirePair struct {
+	Key            []byte `json:"key"`
+	Value          []byte `json:"value,omitempty"`
+	CreateRevision int64  `json:"create_revision,string,omitempty"`
+	ModRevision    int64  `json:"mod_revision,string,omitempty"`
+	Version        int64  `json:"version,string,omitempty"`
+	Lease          int64  `json:"lease,string,omitempty"`
+}
+
+// WireRangeRequest asks for keys within [Key, RangeEnd).
+type WireRangeRequest struct {
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end,omitempty"`
+}
+
+// WireRangeAnswer answers a range.
+type WireRangeAnswer struct {
+	Header WireHeader `json:"header"`
+	Pairs  []WirePair `json:"kvs,omitempty"`
+	Count  int64      `json:"count,string,omitempty"`
+}
+
+// WireCompare compares one key; only Target MOD with Result EQUAL is used.
+type WireCompare struct {
+	Result      string `json:"result"`
+	Target      string `json:"target"`
+	Key         []byte `json:"key"`
+	ModRevision int64  `json:"mod_revision,string"`
+}
+
+// WirePut writes a key.
+type WirePut struct {
+	Key   []byte `json:"key"`
+	Value []byte `json:"value"`
+	Lease int64  `json:"lease,string,omitempty"`
+}
+
+// WireDelete removes a key.
+type WireDelete struct {
+	Key []byte `json:"key"`
+}
+
+// WireOperation is one operation of a transaction.
+type WireOperation struct {
+	Range  *WireRangeRequest `json:"request_range,omitempty"`
+	Put    *WirePut          `json:"request_put,omitempty"`
+	Delete *WireDelete       `json:"request_delete_range,omitempty"`
+}
+
+// WireTxn is a transaction.
+type WireTxn struct {
+	Compare []WireCompare   `json:"compare"`
+	Success []WireOperation `json:"success"`
+	Failure []WireOperation `json:"failure"`
+}
+
+// WireOperationAnswer answers one operation.
+type WireOperationAnswer struct {
+	Range *WireRangeAnswer `json:"response_range,omitempty"`
+}
+
+// WireTxnAnswer answers a transaction.
+type WireTxnAnswer struct {
+	Header    WireHeader            `json:"header"`
+	Succeeded bool                  `json:"succeeded,omitempty"`
+	Responses []WireOperationAnswer `json:"responses,omitempty"`
+}
+
+// WireWatchRequest opens a watch.
+type WireWatchRequest struct {
+	Create WireWatchCreate `json:"create_request"`
+}
+
+// WireWatchCreate says what to watch.
+type WireWatchCreate struct {
+	Key            []byte `json:"key"`
+	RangeEnd       []byte `json:"range_end,omitempty"`
+	StartRevision  int64  `json:"start_revision,string,omitempty"`
+	ProgressNotify bool   `json:"progress_notify,omitempty"`
+}
+
+// WireWatchAnswer is one message of a watch stream.
+type WireWatchAnswer struct {
+	Result *WireWatchResult `json:"result,omitempty"`
+	Error  *WireError       `json:"error,omitempty"`
+}
+
+// WireWatchResult carries events.
+type WireWatchResult struct {
+	Header          WireHeader  `json:"header"`
+	Created         bool        `json:"created,omitempty"`
+	Canceled        bool        `json:"canceled,omitempty"`
+	CompactRevision int64       `json:"compact_revision,string,omitempty"`
+	Events          []WireEvent `json:"events,omitempty"`
+}
+
+// WireEvent is one change; Type is empty for a put.
+type WireEvent struct {
+	Type string   `json:"type,omitempty"`
+	Pair WirePair `json:"kv"`
+}
+
+// WireEventDelete is the Type of a deletion.
+const WireEventDelete = "DELETE"
+
+// WireError is the body of an error answer.
+type WireError struct {
+	Code    int    `json:"code"`
+	Message string `json:"message"`
+}
+
+// WireLeaseGrant asks for a lease (TTL in seconds) and answers with its ID.
+type WireLeaseGrant struct {
+	TTL int64 `json:"TTL,string,omitempty"`
+	ID  int64 `json:"ID,string,omitempty"`
+}
+
+// WireLease names a lease.
+type WireLease struct {
+	ID int64 `json:"ID,string"`
+}
+
+// WireLeaseKeepAnswer is one message of a keepalive stream; TTL 0: it is gone.
+type WireLeaseKeepAnswer struct {
+	Result WireLeaseGrant `json:"result"`
+}
+
+// PrefixEnd is the first key after all that start with prefix.
+func PrefixEnd(prefix []byte) []byte {
+	end := append([]byte(nil), prefix...)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return end[:i+1]
+		}
+	}
+	return []byte{0}
+}
--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,49 @@
+// Package logging sets up logrus so that each line starts with the fixed
+// prefix of the part that wrote it.
+package logging
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/dykewing/dykewing/config"
+)
+
+// New gives a logger for the settings.
+func New(settings config.Log, output io.Writer) (*logrus.Logger, error) {
+	level, err := logrus.ParseLevel(settings.Level)
+	if err != nil {
+		return nil, fmt.Errorf("set up log: %w", err)
+	}
+	logger := logrus.New()
+	logger.SetOutput(output)
+	logger.SetLevel(level)
+	if settings.Format == "json" {
+		logger.SetFormatter(&logrus.JSONFormatter{})
+		return logger, nil
+	}
+	logger.SetFormatter(&prefixFormatter{inner: &logrus.TextFormatter{DisableColors: true, FullTimestamp: true}})
+	return logger, nil
+}
+
+// prefixFormatter puts the field "part" before the text as "[part]".
+type prefixFormatter struct{ inner logrus.Formatter }
+
+// Format formats one entry.
+func (f *prefixFormatter) Format(entry *logrus.Entry) ([]byte, error) {
+	part, ok := entry.Data["part"]
+	if !ok {
+		return f.inner.Format(entry)
+	}
+	copied := *entry
+	copied.Data = logrus.Fields{}
+	for key, value := range entry.Data {
+		if key != "part" {
+			copied.Data[key] = value
+		}
+	}
+	copied.Message = fmt.Sprintf("[%v] %s", part, entry.Message)
+	return f.inner.Format(&copied)
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,220 @@
+// Package node is what every role's process has in common: the listener of the
+// internal protocol, membership, the table in force, metrics, health and the
+// planned stop.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/sirupsen/logrus"
+
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/config"
+	"github.com/dykewing/dykewing/internal/kv"
+	"github.com/dykewing/dykewing/internal/shell"
+	"github.com/dykewing/dykewing/internal/transport"
+	"github.com/dykewing/dykewing/membership"
+	"github.com/dykewing/dykewing/table"
+)
+
+const (
+	controlConnections = 4
+	readHeaderTimeout  = 10 * time.Second
+	maximumHeaderBytes = 64 << 10
+)
+
+// Node is one process's common part. Make it with New, add routes to Mux and
+// callbacks, then Run it.
+type Node struct {
+	Role     api.Role
+	Settings config.Settings
+	Log      *logrus.Logger
+	Registry *prometheus.Registry
+	Mux      *http.ServeMux
+	System   *actor.ActorSystem
+	Control  *http.Client // for control messages only
+	KeyValue kv.Service   // nil when no endpoint is set
+
+	listener    net.Listener
+	server      *http.Server
+	membership  *shell.Shell[membership.Message, membership.Action]
+	machine     *membership.Machine
+	replica     *shell.Shell[table.Message, table.Action]
+	view        atomic.Pointer[[]api.Node]
+	snapshot    atomic.Pointer[table.Snapshot]
+	leaving     atomic.Bool
+	summary     func() api.Summary
+	sequence    uint64
+	mutex       sync.Mutex // guards the callbacks
+	onView      []func([]api.Node)
+	onTable     []func(*table.Snapshot)
+	background  sync.WaitGroup
+	incarnation uint64
+}
+
+// New binds the internal address and builds the common part.
+func New(role api.Role, settings config.Settings, log *logrus.Logger) (*Node, error) {
+	listener, err := net.Listen("tcp", settings.Node.Address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", settings.Node.Address, err)
+	}
+	node := &Node{
+		Role: role, Settings: settings, Log: log,
+		Registry: prometheus.NewRegistry(), Mux: http.NewServeMux(),
+		System: newActorSystem(), Control: transport.NewClient(controlConnections),
+		listener: listener, incarnation: uint64(time.Now().UnixMilli()),
+		summary: func() api.Summary { return api.Summary{} },
+	}
+	node.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	if len(settings.KeyValueService.Endpoints) > 0 {
+		node.KeyValue = kv.NewEtcd(settings.KeyValueService.Endpoints, settings.KeyValueService.Timeout, settings.KeyValueService.RequestsPerSecond)
+	}
+	node.machine = membership.NewMachine(membership.Settings{
+		Self: node.self(), Seeds: settings.Peers,
+		Interval: settings.Membership.Interval, SuspectTimeout: settings.Membership.SuspectTimeout,
+		Random: rand.New(rand.NewPCG(node.incarnation, uint64(len(settings.Node.ID)))),
+	})
+	node.view.Store(&[]api.Node{node.self()})
+	node.routes()
+	return node, nil
+}
+
+func (n *Node) self() api.Node {
+	return api.Node{
+		ID: api.NodeID(n.Settings.Node.ID), Role: n.Role, Address: n.Address(),
+		Location: n.Settings.Node.Location(), Incarnation: n.incarnation,
+	}
+}
+
+// ID is the node's id.
+func (n *Node) ID() api.NodeID { return api.NodeID(n.Settings.Node.ID) }
+
+// Address is where the internal protocol is served.
+func (n *Node) Address() string { return n.listener.Addr().String() }
+
+// Logger gives a logger with the part's fixed prefix.
+func (n *Node) Logger(part string) *logrus.Entry {
+	return n.Log.WithField("part", part).WithField("node", n.Settings.Node.ID)
+}
+
+// Nodes is the view of live nodes, this one among them.
+func (n *Node) Nodes() []api.Node { return *n.view.Load() }
+
+// Table is the table in force; nil before the first.
+func (n *Node) Table() *table.Snapshot { return n.snapshot.Load() }
+
+// Leaving is true once a planned stop has begun.
+func (n *Node) Leaving() bool { return n.leaving.Load() }
+
+// SetSummary sets what the node reports with its heartbeats; before Run.
+func (n *Node) SetSummary(summary func() api.Summary) { n.summary = summary }
+
+// OnView is called, in order, with each new view; it must not block.
+func (n *Node) OnView(callback func([]api.Node)) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.onView = append(n.onView, callback)
+}
+
+// OnTable is called, in order, with each table in force; it must not block.
+func (n *Node) OnTable(callback func(*table.Snapshot)) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.onTable = append(n.onTable, callback)
+}
+
+func (n *Node) routes() {
+	n.Mux.Handle("GET /metrics", promhttp.HandlerFor(n.Registry, promhttp.HandlerOpts{}))
+	n.Mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	n.Mux.HandleFunc("GET /readyz", n.serveReady)
+	n.Mux.HandleFunc("POST "+api.PathGossip, n.serveGossip)
+	n.Mux.HandleFunc("GET "+api.PathTable, n.serveTable)
+	n.Mux.HandleFunc("GET "+api.PathNodes, n.serveNodes)
+}
+
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if n.Leaving() {
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+		return
+	}
+	if n.Table() == nil {
+		http.Error(w, "no table yet", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+func (n *Node) serveNodes(w http.ResponseWriter, _ *http.Request) {
+	transport.WriteJSON(w, http.StatusOK, n.Nodes())
+}
+
+// Run serves until ctx ends, then stops as planned: it announces that it
+// leaves, lets requests finish within the stop timeout, and returns. Cancel
+// kill to end at once.
+func (n *Node) Run(ctx, kill context.Context) error {
+	n.membership = shell.Start(n.System, n.machine, n.executeMembership)
+	n.replica = shell.Start(n.System, table.NewReplica(), n.executeTable)
+	n.server = &http.Server{Handler: n.Mux, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maximumHeaderBytes}
+	background, stopBackground := context.WithCancel(kill)
+	defer stopBackground()
+	n.background.Go(func() { n.heartbeat(background) })
+	n.background.Go(func() { n.watchTable(background) })
+	failed := make(chan error, 1)
+	go func() { failed <- n.server.Serve(n.listener) }()
+	n.Logger("node").Infof("Serving on %s.", n.Address())
+	select {
+	case err := <-failed:
+		return fmt.Errorf("serve on %s: %w", n.Address(), err)
+	case <-ctx.Done():
+	case <-kill.Done():
+	}
+	return n.stop(kill, stopBackground)
+}
+
+func (n *Node) stop(kill context.Context, stopBackground func()) error {
+	n.leaving.Store(true)
+	n.Logger("node").Info("Leaving: finishing what runs.")
+	deadline, cancel := context.WithTimeout(kill, n.Settings.Node.StopTimeout)
+	defer cancel()
+	n.announce(deadline)
+	err := n.server.Shutdown(deadline)
+	if err != nil {
+		n.server.Close()
+	}
+	stopBackground()
+	n.background.Wait()
+	n.membership.Stop()
+	n.replica.Stop()
+	if err != nil && !errors.Is(err, context.Canceled) {
+		return fmt.Errorf("planned stop: %w", err)
+	}
+	return nil
+}
+
+// announce spreads the leaving mark for some heartbeats before connections
+// close, so that peers stop sending.
+func (n *Node) announce(ctx context.Context) {
+	const heartbeats = 3
+	select {
+	case <-time.After(heartbeats * n.Settings.Membership.Interval):
+	case <-ctx.Done():
+	}
+}
+
+func newActorSystem() *actor.ActorSystem {
+	silent := func(*actor.ActorSystem) *slog.Logger { return slog.New(slog.DiscardHandler) }
+	return actor.NewActorSystem(actor.WithLoggerFactory(silent))
+}
--- /dev/null
+++ b/internal/router/request.go
@@ -0,0 +1,147 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/dykewing/dykewing/admission"
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/internal/engine"
+	"github.com/dykewing/dykewing/internal/transport"
+	"github.com/dykewing/dykewing/routing"
+)
+
+var errPreempted = errors.New("preempted by online requests")
+
+// passedHeaders go from the caller to the back end.
+var passedHeaders = []string{"Content-Type", "Accept", "Authorization", "Traceparent", api.HeaderIdempotencyKey}
+
+// serveRequest takes one attempt of an online request from a sidecar.
+func (r *Router) serveRequest(w http.ResponseWriter, request *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, r.node.Settings.Sidecar.MaximumBodyBytes))
+	if err != nil {
+		transport.WriteError(w, transport.BodyError("read request", err))
+		return
+	}
+	routed := routing.Request{
+		ID:      api.RequestID(request.Header.Get(api.HeaderRequestID)),
+		Tenant:  api.TenantID(request.Header.Get(api.HeaderTenant)),
+		Service: api.ServiceName(request.Header.Get(api.HeaderService)),
+		Place:   api.PlaceName(request.Header.Get(api.HeaderPlace)),
+		Class:   api.ClassOnline,
+	}
+	ctx, cancel := withDeadline(request.Context(), request.Header.Get(api.HeaderDeadline))
+	defer cancel()
+	path := strings.TrimPrefix(request.URL.RequestURI(), api.PathRequests)
+	response, dispatch, finish, failure := r.run(ctx, routed, path, body, request.Header)
+	if failure != nil {
+		r.metrics.refused.WithLabelValues(string(failure.Code)).Inc()
+		transport.WriteError(w, failure)
+		return
+	}
+	defer finish()
+	r.relay(w, response, routed.ID, dispatch.Worker)
+}
+
+func withDeadline(ctx context.Context, remaining string) (context.Context, context.CancelFunc) {
+	milliseconds, err := strconv.ParseInt(remaining, 10, 64)
+	if err != nil || milliseconds <= 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Duration(milliseconds)*time.Millisecond)
+}
+
+// run admits a request and sends it to its worker. On success finish must be
+// called once the answer is read.
+func (r *Router) run(ctx context.Context, routed routing.Request, path string, body []byte, header http.Header) (*http.Response, admission.Dispatch, func(), *api.Error) {
+	dispatch, failure := r.admit(routed)
+	if failure != nil {
+		return nil, dispatch, nil, failure
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	r.track(routed.ID, cancel)
+	finish := func() {
+		cancel(nil)
+		r.untrack(routed.ID)
+	}
+	response, err := r.backend.Send(ctx, engine.Call{
+		Worker: dispatch.Worker, Address: dispatch.Address, Path: path, Body: body,
+		Header: backendHeader(header, routed.ID), Priority: dispatch.Priority,
+	})
+	if err != nil {
+		finish()
+		failure := api.AsError("send to worker", err)
+		if errors.Is(context.Cause(ctx), errPreempted) {
+			failure.Code = api.CodePreempted
+		}
+		return nil, dispatch, nil, failure
+	}
+	return response, dispatch, finish, nil
+}
+
+func backendHeader(header http.Header, id api.RequestID) http.Header {
+	passed := http.Header{}
+	for _, name := range passedHeaders {
+		if values := header.Values(name); len(values) > 0 {
+			passed[name] = values
+		}
+	}
+	passed.Set(api.HeaderRequestID, string(id))
+	return passed
+}
+
+func (r *Router) admit(routed routing.Request) (admission.Dispatch, *api.Error) {
+	actions, err := r.admission.Ask(admission.Arrive{Request: routed})
+	if err != nil {
+		return admission.Dispatch{}, api.NewError("admit request", "", api.CodeLeaving, api.OutcomeNotRun, "%w", err)
+	}
+	for _, action := range actions {
+		switch action := action.(type) {
+		case admission.Dispatch:
+			r.metrics.admitted.WithLabelValues(string(routed.Class)).Inc()
+			return action, nil
+		case admission.Refuse:
+			action.Failure.Peer = string(r.node.ID())
+			return admission.Dispatch{}, action.Failure
+		}
+	}
+	return admission.Dispatch{}, api.NewError("admit request", "", api.CodeInternal, api.OutcomeNotRun, "no decision")
+}
+
+func (r *Router) track(id api.RequestID, cancel context.CancelCauseFunc) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.flights[id] = cancel
+}
+
+func (r *Router) untrack(id api.RequestID) {
+	r.mutex.Lock()
+	delete(r.flights, id)
+	r.mutex.Unlock()
+	r.admission.Tell(admission.Finished{Request: id})
+}
+
+// relay passes a back end's answer on. A broken answer breaks the connection,
+// so that it is never taken for whole.
+func (r *Router) relay(w http.ResponseWriter, response *http.Response, id api.RequestID, worker api.WorkerID) {
+	defer response.Body.Close()
+	header := w.Header()
+	for _, name := range []string{"Content-Type", "Content-Length", "Retry-After"} {
+		if value := response.Header.Get(name); value != "" {
+			header.Set(name, value)
+		}
+	}
+	header.Set(api.HeaderOutcome, string(api.OutcomeRan))
+	header.Set(api.HeaderRequestID, string(id))
+	header.Set(api.HeaderWorker, string(worker))
+	w.WriteHeader(response.StatusCode)
+	if err := engine.CopyStream(w, response.Body); err != nil {
+		r.log.WithError(err).WithField("worker", worker).Debug("An answer broke off.")
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,193 @@
+// Package router is the role that is home of workers: it admits requests to
+// them, passes answers back, and fills idle room with batch items.
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/dykewing/dykewing/admission"
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/internal/discovery"
+	"github.com/dykewing/dykewing/internal/engine"
+	"github.com/dykewing/dykewing/internal/node"
+	"github.com/dykewing/dykewing/internal/shell"
+	"github.com/dykewing/dykewing/internal/transport"
+	"github.com/dykewing/dykewing/placement"
+	"github.com/dykewing/dykewing/routing"
+	"github.com/dykewing/dykewing/table"
+)
+
+const (
+	requestConnections = 256
+	refusalRetryAfter  = time.Second
+)
+
+// Router is the role's part of a process.
+type Router struct {
+	node    *node.Node
+	log     *logrus.Entry
+	backend engine.Backend
+	forward *http.Client // online requests to other routers
+	list    discovery.List
+
+	admission *shell.Shell[admission.Message, admission.Action]
+	machine   *admission.Machine
+	workers   atomic.Pointer[[]api.Worker] // the machine list
+	homed     atomic.Pointer[[]api.Worker] // those that this router is home of
+	mutex     sync.Mutex                   // guards flights
+	flights   map[api.RequestID]context.CancelCauseFunc
+	metrics   *metrics
+}
+
+// New adds the role to a node.
+func New(common *node.Node) (*Router, error) {
+	router := &Router{
+		node: common, log: common.Logger("router"),
+		backend: &engine.HTTPBackend{Client: transport.NewClient(requestConnections), Control: common.Control},
+		forward: transport.NewClient(requestConnections),
+		flights: map[api.RequestID]context.CancelCauseFunc{},
+		metrics: newMetrics(common.Registry),
+	}
+	if address := common.Settings.MachineList.URL; address != "" {
+		parsed, err := url.Parse(address)
+		if err != nil {
+			return nil, err
+		}
+		router.list = &discovery.HTTPList{Address: parsed.Host, Path: parsed.RequestURI(), Client: common.Control}
+	}
+	router.machine = admission.NewMachine(admission.Settings{
+		Online: onlineProfile(common), Batch: batchProfile(),
+		RetryAfter: refusalRetryAfter, Reserve: common.Settings.Router.BatchReserve,
+	})
+	router.admission = shell.Start(common.System, router.machine, router.execute)
+	router.workers.Store(&[]api.Worker{})
+	router.homed.Store(&[]api.Worker{})
+	common.OnView(func([]api.Node) { router.rehome() })
+	common.OnTable(router.setRows)
+	common.SetSummary(router.summary)
+	common.Mux.HandleFunc("POST "+api.PathRequests+"/", router.serveRequest)
+	return router, nil
+}
+
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+func onlineProfile(common *node.Node) routing.Profile {
+	return routing.Profile{
+		Name:    "online",
+		Filters: []routing.Filter{routing.RowFilter{}, routing.NotLeavingFilter{}, routing.NotTriedFilter{}},
+		Scorers: []routing.WeightedScorer{
+			{Scorer: routing.LoadScorer{}, Weight: 2},
+			{Scorer: routing.PrefixScorer{}, Weight: 1},
+			{Scorer: routing.ZoneScorer{Self: common.Settings.Node.Location()}, Weight: 0.25},
+		},
+		Picker: routing.BestPicker{Random: newRandom()},
+	}
+}
+
+func batchProfile() routing.Profile {
+	return routing.Profile{
+		Name:    "batch",
+		Filters: []routing.Filter{routing.RowFilter{}, routing.NotLeavingFilter{}},
+		Scorers: []routing.WeightedScorer{{Scorer: routing.LoadScorer{}, Weight: 1}},
+		Picker:  routing.BestPicker{Random: newRandom()},
+	}
+}
+
+// Run polls the machine list and workers' loads and pulls batch items until
+// ctx ends.
+func (r *Router) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	if r.list != nil {
+		group.Go(func() {
+			discovery.Poll(ctx, r.list, r.node.Settings.MachineList.Interval, r.setWorkers, func(err error) {
+				r.log.WithError(err).Warn("Machine list is not whole; the last known workers stay.")
+			})
+		})
+	}
+	group.Go(func() { r.pollLoads(ctx) })
+	group.Go(func() { r.pullBatch(ctx) })
+	group.Wait()
+}
+
+func (r *Router) setWorkers(workers []api.Worker) {
+	r.workers.Store(&workers)
+	r.rehome()
+}
+
+// rehome finds the workers that this router is home of.
+func (r *Router) rehome() {
+	nodes := r.node.Nodes()
+	var homed []api.Worker
+	for _, worker := range *r.workers.Load() {
+		if home, ok := placement.HomeOf(worker, nodes); ok && home == r.node.ID() {
+			homed = append(homed, worker)
+		}
+	}
+	r.homed.Store(&homed)
+	r.admission.Tell(admission.Workers{Workers: homed})
+}
+
+func (r *Router) setRows(snapshot *table.Snapshot) {
+	rows := map[api.RowKey]api.Row{}
+	for _, service := range snapshot.Services() {
+		for _, row := range snapshot.Service(service) {
+			rows[row.Key()] = row
+		}
+	}
+	r.admission.Tell(admission.Rows{Rows: rows})
+}
+
+func (r *Router) summary() api.Summary {
+	var summary api.Summary
+	_ = r.admission.Inspect(func() { summary.Services = r.machine.Summaries() })
+	return summary
+}
+
+func (r *Router) pollLoads(ctx context.Context) {
+	ticker := time.NewTicker(r.node.Settings.Router.LoadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		for _, worker := range *r.homed.Load() {
+			r.pollLoad(ctx, worker)
+		}
+	}
+}
+
+func (r *Router) pollLoad(ctx context.Context, worker api.Worker) {
+	ctx, cancel := context.WithTimeout(ctx, r.node.Settings.Router.LoadInterval)
+	defer cancel()
+	asked := time.Now()
+	load, err := r.backend.Load(ctx, worker.Address)
+	if err != nil {
+		return
+	}
+	r.admission.Tell(admission.Load{Worker: worker.ID, Running: load.Running, Waiting: load.Waiting, Asked: asked})
+}
+
+// execute carries out admission's actions that are not the answer to a step.
+func (r *Router) execute(action admission.Action) {
+	preempt, ok := action.(admission.Preempt)
+	if !ok {
+		return
+	}
+	r.mutex.Lock()
+	cancel := r.flights[preempt.Request]
+	r.mutex.Unlock()
+	if cancel != nil {
+		r.metrics.preempted.Inc()
+		cancel(errPreempted)
+	}
+}
--- /dev/null
+++ b/internal/sidecar/sidecar.go
@@ -0,0 +1,156 @@
+// Package sidecar is the role beside a caller: it serves the OpenAI HTTP API,
+// sends each request to a home router, and keeps nothing.
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/internal/node"
+	"github.com/dykewing/dykewing/internal/storeclient"
+	"github.com/dykewing/dykewing/internal/transport"
+	"github.com/dykewing/dykewing/retry"
+	"github.com/dykewing/dykewing/routing"
+)
+
+const (
+	requestConnections = 256
+	storeConnections   = 32
+	readHeaderTimeout  = 10 * time.Second
+	maximumHeaderBytes = 64 << 10
+)
+
+// Sidecar is the role's part of a process.
+type Sidecar struct {
+	node     *node.Node
+	log      *logrus.Entry
+	listener net.Listener
+	online   *http.Client // online requests only
+	stores   *storeclient.Client
+	metrics  *metrics
+
+	mutex   sync.Mutex // guards all below
+	random  *rand.Rand
+	policy  *retry.Policy
+	profile routing.Profile
+}
+
+// New binds the callers' address and adds the role to a node.
+func New(common *node.Node) (*Sidecar, error) {
+	listener, err := net.Listen("tcp", common.Settings.Sidecar.Address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for callers on %s: %w", common.Settings.Sidecar.Address, err)
+	}
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &Sidecar{
+		node: common, log: common.Logger("sidecar"), listener: listener,
+		online:  transport.NewClient(requestConnections),
+		stores:  &storeclient.Client{HTTP: transport.NewClient(storeConnections), Nodes: common.Nodes},
+		metrics: newMetrics(common.Registry),
+		random:  random,
+		policy:  retry.NewPolicy(retry.DefaultSettings()),
+		profile: homeProfile(common.Settings.Node.Location(), random),
+	}, nil
+}
+
+// homeProfile chooses a home router by the summaries, which are old: two
+// choices keep many sidecars from all taking the same.
+func homeProfile(self api.Location, random *rand.Rand) routing.Profile {
+	return routing.Profile{
+		Name:    "home",
+		Filters: []routing.Filter{routing.RowFilter{}, routing.NotLeavingFilter{}, routing.NotTriedFilter{}},
+		Scorers: []routing.WeightedScorer{
+			{Scorer: routing.LoadScorer{}, Weight: 2},
+			{Scorer: routing.ZoneScorer{Self: self}, Weight: 0.25},
+		},
+		Picker: routing.TwoChoicesPicker{Random: random},
+	}
+}
+
+// Address is where callers connect.
+func (s *Sidecar) Address() string { return s.listener.Addr().String() }
+
+// Run serves callers until ctx ends, then lets their requests finish.
+func (s *Sidecar) Run(ctx context.Context) error {
+	server := &http.Server{Handler: s.routes(), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maximumHeaderBytes}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(s.listener) }()
+	s.log.Infof("Serving callers on %s.", s.Address())
+	select {
+	case err := <-failed:
+		return fmt.Errorf("serve callers on %s: %w", s.Address(), err)
+	case <-ctx.Done():
+	}
+	deadline, cancel := context.WithTimeout(context.Background(), s.node.Settings.Node.StopTimeout)
+	defer cancel()
+	return server.Shutdown(deadline)
+}
+
+func (s *Sidecar) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", s.serveOnline)
+	mux.HandleFunc("POST /v1/completions", s.serveOnline)
+	mux.HandleFunc("POST /v1/services/{service}/{path...}", s.serveOnline)
+	mux.HandleFunc("GET /v1/models", s.serveModels)
+	mux.HandleFunc("POST /v1/files", s.createFile)
+	mux.HandleFunc("GET /v1/files/{id}", s.getFile)
+	mux.HandleFunc("GET /v1/files/{id}/content", s.getContent)
+	mux.HandleFunc("POST /v1/batches", s.createBatch)
+	mux.HandleFunc("GET /v1/batches", s.listBatches)
+	mux.HandleFunc("GET /v1/batches/{id}", s.getBatch)
+	mux.HandleFunc("POST /v1/batches/{id}/cancel", s.cancelBatch)
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		transport.WriteError(w, api.NewError("find path", "", api.CodeNotFound, api.OutcomeNotRun, "no %s %s", r.Method, r.URL.Path))
+	})
+	return mux
+}
+
+// model is one element of the models list, in the OpenAI API's shape.
+type model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+type list[T any] struct {
+	Object  string `json:"object"`
+	Data    []T    `json:"data"`
+	HasMore bool   `json:"has_more"`
+}
+
+func (s *Sidecar) serveModels(w http.ResponseWriter, _ *http.Request) {
+	snapshot := s.node.Table()
+	if snapshot == nil {
+		transport.WriteError(w, noTable("list models"))
+		return
+	}
+	models := []model{}
+	for _, service := range snapshot.Services() {
+		models = append(models, model{ID: string(service), Object: "model", OwnedBy: "dykewing"})
+	}
+	transport.WriteJSON(w, http.StatusOK, list[model]{Object: "list", Data: models})
+}
+
+func noTable(step string) *api.Error {
+	failure := api.NewError(step, "", api.CodeNoTable, api.OutcomeNotRun, "this node has no table yet")
+	failure.RetryAfter = time.Second
+	return failure
+}
+
+// tenantOf names the caller's tenant: the header, or the API key's owner as
+// given, or "default".
+func tenantOf(r *http.Request) api.TenantID {
+	if tenant := r.Header.Get(api.HeaderTenant); tenant != "" {
+		return api.TenantID(tenant)
+	}
+	return "default"
+}
--- /dev/null
+++ b/internal/store/http.go
@@ -0,0 +1,153 @@
+package store
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/internal/storeclient"
+	"github.com/dykewing/dykewing/internal/transport"
+	"github.com/dykewing/dykewing/jobs"
+)
+
+const (
+	maximumCommandBytes = 32 << 20
+	pageSize            = 500
+)
+
+type groupHandler func(w http.ResponseWriter, r *http.Request, group *group)
+
+func (s *Store) routes() {
+	s.handle("POST", "commands", serveCommand)
+	s.handle("POST", "claims", serveClaims)
+	s.handle("POST", "settle", serveSettle)
+	s.handle("GET", "jobs", serveJobs)
+	s.handle("GET", "jobs/{id}", serveJob)
+	s.handle("GET", "jobs/{id}/results", serveResults)
+	s.handle("GET", "files/{id}", serveFile)
+	s.handle("GET", "files/{id}/lines", serveLines)
+}
+
+func (s *Store) handle(method, rest string, handler groupHandler) {
+	s.node.Mux.HandleFunc(method+" "+api.PathGroups+"{group}/"+rest, func(w http.ResponseWriter, r *http.Request) {
+		id, err := strconv.ParseUint(r.PathValue("group"), 10, 32)
+		group, ok := s.groups[api.GroupID(id)]
+		if err != nil || !ok {
+			transport.WriteError(w, notFound("group", r.PathValue("group")))
+			return
+		}
+		handler(w, r, group)
+	})
+}
+
+func notFound(what, id string) *api.Error {
+	return api.NewError("find "+what, "", api.CodeNotFound, api.OutcomeNotRun, "no %s %s", what, id)
+}
+
+func serveCommand(w http.ResponseWriter, r *http.Request, group *group) {
+	var command jobs.Command
+	if failure := transport.ReadJSON(w, r, "read command", maximumCommandBytes, &command); failure != nil {
+		transport.WriteError(w, failure)
+		return
+	}
+	result, failure := group.propose(r.Context(), command)
+	if failure != nil {
+		transport.WriteError(w, failure)
+		return
+	}
+	transport.WriteJSON(w, http.StatusOK, result)
+}
+
+func serveClaims(w http.ResponseWriter, r *http.Request, group *group) {
+	var claim jobs.ClaimItems
+	if failure := transport.ReadJSON(w, r, "read claim", maximumCommandBytes, &claim); failure != nil {
+		transport.WriteError(w, failure)
+		return
+	}
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	if group.dispatcher == nil {
+		transport.WriteError(w, api.NewError("claim items", "", api.CodeNotLeader, api.OutcomeNotRun, "this replica does not lead group %d", group.id))
+		return
+	}
+	transport.WriteJSON(w, http.StatusOK, group.dispatcher.Claim(time.Now(), claim.Wants))
+}
+
+func serveSettle(w http.ResponseWriter, r *http.Request, group *group) {
+	var settle jobs.Settle
+	if failure := transport.ReadJSON(w, r, "read results", maximumCommandBytes, &settle); failure != nil {
+		transport.WriteError(w, failure)
+		return
+	}
+	if len(settle.Results) > 0 {
+		result, failure := group.propose(r.Context(), jobs.Command{Complete: &jobs.Complete{Results: settle.Results}})
+		if failure == nil && result.Code != "" {
+			failure = api.NewError("settle items", "", result.Code, api.OutcomeUnknown, "%s", result.Message)
+		}
+		if failure != nil {
+			transport.WriteError(w, failure)
+			return
+		}
+	}
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	if group.dispatcher != nil {
+		for _, item := range settle.Returned {
+			group.dispatcher.Return(item)
+		}
+		for _, result := range settle.Results {
+			group.dispatcher.Settled(result.Item)
+		}
+	}
+	transport.WriteJSON(w, http.StatusOK, struct{}{})
+}
+
+func serveJobs(w http.ResponseWriter, r *http.Request, group *group) {
+	group.mutex.Lock()
+	list := group.state.Jobs(api.TenantID(r.URL.Query().Get("tenant")))
+	group.mutex.Unlock()
+	transport.WriteJSON(w, http.StatusOK, list)
+}
+
+func serveJob(w http.ResponseWriter, r *http.Request, group *group) {
+	group.mutex.Lock()
+	job, ok := group.state.Job(jobs.JobID(r.PathValue("id")))
+	group.mutex.Unlock()
+	if !ok {
+		transport.WriteError(w, notFound("batch", r.PathValue("id")))
+		return
+	}
+	transport.WriteJSON(w, http.StatusOK, job)
+}
+
+func serveResults(w http.ResponseWriter, r *http.Request, group *group) {
+	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
+	group.mutex.Lock()
+	results, next := group.state.Results(jobs.JobID(r.PathValue("id")), from, pageSize)
+	group.mutex.Unlock()
+	transport.WriteJSON(w, http.StatusOK, storeclient.ResultsPage{Results: results, Next: next})
+}
+
+func serveFile(w http.ResponseWriter, r *http.Request, group *group) {
+	group.mutex.Lock()
+	file, ok := group.state.File(jobs.FileID(r.PathValue("id")))
+	group.mutex.Unlock()
+	if !ok {
+		transport.WriteError(w, notFound("file", r.PathValue("id")))
+		return
+	}
+	transport.WriteJSON(w, http.StatusOK, file)
+}
+
+func serveLines(w http.ResponseWriter, r *http.Request, group *group) {
+	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
+	group.mutex.Lock()
+	lines := group.state.Lines(jobs.FileID(r.PathValue("id")), from, pageSize)
+	group.mutex.Unlock()
+	next := from + len(lines)
+	if len(lines) < pageSize {
+		next = -1
+	}
+	transport.WriteJSON(w, http.StatusOK, storeclient.LinesPage{Lines: lines, Next: next})
+}
--- /dev/null
+++ b/internal/storeclient/paths.go
@@ -0,0 +1,71 @@
+// Package storeclient reaches the stores' groups: where each leads, its paths and
+// its pages.
+package storeclient
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/jobs"
+)
+
+// CommandsPath takes a jobs.Command and answers a jobs.Result.
+func CommandsPath(group api.GroupID) string { return groupPath(group, "commands") }
+
+// ClaimsPath takes a jobs.ClaimItems and answers a jobs.Grant.
+func ClaimsPath(group api.GroupID) string { return groupPath(group, "claims") }
+
+// SettlePath takes a jobs.Settle.
+func SettlePath(group api.GroupID) string { return groupPath(group, "settle") }
+
+// JobPath reads a jobs.Job.
+func JobPath(group api.GroupID, job string) string { return groupPath(group, "jobs/"+job) }
+
+// JobsPath lists a tenant's jobs.
+func JobsPath(group api.GroupID, tenant api.TenantID) string {
+	return groupPath(group, "jobs?tenant="+string(tenant))
+}
+
+// ResultsPath reads a page of a job's results.
+func ResultsPath(group api.GroupID, job string, from int) string {
+	return groupPath(group, fmt.Sprintf("jobs/%s/results?from=%d", job, from))
+}
+
+// FilePath reads a jobs.File.
+func FilePath(group api.GroupID, file string) string { return groupPath(group, "files/"+file) }
+
+// LinesPath reads a page of a file's lines.
+func LinesPath(group api.GroupID, file string, from int) string {
+	return groupPath(group, fmt.Sprintf("files/%s/lines?from=%d", file, from))
+}
+
+func groupPath(group api.GroupID, rest string) string {
+	return fmt.Sprintf("%s%d/%s", api.PathGroups, group, rest)
+}
+
+// Leader finds the store that says it leads the group, by the highest term.
+func Leader(nodes []api.Node, group api.GroupID) (api.Node, bool) {
+	var leader api.Node
+	term, found := uint64(0), false
+	for _, node := range nodes {
+		for _, summary := range node.Summary.Groups {
+			if summary.Group == group && summary.Leading && (!found || summary.Term > term) {
+				leader, term, found = node, summary.Term, true
+			}
+		}
+	}
+	return leader, found
+}
+
+// LinesPage is a page of a file.
+type LinesPage struct {
+	Lines []json.RawMessage `json:"lines"`
+	Next  int               `json:"next"` // -1 at the end
+}
+
+// ResultsPage is a page of a job's results.
+type ResultsPage struct {
+	Results []jobs.ItemResult `json:"results"`
+	Next    int               `json:"next"` // -1 at the end
+}
--- /dev/null
+++ b/jobs/command.go
@@ -0,0 +1,234 @@
+// Package jobs keeps files, batch jobs and the claims of requests that may not
+// be repeated, as a deterministic state machine over a replicated log (State),
+// and hands the leader's waiting items to routers (Dispatcher).
+//
+// Invariants: an item has one terminal record, the first committed one. After
+// a committed cancel no item of the job starts. A non-repeatable item is sent
+// only after its start was committed, and never twice.
+package jobs
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/dykewing/dykewing/api"
+)
+
+// FileID names a file; it contains the id of the group that holds it.
+type FileID string
+
+// JobID names a batch job; it contains the id of the group that holds it.
+type JobID string
+
+// ItemRef names one item of a job by its line number in the input, from 0.
+type ItemRef struct {
+	Job  JobID `json:"job"`
+	Item int   `json:"item"`
+}
+
+// Command is one entry of a group's log; exactly one field besides Time is set.
+type Command struct {
+	Time       time.Time        `json:"time"` // of the proposing leader; orders nothing
+	CreateFile *CreateFile      `json:"create_file,omitempty"`
+	AppendFile *AppendFile      `json:"append_file,omitempty"`
+	SealFile   *SealFile        `json:"seal_file,omitempty"`
+	DeleteFile *DeleteFile      `json:"delete_file,omitempty"`
+	Submit     *Submit          `json:"submit,omitempty"`
+	Cancel     *Cancel          `json:"cancel,omitempty"`
+	Start      *Start           `json:"start,omitempty"`
+	Complete   *Complete        `json:"complete,omitempty"`
+	Claim      *ClaimRequest    `json:"claim,omitempty"`
+	Record     *RecordRequest   `json:"record,omitempty"`
+	Expire     *ExpireRetention `json:"expire,omitempty"`
+}
+
+// CreateFile opens a file for AppendFile.
+type CreateFile struct {
+	File    FileID       `json:"file"`
+	Tenant  api.TenantID `json:"tenant"`
+	Name    string       `json:"name"`
+	Purpose string       `json:"purpose"`
+}
+
+// AppendFile adds whole lines. Line is the index of the first one, so that a
+// resent append has no second effect.
+type AppendFile struct {
+	File  FileID            `json:"file"`
+	Line  int               `json:"line"`
+	Lines []json.RawMessage `json:"lines"`
+}
+
+// SealFile ends a file with the number of lines that it must have.
+type SealFile struct {
+	File  FileID `json:"file"`
+	Lines int    `json:"lines"`
+	Bytes int64  `json:"bytes"`
+}
+
+// DeleteFile removes a file and frees its space.
+type DeleteFile struct {
+	File FileID `json:"file"`
+}
+
+// Submit creates a job over a sealed file.
+type Submit struct {
+	Job        JobID             `json:"job"`
+	Tenant     api.TenantID      `json:"tenant"`
+	Key        string            `json:"key,omitempty"` // idempotency key, scoped to the tenant
+	BodyHash   string            `json:"body_hash"`
+	File       FileID            `json:"file"`
+	Endpoint   string            `json:"endpoint"`
+	Repeatable bool              `json:"repeatable"`
+	Deadline   time.Time         `json:"deadline"`
+	Metadata   map[string]string `json:"metadata,omitempty"`
+}
+
+// Cancel stops a job for good.
+type Cancel struct {
+	Job JobID `json:"job"`
+}
+
+// Start records, before it is sent, that a non-repeatable item is sent.
+type Start struct {
+	Item    ItemRef       `json:"item"`
+	Router  api.NodeID    `json:"router"`
+	Request api.RequestID `json:"request"`
+}
+
+// Complete brings results of many items.
+type Complete struct {
+	Results []ItemResult `json:"results"`
+}
+
+// ItemResult is the terminal record of an item.
+type ItemResult struct {
+	Item     ItemRef         `json:"item"`
+	CustomID string          `json:"custom_id"` // of the input line
+	Outcome  api.Outcome     `json:"outcome"`
+	Status   int             `json:"status"` // HTTP status of the answer
+	Body     json.RawMessage `json:"body,omitempty"`
+	Error    string          `json:"error,omitempty"`
+	Request  api.RequestID   `json:"request"`
+}
+
+// ClaimRequest reserves an idempotency key for an online request that may not
+// be repeated, before it is sent.
+type ClaimRequest struct {
+	Tenant   api.TenantID  `json:"tenant"`
+	Key      string        `json:"key"`
+	BodyHash string        `json:"body_hash"`
+	Request  api.RequestID `json:"request"`
+}
+
+// RecordRequest keeps the answer of a claimed request.
+type RecordRequest struct {
+	Tenant  api.TenantID  `json:"tenant"`
+	Key     string        `json:"key"`
+	Request api.RequestID `json:"request"`
+	Outcome api.Outcome   `json:"outcome"`
+	Status  int           `json:"status"`
+	Type    string        `json:"content_type"`
+	Body    []byte        `json:"body,omitempty"`
+}
+
+// ExpireRetention drops files, jobs and records that ended before Before.
+type ExpireRetention struct {
+	Before time.Time `json:"before"`
+}
+
+// Result answers a command once it is applied.
+type Result struct {
+	Job       *Job           `json:"job,omitempty"`
+	File      *File          `json:"file,omitempty"`
+	Duplicate bool           `json:"duplicate,omitempty"` // the same command took effect before
+	Accepted  int            `json:"accepted,omitempty"`  // Complete: records that were first
+	Recorded  *RecordRequest `json:"recorded,omitempty"`  // Claim: the answer that stands
+	Code      api.ErrorCode  `json:"code,omitempty"`      // empty on success
+	Message   string         `json:"message,omitempty"`
+}
+
+// File is a file's state.
+type File struct {
+	ID      FileID       `json:"id"`
+	Tenant  api.TenantID `json:"tenant"`
+	Name    string       `json:"name"`
+	Purpose string       `json:"purpose"`
+	Created time.Time    `json:"created"`
+	Lines   int          `json:"lines"`
+	Bytes   int64        `json:"bytes"`
+	Sealed  bool         `json:"sealed"`
+}
+
+// JobStatus is a job's state.
+type JobStatus string
+
+// The states of a job; the last four are terminal.
+const (
+	JobInProgress JobStatus = "in_progress"
+	JobCancelling JobStatus = "cancelling" // cancelled; items in flight are not settled yet
+	JobCompleted  JobStatus = "completed"
+	JobCancelled  JobStatus = "cancelled"
+	JobExpired    JobStatus = "expired"
+	JobFailed     JobStatus = "failed"
+)
+
+// Job is a batch job's state without its items.
+type Job struct {
+	Submit
+	Status    JobStatus `json:"status"`
+	Created   time.Time `json:"created"`
+	Ended     time.Time `json:"ended"`
+	Total     int       `json:"total"`
+	Completed int       `json:"completed"` // ended with an answer of status below 400
+	Failed    int       `json:"failed"`    // ended otherwise
+	Unknown   int       `json:"unknown"`   // of Failed: the outcome could not be learned
+	Dropped   int       `json:"dropped"`   // late second answers that were not taken
+}
+
+// ClaimItems is a router's wish for work.
+type ClaimItems struct {
+	Router api.NodeID  `json:"router"`
+	Wants  []ClaimWant `json:"wants"`
+	WaitMs int         `json:"wait_ms"` // how long to wait for the first item
+}
+
+// ClaimWant is the idle room of one row.
+type ClaimWant struct {
+	Service api.ServiceName `json:"service"`
+	Place   api.PlaceName   `json:"place"`
+	Room    int             `json:"room"`
+}
+
+// Grant answers ClaimItems.
+type Grant struct {
+	Items []GrantedItem `json:"items"`
+	// Cancelled lists jobs whose items the router should stop.
+	Cancelled []JobID `json:"cancelled,omitempty"`
+}
+
+// GrantedItem is one item to run. The grant ends after LifetimeMs; running on
+// costs repeated work but never gives a second result.
+type GrantedItem struct {
+	Item       ItemRef         `json:"item"`
+	Epoch      uint64          `json:"epoch"` // fences older grants of the item
+	CustomID   string          `json:"custom_id"`
+	Tenant     api.TenantID    `json:"tenant"`
+	Service    api.ServiceName `json:"service"`
+	Place      api.PlaceName   `json:"place"`
+	Path       string          `json:"path"`
+	Body       json.RawMessage `json:"body"`
+	Repeatable bool            `json:"repeatable"`
+	Deadline   time.Time       `json:"deadline"`
+	LifetimeMs int64           `json:"lifetime_ms"`
+}
+
+// Settle is a router's report on granted items; Results and Started go through
+// the log, Returned items wait again at once.
+type Settle struct {
+	Router   api.NodeID   `json:"router"`
+	Results  []ItemResult `json:"results,omitempty"`
+	Returned []ItemRef    `json:"returned,omitempty"` // not run, or repeatable and cut off
+}
+
+// ID is the job's id.
+func (j Job) ID() JobID { return j.Submit.Job }
--- /dev/null
+++ b/jobs/line.go
@@ -0,0 +1,56 @@
+package jobs
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/dykewing/dykewing/api"
+)
+
+// Line is one line of a batch input file, as the OpenAI API defines it.
+type Line struct {
+	CustomID string          `json:"custom_id"`
+	Method   string          `json:"method"`
+	URL      string          `json:"url"`
+	Body     json.RawMessage `json:"body"`
+}
+
+// ServicesPath is where application back ends are called.
+const ServicesPath = "/v1/services/"
+
+// ParseLine reads and checks one input line.
+func ParseLine(raw []byte) (Line, error) {
+	var line Line
+	if err := json.Unmarshal(raw, &line); err != nil {
+		return Line{}, fmt.Errorf("read input line: %w", err)
+	}
+	if line.CustomID == "" {
+		return Line{}, fmt.Errorf("read input line: custom_id is missing")
+	}
+	if line.Method != "" && line.Method != "POST" {
+		return Line{}, fmt.Errorf("read input line %q: method %q is not POST", line.CustomID, line.Method)
+	}
+	if !strings.HasPrefix(line.URL, "/v1/") {
+		return Line{}, fmt.Errorf("read input line %q: url %q does not start with /v1/", line.CustomID, line.URL)
+	}
+	if len(line.Body) == 0 {
+		return Line{}, fmt.Errorf("read input line %q: body is missing", line.CustomID)
+	}
+	return line, nil
+}
+
+// ServiceOf finds the service that a request to path with body is for.
+func ServiceOf(path string, body []byte) (api.ServiceName, error) {
+	if rest, ok := strings.CutPrefix(path, ServicesPath); ok {
+		name, _, _ := strings.Cut(rest, "/")
+		return api.ServiceName(name), api.ValidateName("service", name)
+	}
+	var request struct {
+		Model string `json:"model"`
+	}
+	if err := json.Unmarshal(body, &request); err != nil {
+		return "", fmt.Errorf("read model of request: %w", err)
+	}
+	return api.ServiceName(request.Model), api.ValidateName("model", request.Model)
+}
