--- a/api/node.go
+++ b/api/node.go
@@ -22,6 +22,11 @@
 	Sequence uint64           `json:"sequence,omitempty"` // grows with each report of an incarnation
 	Services []ServiceSummary `json:"services,omitempty"` // routers: what their homed workers offer
 	Groups   []GroupSummary   `json:"groups,omitempty"`   // stores: replicas held
+	// Replica is the identity of a store's disk, by which the other replicas
+	// of its groups find its address. A new disk has a new one.
+	Replica string `json:"replica,omitempty"`
+	// DiskFull: the store takes no new jobs and files.
+	DiskFull bool `json:"disk_full,omitempty"`
 }
 
 // ServiceSummary is one row's load at one home router.
--- a/config/config.go
+++ b/config/config.go
@@ -86,6 +86,14 @@
 	ElectionTimeout time.Duration `koanf:"election_timeout" validate:"min=20ms,max=1m"`
 	GrantLifetime   time.Duration `koanf:"grant_lifetime" validate:"min=100ms,max=24h"`
 	Retention       time.Duration `koanf:"retention" validate:"min=1m"` // of ended jobs, files and records
+	// MinimumFreeBytes is the free space below which no new work is taken.
+	MinimumFreeBytes int64 `koanf:"minimum_free_bytes" validate:"min=0"`
+	// ReplaceAfter is how long a replica may be out of sight before another
+	// store takes its place; a disk known to be gone is replaced at once.
+	ReplaceAfter time.Duration `koanf:"replace_after" validate:"min=100ms,max=24h"`
+	// SnapshotEntries is how many applied entries are kept in the log before
+	// it is compacted.
+	SnapshotEntries int `koanf:"snapshot_entries" validate:"min=100,max=10000000"`
 }
 
 // Log sets the log output.
@@ -113,6 +121,7 @@
 		Store: Store{
 			Groups: 3, Replicas: 3, Heartbeat: 50 * time.Millisecond, ElectionTimeout: 300 * time.Millisecond,
 			GrantLifetime: time.Minute, Retention: 30 * 24 * time.Hour,
+			MinimumFreeBytes: 256 << 20, ReplaceAfter: 15 * time.Second, SnapshotEntries: 20_000,
 		},
 		Log: Log{Level: "info", Format: "text"},
 	}
--- /dev/null
+++ b/internal/store/bootstrap.go
@@ -0,0 +1,208 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/internal/kv"
+	"github.com/dykewing/dykewing/placement"
+	"github.com/dykewing/dykewing/replication"
+)
+
+// Keys under the service's prefix.
+const (
+	prefixStores       = "stores/"
+	prefixGroups       = "groups/"
+	bootstrapInterval  = time.Second
+	publishingInterval = 10 * time.Second // once all groups are formed
+)
+
+// storeRecord registers a disk, so that groups can be formed of it.
+type storeRecord struct {
+	Replica  replication.ReplicaID `json:"replica"`
+	Node     api.NodeID            `json:"node"`
+	Address  string                `json:"address"`
+	Location api.Location          `json:"location"`
+}
+
+// groupRecord fixes a group's first members. Members is what the group itself
+// has committed since; it is only told here, never decided.
+type groupRecord struct {
+	First   replication.Members `json:"first"`
+	Members replication.Members `json:"members"`
+	Index   uint64              `json:"index"` // of the entry that made Members
+}
+
+// meetOtherStores registers this store, forms groups that are missing, starts
+// those that list this store first and publishes what members have become. What
+// the service refuses or loses is tried again; nothing here is needed by groups
+// that run.
+func (s *Store) meetOtherStores(ctx context.Context) {
+	for {
+		formed, err := s.meetOnce(ctx)
+		if err != nil && ctx.Err() == nil {
+			s.log.WithError(err).Debug("Key-value service does not answer; the groups go on without it.")
+		}
+		interval := bootstrapInterval
+		if formed {
+			interval = publishingInterval
+		}
+		select {
+		case <-time.After(interval):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Store) meetOnce(ctx context.Context) (formed bool, err error) {
+	if err := s.register(ctx); err != nil {
+		return false, err
+	}
+	records, revisions, err := s.readGroups(ctx)
+	if err != nil {
+		return false, err
+	}
+	if len(records) < s.node.Settings.Store.Groups {
+		return false, s.formGroups(ctx, records)
+	}
+	for id, record := range records {
+		if err := s.startFirst(id, record); err != nil {
+			s.log.WithError(err).WithField("group", id).Error("The group could not be started.")
+		}
+		if err := s.publish(ctx, id, record, revisions[id]); err != nil {
+			return true, err
+		}
+	}
+	return true, nil
+}
+
+// register writes this store's record if it is not there or says otherwise.
+func (s *Store) register(ctx context.Context) error {
+	if s.registered {
+		return nil
+	}
+	value, err := json.Marshal(storeRecord{
+		Replica: s.shared.database.identity, Node: s.node.ID(), Address: s.node.Address(), Location: s.node.Settings.Node.Location(),
+	})
+	if err != nil {
+		return err
+	}
+	key := s.key(prefixStores + string(s.shared.database.identity))
+	result, err := s.node.KeyValue.Swap(ctx, kv.Swap{Key: key, Value: value})
+	if err == nil && !result.Succeeded && result.Standing != nil && string(result.Standing.Value) != string(value) {
+		result, err = s.node.KeyValue.Swap(ctx, kv.Swap{Key: key, Value: value, Expected: result.Standing.Revision})
+	}
+	if err != nil {
+		return fmt.Errorf("register store: %w", err)
+	}
+	s.registered = result.Succeeded || result.Standing != nil && string(result.Standing.Value) == string(value)
+	return nil
+}
+
+func (s *Store) key(rest string) string { return s.node.Settings.KeyValueService.Prefix + rest }
+
+func (s *Store) groupRecordKey(id api.GroupID) string { return s.key(fmt.Sprintf("%s%d", prefixGroups, id)) }
+
+func (s *Store) readGroups(ctx context.Context) (map[api.GroupID]groupRecord, map[api.GroupID]int64, error) {
+	prefix := s.key(prefixGroups)
+	found, err := s.node.KeyValue.Range(ctx, prefix)
+	if err != nil {
+		return nil, nil, fmt.Errorf("read groups: %w", err)
+	}
+	records, revisions := map[api.GroupID]groupRecord{}, map[api.GroupID]int64{}
+	for _, pair := range found.Pairs {
+		var id api.GroupID
+		var record groupRecord
+		if _, err := fmt.Sscanf(strings.TrimPrefix(pair.Key, prefix), "%d", &id); err != nil {
+			return nil, nil, fmt.Errorf("read groups: key %s: %w", pair.Key, err)
+		}
+		if err := json.Unmarshal(pair.Value, &record); err != nil {
+			return nil, nil, fmt.Errorf("read groups: key %s: %w", pair.Key, err)
+		}
+		records[id], revisions[id] = record, pair.Revision
+	}
+	return records, revisions, nil
+}
+
+// formGroups fixes the first members of missing groups once there are enough
+// live stores; the first swap that creates the key decides.
+func (s *Store) formGroups(ctx context.Context, known map[api.GroupID]groupRecord) error {
+	candidates, err := s.registeredStores(ctx)
+	if err != nil {
+		return err
+	}
+	for id := range api.GroupID(s.node.Settings.Store.Groups) {
+		if _, ok := known[id]; ok {
+			continue
+		}
+		first, ok := placement.FirstMembers(id, candidates, s.node.Settings.Store.Replicas)
+		if !ok {
+			s.log.Debugf("%d of %d stores are there; the groups wait.", len(candidates), s.node.Settings.Store.Replicas)
+			return nil
+		}
+		value, err := json.Marshal(groupRecord{First: first, Members: first})
+		if err != nil {
+			return err
+		}
+		if _, err := s.node.KeyValue.Swap(ctx, kv.Swap{Key: s.groupRecordKey(id), Value: value}); err != nil {
+			return fmt.Errorf("form group %d: %w", id, err)
+		}
+	}
+	return nil
+}
+
+// registeredStores are those that are registered and seen alive: a disk that
+// was lost stays registered.
+func (s *Store) registeredStores(ctx context.Context) ([]placement.Store, error) {
+	found, err := s.node.KeyValue.Range(ctx, s.key(prefixStores))
+	if err != nil {
+		return nil, fmt.Errorf("read stores: %w", err)
+	}
+	alive := s.shared.peers.stores()
+	var stores []placement.Store
+	for _, pair := range found.Pairs {
+		var record storeRecord
+		if err := json.Unmarshal(pair.Value, &record); err != nil {
+			return nil, fmt.Errorf("read stores: key %s: %w", pair.Key, err)
+		}
+		if slices.ContainsFunc(alive, func(live placement.Store) bool { return live.Replica == record.Replica }) {
+			stores = append(stores, placement.Store{Replica: record.Replica, Location: record.Location})
+		}
+	}
+	return stores, nil
+}
+
+// startFirst starts a group whose first members this store is of and which it
+// does not hold yet. A disk that was lost has another identity and never is.
+func (s *Store) startFirst(id api.GroupID, record groupRecord) error {
+	if _, ok := s.group(id); ok || !slices.Contains(record.First.Voters, s.shared.database.identity) {
+		return nil
+	}
+	return s.startGroup(id, record.First)
+}
+
+// publish tells the service what the group has committed, if this store leads.
+func (s *Store) publish(ctx context.Context, id api.GroupID, record groupRecord, revision int64) error {
+	group, ok := s.group(id)
+	if !ok || !group.leads() {
+		return nil
+	}
+	at := group.members()
+	if at.MembersIndex <= record.Index {
+		return nil
+	}
+	value, err := json.Marshal(groupRecord{First: record.First, Members: at.Members, Index: at.MembersIndex})
+	if err != nil {
+		return err
+	}
+	if _, err := s.node.KeyValue.Swap(ctx, kv.Swap{Key: s.groupRecordKey(id), Value: value, Expected: revision}); err != nil {
+		return fmt.Errorf("publish members of group %d: %w", id, err)
+	}
+	return nil
+}
--- a/internal/store/group.go
+++ b/internal/store/group.go
@@ -1,14 +1,12 @@
 package store
 
 import (
-	"context"
 	"encoding/json"
-	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
-	"time"
+	"sync/atomic"
 
-	"github.com/asynkron/protoactor-go/actor"
 	"github.com/sirupsen/logrus"
 
 	"github.com/dykewing/dykewing/api"
@@ -18,208 +16,248 @@
 	"github.com/dykewing/dykewing/replication"
 )
 
-const (
-	ticksPerHeartbeat = 2
-	persistBacklog    = 4096
-)
+// ticksPerHeartbeat is how finely a replica's machine sees time pass.
+const ticksPerHeartbeat = 2
 
-// group runs one replica: its log, its applied state and, while it leads, its
-// dispatcher.
-type group struct {
-	id       api.GroupID
+// parts are what the groups of one store share.
+type parts struct {
 	settings config.Store
+	database *database
+	writer   *writer
+	sender   *sender
+	peers    *peers
+	metrics  *metrics
 	log      *logrus.Entry
-	disk     *disk
-	shell    *shell.Shell[replication.Message, replication.Action]
-	persists chan replication.Persist
-	done     chan struct{}
-
-	mutex      sync.Mutex // guards all below
-	state      *jobs.State
-	dispatcher *jobs.Dispatcher // nil unless leading
-	term       uint64
-	token      uint64
-	proposals  map[uint64]chan jobs.Result // by token, until the index is known
-	waiting    map[uint64]proposal         // by log index
 }
 
-type proposal struct {
-	term   uint64
-	answer chan jobs.Result
+// group runs one replica: its log, its applied state and, while it leads, its
+// dispatcher. Methods called by the machine's actor say so; the others may be
+// called from anywhere.
+type group struct {
+	parts
+	id      api.GroupID
+	origin  replication.Members
+	state   *state
+	shell   *shell.Shell[replication.Message, replication.Action]
+	halted  atomic.Bool // a write failed: nothing is taken in or sent
+	pending atomic.Int64
+	// pendingVotes counts, of pending, those with a term or vote.
+	pendingVotes atomic.Int64
+
+	mutex     sync.Mutex // guards all below
+	jobs      *jobs.State
+	leading   *leadership // nil unless leading and applied up to its own term
+	role      replication.RoleChanged
+	token     uint64
+	proposals map[uint64]chan answer // by token, until the index is known
+	waiting   map[uint64]proposal    // by log index
+	reads     readRounds
+	snapshots snapshotTransfers
+}
+
+// leadership is what a replica has only while it leads.
+type leadership struct {
+	term       uint64
+	dispatcher *jobs.Dispatcher
 }
 
-func startGroup(system *actor.ActorSystem, id api.GroupID, folder string, settings config.Store, log *logrus.Entry) (*group, error) {
-	disk, err := openDisk(folder)
+func newGroup(shared parts, id api.GroupID) (*group, error) {
+	restored, err := shared.database.restore(id)
 	if err != nil {
 		return nil, err
 	}
-	restored, err := disk.restore()
-	if err != nil {
-		return nil, errors.Join(err, disk.close())
+	shared.log = shared.log.WithField("group", id)
+	g := &group{
+		parts: shared, id: id, origin: restored.origin,
+		state:     newState(shared.database, id, restored.applied),
+		proposals: map[uint64]chan answer{}, waiting: map[uint64]proposal{},
+	}
+	if g.jobs, err = jobs.OpenState(g.state); err != nil {
+		return nil, fmt.Errorf("open applied state of group %d: %w", id, err)
 	}
 	machine, err := replication.NewMachine(replication.Settings{
-		Group: id, Self: disk.identity, Heartbeat: settings.Heartbeat, ElectionTimeout: settings.ElectionTimeout,
+		Group: id, Self: shared.database.identity,
+		Heartbeat: shared.settings.Heartbeat, ElectionTimeout: shared.settings.ElectionTimeout,
 		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-	}, restored)
+	}, restored.machine)
 	if err != nil {
-		return nil, errors.Join(err, disk.close())
+		return nil, fmt.Errorf("start replica of group %d: %w", id, err)
 	}
-	g := &group{
-		id: id, settings: settings, log: log, disk: disk,
-		persists: make(chan replication.Persist, persistBacklog), done: make(chan struct{}),
-		state: jobs.NewState(), proposals: map[uint64]chan jobs.Result{}, waiting: map[uint64]proposal{},
-	}
-	g.shell = shell.Start(system, machine, g.execute)
-	go g.persistLoop()
+	g.start(machine)
 	return g, nil
 }
 
-func (g *group) run(ctx context.Context) {
-	ticker := time.NewTicker(g.settings.Heartbeat / ticksPerHeartbeat)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			g.shell.Tell(replication.Tick{})
-		case <-ctx.Done():
-			g.stop()
-			return
-		}
+// tell steps the machine, unless a write has failed.
+func (g *group) tell(message replication.Message) {
+	if !g.halted.Load() {
+		g.shell.Tell(message)
 	}
 }
 
-func (g *group) stop() {
-	g.shell.Stop()
-	close(g.persists)
-	<-g.done
-	if err := g.disk.close(); err != nil {
-		g.log.WithError(err).Error("The data file did not close.")
-	}
-}
-
-// persistLoop writes with one sync all that waits.
-func (g *group) persistLoop() {
-	defer close(g.done)
-	for persist := range g.persists {
-		batch := []replication.Persist{persist}
-		for len(g.persists) > 0 {
-			batch = append(batch, <-g.persists)
-		}
-		if err := g.disk.write(batch); err != nil {
-			g.log.WithError(err).Error("The log could not be written; the replica stops acknowledging.")
-			continue
-		}
-		g.acknowledge(batch)
-	}
+// halt stops all acknowledgements: what is proposed ends with an unknown
+// outcome, what is read with an error, and the other replicas elect a leader.
+func (g *group) halt(cause error) {
+	g.halted.Store(true)
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.leading = nil
+	g.role = replication.RoleChanged{Term: g.role.Term}
+	failure := api.NewError("write log", "", haltCode(cause), api.OutcomeUnknown, "%w", cause)
+	g.failProposals(failure)
+	g.failReads(failure)
 }
 
-func (g *group) acknowledge(batch []replication.Persist) {
-	for i := len(batch) - 1; i >= 0; i-- {
-		if entries := batch[i].Entries; len(entries) > 0 {
-			last := entries[len(entries)-1]
-			g.shell.Tell(replication.Persisted{Index: last.Index, Term: last.Term})
-			return
-		}
-	}
-}
+// resume goes on after a write succeeded at last.
+func (g *group) resume() { g.halted.Store(false) }
 
-// execute carries out the replica's actions.
+// execute carries out one action of the machine, in its actor; it never blocks.
 func (g *group) execute(action replication.Action) {
 	switch action := action.(type) {
 	case replication.Persist:
-		g.persists <- action
-	case replication.Proposed:
-		g.proposed(action)
+		g.persist(action)
+	case replication.Send:
+		g.send(action.Message)
 	case replication.Apply:
 		g.apply(action.Entries)
+	case replication.Proposed:
+		g.proposed(action)
+	case replication.Confirmed:
+		g.confirmed(action)
 	case replication.RoleChanged:
 		g.roleChanged(action)
 	}
 }
 
-func (g *group) proposed(answer replication.Proposed) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	channel := g.proposals[answer.Token]
-	delete(g.proposals, answer.Token)
-	if answer.Err != nil {
-		channel <- jobs.Result{Code: api.CodeNotLeader, Message: answer.Err.Error()}
+func (g *group) persist(persist replication.Persist) {
+	added := task{group: g, persist: &persist}
+	if persist.Snapshot != nil {
+		added.install = g.install(*persist.Snapshot)
+	}
+	if persist.HardState != nil {
+		g.pendingVotes.Add(1)
+	}
+	g.pending.Add(1)
+	g.writer.add(added)
+}
+
+// send holds a message back behind what is not on disk yet. A leader's append
+// only depends on its term: it counts its own copy when that is on disk, so its
+// followers may write at the same time.
+func (g *group) send(message replication.WireMessage) {
+	waits := g.pending.Load() > 0
+	if message.Type == replication.MessageAppend && !g.settings.SequentialAppends {
+		waits = g.pendingVotes.Load() > 0
+	}
+	if waits {
+		g.writer.add(task{group: g, send: &message})
 		return
 	}
-	g.waiting[answer.Index] = proposal{term: answer.Term, answer: channel}
+	g.sender.send(message)
 }
 
+// apply hands committed entries to the applied state.
 func (g *group) apply(entries []replication.Entry) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	at := g.state.position()
 	for _, entry := range entries {
-		result := g.applyOne(entry)
-		waiting, ok := g.waiting[entry.Index]
-		delete(g.waiting, entry.Index)
-		if !ok {
-			continue
+		if entry.Index <= at.Index {
+			continue // applied before a restart
 		}
-		if waiting.term != entry.Term {
-			result = jobs.Result{Code: api.CodeNotLeader, Message: "another leader's entry took the place"}
-		}
-		waiting.answer <- result
+		result := g.applyOne(entry, &at)
+		g.state.advance(at)
+		g.resolve(entry, result)
+	}
+	g.metrics.applied.Add(float64(len(entries)))
+	g.lead(at)
+	g.releaseReads(at.Index)
+	if g.state.wantsFlush() {
+		g.writer.add(task{group: g, flush: true})
 	}
 }
 
-func (g *group) applyOne(entry replication.Entry) jobs.Result {
-	if entry.Kind != replication.EntryCommand {
-		return jobs.Result{}
+func (g *group) applyOne(entry replication.Entry, at *position) jobs.Result {
+	at.Index, at.Term = entry.Index, entry.Term
+	switch entry.Kind {
+	case replication.EntryMembers:
+		var members replication.Members
+		if err := json.Unmarshal(entry.Data, &members); err != nil {
+			g.log.WithError(err).Error("An entry with members can't be decoded.")
+			return jobs.Result{Code: api.CodeInternal, Message: err.Error()}
+		}
+		at.Members, at.MembersIndex = members, entry.Index
+	case replication.EntryCommand:
+		return g.applyCommand(entry)
 	}
+	return jobs.Result{}
+}
+
+func (g *group) applyCommand(entry replication.Entry) jobs.Result {
 	var command jobs.Command
 	if err := json.Unmarshal(entry.Data, &command); err != nil {
 		return jobs.Result{Code: api.CodeInternal, Message: err.Error()}
 	}
-	result := g.state.Apply(command)
-	if g.dispatcher != nil && command.Submit != nil && result.Job != nil {
-		g.dispatcher.Add(result.Job.ID())
+	results, err := g.jobs.Apply(jobs.Entry{Index: entry.Index, Command: command})
+	if err != nil {
+		g.log.WithError(err).Error("The applied state can't be read; the replica stops.")
+		g.writer.failed(fmt.Errorf("apply entry %d of group %d: %w", entry.Index, g.id, err))
+		return jobs.Result{Code: api.CodeInternal, Message: err.Error()}
 	}
-	return result
+	if g.leading != nil {
+		g.leading.applied(command, results[0])
+	}
+	return results[0]
 }
 
+// roleChanged is told by the machine. A new leader serves only once it has
+// applied an entry of its own term, since until then it may not know of all
+// that is committed.
 func (g *group) roleChanged(change replication.RoleChanged) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.term = change.Term
-	g.dispatcher = nil
-	if change.Leading {
-		g.dispatcher = jobs.NewDispatcher(g.state, g.settings.GrantLifetime)
+	lost := g.role.Leading && (!change.Leading || change.Term != g.role.Term)
+	g.role = change
+	g.metrics.roleChanges.Inc()
+	if lost || !change.Leading {
+		g.leading = nil
+		g.failProposals(g.notLeader("commit command", api.OutcomeUnknown))
+		g.failReads(g.notLeader("read group", api.OutcomeNotRun))
 	}
+	g.lead(g.state.position())
 }
 
-// propose commits a command and gives its result.
-func (g *group) propose(ctx context.Context, command jobs.Command) (jobs.Result, *api.Error) {
-	const step = "commit command"
-	command.Time = time.Now().UTC()
-	data, err := json.Marshal(command)
-	if err != nil {
-		return jobs.Result{}, api.NewError(step, "", api.CodeInternal, api.OutcomeNotRun, "%w", err)
+// lead begins to serve as leader when all that earlier leaders committed is
+// applied; the mutex is held.
+func (g *group) lead(at position) {
+	if g.leading != nil || !g.role.Leading || at.Term != g.role.Term {
+		return
 	}
-	answer := make(chan jobs.Result, 1)
-	g.mutex.Lock()
-	g.token++
-	token := g.token
-	g.proposals[token] = answer
-	g.mutex.Unlock()
-	g.shell.Tell(replication.Propose{Token: token, Data: data})
-	select {
-	case result := <-answer:
-		return result, nil
-	case <-ctx.Done():
-		return jobs.Result{}, api.NewError(step, "", api.CodeNoQuorum, api.OutcomeUnknown, "%w", ctx.Err())
+	leading, err := newLeadership(g.role.Term, g.jobs, g.settings)
+	if err != nil {
+		g.log.WithError(err).Error("The waiting items can't be read.")
+		return
 	}
+	g.leading = leading
+	g.log.WithField("term", g.role.Term).Info("This replica leads the group.")
 }
 
+// notLeader is the answer of a replica that can't serve; the mutex is held.
+func (g *group) notLeader(step string, outcome api.Outcome) *api.Error {
+	failure := api.NewError(step, "", api.CodeNotLeader, outcome, "this replica does not lead group %d", g.id)
+	failure.Leader = g.peers.node(g.role.Leader)
+	failure.RetryAfter = g.settings.ElectionTimeout
+	return failure
+}
+
+// members are those of the applied state.
+func (g *group) members() position { return g.state.position() }
+
 func (g *group) summary() api.GroupSummary {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	summary := api.GroupSummary{Group: g.id, Term: g.term, Leading: g.dispatcher != nil}
-	if g.dispatcher != nil {
-		summary.Waiting = g.dispatcher.Backlog()
+	summary := api.GroupSummary{Group: g.id, Term: g.role.Term, Leading: g.leading != nil}
+	if g.leading != nil {
+		summary.Waiting = g.leading.backlog()
 	}
 	return summary
 }
--- /dev/null
+++ b/internal/store/hooks.go
@@ -0,0 +1,12 @@
+package store
+
+import "github.com/dykewing/dykewing/replication"
+
+// hooks are planted faults and observations of tests; the zero value is none.
+type hooks struct {
+	skipSync   bool                   // fault: acknowledge without a sync
+	identity   replication.ReplicaID  // fault: a new disk takes this identity
+	synced     func()                 // after each sync, before what depends on it
+	writeError func() error           // before each write
+	freeBytes  func() (uint64, error) // in place of the file system's answer
+}
--- /dev/null
+++ b/internal/store/messages.go
@@ -0,0 +1,97 @@
+package store
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/internal/transport"
+	"github.com/dykewing/dykewing/replication"
+)
+
+// serveMessages takes a batch from another replica. It answers before anything
+// is on disk: acknowledgements travel as messages.
+func (s *Store) serveMessages(w http.ResponseWriter, r *http.Request) {
+	var batch messageBatch
+	if failure := transport.ReadJSON(w, r, "receive log messages", maximumMessagesBytes, &batch); failure != nil {
+		transport.WriteError(w, failure)
+		return
+	}
+	s.shared.peers.heard(batch.From, batch.Address)
+	for _, message := range batch.Messages {
+		s.receive(message, batch.Address)
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// receive hands a message to its group. A message to another identity was meant
+// for a disk that is gone from this address.
+func (s *Store) receive(message replication.WireMessage, address string) {
+	if message.To != s.shared.database.identity {
+		return
+	}
+	if group, ok := s.group(message.Group); ok {
+		group.tell(replication.Received{Message: message})
+		return
+	}
+	s.join(message.Group, address)
+}
+
+// join starts a replica of a group that a peer sends messages of; its first
+// members, from which every replica starts, come from that peer.
+func (s *Store) join(id api.GroupID, address string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.joining[id] || s.stopped {
+		return
+	}
+	s.joining[id] = true
+	s.background.Go(func() {
+		ctx, cancel := context.WithTimeout(s.ctx, sendTimeout)
+		defer cancel()
+		var origin replication.Members
+		err := transport.Get(ctx, s.node.Control, "read first members", address, originPath(id), &origin)
+		if err == nil {
+			err = s.startGroup(id, origin)
+		}
+		if err != nil {
+			s.log.WithError(err).WithField("group", id).Warn("A group could not be joined; it is tried again.")
+		}
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		delete(s.joining, id)
+	})
+}
+
+func originPath(id api.GroupID) string { return fmt.Sprintf("%s%d/origin", api.PathGroups, id) }
+
+func serveOrigin(w http.ResponseWriter, _ *http.Request, group *group) {
+	transport.WriteJSON(w, http.StatusOK, group.origin)
+}
+
+// groupStatus is what operators read of one replica.
+type groupStatus struct {
+	Group        api.GroupID           `json:"group"`
+	Replica      replication.ReplicaID `json:"replica"`
+	Leading      bool                  `json:"leading"`
+	Leader       replication.ReplicaID `json:"leader,omitempty"`
+	Term         uint64                `json:"term"`
+	Applied      uint64                `json:"applied"`
+	Members      replication.Members   `json:"members"`
+	MembersIndex uint64                `json:"members_index"`
+}
+
+func serveStatus(w http.ResponseWriter, _ *http.Request, group *group) {
+	transport.WriteJSON(w, http.StatusOK, group.status())
+}
+
+func (g *group) status() groupStatus {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	at := g.state.position()
+	return groupStatus{
+		Group: g.id, Replica: g.database.identity, Leading: g.leading != nil, Leader: g.role.Leader, Term: g.role.Term,
+		Applied: at.Index, Members: at.Members, MembersIndex: at.MembersIndex,
+	}
+}
--- /dev/null
+++ b/internal/store/record.go
@@ -0,0 +1,170 @@
+package store
+
+import (
+	"encoding/binary"
+	"errors"
+	"hash/crc32"
+
+	"github.com/cespare/xxhash/v2"
+	"go.etcd.io/bbolt"
+)
+
+const checksumBytes = 4
+
+var (
+	errChecksum = errors.New("checksum does not match")
+	errSum      = errors.New("records are missing or out of date")
+
+	castagnoli = crc32.MakeTable(crc32.Castagnoli)
+)
+
+// sealRecord puts a checksum over key and value before the value, so that a
+// value found under another key is no valid record.
+func sealRecord(key, value []byte) []byte {
+	sealed := make([]byte, checksumBytes, checksumBytes+len(value))
+	binary.BigEndian.PutUint32(sealed, checksum(key, value))
+	return append(sealed, value...)
+}
+
+// openRecord gives the value of a sealed record; it shares its memory.
+func openRecord(key, sealed []byte) ([]byte, error) {
+	if len(sealed) < checksumBytes {
+		return nil, errChecksum
+	}
+	value := sealed[checksumBytes:]
+	if binary.BigEndian.Uint32(sealed) != checksum(key, value) {
+		return nil, errChecksum
+	}
+	return value, nil
+}
+
+func checksum(key, value []byte) uint32 {
+	return crc32.Update(crc32.Checksum(key, castagnoli), castagnoli, value)
+}
+
+// recordSum is a sum over all records of a bucket. It is kept beside them, so
+// that records that vanished or came back old are seen at the next start: a
+// checksum a record cannot show that.
+type recordSum struct {
+	Sum   uint64
+	Count uint64
+}
+
+func recordHash(key, sealed []byte) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.Write(key)
+	_, _ = digest.Write(sealed)
+	return digest.Sum64()
+}
+
+func (s *recordSum) add(key, sealed []byte) {
+	s.Sum += recordHash(key, sealed)
+	s.Count++
+}
+
+func (s *recordSum) remove(key, sealed []byte) {
+	s.Sum -= recordHash(key, sealed)
+	s.Count--
+}
+
+func (s *recordSum) encode() []byte {
+	raw := binary.BigEndian.AppendUint64(nil, s.Sum)
+	return binary.BigEndian.AppendUint64(raw, s.Count)
+}
+
+func decodeSum(raw []byte) (recordSum, error) {
+	const size = 16
+	if len(raw) != size {
+		return recordSum{}, errChecksum
+	}
+	return recordSum{Sum: binary.BigEndian.Uint64(raw), Count: binary.BigEndian.Uint64(raw[8:])}, nil
+}
+
+// keySum is the only record that the sum leaves out.
+var keySum = []byte("z/sum")
+
+// ledger writes the records of one bucket within one transaction and keeps
+// their sum. Make it with openLedger and end it with close.
+type ledger struct {
+	bucket *bbolt.Bucket
+	sum    recordSum
+}
+
+func openLedger(bucket *bbolt.Bucket) (*ledger, error) {
+	l := &ledger{bucket: bucket}
+	sealed := bucket.Get(keySum)
+	if sealed == nil {
+		return l, nil
+	}
+	raw, err := openRecord(keySum, sealed)
+	if err != nil {
+		return nil, err
+	}
+	l.sum, err = decodeSum(raw)
+	return l, err
+}
+
+func (l *ledger) put(key, value []byte) error {
+	if old := l.bucket.Get(key); old != nil {
+		l.sum.remove(key, old)
+	}
+	sealed := sealRecord(key, value)
+	l.sum.add(key, sealed)
+	return l.bucket.Put(key, sealed)
+}
+
+func (l *ledger) remove(key []byte) error {
+	old := l.bucket.Get(key)
+	if old == nil {
+		return nil
+	}
+	l.sum.remove(key, old)
+	return l.bucket.Delete(key)
+}
+
+// removeRange removes the records within [from, end).
+func (l *ledger) removeRange(from, end []byte) error {
+	cursor := l.bucket.Cursor()
+	for key, sealed := cursor.Seek(from); key != nil && string(key) < string(end); key, sealed = cursor.Seek(from) {
+		l.sum.remove(key, sealed)
+		if err := cursor.Delete(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *ledger) get(key []byte) ([]byte, error) {
+	sealed := l.bucket.Get(key)
+	if sealed == nil {
+		return nil, nil
+	}
+	return openRecord(key, sealed)
+}
+
+func (l *ledger) close() error {
+	return l.bucket.Put(keySum, sealRecord(keySum, l.sum.encode()))
+}
+
+// verifyRecords reads every record of a bucket and compares their sum.
+func verifyRecords(bucket *bbolt.Bucket) error {
+	kept, err := openLedger(bucket)
+	if err != nil {
+		return err
+	}
+	var found recordSum
+	err = bucket.ForEach(func(key, sealed []byte) error {
+		if string(key) == string(keySum) {
+			return nil
+		}
+		if _, err := openRecord(key, sealed); err != nil {
+			return err
+		}
+		found.add(key, sealed)
+		return nil
+	})
+	if err == nil && found != kept.sum {
+		err = errSum
+	}
+	return err
+}
