--- a/internal/router/batch.go
+++ b/internal/router/batch.go
@@ -108,7 +108,7 @@
 	case failure == nil:
 		settle.Results = []jobs.ItemResult{result}
 	case item.Repeatable:
-		settle.Returned = []jobs.ItemRef{item.Item}
+		settle.Returned = []jobs.ReturnedItem{{Item: item.Item, Epoch: item.Epoch, Reason: jobs.ReturnFailed}}
 	default:
 		settle.Results = []jobs.ItemResult{{Item: item.Item, CustomID: item.CustomID, Outcome: failure.Outcome, Request: id, Error: failure.Error()}}
 	}
@@ -117,7 +117,7 @@
 
 // commitStart commits that a non-repeatable item is about to be sent.
 func (r *Router) commitStart(ctx context.Context, group api.GroupID, address string, item jobs.GrantedItem, id api.RequestID) bool {
-	command := jobs.Command{Start: &jobs.Start{Item: item.Item, Router: r.node.ID(), Request: id}}
+	command := jobs.Command{Start: &jobs.Start{Item: item.Item, Router: r.node.ID(), Request: id, Epoch: item.Epoch}}
 	var result jobs.Result
 	err := transport.Call(ctx, r.node.Control, "commit start", address, storeclient.CommandsPath(group), command, &result)
 	return err == nil && result.Code == ""
--- a/internal/sidecar/batches.go
+++ b/internal/sidecar/batches.go
@@ -89,7 +89,10 @@
 	return object
 }
 
-const maximumBatchBody = 1 << 20
+const (
+	maximumBatchBody = 1 << 20
+	defaultPage      = 20
+)
 
 func (s *Sidecar) createBatch(w http.ResponseWriter, r *http.Request) {
 	const step = "create batch"
@@ -142,16 +145,16 @@
 func (s *Sidecar) listBatches(w http.ResponseWriter, r *http.Request) {
 	tenant := tenantOf(r)
 	group := placement.GroupOf(tenant, s.node.Settings.Store.Groups)
-	var found []jobs.Job
-	if err := s.stores.Read(r.Context(), group, storeclient.JobsPath(group, tenant), &found); err != nil {
+	var found storeclient.JobsPage
+	if err := s.stores.Read(r.Context(), group, storeclient.JobsPath(group, tenant, r.URL.Query().Get("after"), defaultPage), &found); err != nil {
 		s.refuse(w, api.AsError("list batches", err))
 		return
 	}
 	objects := []batchObject{}
-	for _, job := range found {
+	for _, job := range found.Jobs {
 		objects = append(objects, batchObjectOf(job))
 	}
-	transport.WriteJSON(w, http.StatusOK, list[batchObject]{Object: "list", Data: objects})
+	transport.WriteJSON(w, http.StatusOK, list[batchObject]{Object: "list", Data: objects, HasMore: found.More})
 }
 
 func (s *Sidecar) getBatch(w http.ResponseWriter, r *http.Request) {
--- a/internal/store/disk.go
+++ b/internal/store/disk.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"path/filepath"
 	"time"
@@ -10,11 +11,14 @@
 	"github.com/google/uuid"
 	"go.etcd.io/bbolt"
 
+	"github.com/dykewing/dykewing/jobs"
 	"github.com/dykewing/dykewing/replication"
 )
 
 const (
 	databaseFile = "group.db"
+	stateFile    = "state.db"
+	stateBucket  = "state"
 	openTimeout  = 2 * time.Second
 	fileMode     = 0o600
 )
@@ -30,6 +34,7 @@
 // disk is a new replica.
 type disk struct {
 	database *bbolt.DB
+	applied  *bbolt.DB // the applied state; nil before openState
 	identity replication.ReplicaID
 }
 
@@ -121,4 +126,25 @@
 
 func indexKey(index uint64) []byte { return binary.BigEndian.AppendUint64(nil, index) }
 
-func (d *disk) close() error { return d.database.Close() }
+// openState opens the applied state, which has a file of its own so that its
+// transactions do not wait for the log's.
+func (d *disk) openState(folder string) (*jobs.State, error) {
+	path := filepath.Join(folder, stateFile)
+	database, err := bbolt.Open(path, fileMode, &bbolt.Options{Timeout: openTimeout})
+	if err != nil {
+		return nil, fmt.Errorf("open data file %s: %w", path, err)
+	}
+	d.applied = database
+	storage, err := jobs.NewBoltStorage(database, stateBucket)
+	if err != nil {
+		return nil, fmt.Errorf("prepare data file %s: %w", path, err)
+	}
+	return jobs.OpenState(storage)
+}
+
+func (d *disk) close() error {
+	if d.applied == nil {
+		return d.database.Close()
+	}
+	return errors.Join(d.applied.Close(), d.database.Close())
+}
--- a/internal/store/group.go
+++ b/internal/store/group.go
@@ -64,10 +64,14 @@
 	if err != nil {
 		return nil, errors.Join(err, disk.close())
 	}
+	state, err := disk.openState(folder)
+	if err != nil {
+		return nil, errors.Join(err, disk.close())
+	}
 	g := &group{
 		id: id, settings: settings, log: log, disk: disk,
 		persists: make(chan replication.Persist, persistBacklog), done: make(chan struct{}),
-		state: jobs.NewState(), proposals: map[uint64]chan jobs.Result{}, waiting: map[uint64]proposal{},
+		state: state, proposals: map[uint64]chan jobs.Result{}, waiting: map[uint64]proposal{},
 	}
 	g.shell = shell.Start(system, machine, g.execute)
 	go g.persistLoop()
@@ -150,35 +154,45 @@
 }
 
 func (g *group) apply(entries []replication.Entry) {
+	commands, results := make([]jobs.Entry, 0, len(entries)), make([]jobs.Result, len(entries))
+	for i, entry := range entries {
+		command := jobs.Entry{Index: entry.Index}
+		if entry.Kind == replication.EntryCommand {
+			if err := json.Unmarshal(entry.Data, &command.Command); err != nil {
+				results[i] = jobs.Result{Code: api.CodeInternal, Message: err.Error()}
+			}
+		}
+		commands = append(commands, command)
+	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	for _, entry := range entries {
-		result := g.applyOne(entry)
-		waiting, ok := g.waiting[entry.Index]
-		delete(g.waiting, entry.Index)
-		if !ok {
-			continue
+	applied, err := g.state.Apply(commands...)
+	if err != nil {
+		g.log.WithError(err).Error("Committed entries could not be applied; the replica stops answering.")
+		return
+	}
+	for i, entry := range entries {
+		if results[i].Code == "" {
+			results[i] = applied[i]
 		}
-		if waiting.term != entry.Term {
-			result = jobs.Result{Code: api.CodeNotLeader, Message: "another leader's entry took the place"}
+		g.answer(entry, results[i])
+		if submit := commands[i].Command.Submit; submit != nil && g.dispatcher != nil && results[i].Job != nil {
+			g.dispatcher.Add(results[i].Job.ID())
 		}
-		waiting.answer <- result
 	}
 }
 
-func (g *group) applyOne(entry replication.Entry) jobs.Result {
-	if entry.Kind != replication.EntryCommand {
-		return jobs.Result{}
-	}
-	var command jobs.Command
-	if err := json.Unmarshal(entry.Data, &command); err != nil {
-		return jobs.Result{Code: api.CodeInternal, Message: err.Error()}
+// answer gives a proposal its result once its entry is applied.
+func (g *group) answer(entry replication.Entry, result jobs.Result) {
+	waiting, ok := g.waiting[entry.Index]
+	delete(g.waiting, entry.Index)
+	if !ok {
+		return
 	}
-	result := g.state.Apply(command)
-	if g.dispatcher != nil && command.Submit != nil && result.Job != nil {
-		g.dispatcher.Add(result.Job.ID())
+	if waiting.term != entry.Term {
+		result = jobs.Result{Code: api.CodeNotLeader, Message: "another leader's entry took the place"}
 	}
-	return result
+	waiting.answer <- result
 }
 
 func (g *group) roleChanged(change replication.RoleChanged) {
--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -93,8 +93,8 @@
 	group.mutex.Lock()
 	defer group.mutex.Unlock()
 	if group.dispatcher != nil {
-		for _, item := range settle.Returned {
-			group.dispatcher.Return(item)
+		for _, returned := range settle.Returned {
+			group.dispatcher.Return(returned.Item)
 		}
 		for _, result := range settle.Results {
 			group.dispatcher.Settled(result.Item)
@@ -103,51 +103,50 @@
 	transport.WriteJSON(w, http.StatusOK, struct{}{})
 }
 
+// Reads answer from the applied state and run beside it.
+
 func serveJobs(w http.ResponseWriter, r *http.Request, group *group) {
-	group.mutex.Lock()
-	list := group.state.Jobs(api.TenantID(r.URL.Query().Get("tenant")))
-	group.mutex.Unlock()
-	transport.WriteJSON(w, http.StatusOK, list)
+	query := r.URL.Query()
+	limit, err := strconv.Atoi(query.Get("limit"))
+	if err != nil || limit <= 0 || limit > pageSize {
+		limit = pageSize
+	}
+	list, more, err := group.state.Jobs(api.TenantID(query.Get("tenant")), jobs.JobID(query.Get("after")), limit)
+	writeRead(w, "list jobs", storeclient.JobsPage{Jobs: list, More: more}, err)
 }
 
 func serveJob(w http.ResponseWriter, r *http.Request, group *group) {
-	group.mutex.Lock()
-	job, ok := group.state.Job(jobs.JobID(r.PathValue("id")))
-	group.mutex.Unlock()
-	if !ok {
-		transport.WriteError(w, notFound("batch", r.PathValue("id")))
-		return
+	job, found, err := group.state.Job(jobs.JobID(r.PathValue("id")))
+	if err == nil && !found {
+		err = notFound("batch", r.PathValue("id"))
 	}
-	transport.WriteJSON(w, http.StatusOK, job)
+	writeRead(w, "read job", job, err)
 }
 
 func serveResults(w http.ResponseWriter, r *http.Request, group *group) {
 	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
-	group.mutex.Lock()
-	results, next := group.state.Results(jobs.JobID(r.PathValue("id")), from, pageSize)
-	group.mutex.Unlock()
-	transport.WriteJSON(w, http.StatusOK, storeclient.ResultsPage{Results: results, Next: next})
+	results, next, err := group.state.Results(jobs.JobID(r.PathValue("id")), max(from, 0), pageSize)
+	writeRead(w, "read results", storeclient.ResultsPage{Results: results, Next: next}, err)
 }
 
 func serveFile(w http.ResponseWriter, r *http.Request, group *group) {
-	group.mutex.Lock()
-	file, ok := group.state.File(jobs.FileID(r.PathValue("id")))
-	group.mutex.Unlock()
-	if !ok {
-		transport.WriteError(w, notFound("file", r.PathValue("id")))
-		return
+	file, found, err := group.state.File(jobs.FileID(r.PathValue("id")))
+	if err == nil && !found {
+		err = notFound("file", r.PathValue("id"))
 	}
-	transport.WriteJSON(w, http.StatusOK, file)
+	writeRead(w, "read file", file, err)
 }
 
 func serveLines(w http.ResponseWriter, r *http.Request, group *group) {
 	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
-	group.mutex.Lock()
-	lines := group.state.Lines(jobs.FileID(r.PathValue("id")), from, pageSize)
-	group.mutex.Unlock()
-	next := from + len(lines)
-	if len(lines) < pageSize {
-		next = -1
+	lines, next, err := group.state.Lines(jobs.FileID(r.PathValue("id")), max(from, 0), pageSize)
+	writeRead(w, "read lines", storeclient.LinesPage{Lines: lines, Next: next}, err)
+}
+
+func writeRead(w http.ResponseWriter, step string, value any, err error) {
+	if err != nil {
+		transport.WriteError(w, api.AsError(step, err))
+		return
 	}
-	transport.WriteJSON(w, http.StatusOK, storeclient.LinesPage{Lines: lines, Next: next})
+	transport.WriteJSON(w, http.StatusOK, value)
 }
--- a/internal/storeclient/paths.go
+++ b/internal/storeclient/paths.go
@@ -5,6 +5,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/url"
+	"strconv"
 
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/jobs"
@@ -22,9 +24,11 @@
 // JobPath reads a jobs.Job.
 func JobPath(group api.GroupID, job string) string { return groupPath(group, "jobs/"+job) }
 
-// JobsPath lists a tenant's jobs.
-func JobsPath(group api.GroupID, tenant api.TenantID) string {
-	return groupPath(group, "jobs?tenant="+string(tenant))
+// JobsPath lists up to limit of a tenant's jobs, the newest first, beginning
+// after the named one when it is not empty.
+func JobsPath(group api.GroupID, tenant api.TenantID, after string, limit int) string {
+	query := url.Values{"tenant": {string(tenant)}, "after": {after}, "limit": {strconv.Itoa(limit)}}
+	return groupPath(group, "jobs?"+query.Encode())
 }
 
 // ResultsPath reads a page of a job's results.
@@ -69,3 +73,9 @@
 	Results []jobs.ItemResult `json:"results"`
 	Next    int               `json:"next"` // -1 at the end
 }
+
+// JobsPage is a page of a tenant's jobs.
+type JobsPage struct {
+	Jobs []jobs.Job `json:"jobs"`
+	More bool       `json:"more"`
+}
--- a/jobs/command.go
+++ b/jobs/command.go
@@ -35,6 +35,7 @@
 	DeleteFile *DeleteFile      `json:"delete_file,omitempty"`
 	Submit     *Submit          `json:"submit,omitempty"`
 	Cancel     *Cancel          `json:"cancel,omitempty"`
+	ExpireJobs *ExpireJobs      `json:"expire_jobs,omitempty"`
 	Start      *Start           `json:"start,omitempty"`
 	Complete   *Complete        `json:"complete,omitempty"`
 	Claim      *ClaimRequest    `json:"claim,omitempty"`
@@ -88,16 +89,32 @@
 	Job JobID `json:"job"`
 }
 
-// Start records, before it is sent, that a non-repeatable item is sent.
+// ExpireJobs ends those of the jobs whose deadline is not after the command's
+// time.
+type ExpireJobs struct {
+	Jobs []JobID `json:"jobs"`
+}
+
+// Start records, before it is sent, that a non-repeatable item is sent. It is
+// refused when a start of the same or a later grant was ever committed, unless
+// it is the same start sent again.
 type Start struct {
 	Item    ItemRef       `json:"item"`
 	Router  api.NodeID    `json:"router"`
 	Request api.RequestID `json:"request"`
+	Epoch   uint64        `json:"epoch"` // of the grant
+}
+
+// Release takes a start back: the request is known not to have run.
+type Release struct {
+	Item    ItemRef       `json:"item"`
+	Request api.RequestID `json:"request"`
 }
 
-// Complete brings results of many items.
+// Complete brings results and releases of many items.
 type Complete struct {
-	Results []ItemResult `json:"results"`
+	Results  []ItemResult `json:"results,omitempty"`
+	Released []Release    `json:"released,omitempty"`
 }
 
 // ItemResult is the terminal record of an item.
@@ -131,9 +148,12 @@
 	Body    []byte        `json:"body,omitempty"`
 }
 
-// ExpireRetention drops files, jobs and records that ended before Before.
+// ExpireRetention drops jobs, files and claims that ended before Before, and
+// uploads that were begun before UploadsBefore and never sealed. One command
+// removes a bounded part; Result.More asks for another.
 type ExpireRetention struct {
-	Before time.Time `json:"before"`
+	Before        time.Time `json:"before"`
+	UploadsBefore time.Time `json:"uploads_before"`
 }
 
 // Result answers a command once it is applied.
@@ -142,6 +162,7 @@
 	File      *File          `json:"file,omitempty"`
 	Duplicate bool           `json:"duplicate,omitempty"` // the same command took effect before
 	Accepted  int            `json:"accepted,omitempty"`  // Complete: records that were first
+	More      bool           `json:"more,omitempty"`      // ExpireRetention: there is more to remove
 	Recorded  *RecordRequest `json:"recorded,omitempty"`  // Claim: the answer that stands
 	Code      api.ErrorCode  `json:"code,omitempty"`      // empty on success
 	Message   string         `json:"message,omitempty"`
@@ -157,78 +178,53 @@
 	Lines   int          `json:"lines"`
 	Bytes   int64        `json:"bytes"`
 	Sealed  bool         `json:"sealed"`
+	// Services counts the lines by the service that they are for.
+	Services map[api.ServiceName]int `json:"services,omitempty"`
+	// Jobs counts the jobs over the file that are still kept.
+	Jobs int `json:"jobs,omitempty"`
+	// Deleted files are not shown; their lines stay while Jobs is not 0.
+	Deleted bool `json:"deleted,omitempty"`
 }
 
-// JobStatus is a job's state.
+// JobStatus is a job's state; the words are the OpenAI API's.
 type JobStatus string
 
-// The states of a job; the last four are terminal.
+// The states of a job; the last three are terminal.
 const (
 	JobInProgress JobStatus = "in_progress"
-	JobCancelling JobStatus = "cancelling" // cancelled; items in flight are not settled yet
+	JobCancelling JobStatus = "cancelling" // cancelled; started non-repeatable items are not settled yet
+	JobFinalizing JobStatus = "finalizing" // past its deadline; started non-repeatable items are not settled yet
 	JobCompleted  JobStatus = "completed"
 	JobCancelled  JobStatus = "cancelled"
 	JobExpired    JobStatus = "expired"
-	JobFailed     JobStatus = "failed"
 )
 
-// Job is a batch job's state without its items.
+// Ended tells whether the state is terminal.
+func (s JobStatus) Ended() bool {
+	return s == JobCompleted || s == JobCancelled || s == JobExpired
+}
+
+// Job is a batch job's state without its items. Of an ended job, Completed,
+// Failed and Unfinished add up to Total.
 type Job struct {
 	Submit
-	Status    JobStatus `json:"status"`
-	Created   time.Time `json:"created"`
-	Ended     time.Time `json:"ended"`
-	Total     int       `json:"total"`
-	Completed int       `json:"completed"` // ended with an answer of status below 400
-	Failed    int       `json:"failed"`    // ended otherwise
-	Unknown   int       `json:"unknown"`   // of Failed: the outcome could not be learned
-	Dropped   int       `json:"dropped"`   // late second answers that were not taken
-}
-
-// ClaimItems is a router's wish for work.
-type ClaimItems struct {
-	Router api.NodeID  `json:"router"`
-	Wants  []ClaimWant `json:"wants"`
-	WaitMs int         `json:"wait_ms"` // how long to wait for the first item
-}
-
-// ClaimWant is the idle room of one row.
-type ClaimWant struct {
-	Service api.ServiceName `json:"service"`
-	Place   api.PlaceName   `json:"place"`
-	Room    int             `json:"room"`
-}
-
-// Grant answers ClaimItems.
-type Grant struct {
-	Items []GrantedItem `json:"items"`
-	// Cancelled lists jobs whose items the router should stop.
-	Cancelled []JobID `json:"cancelled,omitempty"`
-}
-
-// GrantedItem is one item to run. The grant ends after LifetimeMs; running on
-// costs repeated work but never gives a second result.
-type GrantedItem struct {
-	Item       ItemRef         `json:"item"`
-	Epoch      uint64          `json:"epoch"` // fences older grants of the item
-	CustomID   string          `json:"custom_id"`
-	Tenant     api.TenantID    `json:"tenant"`
-	Service    api.ServiceName `json:"service"`
-	Place      api.PlaceName   `json:"place"`
-	Path       string          `json:"path"`
-	Body       json.RawMessage `json:"body"`
-	Repeatable bool            `json:"repeatable"`
-	Deadline   time.Time       `json:"deadline"`
-	LifetimeMs int64           `json:"lifetime_ms"`
-}
-
-// Settle is a router's report on granted items; Results and Started go through
-// the log, Returned items wait again at once.
-type Settle struct {
-	Router   api.NodeID   `json:"router"`
-	Results  []ItemResult `json:"results,omitempty"`
-	Returned []ItemRef    `json:"returned,omitempty"` // not run, or repeatable and cut off
+	Status     JobStatus `json:"status"`
+	Created    time.Time `json:"created"`
+	Cancelling time.Time `json:"cancelling"` // when the cancel was committed; zero otherwise
+	Ended      time.Time `json:"ended"`
+	Total      int       `json:"total"`
+	Completed  int       `json:"completed"`  // ended with an answer of status below 400
+	Failed     int       `json:"failed"`     // ended otherwise
+	Unknown    int       `json:"unknown"`    // of Failed: the outcome could not be learned
+	Unfinished int       `json:"unfinished"` // cancelled or expired without a result
+	Started    int       `json:"started"`    // non-repeatable items that are sent and not settled
+	Dropped    int       `json:"dropped"`    // late answers that were not taken
+	// Services counts the items by service.
+	Services map[api.ServiceName]int `json:"services,omitempty"`
 }
 
 // ID is the job's id.
 func (j Job) ID() JobID { return j.Submit.Job }
+
+// Ended items have a record.
+func (j Job) settled() int { return j.Completed + j.Failed }
--- a/jobs/dispatcher.go
+++ b/jobs/dispatcher.go
@@ -23,8 +23,9 @@
 // NewDispatcher finds the waiting items of the state.
 func NewDispatcher(state *State, lifetime time.Duration) *Dispatcher {
 	dispatcher := &Dispatcher{state: state, lifetime: lifetime, next: map[JobID]int{}, granted: map[ItemRef]time.Time{}}
-	for id := range state.jobs {
-		dispatcher.Add(id)
+	active, _ := state.ActiveJobs()
+	for _, job := range active {
+		dispatcher.Add(job.ID())
 	}
 	return dispatcher
 }
@@ -71,7 +72,7 @@
 		switch {
 		case ok && len(items) < want.Room:
 			items = append(items, granted)
-		case d.state.Runnable(item):
+		case d.runnable(item):
 			kept = append(kept, item)
 		}
 	}
@@ -86,12 +87,12 @@
 }
 
 func (d *Dispatcher) takeFrom(now time.Time, id JobID, want ClaimWant, room int) []GrantedItem {
-	job, ok := d.state.Job(id)
+	job, ok, _ := d.state.Job(id)
 	var items []GrantedItem
 	for ok && len(items) < room && d.next[id] < job.Total {
 		item := ItemRef{Job: id, Item: d.next[id]}
 		granted, matches := d.grant(now, item, want)
-		if !matches && d.state.Runnable(item) {
+		if !matches && d.runnable(item) {
 			break // the job's next item is for another service
 		}
 		d.next[id]++
@@ -104,11 +105,11 @@
 
 // grant builds the grant of an item when it may run and is for the service.
 func (d *Dispatcher) grant(_ time.Time, item ItemRef, want ClaimWant) (GrantedItem, bool) {
-	if !d.state.Runnable(item) {
+	if !d.runnable(item) {
 		return GrantedItem{}, false
 	}
-	job, _ := d.state.Job(item.Job)
-	lines := d.state.Lines(job.File, item.Item, 1)
+	job, _, _ := d.state.Job(item.Job)
+	lines, _, _ := d.state.Lines(job.File, item.Item, 1)
 	line, err := ParseLine(lines[0])
 	if err != nil {
 		return GrantedItem{}, false
@@ -129,11 +130,11 @@
 func (d *Dispatcher) Backlog() []api.ServiceBacklog {
 	counts := map[api.ServiceName]int{}
 	for _, id := range d.queues {
-		job, ok := d.state.Job(id)
+		job, ok, _ := d.state.Job(id)
 		if !ok || job.Status != JobInProgress || d.next[id] >= job.Total {
 			continue
 		}
-		lines := d.state.Lines(job.File, d.next[id], 1)
+		lines, _, _ := d.state.Lines(job.File, d.next[id], 1)
 		if line, err := ParseLine(lines[0]); err == nil {
 			if service, err := ServiceOf(line.URL, line.Body); err == nil {
 				counts[service] += job.Total - d.next[id]
@@ -152,3 +153,8 @@
 	})
 	return backlog
 }
+
+func (d *Dispatcher) runnable(item ItemRef) bool {
+	runnable, err := d.state.Runnable(item)
+	return err == nil && runnable
+}
--- /dev/null
+++ b/jobs/state_claims.go
@@ -0,0 +1,51 @@
+package jobs
+
+import (
+	"time"
+
+	"github.com/dykewing/dykewing/api"
+)
+
+// storedClaim is an online request's idempotency key and its answer.
+type storedClaim struct {
+	Claim   ClaimRequest   `json:"claim"`
+	Created time.Time      `json:"created"`
+	Record  *RecordRequest `json:"record,omitempty"`
+}
+
+func claimKey(tenant api.TenantID, key string) []byte {
+	return nameKey(keyClaim, string(tenant), key)
+}
+
+func (c *change) claim(command ClaimRequest) Result {
+	key := claimKey(command.Tenant, command.Key)
+	var known storedClaim
+	if !c.get(key, &known) {
+		c.put(key, storedClaim{Claim: command, Created: c.now})
+		c.Put(timedKey(keyRetention, c.now, key), []byte{})
+		return Result{}
+	}
+	if known.Claim.BodyHash != command.BodyHash {
+		return failure(api.CodeConflict, "idempotency key %q was used with another body", command.Key)
+	}
+	if known.Record != nil {
+		return Result{Duplicate: true, Recorded: known.Record}
+	}
+	if known.Claim.Request == command.Request {
+		return Result{}
+	}
+	return failure(api.CodeAlreadySubmitted, "idempotency key %q is in use by a request whose answer is not recorded", command.Key)
+}
+
+func (c *change) record(command RecordRequest) Result {
+	key := claimKey(command.Tenant, command.Key)
+	var known storedClaim
+	if !c.get(key, &known) || known.Claim.Request != command.Request {
+		return failure(api.CodeNotFound, "no claim of key %q by request %s", command.Key, command.Request)
+	}
+	if known.Record == nil {
+		known.Record = &command
+		c.put(key, known)
+	}
+	return Result{Recorded: known.Record}
+}
--- /dev/null
+++ b/jobs/state_files.go
@@ -0,0 +1,117 @@
+package jobs
+
+import (
+	"bytes"
+
+	"github.com/dykewing/dykewing/api"
+)
+
+// maximumServices bounds the services that one file's lines are for.
+const maximumServices = 64
+
+func fileKey(id FileID) []byte { return nameKey(keyFile, string(id)) }
+
+func (c *change) file(id FileID) (File, bool) {
+	var file File
+	found := c.get(fileKey(id), &file)
+	return file, found && !file.Deleted
+}
+
+func (c *change) createFile(command CreateFile) Result {
+	if known, ok := c.file(command.File); ok {
+		return Result{File: &known, Duplicate: true}
+	}
+	file := File{ID: command.File, Tenant: command.Tenant, Name: command.Name, Purpose: command.Purpose, Created: c.now}
+	c.put(fileKey(file.ID), file)
+	c.Put(timedKey(keyUpload, file.Created, fileKey(file.ID)), []byte{})
+	return Result{File: &file}
+}
+
+func (c *change) appendFile(command AppendFile) Result {
+	file, ok := c.file(command.File)
+	if !ok {
+		return failure(api.CodeNotFound, "no file %s", command.File)
+	}
+	if command.Line < file.Lines {
+		return Result{Duplicate: true}
+	}
+	if command.Line > file.Lines || file.Sealed {
+		return failure(api.CodeConflict, "file %s has %d lines, append is at %d", command.File, file.Lines, command.Line)
+	}
+	services := make([]api.ServiceName, len(command.Lines))
+	for i, raw := range command.Lines {
+		service, err := serviceOfLine(raw)
+		if err != nil {
+			return failure(api.CodeBadRequest, "line %d: %v", command.Line+i+1, err)
+		}
+		services[i] = service
+	}
+	if file.Services == nil {
+		file.Services = map[api.ServiceName]int{}
+	}
+	for _, service := range services {
+		file.Services[service]++
+	}
+	if len(file.Services) > maximumServices {
+		return failure(api.CodeBadRequest, "file %s is for more than %d models or services", command.File, maximumServices)
+	}
+	for i, raw := range command.Lines {
+		c.Put(numberedKey(keyLine, string(file.ID), command.Line+i), bytes.Clone(raw))
+	}
+	file.Lines += len(command.Lines)
+	c.put(fileKey(file.ID), file)
+	return Result{}
+}
+
+func serviceOfLine(raw []byte) (api.ServiceName, error) {
+	line, err := ParseLine(raw)
+	if err != nil {
+		return "", err
+	}
+	return ServiceOf(line.URL, line.Body)
+}
+
+func (c *change) sealFile(command SealFile) Result {
+	file, ok := c.file(command.File)
+	if !ok {
+		return failure(api.CodeNotFound, "no file %s", command.File)
+	}
+	if file.Lines != command.Lines {
+		return failure(api.CodeConflict, "file %s has %d lines, not %d", command.File, file.Lines, command.Lines)
+	}
+	if file.Sealed {
+		return Result{File: &file, Duplicate: true}
+	}
+	file.Sealed = true
+	file.Bytes = command.Bytes
+	c.Delete(timedKey(keyUpload, file.Created, fileKey(file.ID)))
+	c.Put(timedKey(keyRetention, file.Created, fileKey(file.ID)), []byte{})
+	c.put(fileKey(file.ID), file)
+	return Result{File: &file}
+}
+
+// deleteFile hides the file at once; its lines go when no job needs them.
+func (c *change) deleteFile(command DeleteFile) Result {
+	file, ok := c.file(command.File)
+	if !ok {
+		return failure(api.CodeNotFound, "no file %s", command.File)
+	}
+	file.Deleted = true
+	c.freeFile(file)
+	return Result{File: &file}
+}
+
+// freeFile stores a file that has lost its last use or a job, or removes it.
+func (c *change) freeFile(file File) {
+	if !file.Deleted || file.Jobs > 0 {
+		c.put(fileKey(file.ID), file)
+		return
+	}
+	c.Delete(fileKey(file.ID))
+	c.Delete(timedKey(keyUpload, file.Created, fileKey(file.ID)))
+	c.Delete(timedKey(keyRetention, file.Created, fileKey(file.ID)))
+	c.discard(numberedPrefix(keyLine, string(file.ID)))
+}
+
+// discard has all keys with the prefix removed, a bounded part at a time.
+func (c *change) discard(prefix []byte) { c.Put(append([]byte{keyGarbage}, prefix...), []byte{}) }
