--- /dev/null
+++ b/internal/scale/machines_test.go
@@ -0,0 +1,256 @@
+package scale
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/dykewing/dykewing/admission"
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/jobs"
+	"github.com/dykewing/dykewing/membership"
+	"github.com/dykewing/dykewing/placement"
+	"github.com/dykewing/dykewing/routing"
+	"github.com/dykewing/dykewing/sim"
+	"github.com/dykewing/dykewing/table"
+)
+
+// benchmarkNodes are the numbers of nodes that slopes are taken over.
+var benchmarkNodes = []int{50, 150, 300, 670}
+
+func benchmarkRandom() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func encodedSize(b *testing.B, value any) float64 {
+	b.Helper()
+	raw, err := json.Marshal(value)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return float64(len(raw))
+}
+
+// summaryOf is the report of a router that is home of the workers.
+func summaryOf(workers []api.Worker) api.Summary {
+	machine := admission.NewMachine(admission.Settings{})
+	machine.Step(sim.Epoch, admission.Workers{Workers: workers})
+	return api.Summary{Sequence: 1, Services: machine.Summaries()}
+}
+
+// reportingNodes are the fleet's nodes with the summaries of their role.
+func reportingNodes(size Size) []api.Node {
+	nodes := size.NodeList()
+	homed := map[api.NodeID][]api.Worker{}
+	for _, worker := range size.WorkerList() {
+		if home, ok := placement.HomeOf(worker, nodes); ok {
+			homed[home] = append(homed[home], worker)
+		}
+	}
+	for i := range nodes {
+		nodes[i].Summary = summaryOf(homed[nodes[i].ID])
+	}
+	return nodes
+}
+
+func BenchmarkPlacementAllHomes(b *testing.B) {
+	for _, count := range benchmarkNodes {
+		size := DesignSize().WithNodes(count)
+		nodes, workers := size.NodeList(), size.WorkerList()
+		b.Run(fmt.Sprintf("nodes=%d/workers=%d", count, size.Workers), func(b *testing.B) {
+			for b.Loop() {
+				for _, worker := range workers {
+					placement.HomeOf(worker, nodes)
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkTableApplyOneRow(b *testing.B) {
+	for _, models := range []int{6, 12, 24, 96} {
+		size := DesignSize()
+		size.Models = models
+		rows := size.TableRows()
+		replica := table.NewReplica()
+		replica.Step(sim.Epoch, table.Received{Delta: api.TableDelta{Revision: int64(len(rows)), Rows: rows}})
+		b.Run(fmt.Sprintf("rows=%d", len(rows)), func(b *testing.B) {
+			revision := int64(len(rows))
+			var delta api.TableDelta
+			for b.Loop() {
+				revision++
+				changed := rows[int(revision)%len(rows)]
+				changed.Revision = revision
+				delta = api.TableDelta{Revision: revision, Rows: []api.VersionedRow{changed}}
+				replica.Step(sim.Epoch, table.Received{Delta: delta})
+			}
+			b.ReportMetric(encodedSize(b, delta), "delta-bytes")
+			b.ReportMetric(encodedSize(b, api.TableDelta{Revision: revision, Rows: rows}), "table-bytes")
+		})
+	}
+}
+
+func benchmarkProfile() routing.Profile {
+	return routing.Profile{
+		Filters: []routing.Filter{routing.RowFilter{}, routing.NotLeavingFilter{}, routing.NotTriedFilter{}},
+		Scorers: []routing.WeightedScorer{{Scorer: routing.LoadScorer{}, Weight: 2}, {Scorer: routing.ZoneScorer{}, Weight: 1}},
+		Picker:  routing.BestPicker{Random: benchmarkRandom()},
+	}
+}
+
+func BenchmarkAdmissionArriveAndFinish(b *testing.B) {
+	for _, count := range []int{6, 25, 100, 400} {
+		size := DesignSize()
+		size.Workers, size.Zones = count, 1
+		machine := admission.NewMachine(admission.Settings{Online: benchmarkProfile(), Batch: benchmarkProfile()})
+		machine.Step(sim.Epoch, admission.Workers{Workers: size.WorkerList()})
+		rows := map[api.RowKey]api.Row{}
+		for _, row := range size.TableRows() {
+			rows[row.Row.Key()] = row.Row
+		}
+		machine.Step(sim.Epoch, admission.Rows{Rows: rows})
+		b.Run(fmt.Sprintf("workers=%d", count), func(b *testing.B) {
+			now := sim.Epoch
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(time.Millisecond)
+				id := api.RequestID(fmt.Sprint(i))
+				request := routing.Request{ID: id, Service: size.Service(i % min(size.Models, count)), Place: size.Place(0), Class: api.ClassOnline}
+				machine.Step(now, admission.Arrive{Request: request})
+				machine.Step(now, admission.Finished{Request: id})
+			}
+		})
+	}
+}
+
+func BenchmarkRoutingChoose(b *testing.B) {
+	for _, count := range []int{10, 27, 100, 400} {
+		endpoints := make([]routing.Endpoint, count)
+		key := api.RowKey{Service: "model-00", Place: "place-00"}
+		for i := range endpoints {
+			endpoints[i] = routing.Endpoint{Name: fmt.Sprint(i), Key: key, Slots: slotsOfWorker, Online: i % slotsOfWorker}
+		}
+		profile := benchmarkProfile()
+		b.Run(fmt.Sprintf("endpoints=%d", count), func(b *testing.B) {
+			for b.Loop() {
+				profile.Choose(routing.Request{Service: key.Service, Place: key.Place, Class: api.ClassOnline}, endpoints)
+			}
+		})
+	}
+}
+
+// benchmarkState holds one job of the given number of items.
+func benchmarkState(b *testing.B, items int) *jobs.State {
+	b.Helper()
+	state := jobs.NewState()
+	lines := make([]json.RawMessage, items)
+	for i := range lines {
+		lines[i] = json.RawMessage(fmt.Sprintf(
+			`{"custom_id":"item-%d","method":"POST","url":"/v1/chat/completions","body":{"model":"model-00","messages":[{"role":"user","content":"mark the answer %d"}]}}`, i, i))
+	}
+	apply := func(command jobs.Command) {
+		if result := state.Apply(command); result.Code != "" {
+			b.Fatalf("apply: %s %s", result.Code, result.Message)
+		}
+	}
+	apply(jobs.Command{CreateFile: &jobs.CreateFile{File: "file-0", Tenant: "tenant"}})
+	apply(jobs.Command{AppendFile: &jobs.AppendFile{File: "file-0", Lines: lines}})
+	apply(jobs.Command{SealFile: &jobs.SealFile{File: "file-0", Lines: items}})
+	apply(jobs.Command{Submit: &jobs.Submit{
+		Job: "job-0", Tenant: "tenant", File: "file-0", Endpoint: "/v1/chat/completions",
+		Repeatable: true, Deadline: sim.Epoch.Add(24 * time.Hour),
+	}})
+	return state
+}
+
+func BenchmarkJobsClaimAndComplete(b *testing.B) {
+	for _, items := range []int{1_000, 10_000, 76_000} {
+		b.Run(fmt.Sprintf("items=%d", items), func(b *testing.B) {
+			state := benchmarkState(b, items)
+			dispatcher := jobs.NewDispatcher(state, time.Minute)
+			wants := []jobs.ClaimWant{{Service: "model-00", Place: "place-00", Room: 16}}
+			done, claimBytes := 0, 0.0
+			for b.Loop() {
+				grant := dispatcher.Claim(sim.Epoch, wants)
+				if len(grant.Items) == 0 {
+					b.StopTimer()
+					state = benchmarkState(b, items)
+					dispatcher = jobs.NewDispatcher(state, time.Minute)
+					b.StartTimer()
+					continue
+				}
+				if claimBytes == 0 {
+					claimBytes = encodedSize(b, grant) / float64(len(grant.Items))
+				}
+				results := make([]jobs.ItemResult, len(grant.Items))
+				for i, item := range grant.Items {
+					results[i] = jobs.ItemResult{Item: item.Item, CustomID: item.CustomID, Outcome: api.OutcomeRan, Status: 200, Body: json.RawMessage(`{}`)}
+					dispatcher.Settled(item.Item)
+				}
+				state.Apply(jobs.Command{Complete: &jobs.Complete{Results: results}})
+				done += len(results)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(max(done, 1)), "ns/item")
+			b.ReportMetric(claimBytes, "grant-bytes/item")
+		})
+	}
+}
+
+func BenchmarkJobsBacklog(b *testing.B) {
+	for _, count := range []int{10, 45, 200} {
+		state := benchmarkState(b, 100)
+		for i := 1; i < count; i++ {
+			state.Apply(jobs.Command{Submit: &jobs.Submit{
+				Job: jobs.JobID(fmt.Sprintf("job-%d", i)), Tenant: "tenant", File: "file-0", Repeatable: true, Deadline: sim.Epoch.Add(time.Hour),
+			}})
+		}
+		dispatcher := jobs.NewDispatcher(state, time.Minute)
+		b.Run(fmt.Sprintf("jobs=%d", count), func(b *testing.B) {
+			for b.Loop() {
+				dispatcher.Backlog()
+			}
+		})
+	}
+}
+
+func BenchmarkMembershipHeartbeat(b *testing.B) {
+	for _, count := range benchmarkNodes {
+		nodes := reportingNodes(DesignSize().WithNodes(count))
+		b.Run(fmt.Sprintf("nodes=%d", count), func(b *testing.B) { benchmarkHeartbeat(b, nodes) })
+	}
+}
+
+// benchmarkHeartbeat measures one exchange of a node that knows all others:
+// sent, encoded, decoded, merged and answered.
+func benchmarkHeartbeat(b *testing.B, nodes []api.Node) {
+	newMachine := func(self api.Node) *membership.Machine {
+		return membership.NewMachine(membership.Settings{
+			Self: self, Seeds: []string{nodes[1].Address}, Interval: time.Second, SuspectTimeout: 5 * time.Second, Random: benchmarkRandom(),
+		})
+	}
+	sender, receiver := newMachine(nodes[0]), newMachine(nodes[1])
+	records := make([]membership.Record, len(nodes))
+	for i, node := range nodes {
+		records[i] = membership.Record{Node: node, Status: membership.StatusAlive}
+	}
+	all := membership.Incoming{Exchange: membership.Exchange{From: nodes[2].ID, Records: records}}
+	sender.Step(sim.Epoch, all)
+	receiver.Step(sim.Epoch, all)
+	now, bytes := sim.Epoch, 0
+	for b.Loop() {
+		now = now.Add(time.Second)
+		for _, action := range sender.Step(now, membership.Tick{}) {
+			send, ok := action.(membership.Send)
+			if !ok {
+				continue
+			}
+			raw, _ := json.Marshal(send.Exchange)
+			bytes += len(raw)
+			var decoded membership.Exchange
+			if err := json.Unmarshal(raw, &decoded); err != nil {
+				b.Fatal(err)
+			}
+			receiver.Step(now, membership.Incoming{Exchange: decoded})
+		}
+	}
+	b.ReportMetric(float64(bytes)/float64(b.N), "bytes/heartbeat")
+}
--- /dev/null
+++ b/internal/scale/wire.go
@@ -0,0 +1,90 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+
+	"github.com/dykewing/dykewing/internal/transport"
+)
+
+// Wire is what the internal protocol adds to the JSON bodies of one exchange
+// over a connection that stays open, measured on loopback. TCP and IP headers
+// and acknowledgements come on top (PacketBytes).
+type Wire struct {
+	RequestHeader  int `json:"request_header_bytes"`
+	ResponseHeader int `json:"response_header_bytes"`
+}
+
+// Header is both ways together.
+func (w Wire) Header() int { return w.RequestHeader + w.ResponseHeader }
+
+// PacketBytes is the allowance for TCP and IPv4 headers with timestamps of one
+// exchange that fits one segment each way: two segments, two acknowledgements.
+const PacketBytes = 4 * 52
+
+// countingConnection counts what passes.
+type countingConnection struct {
+	net.Conn
+	sent, received *atomic.Int64
+}
+
+// Read counts the bytes read.
+func (c countingConnection) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(int64(n))
+	return n, err
+}
+
+// Write counts the bytes written.
+func (c countingConnection) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.sent.Add(int64(n))
+	return n, err
+}
+
+const sampleBody = 300
+
+// MeasureWire makes exchanges with transport.Call over one real connection and
+// counts its bytes.
+func MeasureWire(ctx context.Context) (Wire, error) {
+	body := strings.Repeat("x", sampleBody)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var request string
+		if failure := transport.ReadJSON(w, r, "measure exchange", 1<<20, &request); failure != nil {
+			transport.WriteError(w, failure)
+			return
+		}
+		transport.WriteJSON(w, http.StatusOK, request)
+	}))
+	defer server.Close()
+	var sent, received atomic.Int64
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		var dialer net.Dialer
+		connection, err := dialer.DialContext(ctx, network, address)
+		return countingConnection{Conn: connection, sent: &sent, received: &received}, err
+	}
+	client := &http.Client{Transport: &http.Transport{DialContext: dial, DisableCompression: true}}
+	defer client.CloseIdleConnections()
+	const exchanges = 20
+	for range exchanges {
+		var answer string
+		err := transport.Call(ctx, client, "measure exchange", server.Listener.Addr().String(), "/internal/v1/gossip", body, &answer)
+		if err != nil {
+			return Wire{}, fmt.Errorf("measure wire: %w", err)
+		}
+	}
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return Wire{}, fmt.Errorf("measure wire: %w", err)
+	}
+	return Wire{
+		RequestHeader:  int(sent.Load())/exchanges - len(encoded),
+		ResponseHeader: int(received.Load())/exchanges - len(encoded),
+	}, nil
+}
