Benchmark the jobs state through its new Storage

Cause: jobs.State now opens a Storage and applies entries with an index. Conclusion: same measurements on the in-memory Storage; not run again yet.

--- a/internal/scale/machines_test.go
+++ b/internal/scale/machines_test.go
@@ -138,20 +138,40 @@
 	}
 }
 
+// benchmarkGroup is an applied state in memory with its log's index.
+type benchmarkGroup struct {
+	*jobs.State
+	index uint64
+}
+
+func newBenchmarkGroup(b *testing.B) *benchmarkGroup {
+	state, err := jobs.OpenState(jobs.NewMemoryStorage())
+	if err != nil {
+		b.Fatal(err)
+	}
+	return &benchmarkGroup{State: state}
+}
+
+// apply applies the next command.
+func (g *benchmarkGroup) apply(b *testing.B, command jobs.Command) {
+	b.Helper()
+	g.index++
+	results, err := g.Apply(jobs.Entry{Index: g.index, Command: command})
+	if err != nil || results[0].Code != "" {
+		b.Fatalf("apply: %v %+v", err, results)
+	}
+}
+
 // benchmarkState holds one job of the given number of items.
-func benchmarkState(b *testing.B, items int) *jobs.State {
+func benchmarkState(b *testing.B, items int) *benchmarkGroup {
 	b.Helper()
-	state := jobs.NewState()
+	state := newBenchmarkGroup(b)
 	lines := make([]json.RawMessage, items)
 	for i := range lines {
 		lines[i] = json.RawMessage(fmt.Sprintf(
 			`{"custom_id":"item-%d","method":"POST","url":"/v1/chat/completions","body":{"model":"model-00","messages":[{"role":"user","content":"mark the answer %d"}]}}`, i, i))
 	}
-	apply := func(command jobs.Command) {
-		if result := state.Apply(command); result.Code != "" {
-			b.Fatalf("apply: %s %s", result.Code, result.Message)
-		}
-	}
+	apply := func(command jobs.Command) { state.apply(b, command) }
 	apply(jobs.Command{CreateFile: &jobs.CreateFile{File: "file-0", Tenant: "tenant"}})
 	apply(jobs.Command{AppendFile: &jobs.AppendFile{File: "file-0", Lines: lines}})
 	apply(jobs.Command{SealFile: &jobs.SealFile{File: "file-0", Lines: items}})
@@ -166,7 +186,7 @@
 	for _, items := range []int{1_000, 10_000, 76_000} {
 		b.Run(fmt.Sprintf("items=%d", items), func(b *testing.B) {
 			state := benchmarkState(b, items)
-			dispatcher := jobs.NewDispatcher(state, time.Minute)
+			dispatcher := jobs.NewDispatcher(state.State, time.Minute)
 			wants := []jobs.ClaimWant{{Service: "model-00", Place: "place-00", Room: 16}}
 			done, claimBytes := 0, 0.0
 			for b.Loop() {
@@ -174,7 +194,7 @@
 				if len(grant.Items) == 0 {
 					b.StopTimer()
 					state = benchmarkState(b, items)
-					dispatcher = jobs.NewDispatcher(state, time.Minute)
+					dispatcher = jobs.NewDispatcher(state.State, time.Minute)
 					b.StartTimer()
 					continue
 				}
@@ -186,7 +206,7 @@
 					results[i] = jobs.ItemResult{Item: item.Item, CustomID: item.CustomID, Outcome: api.OutcomeRan, Status: 200, Body: json.RawMessage(`{}`)}
 					dispatcher.Settled(item.Item)
 				}
-				state.Apply(jobs.Command{Complete: &jobs.Complete{Results: results}})
+				state.apply(b, jobs.Command{Complete: &jobs.Complete{Results: results}})
 				done += len(results)
 			}
 			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(max(done, 1)), "ns/item")
@@ -199,11 +219,11 @@
 	for _, count := range []int{10, 45, 200} {
 		state := benchmarkState(b, 100)
 		for i := 1; i < count; i++ {
-			state.Apply(jobs.Command{Submit: &jobs.Submit{
+			state.apply(b, jobs.Command{Submit: &jobs.Submit{
 				Job: jobs.JobID(fmt.Sprintf("job-%d", i)), Tenant: "tenant", File: "file-0", Repeatable: true, Deadline: sim.Epoch.Add(time.Hour),
 			}})
 		}
-		dispatcher := jobs.NewDispatcher(state, time.Minute)
+		dispatcher := jobs.NewDispatcher(state.State, time.Minute)
 		b.Run(fmt.Sprintf("jobs=%d", count), func(b *testing.B) {
 			for b.Loop() {
 				dispatcher.Backlog()
--- a/internal/scale/memory_test.go
+++ b/internal/scale/memory_test.go
@@ -31,7 +31,7 @@
 		b.Run(fmt.Sprintf("items=%d", items), func(b *testing.B) {
 			heap := 0.0
 			for b.Loop() {
-				heap = heapOf(func() *jobs.State { return finishedState(b, items) })
+				heap = heapOf(func() *benchmarkGroup { return finishedState(b, items) })
 			}
 			b.ReportMetric(heap/float64(items), "heap-bytes/item")
 		})
@@ -39,14 +39,14 @@
 }
 
 // finishedState holds a job whose items all have a short result.
-func finishedState(b *testing.B, items int) *jobs.State {
+func finishedState(b *testing.B, items int) *benchmarkGroup {
 	state := benchmarkState(b, items)
 	results := make([]jobs.ItemResult, items)
 	for i := range results {
 		body := json.RawMessage(fmt.Sprintf(`{"choices":[{"message":{"role":"assistant","content":"mark %d"}}]}`, i))
 		results[i] = jobs.ItemResult{Item: jobs.ItemRef{Job: "job-0", Item: i}, Outcome: api.OutcomeRan, Status: 200, Body: body}
 	}
-	state.Apply(jobs.Command{Complete: &jobs.Complete{Results: results}})
+	state.apply(b, jobs.Command{Complete: &jobs.Complete{Results: results}})
 	return state
 }
 
