--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -45,7 +45,7 @@
 	case api.RoleStore:
 		var part *store.Store
 		part, err = store.New(common)
-		daemon.run = func(ctx context.Context) error { part.Run(ctx); return nil }
+		daemon.run = func(ctx context.Context) error { return part.Run(ctx) }
 	default:
 		err = fmt.Errorf("role %q is not known", role)
 	}
--- a/internal/store/bootstrap.go
+++ b/internal/store/bootstrap.go
@@ -107,7 +107,9 @@
 
 func (s *Store) key(rest string) string { return s.node.Settings.KeyValueService.Prefix + rest }
 
-func (s *Store) groupRecordKey(id api.GroupID) string { return s.key(fmt.Sprintf("%s%d", prefixGroups, id)) }
+func (s *Store) groupRecordKey(id api.GroupID) string {
+	return s.key(fmt.Sprintf("%s%d", prefixGroups, id))
+}
 
 func (s *Store) readGroups(ctx context.Context) (map[api.GroupID]groupRecord, map[api.GroupID]int64, error) {
 	prefix := s.key(prefixGroups)
--- a/internal/store/group.go
+++ b/internal/store/group.go
@@ -1,12 +1,14 @@
 package store
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 
+	"github.com/asynkron/protoactor-go/actor"
 	"github.com/sirupsen/logrus"
 
 	"github.com/dykewing/dykewing/api"
@@ -35,33 +37,33 @@
 // called from anywhere.
 type group struct {
 	parts
-	id      api.GroupID
-	origin  replication.Members
-	state   *state
-	shell   *shell.Shell[replication.Message, replication.Action]
-	halted  atomic.Bool // a write failed: nothing is taken in or sent
-	pending atomic.Int64
-	// pendingVotes counts, of pending, those with a term or vote.
+	id     api.GroupID
+	origin replication.Members
+	state  *state
+	shell  *shell.Shell[replication.Message, replication.Action]
+	ctx    context.Context // until the group stops
+	cancel context.CancelFunc
+	halted atomic.Bool // a write failed: nothing is taken in or sent
+	// pendingVotes counts terms and votes that are not on disk yet.
 	pendingVotes atomic.Int64
+	// installed is the generation of the state in force on disk.
+	installed atomic.Uint64
+	snapshots snapshotTransfers
+	compacted uint64 // only for maintain, like dropped
+	dropped   uint64 // one more than the generation before which none is left
 
 	mutex     sync.Mutex // guards all below
 	jobs      *jobs.State
 	leading   *leadership // nil unless leading and applied up to its own term
 	role      replication.RoleChanged
+	draining  bool // before a planned stop: nothing new is taken
 	token     uint64
 	proposals map[uint64]chan answer // by token, until the index is known
 	waiting   map[uint64]proposal    // by log index
 	reads     readRounds
-	snapshots snapshotTransfers
-}
-
-// leadership is what a replica has only while it leads.
-type leadership struct {
-	term       uint64
-	dispatcher *jobs.Dispatcher
 }
 
-func newGroup(shared parts, id api.GroupID) (*group, error) {
+func newGroup(system *actor.ActorSystem, shared parts, id api.GroupID) (*group, error) {
 	restored, err := shared.database.restore(id)
 	if err != nil {
 		return nil, err
@@ -72,21 +74,30 @@
 		state:     newState(shared.database, id, restored.applied),
 		proposals: map[uint64]chan answer{}, waiting: map[uint64]proposal{},
 	}
+	g.installed.Store(restored.applied.Generation)
 	if g.jobs, err = jobs.OpenState(g.state); err != nil {
 		return nil, fmt.Errorf("open applied state of group %d: %w", id, err)
 	}
 	machine, err := replication.NewMachine(replication.Settings{
 		Group: id, Self: shared.database.identity,
 		Heartbeat: shared.settings.Heartbeat, ElectionTimeout: shared.settings.ElectionTimeout,
-		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Random:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		TrailingEntries: uint64(shared.settings.SnapshotEntries),
 	}, restored.machine)
 	if err != nil {
 		return nil, fmt.Errorf("start replica of group %d: %w", id, err)
 	}
-	g.start(machine)
+	g.ctx, g.cancel = context.WithCancel(context.Background())
+	g.shell = shell.Start(system, &stepper{group: g, machine: machine}, g.execute)
 	return g, nil
 }
 
+// stop ends fetches and the actor, after the messages that wait.
+func (g *group) stop() {
+	g.cancel()
+	g.shell.Stop()
+}
+
 // tell steps the machine, unless a write has failed.
 func (g *group) tell(message replication.Message) {
 	if !g.halted.Load() {
@@ -107,8 +118,15 @@
 	g.failReads(failure)
 }
 
-// resume goes on after a write succeeded at last.
-func (g *group) resume() { g.halted.Store(false) }
+// resume goes on after a write succeeded at last; the machine may have kept its
+// role meanwhile, so it is asked.
+func (g *group) resume() {
+	g.halted.Store(false)
+	g.shell.Tell(replication.Inspect{})
+}
+
+// stopOn ends this store's acknowledgements over a state that can't be read.
+func (g *group) stopOn(err error) { go g.writer.failed(err) }
 
 // execute carries out one action of the machine, in its actor; it never blocks.
 func (g *group) execute(action replication.Action) {
@@ -116,7 +134,9 @@
 	case replication.Persist:
 		g.persist(action)
 	case replication.Send:
-		g.send(action.Message)
+		g.send(action.Message, g.pendingVotes.Load() > 0)
+	case heldSend:
+		g.send(action.Message, true)
 	case replication.Apply:
 		g.apply(action.Entries)
 	case replication.Proposed:
@@ -125,36 +145,14 @@
 		g.confirmed(action)
 	case replication.RoleChanged:
 		g.roleChanged(action)
+	case replication.FetchSnapshot:
+		g.fetchSnapshot(action)
+	case replication.Inspected:
+		status := action.Status
+		g.roleChanged(replication.RoleChanged{Leading: status.Role == replication.RoleLeader, Term: status.Term, Leader: status.Leader})
 	}
 }
 
-func (g *group) persist(persist replication.Persist) {
-	added := task{group: g, persist: &persist}
-	if persist.Snapshot != nil {
-		added.install = g.install(*persist.Snapshot)
-	}
-	if persist.HardState != nil {
-		g.pendingVotes.Add(1)
-	}
-	g.pending.Add(1)
-	g.writer.add(added)
-}
-
-// send holds a message back behind what is not on disk yet. A leader's append
-// only depends on its term: it counts its own copy when that is on disk, so its
-// followers may write at the same time.
-func (g *group) send(message replication.WireMessage) {
-	waits := g.pending.Load() > 0
-	if message.Type == replication.MessageAppend && !g.settings.SequentialAppends {
-		waits = g.pendingVotes.Load() > 0
-	}
-	if waits {
-		g.writer.add(task{group: g, send: &message})
-		return
-	}
-	g.sender.send(message)
-}
-
 // apply hands committed entries to the applied state.
 func (g *group) apply(entries []replication.Entry) {
 	g.mutex.Lock()
@@ -199,8 +197,7 @@
 	}
 	results, err := g.jobs.Apply(jobs.Entry{Index: entry.Index, Command: command})
 	if err != nil {
-		g.log.WithError(err).Error("The applied state can't be read; the replica stops.")
-		g.writer.failed(fmt.Errorf("apply entry %d of group %d: %w", entry.Index, g.id, err))
+		g.stopOn(fmt.Errorf("apply entry %d of group %d: %w", entry.Index, g.id, err))
 		return jobs.Result{Code: api.CodeInternal, Message: err.Error()}
 	}
 	if g.leading != nil {
@@ -218,6 +215,9 @@
 	lost := g.role.Leading && (!change.Leading || change.Term != g.role.Term)
 	g.role = change
 	g.metrics.roleChanges.Inc()
+	if g.halted.Load() {
+		return
+	}
 	if lost || !change.Leading {
 		g.leading = nil
 		g.failProposals(g.notLeader("commit command", api.OutcomeUnknown))
@@ -232,12 +232,7 @@
 	if g.leading != nil || !g.role.Leading || at.Term != g.role.Term {
 		return
 	}
-	leading, err := newLeadership(g.role.Term, g.jobs, g.settings)
-	if err != nil {
-		g.log.WithError(err).Error("The waiting items can't be read.")
-		return
-	}
-	g.leading = leading
+	g.leading = newLeadership(g.jobs, g.settings)
 	g.log.WithField("term", g.role.Term).Info("This replica leads the group.")
 }
 
@@ -252,12 +247,51 @@
 // members are those of the applied state.
 func (g *group) members() position { return g.state.position() }
 
+func (g *group) leads() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.leading != nil
+}
+
+// maintain writes applied state that is only in memory, drops replaced states
+// and compacts the log, unless a snapshot is being streamed: the log after it
+// will be needed.
+func (g *group) maintain() {
+	if g.halted.Load() {
+		return
+	}
+	if g.state.dirty() {
+		g.writer.add(task{group: g, flush: true})
+	}
+	if err := g.dropOldStates(g.installed.Load()); err != nil {
+		g.log.WithError(err).Warn("A replaced state could not be removed yet.")
+	}
+	onDisk := g.state.onDisk()
+	if g.snapshots.serving.Load() > 0 || onDisk < g.compacted+uint64(g.settings.SnapshotEntries) {
+		return
+	}
+	g.compacted = onDisk
+	g.tell(replication.Compact{Snapshot: replication.Snapshot{Index: onDisk}})
+}
+
+// handOver ends what is proposed and then gives leadership away, before a
+// planned stop; it is called again until this replica no longer leads.
+func (g *group) handOver() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.draining = true
+	if g.leading == nil || len(g.proposals)+len(g.waiting) > 0 {
+		return
+	}
+	g.shell.Tell(replication.TransferLeadership{})
+}
+
 func (g *group) summary() api.GroupSummary {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	summary := api.GroupSummary{Group: g.id, Term: g.role.Term, Leading: g.leading != nil}
 	if g.leading != nil {
-		summary.Waiting = g.leading.backlog()
+		summary.Waiting = g.leading.dispatcher.Backlog()
 	}
 	return summary
 }
--- a/internal/store/groupdisk.go
+++ b/internal/store/groupdisk.go
@@ -142,7 +142,13 @@
 	if err := getJSON(records, keyApplied, &r.applied); err != nil {
 		return err
 	}
-	return r.readEntries(records, compacted.Index)
+	if err := r.readEntries(records, compacted.Index); err != nil {
+		return err
+	}
+	// A fetched state may be ahead of the log that is rebuilt after it.
+	last := compacted.Index + uint64(len(r.machine.Entries))
+	r.machine.Applied = min(r.applied.Index, last)
+	return nil
 }
 
 func (r *restoredGroup) readEntries(records *ledger, after uint64) error {
--- a/internal/store/hooks.go
+++ b/internal/store/hooks.go
@@ -6,6 +6,7 @@
 type hooks struct {
 	skipSync   bool                   // fault: acknowledge without a sync
 	identity   replication.ReplicaID  // fault: a new disk takes this identity
+	syncEach   bool                   // no group commit, to measure against
 	synced     func()                 // after each sync, before what depends on it
 	writeError func() error           // before each write
 	freeBytes  func() (uint64, error) // in place of the file system's answer
--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -19,20 +19,24 @@
 type groupHandler func(w http.ResponseWriter, r *http.Request, group *group)
 
 func (s *Store) routes() {
-	s.handle("POST", "commands", serveCommand)
+	s.node.Mux.HandleFunc("POST "+pathMessages, s.serveMessages)
+	s.handle("GET", "origin", serveOrigin)
+	s.handle("GET", "status", serveStatus)
+	s.handle("GET", "snapshot", serveSnapshot)
+	s.handle("POST", "commands", s.serveCommand)
 	s.handle("POST", "claims", serveClaims)
 	s.handle("POST", "settle", serveSettle)
-	s.handle("GET", "jobs", serveJobs)
-	s.handle("GET", "jobs/{id}", serveJob)
-	s.handle("GET", "jobs/{id}/results", serveResults)
-	s.handle("GET", "files/{id}", serveFile)
-	s.handle("GET", "files/{id}/lines", serveLines)
+	s.handle("GET", "jobs", linearisable(serveJobs))
+	s.handle("GET", "jobs/{id}", linearisable(serveJob))
+	s.handle("GET", "jobs/{id}/results", linearisable(serveResults))
+	s.handle("GET", "files/{id}", linearisable(serveFile))
+	s.handle("GET", "files/{id}/lines", linearisable(serveLines))
 }
 
 func (s *Store) handle(method, rest string, handler groupHandler) {
 	s.node.Mux.HandleFunc(method+" "+api.PathGroups+"{group}/"+rest, func(w http.ResponseWriter, r *http.Request) {
 		id, err := strconv.ParseUint(r.PathValue("group"), 10, 32)
-		group, ok := s.groups[api.GroupID(id)]
+		group, ok := s.group(api.GroupID(id))
 		if err != nil || !ok {
 			transport.WriteError(w, notFound("group", r.PathValue("group")))
 			return
@@ -45,12 +49,27 @@
 	return api.NewError("find "+what, "", api.CodeNotFound, api.OutcomeNotRun, "no %s %s", what, id)
 }
 
-func serveCommand(w http.ResponseWriter, r *http.Request, group *group) {
+// linearisable lets a read go on once this replica has proved that it leads.
+func linearisable(handler groupHandler) groupHandler {
+	return func(w http.ResponseWriter, r *http.Request, group *group) {
+		if failure := group.confirm(r.Context()); failure != nil {
+			transport.WriteError(w, failure)
+			return
+		}
+		handler(w, r, group)
+	}
+}
+
+func (s *Store) serveCommand(w http.ResponseWriter, r *http.Request, group *group) {
 	var command jobs.Command
 	if failure := transport.ReadJSON(w, r, "read command", maximumCommandBytes, &command); failure != nil {
 		transport.WriteError(w, failure)
 		return
 	}
+	if failure := s.admit(group, command); failure != nil {
+		transport.WriteError(w, failure)
+		return
+	}
 	result, failure := group.propose(r.Context(), command)
 	if failure != nil {
 		transport.WriteError(w, failure)
@@ -65,13 +84,12 @@
 		transport.WriteError(w, failure)
 		return
 	}
-	group.mutex.Lock()
-	defer group.mutex.Unlock()
-	if group.dispatcher == nil {
-		transport.WriteError(w, api.NewError("claim items", "", api.CodeNotLeader, api.OutcomeNotRun, "this replica does not lead group %d", group.id))
+	grant, failure := group.claim(claim)
+	if failure != nil {
+		transport.WriteError(w, failure)
 		return
 	}
-	transport.WriteJSON(w, http.StatusOK, group.dispatcher.Claim(time.Now(), claim.Wants))
+	transport.WriteJSON(w, http.StatusOK, grant)
 }
 
 func serveSettle(w http.ResponseWriter, r *http.Request, group *group) {
@@ -90,16 +108,7 @@
 			return
 		}
 	}
-	group.mutex.Lock()
-	defer group.mutex.Unlock()
-	if group.dispatcher != nil {
-		for _, returned := range settle.Returned {
-			group.dispatcher.Return(returned.Item)
-		}
-		for _, result := range settle.Results {
-			group.dispatcher.Settled(result.Item)
-		}
-	}
+	group.settled(settle)
 	transport.WriteJSON(w, http.StatusOK, struct{}{})
 }
 
@@ -111,12 +120,12 @@
 	if err != nil || limit <= 0 || limit > pageSize {
 		limit = pageSize
 	}
-	list, more, err := group.state.Jobs(api.TenantID(query.Get("tenant")), jobs.JobID(query.Get("after")), limit)
+	list, more, err := group.jobs.Jobs(api.TenantID(query.Get("tenant")), jobs.JobID(query.Get("after")), limit)
 	writeRead(w, "list jobs", storeclient.JobsPage{Jobs: list, More: more}, err)
 }
 
 func serveJob(w http.ResponseWriter, r *http.Request, group *group) {
-	job, found, err := group.state.Job(jobs.JobID(r.PathValue("id")))
+	job, found, err := group.jobs.Job(jobs.JobID(r.PathValue("id")))
 	if err == nil && !found {
 		err = notFound("batch", r.PathValue("id"))
 	}
@@ -125,12 +134,12 @@
 
 func serveResults(w http.ResponseWriter, r *http.Request, group *group) {
 	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
-	results, next, err := group.state.Results(jobs.JobID(r.PathValue("id")), max(from, 0), pageSize)
+	results, next, err := group.jobs.Results(jobs.JobID(r.PathValue("id")), max(from, 0), pageSize)
 	writeRead(w, "read results", storeclient.ResultsPage{Results: results, Next: next}, err)
 }
 
 func serveFile(w http.ResponseWriter, r *http.Request, group *group) {
-	file, found, err := group.state.File(jobs.FileID(r.PathValue("id")))
+	file, found, err := group.jobs.File(jobs.FileID(r.PathValue("id")))
 	if err == nil && !found {
 		err = notFound("file", r.PathValue("id"))
 	}
@@ -139,7 +148,7 @@
 
 func serveLines(w http.ResponseWriter, r *http.Request, group *group) {
 	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
-	lines, next, err := group.state.Lines(jobs.FileID(r.PathValue("id")), max(from, 0), pageSize)
+	lines, next, err := group.jobs.Lines(jobs.FileID(r.PathValue("id")), max(from, 0), pageSize)
 	writeRead(w, "read lines", storeclient.LinesPage{Lines: lines, Next: next}, err)
 }
 
--- a/internal/store/proposals.go
+++ b/internal/store/proposals.go
@@ -42,6 +42,22 @@
 		return jobs.Result{}, failure
 	}
 	g.shell.Tell(replication.Propose{Token: token, Data: data})
+	return await(ctx, step, answers)
+}
+
+// changeMembers commits a change of one replica.
+func (g *group) changeMembers(ctx context.Context, members replication.Members) *api.Error {
+	const step = "change members"
+	token, answers, failure := g.enter(step)
+	if failure != nil {
+		return failure
+	}
+	g.shell.Tell(replication.ProposeMembers{Token: token, Members: members})
+	_, failure = await(ctx, step, answers)
+	return failure
+}
+
+func await(ctx context.Context, step string, answers chan answer) (jobs.Result, *api.Error) {
 	select {
 	case ended := <-answers:
 		return ended.result, ended.failure
@@ -54,7 +70,7 @@
 func (g *group) enter(step string) (uint64, chan answer, *api.Error) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if g.leading == nil || g.halted.Load() {
+	if g.leading == nil || g.draining || g.halted.Load() {
 		return 0, nil, g.notLeader(step, api.OutcomeNotRun)
 	}
 	if len(g.proposals)+len(g.waiting) >= maximumProposals {
@@ -77,12 +93,27 @@
 	switch {
 	case !ok:
 	case told.Err != nil:
-		answers <- answer{failure: g.notLeader("commit command", api.OutcomeNotRun)}
+		answers <- answer{failure: g.refused(told.Err)}
 	default:
 		g.waiting[told.Index] = proposal{term: told.Term, answer: answers}
 	}
 }
 
+// refused is the answer to what the machine did not put in the log; the mutex
+// is held.
+func (g *group) refused(cause error) *api.Error {
+	const step = "commit command"
+	switch {
+	case errors.Is(cause, replication.ErrNotLeader), errors.Is(cause, replication.ErrTransferring):
+		return g.notLeader(step, api.OutcomeNotRun)
+	case errors.Is(cause, replication.ErrOverloaded):
+		failure := api.NewError(step, "", api.CodeNoCapacity, api.OutcomeNotRun, "%w", cause)
+		failure.RetryAfter = busyRetryAfter
+		return failure
+	}
+	return api.NewError(step, "", api.CodeConflict, api.OutcomeNotRun, "%w", cause)
+}
+
 // resolve answers the proposal that stood at an applied entry's index; the
 // mutex is held.
 func (g *group) resolve(entry replication.Entry, result jobs.Result) {
--- a/internal/store/reads.go
+++ b/internal/store/reads.go
@@ -10,6 +10,7 @@
 // readRounds lets reads share rounds of replication.Confirm: all that come
 // while a round runs wait for the next one, which begins after them.
 type readRounds struct {
+	token     uint64            // of the round in flight
 	running   []chan *api.Error // of the round in flight
 	next      []chan *api.Error
 	confirmed []confirmedRead // wait until their index is applied
@@ -48,6 +49,7 @@
 	}
 	g.reads.running, g.reads.next = g.reads.next, nil
 	g.token++
+	g.reads.token = g.token
 	g.shell.Tell(replication.Confirm{Token: g.token})
 }
 
@@ -55,6 +57,9 @@
 func (g *group) confirmed(told replication.Confirmed) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	if told.Token != g.reads.token {
+		return // its readers had their answer when the role changed
+	}
 	readers := g.reads.running
 	g.reads.running = nil
 	if told.Err != nil {
--- a/internal/store/state.go
+++ b/internal/store/state.go
@@ -48,10 +48,11 @@
 	mutex    sync.Mutex // guards all below
 	active   *layer
 	flushing *layer // being written; nil when none is
+	written  uint64 // index up to which the state is on disk
 }
 
 func newState(database *database, group api.GroupID, applied position) *state {
-	return &state{database: database, group: group, active: newLayer(applied)}
+	return &state{database: database, group: group, active: newLayer(applied), written: applied.Index}
 }
 
 func generationPrefix(generation uint64) []byte {
@@ -117,6 +118,13 @@
 }
 
 func (l *layer) write(records *ledger) error {
+	if err := l.writeRecords(records); err != nil {
+		return err
+	}
+	return putJSON(records, keyApplied, l.position)
+}
+
+func (l *layer) writeRecords(records *ledger) error {
 	var failure error
 	l.tree.Ascend(func(change record) bool {
 		key := stateKey(l.position.Generation, change.key)
@@ -127,10 +135,7 @@
 		}
 		return failure == nil
 	})
-	if failure != nil {
-		return failure
-	}
-	return putJSON(records, keyApplied, l.position)
+	return failure
 }
 
 // flushed ends a layer whose transaction is on disk.
@@ -139,9 +144,17 @@
 	defer s.mutex.Unlock()
 	if written != nil && s.flushing == written {
 		s.flushing = nil
+		s.written = written.position.Index
 	}
 }
 
+// onDisk is the index up to which the applied state is on disk.
+func (s *state) onDisk() uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.written
+}
+
 // View reads one version.
 func (s *state) View(read func(jobs.Reader) error) error {
 	v, err := s.begin()
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -6,7 +6,6 @@
 	"syscall"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"go.etcd.io/bbolt"
 
 	"github.com/dykewing/dykewing/api"
@@ -31,10 +30,10 @@
 // and lets go what had to wait for it. Once a write fails it lets nothing go
 // until a write of the same tasks has succeeded.
 type writer struct {
-	database *database
-	log      *logrus.Entry
-	metrics  *metrics
-	failed   func(error) // told once for each failure, before the next try
+	database  *database
+	metrics   *metrics
+	failed    func(error) // told of each failure, before the next try
+	recovered func()      // told when a write succeeded after a failure
 
 	mutex   sync.Mutex // guards all below
 	tasks   []task
@@ -43,9 +42,9 @@
 	done    chan struct{}
 }
 
-func newWriter(database *database, log *logrus.Entry, metrics *metrics, failed func(error)) *writer {
+func newWriter(database *database, metrics *metrics, failed func(error), recovered func()) *writer {
 	return &writer{
-		database: database, log: log, metrics: metrics, failed: failed,
+		database: database, metrics: metrics, failed: failed, recovered: recovered,
 		wake: make(chan struct{}, 1), done: make(chan struct{}),
 	}
 }
@@ -78,6 +77,9 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	count := min(len(w.tasks), maximumBatchTasks)
+	if w.database.hooks.syncEach {
+		count = min(count, 1)
+	}
 	batch = w.tasks[:count:count]
 	w.tasks = w.tasks[count:]
 	return batch, w.stopped
@@ -104,9 +106,12 @@
 // write tries until the batch is on disk. Only a full disk is tried again: after
 // another error it is not known what the disk holds.
 func (w *writer) write(batch []task) bool {
-	for {
+	for failures := 0; ; failures++ {
 		err := w.commit(batch)
 		if err == nil {
+			if failures > 0 {
+				w.recovered()
+			}
 			return true
 		}
 		w.failed(err)
@@ -191,32 +196,12 @@
 
 // release lets go, in order, what the sync held back.
 func (w *writer) release(batch []task) {
-	persisted := map[*group]replication.Persisted{}
-	released := map[*group]int64{}
 	for _, task := range batch {
 		switch {
 		case task.send != nil:
-			task.group.sender.send(*task.send)
+			task.group.transmit(*task.send)
 		case task.persist != nil:
-			released[task.group]++
-			if last, ok := lastOf(*task.persist); ok {
-				persisted[task.group] = last
-			}
+			task.group.persisted(task)
 		}
 	}
-	for group, last := range persisted {
-		group.tell(last)
-	}
-	for group, count := range released {
-		group.pending.Add(-count)
-	}
-}
-
-// lastOf gives what is on disk after the Persist, when it says.
-func lastOf(persist replication.Persist) (replication.Persisted, bool) {
-	if count := len(persist.Entries); count > 0 {
-		last := persist.Entries[count-1]
-		return replication.Persisted{Index: last.Index, Term: last.Term}, true
-	}
-	return replication.Persisted{}, false
 }
