--- a/internal/dev/fleet.go
+++ b/internal/dev/fleet.go
@@ -49,7 +49,7 @@
 
 // DefaultOptions are the smallest fleet that has every role.
 func DefaultOptions(log *logrus.Logger) Options {
-	return Options{CallersAddress: loopback, Routers: 2, Stores: 1, WorkersPerRow: 2, Log: log}
+	return Options{CallersAddress: loopback, Routers: 2, Stores: 3, WorkersPerRow: 2, Log: log}
 }
 
 // Fleet is a running development fleet.
--- a/internal/store/group.go
+++ b/internal/store/group.go
@@ -113,7 +113,7 @@
 	defer g.mutex.Unlock()
 	g.leading = nil
 	g.role = replication.RoleChanged{Term: g.role.Term}
-	failure := api.NewError("write log", "", haltCode(cause), api.OutcomeUnknown, "%w", cause)
+	failure := api.NewError("write log", "", api.CodeNoQuorum, api.OutcomeUnknown, "%w", cause)
 	g.failProposals(failure)
 	g.failReads(failure)
 }
--- a/internal/store/hooks.go
+++ b/internal/store/hooks.go
@@ -1,13 +1,19 @@
 package store
 
-import "github.com/dykewing/dykewing/replication"
+import (
+	"net/http"
+
+	"github.com/dykewing/dykewing/replication"
+)
 
 // hooks are planted faults and observations of tests; the zero value is none.
 type hooks struct {
-	skipSync   bool                   // fault: acknowledge without a sync
-	identity   replication.ReplicaID  // fault: a new disk takes this identity
-	syncEach   bool                   // no group commit, to measure against
-	synced     func()                 // after each sync, before what depends on it
-	writeError func() error           // before each write
+	skipSync   bool                  // fault: acknowledge without a sync
+	identity   replication.ReplicaID // fault: a new disk takes this identity
+	syncEach   bool                  // no group commit, to measure against
+	synced     func()                // after each sync, before what depends on it
+	writeError func() error          // before each write
+	cut        func() bool           // while true no message leaves
+	wrap       func(http.HandlerFunc) http.HandlerFunc
 	freeBytes  func() (uint64, error) // in place of the file system's answer
 }
--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/internal/storeclient"
@@ -19,7 +18,7 @@
 type groupHandler func(w http.ResponseWriter, r *http.Request, group *group)
 
 func (s *Store) routes() {
-	s.node.Mux.HandleFunc("POST "+pathMessages, s.serveMessages)
+	s.route("POST "+pathMessages, s.serveMessages)
 	s.handle("GET", "origin", serveOrigin)
 	s.handle("GET", "status", serveStatus)
 	s.handle("GET", "snapshot", serveSnapshot)
@@ -33,8 +32,16 @@
 	s.handle("GET", "files/{id}/lines", linearisable(serveLines))
 }
 
+// route adds a path, behind the hook of tests.
+func (s *Store) route(pattern string, handler http.HandlerFunc) {
+	if wrap := s.shared.database.hooks.wrap; wrap != nil {
+		handler = wrap(handler)
+	}
+	s.node.Mux.HandleFunc(pattern, handler)
+}
+
 func (s *Store) handle(method, rest string, handler groupHandler) {
-	s.node.Mux.HandleFunc(method+" "+api.PathGroups+"{group}/"+rest, func(w http.ResponseWriter, r *http.Request) {
+	s.route(method+" "+api.PathGroups+"{group}/"+rest, func(w http.ResponseWriter, r *http.Request) {
 		id, err := strconv.ParseUint(r.PathValue("group"), 10, 32)
 		group, ok := s.group(api.GroupID(id))
 		if err != nil || !ok {
--- a/internal/store/persist.go
+++ b/internal/store/persist.go
@@ -70,7 +70,9 @@
 }
 
 func (g *group) transmit(message replication.WireMessage) {
-	if !g.halted.Load() {
-		g.sender.send(message)
+	cut := g.database.hooks.cut
+	if g.halted.Load() || cut != nil && cut() {
+		return
 	}
+	g.sender.send(message)
 }
--- a/internal/store/proposals.go
+++ b/internal/store/proposals.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"syscall"
 	"time"
 
 	"github.com/dykewing/dykewing/api"
@@ -141,10 +140,3 @@
 	clear(g.proposals)
 	clear(g.waiting)
 }
-
-func haltCode(cause error) api.ErrorCode {
-	if errors.Is(cause, syscall.ENOSPC) {
-		return api.CodeDiskFull
-	}
-	return api.CodeNoQuorum
-}
