replication: groups of several voters

Cause: the machine knew only a group of one. Persisted now names the Persist (Sequence) instead of an entry: the same entry can be written, overwritten and written again while the first sync runs. The store's shell answers so.

--- a/internal/store/group.go
+++ b/internal/store/group.go
@@ -114,13 +114,7 @@
 }
 
 func (g *group) acknowledge(batch []replication.Persist) {
-	for i := len(batch) - 1; i >= 0; i-- {
-		if entries := batch[i].Entries; len(entries) > 0 {
-			last := entries[len(entries)-1]
-			g.shell.Tell(replication.Persisted{Index: last.Index, Term: last.Term})
-			return
-		}
-	}
+	g.shell.Tell(replication.Persisted{Sequence: batch[len(batch)-1].Sequence})
 }
 
 // execute carries out the replica's actions.
--- /dev/null
+++ b/replication/cluster_test.go
@@ -0,0 +1,484 @@
+package replication
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/dykewing/dykewing/sim"
+)
+
+const (
+	testHeartbeat = 50 * time.Millisecond
+	testElection  = 300 * time.Millisecond
+	testCompactAt = 25 // entries after which a replica compacts
+)
+
+// stored is what a replica's disk holds.
+type stored struct {
+	state    HardState
+	snapshot Snapshot
+	entries  []Entry
+}
+
+func cloneStored(s stored) stored {
+	s.entries = slices.Clone(s.entries)
+	return s
+}
+
+func (s *stored) write(persist Persist) {
+	if persist.HardState != nil {
+		s.state = *persist.HardState
+	}
+	if persist.Snapshot != nil {
+		s.entries = slices.DeleteFunc(s.entries, func(e Entry) bool { return persist.Reset || e.Index <= persist.Snapshot.Index })
+		s.snapshot = *persist.Snapshot
+	}
+	if len(persist.Entries) > 0 {
+		keep := persist.Entries[0].Index - s.snapshot.Index - 1
+		s.entries = append(s.entries[:keep:keep], persist.Entries...)
+	}
+}
+
+// pendingWrite is a Persist that is not synced, with what waits for it.
+type pendingWrite struct {
+	persist Persist
+	sends   []WireMessage
+}
+
+// replica is a simulated shell around a Machine.
+type replica struct {
+	cluster  *cluster
+	id       ReplicaID
+	process  *sim.Process
+	disk     *sim.Disk[stored]
+	machine  *Machine
+	writes   []pendingWrite
+	syncing  bool
+	applied  uint64
+	digest   uint64
+	compacts uint64
+	leading  bool
+	proposed map[uint64]uint64 // own proposals: index to term
+	confirms map[uint64]uint64 // token to the index that an answer must reach
+}
+
+// options choose a cluster and the faults planted in it.
+type options struct {
+	seed          uint64
+	voters        int
+	planted       plantedFaults
+	skipSync      bool
+	reuseIdentity bool
+}
+
+// cluster is a simulated group with clients, an operator and the checks.
+type cluster struct {
+	options
+	simulation *sim.Simulation
+	network    *sim.Network
+	replicas   []*replica // by slot
+	first      Members
+	serial     uint64
+	checker
+}
+
+// checker holds the invariants.
+type checker struct {
+	leaders   map[uint64]ReplicaID
+	entries   map[[2]uint64]string // (index, term) to previous term and data
+	committed map[uint64]committedEntry
+	applied   uint64 // highest anywhere
+	acked     int
+	confirmed int
+	broken    []string
+}
+
+type committedEntry struct {
+	term   uint64
+	digest uint64
+}
+
+func (c *checker) violate(format string, arguments ...any) {
+	c.broken = append(c.broken, fmt.Sprintf(format, arguments...))
+}
+
+func newCluster(o options) *cluster {
+	c := &cluster{options: o, simulation: sim.New(o.seed)}
+	c.checker = checker{leaders: map[uint64]ReplicaID{}, entries: map[[2]uint64]string{}, committed: map[uint64]committedEntry{}}
+	c.network = c.simulation.NewNetwork(func(_, _ string) time.Duration { return 500 * time.Microsecond })
+	for slot := range o.voters {
+		c.first.Voters = append(c.first.Voters, ReplicaID(fmt.Sprintf("r%d", slot)))
+	}
+	for _, id := range c.first.Voters {
+		c.replicas = append(c.replicas, c.newReplica(id, stored{snapshot: Snapshot{Members: c.first}}))
+	}
+	return c
+}
+
+func (c *cluster) newReplica(id ReplicaID, initial stored) *replica {
+	r := &replica{cluster: c, id: id, process: c.simulation.NewProcess(string(id)), disk: sim.NewDisk(initial, cloneStored)}
+	r.start()
+	c.network.Attach(r.process, func(_ string, message any) { r.step(Received{Message: message.(WireMessage)}) })
+	return r
+}
+
+// start begins a life of the replica from its disk.
+func (r *replica) start() {
+	held := r.disk.Read()
+	random := r.cluster.simulation.Fork()
+	machine, err := NewMachine(Settings{
+		Group: 7, Self: r.id, Heartbeat: testHeartbeat, ElectionTimeout: testElection, Random: random,
+		MaxAppendBytes: 400, MaxInflight: 4, TrailingEntries: 5,
+	}, Restored{HardState: held.state, Snapshot: held.snapshot, Entries: held.entries})
+	if err != nil {
+		r.cluster.violate("%s can't start: %v", r.id, err)
+		return
+	}
+	machine.planted = r.cluster.planted
+	r.machine, r.writes, r.syncing, r.leading = machine, nil, false, false
+	r.applied, r.digest = held.snapshot.Index, snapshotDigest(held.snapshot)
+	r.compacts = r.applied
+	r.proposed, r.confirms = map[uint64]uint64{}, map[uint64]uint64{}
+	r.process.Every(testHeartbeat/2, func() { r.step(Tick{}) })
+}
+
+func snapshotDigest(s Snapshot) uint64 {
+	if len(s.Data) == 0 {
+		return 0
+	}
+	return binary.BigEndian.Uint64(s.Data)
+}
+
+func (r *replica) step(message Message) {
+	if len(r.cluster.broken) > 0 {
+		return
+	}
+	defer func() {
+		if problem := recover(); problem != nil {
+			r.cluster.violate("%s: %v", r.id, problem)
+		}
+	}()
+	for _, action := range r.machine.Step(r.process.Now(), message) {
+		r.execute(action)
+	}
+}
+
+func (r *replica) execute(action Action) {
+	switch action := action.(type) {
+	case Persist:
+		r.checkPersist(action)
+		r.writes = append(r.writes, pendingWrite{persist: action})
+		r.sync()
+	case Send:
+		r.send(action.Message)
+	case Apply:
+		for _, entry := range action.Entries {
+			r.apply(entry)
+		}
+	case FetchSnapshot:
+		r.fetch(action)
+	case RoleChanged:
+		r.roleChanged(action)
+	case Proposed:
+		if action.Err == nil {
+			r.proposed[action.Index] = action.Term
+		}
+	case Confirmed:
+		r.checkConfirmed(action)
+	}
+}
+
+// send holds a message back while an earlier Persist of its step, or of one
+// before, is not synced.
+func (r *replica) send(w WireMessage) {
+	if n := len(r.writes); n > 0 && w.Type != MessageAppend && w.Type != MessageSnapshot {
+		r.writes[n-1].sends = append(r.writes[n-1].sends, w)
+		return
+	}
+	r.cluster.simulation.Tracef("%s sends %s to %s term %d index %d commit %d match %d", r.id, w.Type, w.To, w.Term, w.Index, w.Commit, w.Match)
+	r.cluster.network.Send(string(r.id), string(w.To), w)
+}
+
+// sync writes all that waits with one sync.
+func (r *replica) sync() {
+	if r.syncing {
+		return
+	}
+	r.syncing = true
+	delay := time.Duration(r.cluster.simulation.Random().Int64N(int64(3 * time.Millisecond)))
+	r.process.After(delay, func() {
+		done := r.writes
+		r.writes, r.syncing = nil, false
+		r.reachDisk(done)
+		for _, write := range done {
+			for _, w := range write.sends {
+				r.send(w)
+			}
+		}
+		r.step(Persisted{Sequence: done[len(done)-1].persist.Sequence})
+		if len(r.writes) > 0 {
+			r.sync()
+		}
+	})
+}
+
+func (r *replica) reachDisk(writes []pendingWrite) {
+	for _, write := range writes {
+		r.disk.Write(func(s *stored) { s.write(write.persist) })
+	}
+	if !r.cluster.skipSync {
+		r.disk.Sync()
+	}
+}
+
+// crash loses what is not synced, but for a part that reached the disk unasked.
+func (r *replica) crash() {
+	if !r.process.Up() {
+		return
+	}
+	random := r.cluster.simulation.Random()
+	if n := len(r.writes); n > 0 {
+		r.reachDisk(r.writes[:random.IntN(n+1)])
+	}
+	r.process.Crash()
+	r.disk.Crash()
+	r.leading = false
+}
+
+func (r *replica) restart() {
+	if r.process.Up() {
+		return
+	}
+	r.process.Restart()
+	r.start()
+}
+
+// loseDisk puts a new replica on a new disk in the slot's place.
+func (c *cluster) loseDisk(slot int) {
+	old := c.replicas[slot]
+	old.crash()
+	if c.reuseIdentity {
+		old.disk.Lose(stored{snapshot: Snapshot{Members: c.first}})
+		old.restart()
+		return
+	}
+	c.serial++
+	c.simulation.Tracef("new disk for %s", old.id)
+	c.replicas[slot] = c.newReplica(ReplicaID(fmt.Sprintf("n%d", c.serial)), stored{})
+}
+
+func (r *replica) fetch(action FetchSnapshot) {
+	random := r.cluster.simulation.Random()
+	done := SnapshotFetched{Index: action.Snapshot.Index, Term: action.Snapshot.Term}
+	if random.Float64() < 0.2 {
+		done.Err = fmt.Errorf("the bulk broke off")
+	}
+	r.process.After(time.Duration(random.Int64N(int64(80*time.Millisecond))), func() { r.step(done) })
+}
+
+func (r *replica) apply(entry Entry) {
+	if entry.Index != r.applied+1 {
+		r.cluster.violate("%s applies %d after %d", r.id, entry.Index, r.applied)
+	}
+	r.applied, r.digest = entry.Index, chain(r.digest, entry)
+	r.cluster.checkApplied(r, entry)
+	if r.applied >= r.compacts+testCompactAt {
+		r.compacts = r.applied
+		snapshot := Snapshot{Index: r.applied, Data: binary.BigEndian.AppendUint64(nil, r.digest)}
+		r.process.After(time.Millisecond, func() { r.step(Compact{Snapshot: snapshot}) })
+	}
+}
+
+// chain is the state of the applied machine: a hash of all entries so far.
+func chain(digest uint64, entry Entry) uint64 {
+	hash := fnv.New64a()
+	fmt.Fprintf(hash, "%d %d %d %d ", digest, entry.Index, entry.Term, entry.Kind)
+	hash.Write(entry.Data)
+	return hash.Sum64()
+}
+
+func (r *replica) roleChanged(change RoleChanged) {
+	r.cluster.simulation.Tracef("%s leading %v term %d leader %s", r.id, change.Leading, change.Term, change.Leader)
+	r.leading = change.Leading
+	if change.Leading {
+		r.checkLeader(change.Term)
+	}
+}
+
+// checkApplied is state machine safety: all replicas apply the same sequence.
+func (c *cluster) checkApplied(r *replica, entry Entry) {
+	c.simulation.Tracef("%s applies %d of term %d", r.id, entry.Index, entry.Term)
+	known, ok := c.committed[entry.Index]
+	if ok && (known.term != entry.Term || known.digest != r.digest) {
+		c.violate("%s applies (%d, term %d), but (%d, term %d) was applied elsewhere, or another history before it", r.id, entry.Index, entry.Term, entry.Index, known.term)
+	}
+	c.committed[entry.Index] = committedEntry{term: entry.Term, digest: r.digest}
+	c.checker.applied = max(c.checker.applied, entry.Index)
+	if r.proposed[entry.Index] == entry.Term {
+		c.acked++
+	}
+}
+
+// checkPersist is log matching: index and term name one entry with one
+// predecessor, in all logs and for ever.
+func (r *replica) checkPersist(persist Persist) {
+	if persist.Reset {
+		r.applied, r.digest = persist.Snapshot.Index, snapshotDigest(*persist.Snapshot)
+		r.compacts = r.applied
+		if known := r.cluster.committed[r.applied]; known.digest != r.digest {
+			r.cluster.violate("%s installs another state at %d", r.id, r.applied)
+		}
+	}
+	for _, entry := range persist.Entries {
+		previous, known := r.machine.log.term(entry.Index - 1)
+		if !known {
+			continue
+		}
+		key, value := [2]uint64{entry.Index, entry.Term}, fmt.Sprintf("%d %d %s", previous, entry.Kind, entry.Data)
+		if other, ok := r.cluster.entries[key]; ok && other != value {
+			r.cluster.violate("%s has another entry (%d, term %d)", r.id, entry.Index, entry.Term)
+		}
+		r.cluster.entries[key] = value
+	}
+}
+
+// checkLeader is election safety and leader completeness: one leader a term, and
+// it has every entry that was applied anywhere.
+func (r *replica) checkLeader(term uint64) {
+	c := r.cluster
+	if other, ok := c.leaders[term]; ok && other != r.id {
+		c.violate("%s and %s lead term %d", other, r.id, term)
+	}
+	c.leaders[term] = r.id
+	for index, entry := range c.committed {
+		if index > r.machine.log.offset && !r.machine.log.matches(index, entry.term) {
+			c.violate("leader %s of term %d lacks committed (%d, term %d)", r.id, term, index, entry.term)
+			return
+		}
+	}
+}
+
+// checkConfirmed is the linearisable read: an answer covers all that was applied
+// anywhere before the question.
+func (r *replica) checkConfirmed(answer Confirmed) {
+	least := r.confirms[answer.Token]
+	delete(r.confirms, answer.Token)
+	if answer.Err != nil {
+		return
+	}
+	r.cluster.confirmed++
+	if answer.Index < least {
+		r.cluster.violate("%s confirms a read at %d after %d was applied", r.id, answer.Index, least)
+	}
+}
+
+// clients propose at any replica and confirm reads at those that believe they
+// lead.
+func (c *cluster) clients(interval time.Duration) {
+	c.simulation.After(interval, func() {
+		c.serial++
+		target := c.replicas[c.simulation.Random().IntN(len(c.replicas))]
+		if target.process.Up() && !target.process.Paused() {
+			target.step(Propose{Token: c.serial, Data: []byte(fmt.Sprintf("command %d", c.serial))})
+		}
+		for _, r := range c.replicas {
+			if r.leading && r.process.Up() && !r.process.Paused() {
+				c.serial++
+				r.confirms[c.serial] = c.checker.applied
+				r.step(Confirm{Token: c.serial})
+			}
+		}
+		c.clients(interval)
+	})
+}
+
+// operator replaces lost replicas through the leader, a step at a time.
+func (c *cluster) operator(interval time.Duration) {
+	c.simulation.After(interval, func() {
+		for _, r := range c.replicas {
+			if r.leading && r.process.Up() && !r.process.Paused() {
+				c.repair(r)
+			}
+		}
+		c.operator(interval)
+	})
+}
+
+func (c *cluster) repair(leader *replica) {
+	members := leader.machine.Status().Members
+	wanted := c.identities()
+	next := Members{Voters: slices.Clone(members.Voters), Learners: slices.Clone(members.Learners)}
+	for _, id := range wanted {
+		if members.learns(id) {
+			next.Learners = slices.DeleteFunc(next.Learners, func(other ReplicaID) bool { return other == id })
+			next.Voters = append(next.Voters, id)
+			break
+		}
+		if !members.votes(id) {
+			next.Learners = append(next.Learners, id)
+			break
+		}
+	}
+	if len(next.all()) == len(members.all()) && len(next.Voters) == len(members.Voters) {
+		gone := slices.IndexFunc(next.Voters, func(id ReplicaID) bool { return !slices.Contains(wanted, id) })
+		if gone < 0 {
+			return
+		}
+		next.Voters = slices.Delete(next.Voters, gone, gone+1)
+	}
+	c.serial++
+	leader.step(ProposeMembers{Token: c.serial, Members: next})
+}
+
+func (c *cluster) identities() []ReplicaID {
+	var ids []ReplicaID
+	for _, r := range c.replicas {
+		ids = append(ids, r.id)
+	}
+	return ids
+}
+
+// whole tells whether the voters are just the present replicas, by the leader's
+// committed members.
+func (c *cluster) whole() bool {
+	for _, r := range c.replicas {
+		if r.leading && r.process.Up() {
+			members := r.machine.members.at(r.machine.committed)
+			wanted := Members{Voters: c.identities()}
+			return slices.Equal(members.all(), wanted.all()) && len(members.Learners) == 0
+		}
+	}
+	return false
+}
+
+// heal ends all faults.
+func (c *cluster) heal() {
+	c.network.Heal()
+	c.network.SetFaults(sim.Faults{})
+	for _, r := range c.replicas {
+		r.restart()
+		if r.process.Paused() {
+			r.process.Resume()
+		}
+	}
+}
+
+// checkLive says that a healed group commits and that all replicas catch up.
+func (c *cluster) checkLive() {
+	before := c.acked
+	c.simulation.Run(4 * time.Second)
+	if len(c.broken) == 0 && c.acked <= before {
+		c.violate("nothing commits after the faults")
+	}
+	for _, r := range c.replicas {
+		if len(c.broken) == 0 && r.applied+20 < c.checker.applied {
+			c.violate("%s stays at %d of %d after the faults", r.id, r.applied, c.checker.applied)
+		}
+	}
+}
+
+func randomOf(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1)) }
--- /dev/null
+++ b/replication/election.go
@@ -0,0 +1,206 @@
+package replication
+
+import "time"
+
+// tick lets time decide whether to lead on or to ask for votes.
+func (m *Machine) tick() {
+	if m.role == RoleLeader {
+		m.tickLeader()
+		return
+	}
+	voters := m.members.current().Voters
+	alone := len(voters) == 1 && voters[0] == m.settings.Self
+	if m.isVoter() && (alone || !m.now.Before(m.electionDue)) {
+		m.campaign(RolePreCandidate, false)
+	}
+}
+
+// resetElection draws a new wait, so that candidates seldom collide.
+func (m *Machine) resetElection() {
+	timeout := m.settings.ElectionTimeout
+	m.electionDue = m.now.Add(timeout + time.Duration(m.settings.Random.Int64N(int64(timeout))))
+}
+
+// campaign asks for votes, first without raising the term: a replica that was
+// cut off must not depose a leader that the others still hear.
+func (m *Machine) campaign(role Role, transfer bool) {
+	m.role, m.leader = role, ""
+	m.votes = map[ReplicaID]bool{m.settings.Self: true}
+	m.resetElection()
+	request := WireMessage{Type: MessagePreVote, Term: m.state.Term + 1, Transfer: transfer}
+	if role == RoleCandidate {
+		m.enterTerm(m.state.Term+1, m.settings.Self)
+		request.Type = MessageVote
+	}
+	request.Index, request.LogTerm = m.log.last(), m.log.lastTerm()
+	for _, voter := range m.members.current().Voters {
+		if voter != m.settings.Self {
+			request.To = voter
+			m.send(request)
+		}
+	}
+	m.countVotes()
+}
+
+// enterTerm moves to a newer term with the vote given, or none yet.
+func (m *Machine) enterTerm(term uint64, vote ReplicaID) {
+	m.state = HardState{Term: term, Vote: vote}
+	m.verified, m.answered, m.round = 0, 0, 0
+	m.persistState()
+}
+
+func (m *Machine) countVotes() {
+	won := majority(m.members.current().Voters, func(id ReplicaID) bool { return m.votes[id] })
+	switch {
+	case !won:
+	case m.role == RolePreCandidate:
+		m.campaign(RoleCandidate, false)
+	case m.role == RoleCandidate:
+		m.becomeLeader()
+	}
+}
+
+// newerTerm handles a message of a newer term; false drops it.
+func (m *Machine) newerTerm(w WireMessage) bool {
+	switch {
+	case w.Type == MessagePreVote:
+		return !m.hearsLeader()
+	case w.Type == MessagePreVoteAnswer && w.Granted:
+		return true
+	case w.Type == MessageVote && !w.Transfer && m.hearsLeader():
+		return false
+	case w.Type == MessageAppend || w.Type == MessageSnapshot:
+		m.becomeFollower(w.Term, w.From)
+	default:
+		m.becomeFollower(w.Term, "")
+	}
+	return true
+}
+
+// olderTerm lets the sender know that its term is over.
+func (m *Machine) olderTerm(w WireMessage) {
+	switch w.Type {
+	case MessageAppend, MessageSnapshot:
+		m.send(WireMessage{Type: MessageAppendAnswer, To: w.From})
+	case MessagePreVote:
+		m.send(WireMessage{Type: MessagePreVoteAnswer, To: w.From})
+	}
+}
+
+// hearsLeader tells whether a leader was heard within the shortest wait. It
+// keeps a removed or cut-off replica from disturbing; safety does not rest on
+// it.
+func (m *Machine) hearsLeader() bool {
+	if m.role == RoleLeader {
+		return true
+	}
+	return m.leader != "" && m.now.Before(m.heardLeader.Add(m.settings.ElectionTimeout))
+}
+
+// receiveVote answers a request for a vote. A learner answers too: it may be a
+// voter already and not know it.
+func (m *Machine) receiveVote(w WireMessage) {
+	answer := WireMessage{Type: MessageVoteAnswer, To: w.From}
+	if w.Type == MessagePreVote {
+		answer.Type = MessagePreVoteAnswer
+		answer.Granted = w.Term > m.state.Term && m.upToDate(w)
+		if answer.Granted {
+			answer.Term = w.Term
+		}
+		m.send(answer)
+		return
+	}
+	answer.Granted = m.mayVoteFor(w.From) && m.upToDate(w)
+	if answer.Granted {
+		m.state.Vote = w.From
+		m.persistState() // even when given before: it may not be synced yet
+		m.resetElection()
+	}
+	m.send(answer)
+}
+
+func (m *Machine) mayVoteFor(candidate ReplicaID) bool {
+	free := m.state.Vote == "" && m.leader == ""
+	return free || m.state.Vote == candidate || m.planted.voteTwice
+}
+
+// upToDate tells whether the candidate's log holds all that this one may have
+// helped to commit.
+func (m *Machine) upToDate(w WireMessage) bool {
+	term := m.log.lastTerm()
+	return w.LogTerm > term || w.LogTerm == term && w.Index >= m.log.last()
+}
+
+func (m *Machine) receiveVoteAnswer(w WireMessage) {
+	asked := w.Type == MessageVoteAnswer && m.role == RoleCandidate && w.Term == m.state.Term ||
+		w.Type == MessagePreVoteAnswer && m.role == RolePreCandidate && w.Term == m.state.Term+1
+	if asked && w.Granted {
+		m.votes[w.From] = true
+		m.countVotes()
+	}
+}
+
+// becomeFollower gives up what the replica did before; leader is empty when not
+// known.
+func (m *Machine) becomeFollower(term uint64, leader ReplicaID) {
+	led := m.role == RoleLeader
+	if term > m.state.Term {
+		m.enterTerm(term, "")
+	}
+	m.role, m.leader, m.votes = RoleFollower, leader, nil
+	m.resetElection()
+	if led {
+		m.endLeadership()
+	}
+}
+
+// endLeadership gives what waits for the leader its final answer.
+func (m *Machine) endLeadership() {
+	for _, confirm := range m.confirms {
+		m.emit(Confirmed{Token: confirm.token, Leader: m.leader, Err: ErrNotLeader})
+	}
+	if m.transfer != nil {
+		m.emit(Transferred{Token: m.transfer.token})
+	}
+	m.leadership = leadership{}
+}
+
+func (m *Machine) becomeLeader() {
+	m.role, m.leader, m.votes, m.fetching = RoleLeader, m.settings.Self, nil, nil
+	m.leadership = leadership{
+		peers: map[ReplicaID]*progress{}, firstOwn: m.log.last() + 1,
+		uncommitted:     totalSize(m.log.between(m.committed+1, m.log.last())),
+		committedBefore: m.committed,
+		heartbeatDue:    m.now.Add(m.settings.Heartbeat),
+		quorumDue:       m.now.Add(m.settings.ElectionTimeout),
+	}
+	m.membersChanged()
+	m.appendEntry(EntryNoop, nil)
+}
+
+// tickLeader sends heartbeats and gives up a leadership that no quorum answers.
+func (m *Machine) tickLeader() {
+	if !m.now.Before(m.quorumDue) && !m.checkQuorum() {
+		m.becomeFollower(m.state.Term, "")
+		return
+	}
+	m.tickTransfer()
+	if m.now.Before(m.heartbeatDue) {
+		return
+	}
+	m.heartbeatDue = m.now.Add(m.settings.Heartbeat)
+	m.committedBefore = m.committed
+	m.beginRound()
+	m.heartbeat()
+}
+
+func (m *Machine) checkQuorum() bool {
+	m.quorumDue = m.now.Add(m.settings.ElectionTimeout)
+	heard := majority(m.members.current().Voters, func(id ReplicaID) bool {
+		return id == m.settings.Self || m.peers[id].active
+	})
+	for _, peer := range m.peers {
+		peer.active = false
+	}
+	return heard
+}
--- a/replication/replication.go
+++ b/replication/replication.go
@@ -2,12 +2,20 @@
 // leader election by terms, append by quorum, commit. It is only a state
 // machine: the shell persists, sends and applies what Step asks for.
 //
-// Contract of the shell: actions are carried out in order, and a Persist is on
-// disk (synced) before any later Send of the same step leaves. Several steps
-// may share one sync.
+// Contract of the shell:
+//   - Actions are carried out in order. A Persist is on disk (synced) before any
+//     later Send of the same step leaves. Several steps may share one sync.
+//   - Each Persist is answered by Persisted with its Sequence, or with that of a
+//     later one, as Persists are written in order.
+//   - FetchSnapshot is answered by SnapshotFetched once the bulk is staged.
+//   - After a crash NewMachine gets what the last synced Persists left.
+//
+// Safety rests on terms, quorums and synced disks. Time only decides when a
+// replica asks for votes or gives up leading.
 package replication
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -61,7 +69,8 @@
 	MessageAppend         MessageType = "append"
 	MessageAppendAnswer   MessageType = "append_answer"
 	MessageSnapshot       MessageType = "snapshot"
-	MessageSnapshotAnswer MessageType = "snapshot_answer"
+	MessageSnapshotAnswer MessageType = "snapshot_answer" // only when fetching failed
+	MessageTimeoutNow     MessageType = "timeout_now"     // leader to successor: ask for votes at once
 )
 
 // WireMessage travels between replicas of one group.
@@ -71,16 +80,19 @@
 	From     ReplicaID   `json:"from"`
 	To       ReplicaID   `json:"to"`
 	Term     uint64      `json:"term"`
-	Index    uint64      `json:"index,omitempty"`    // previous entry, or last entry of a candidate
+	Index    uint64      `json:"index,omitempty"`    // previous entry, last entry of a candidate; answer: last accepted, or the refused previous
 	LogTerm  uint64      `json:"log_term,omitempty"` // term of Index
 	Commit   uint64      `json:"commit,omitempty"`
 	Entries  []Entry     `json:"entries,omitempty"`
 	Granted  bool        `json:"granted,omitempty"`
-	Match    uint64      `json:"match,omitempty"` // answer: last index known equal
+	Match    uint64      `json:"match,omitempty"`    // answer: last index known equal and on disk; of a refusal: where to try next
+	Round    uint64      `json:"round,omitempty"`    // of Confirm, within Term; an answer brings it back
+	Transfer bool        `json:"transfer,omitempty"` // vote asked for by the leader itself
 	Snapshot *Snapshot   `json:"snapshot,omitempty"`
 }
 
-// Snapshot replaces the log up to Index.
+// Snapshot replaces the log up to Index. Data is the shell's: the whole state
+// when it is small, or a descriptor by which another replica fetches it.
 type Snapshot struct {
 	Index   uint64  `json:"index"`
 	Term    uint64  `json:"term"`
@@ -95,6 +107,25 @@
 	Heartbeat       time.Duration // leader to follower
 	ElectionTimeout time.Duration // shortest wait; up to twice that is drawn
 	Random          *rand.Rand
+
+	MaxAppendBytes      int    // of one append; one entry may be larger; 0: DefaultMaxAppendBytes
+	MaxInflight         int    // appends to one replica not yet on its disk; 0: DefaultMaxInflight
+	MaxUncommittedBytes int    // of proposals that wait for a quorum; 0: DefaultMaxUncommittedBytes
+	TrailingEntries     uint64 // kept in memory before a snapshot, for replicas that lag a little
+}
+
+// Defaults of Settings.
+const (
+	DefaultMaxAppendBytes      = 256 << 10
+	DefaultMaxInflight         = 16
+	DefaultMaxUncommittedBytes = 64 << 20
+)
+
+func (s Settings) withDefaults() Settings {
+	s.MaxAppendBytes = cmp.Or(s.MaxAppendBytes, DefaultMaxAppendBytes)
+	s.MaxInflight = cmp.Or(s.MaxInflight, DefaultMaxInflight)
+	s.MaxUncommittedBytes = cmp.Or(s.MaxUncommittedBytes, DefaultMaxUncommittedBytes)
+	return s
 }
 
 // Restored is what the disk held at start; zero for a new replica.
@@ -102,98 +133,5 @@
 	HardState HardState
 	Snapshot  Snapshot // Members of a new group's first voters when Index is 0
 	Entries   []Entry  // after Snapshot.Index
+	Applied   uint64   // last entry that the shell's state on disk holds; 0: Snapshot.Index
 }
-
-// Message is what a Machine is stepped with.
-type Message interface{ replicationMessage() }
-
-// Tick lets time pass; the shell sends it several times a heartbeat.
-type Tick struct{}
-
-// Received carries a message from another replica.
-type Received struct{ Message WireMessage }
-
-// Propose asks the leader to append a command; Token comes back in Proposed.
-type Propose struct {
-	Token uint64
-	Data  []byte
-}
-
-// ProposeMembers asks the leader to change the group by one replica.
-type ProposeMembers struct {
-	Token   uint64
-	Members Members
-}
-
-// Persisted says that entries up to Index of Term are on this replica's disk.
-type Persisted struct {
-	Index uint64
-	Term  uint64
-}
-
-// Compact says that the applied state up to Snapshot.Index is on disk, so that
-// the log before it may go.
-type Compact struct{ Snapshot Snapshot }
-
-// Confirm asks the leader to make sure, by a round with a quorum that begins
-// after this message, that it still leads. It is what linearisable reads and
-// grants of quota rest on; no clock or lease does.
-type Confirm struct{ Token uint64 }
-
-func (Confirm) replicationMessage()        {}
-func (Tick) replicationMessage()           {}
-func (Received) replicationMessage()       {}
-func (Propose) replicationMessage()        {}
-func (ProposeMembers) replicationMessage() {}
-func (Persisted) replicationMessage()      {}
-func (Compact) replicationMessage()        {}
-
-// Action is what a Machine asks for.
-type Action interface{ replicationAction() }
-
-// Persist puts state on disk and syncs it. Entries replace all from the first
-// one's index on. The shell answers with Persisted once synced.
-type Persist struct {
-	HardState *HardState
-	Entries   []Entry
-	Snapshot  *Snapshot
-}
-
-// Send sends to another replica; loss is allowed.
-type Send struct{ Message WireMessage }
-
-// Apply hands over committed entries, each once and in order.
-type Apply struct{ Entries []Entry }
-
-// Proposed answers Propose: where the command stands in the log, or why not.
-// The command took effect only if an Apply brings the same index and term.
-type Proposed struct {
-	Token  uint64
-	Index  uint64
-	Term   uint64
-	Leader ReplicaID // known leader when Err is set
-	Err    error
-}
-
-// RoleChanged tells that leadership changed here or elsewhere.
-type RoleChanged struct {
-	Leading bool
-	Term    uint64
-	Leader  ReplicaID // empty when not known
-}
-
-// Confirmed answers Confirm. Without Err this replica led, in Term, at a moment
-// after the Confirm; a read is linearisable once Index is applied.
-type Confirmed struct {
-	Token uint64
-	Index uint64
-	Term  uint64
-	Err   error
-}
-
-func (Confirmed) replicationAction()   {}
-func (Persist) replicationAction()     {}
-func (Send) replicationAction()        {}
-func (Apply) replicationAction()       {}
-func (Proposed) replicationAction()    {}
-func (RoleChanged) replicationAction() {}
--- /dev/null
+++ b/replication/simulation_test.go
@@ -0,0 +1,194 @@
+package replication
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/dykewing/dykewing/sim"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20301", "rapid.checks": "60", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// fault is one disturbance; it ends by itself.
+type fault struct {
+	At     time.Duration
+	Kind   string
+	Slot   int
+	Other  int
+	Length time.Duration
+}
+
+var faultKinds = []string{"crash", "pause", "isolate", "one_way", "lossy", "lose_disk", "transfer", "crash_leader", "pause_leader", "isolate_leader"}
+
+func (c *cluster) inject(f fault) {
+	slot := f.Slot % len(c.replicas)
+	for i, r := range c.replicas {
+		if r.leading && (f.Kind == "crash_leader" || f.Kind == "pause_leader" || f.Kind == "isolate_leader") {
+			slot = i
+		}
+	}
+	target := c.replicas[slot]
+	other := c.replicas[f.Other%len(c.replicas)]
+	switch f.Kind {
+	case "crash", "crash_leader":
+		target.crash()
+		c.simulation.After(f.Length, target.restart)
+	case "pause", "pause_leader":
+		if target.process.Up() {
+			target.process.Pause()
+			c.simulation.After(f.Length, target.process.Resume)
+		}
+	case "isolate", "isolate_leader":
+		c.network.Isolate(string(target.id))
+		c.simulation.After(f.Length, c.network.Heal)
+	case "one_way":
+		c.network.Cut(string(target.id), string(other.id))
+		c.simulation.After(f.Length, c.network.Heal)
+	case "lossy":
+		c.network.SetFaults(sim.Faults{Loss: 0.1, Duplicate: 0.2, Late: 0.2, LateBy: 400 * time.Millisecond})
+		c.simulation.After(f.Length, func() { c.network.SetFaults(sim.Faults{}) })
+	case "lose_disk":
+		c.mayLoseDisk(slot)
+	case "transfer":
+		if target.leading && target.process.Up() && !target.process.Paused() {
+			c.serial++
+			target.step(TransferLeadership{Token: c.serial})
+		}
+	}
+}
+
+// mayLoseDisk loses a disk only if the group is whole, as it withstands a
+// minority of losses at a time.
+func (c *cluster) mayLoseDisk(slot int) {
+	if c.reuseIdentity || len(c.replicas) >= 3 && c.whole() {
+		c.loseDisk(slot)
+	}
+}
+
+// run lets a group live through the faults and gives what was violated.
+func run(o options, faults []fault) *cluster {
+	c := newCluster(o)
+	c.clients(15 * time.Millisecond)
+	c.operator(100 * time.Millisecond)
+	end := time.Second
+	for _, f := range faults {
+		c.simulation.After(f.At, func() { c.inject(f) })
+		end = max(end, f.At+f.Length)
+	}
+	c.simulation.Run(end)
+	if len(c.broken) == 0 {
+		c.heal()
+		c.checkLive()
+	}
+	return c
+}
+
+// plan draws faults from a seed, up to two of them at a time.
+func plan(seed uint64, kinds []string, count int) []fault {
+	random := randomOf(seed)
+	var faults []fault
+	at := 600 * time.Millisecond
+	for range count {
+		at += time.Duration(random.Int64N(int64(500 * time.Millisecond)))
+		faults = append(faults, fault{
+			At: at, Kind: kinds[random.IntN(len(kinds))], Slot: random.IntN(5), Other: random.IntN(5),
+			Length: time.Duration(random.Int64N(int64(700*time.Millisecond))) + time.Millisecond,
+		})
+	}
+	return faults
+}
+
+func TestSafetyAndLivenessUnderEachFaultAlone(t *testing.T) {
+	for _, kind := range faultKinds {
+		for _, voters := range []int{3, 5} {
+			t.Run(fmt.Sprintf("%s/%d", kind, voters), func(t *testing.T) {
+				acked, confirmed := 0, 0
+				for seed := range uint64(5) {
+					c := run(options{seed: seed, voters: voters}, plan(seed, []string{kind}, 6))
+					if len(c.broken) > 0 {
+						t.Fatalf("seed %d: %v", seed, c.broken)
+					}
+					acked, confirmed = acked+c.acked, confirmed+c.confirmed
+				}
+				if acked < 100 || confirmed < 100 {
+					t.Fatalf("only %d acknowledged and %d confirmed: the run shows too little", acked, confirmed)
+				}
+			})
+		}
+	}
+}
+
+func TestSafetyAndLivenessUnderMixedFaults(t *testing.T) {
+	for seed := range uint64(60) {
+		c := run(options{seed: seed, voters: 3 + 2*int(seed%2)}, plan(seed, faultKinds, 14))
+		if len(c.broken) > 0 {
+			t.Fatalf("seed %d: %v", seed, c.broken)
+		}
+	}
+}
+
+// TestRapidFaults searches for the smallest plan that breaks an invariant.
+func TestRapidFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		faults := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fault {
+			return fault{
+				At:     time.Duration(rapid.IntRange(300, 4000).Draw(t, "at ms")) * time.Millisecond,
+				Kind:   rapid.SampledFrom(faultKinds).Draw(t, "kind"),
+				Slot:   rapid.IntRange(0, 4).Draw(t, "slot"),
+				Other:  rapid.IntRange(0, 4).Draw(t, "other"),
+				Length: time.Duration(rapid.IntRange(1, 1500).Draw(t, "length ms")) * time.Millisecond,
+			}
+		}), 0, 12).Draw(t, "faults")
+		voters := rapid.SampledFrom([]int{1, 2, 3, 5}).Draw(t, "voters")
+		c := run(options{seed: rapid.Uint64().Draw(t, "seed"), voters: voters}, faults)
+		if len(c.broken) > 0 {
+			t.Fatal(c.broken)
+		}
+	})
+}
+
+func TestSameSeedGivesSameTrace(t *testing.T) {
+	for seed := range uint64(5) {
+		first := run(options{seed: seed, voters: 3}, plan(seed, faultKinds, 10)).simulation.Fingerprint()
+		second := run(options{seed: seed, voters: 3}, plan(seed, faultKinds, 10)).simulation.Fingerprint()
+		if first != second {
+			t.Fatalf("seed %d: traces %s and %s differ", seed, first, second)
+		}
+	}
+}
+
+// TestPlantedFaultsAreCaught shows that the invariants can fail.
+func TestPlantedFaultsAreCaught(t *testing.T) {
+	cases := map[string]options{
+		"skip-sync":                    {skipSync: true},
+		"ack-before-quorum alone":      {planted: plantedFaults{commitAlone: true}},
+		"vote-twice":                   {planted: plantedFaults{voteTwice: true}},
+		"reuse-identity":               {reuseIdentity: true},
+		"read-without-a-confirm-round": {planted: plantedFaults{skipConfirmRound: true}},
+	}
+	for name, o := range cases {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(400) {
+				o.seed, o.voters = seed, 3
+				if c := run(o, plan(seed, faultKinds, 14)); len(c.broken) > 0 {
+					t.Logf("seed %d: %s", seed, c.broken[0])
+					return
+				}
+			}
+			t.Fatal("not caught")
+		})
+	}
+}
--- /dev/null
+++ b/replication/status.go
@@ -0,0 +1,44 @@
+package replication
+
+// Status is a view of a Machine for operators and metrics.
+type Status struct {
+	Role      Role
+	Term      uint64
+	Leader    ReplicaID // empty when not known
+	First     uint64    // first entry still in the log
+	Last      uint64    // last entry of the log
+	Durable   uint64    // last entry on this disk
+	Committed uint64
+	Applied   uint64
+	Snapshot  uint64 // index of the newest snapshot
+	Members   Members
+	Progress  map[ReplicaID]Progress // only at the leader
+}
+
+// Progress is what the leader knows of another replica.
+type Progress struct {
+	State  ProgressState
+	Match  uint64 // last entry known to be on its disk
+	Next   uint64
+	Active bool // heard since the last check of the quorum
+}
+
+// Status must not be called during a Step; Inspect asks for it by message.
+func (m *Machine) Status() Status {
+	status := Status{
+		Role: m.role, Term: m.state.Term, Leader: m.leader,
+		First: m.log.offset + 1, Last: m.log.last(), Durable: m.disk.index,
+		Committed: m.committed, Applied: m.applied, Snapshot: m.snapshot.Index,
+		Members: m.members.current(),
+	}
+	if m.role != RoleLeader {
+		return status
+	}
+	status.Progress = map[ReplicaID]Progress{}
+	for id, peer := range m.peers {
+		if id != m.settings.Self {
+			status.Progress[id] = Progress{State: peer.state, Match: peer.match, Next: peer.next, Active: peer.active}
+		}
+	}
+	return status
+}
