--- /dev/null
+++ b/quota/owner_row.go
@@ -0,0 +1,133 @@
+package quota
+
+import (
+	"slices"
+	"time"
+
+	"github.com/dykewing/dykewing/api"
+)
+
+// rowState is what is known of one row.
+type rowState struct {
+	// accounted is what the holders that were heard had in use when first
+	// heard: while others are silent it bounds what may be granted.
+	accounted int
+	shares    map[api.NodeID]*holderShare
+	tokens    float64 // of the rate, up to one burst
+	filled    time.Time
+}
+
+// holderShare is the part of a row at one holder.
+type holderShare struct {
+	inUse  int
+	want   int
+	grants []grantRecord // oldest first, until the holder says that they ended
+	last   time.Time
+}
+
+type grantRecord struct {
+	sequence    uint64
+	concurrency int
+	expires     time.Time
+}
+
+// capacity is what may be granted of a row. While a registered holder is
+// silent, what is in use there is not known; but it and what was accounted for
+// are together within the ceiling.
+func (o *Owner) capacity(now time.Time, row *rowState, ceiling int) int {
+	if o.settings.Fault == FaultForgetHolders || !now.Before(o.until) {
+		return ceiling
+	}
+	for _, holder := range o.holders {
+		if !holder.heard {
+			return min(row.accounted, ceiling)
+		}
+	}
+	return ceiling
+}
+
+func (o *Owner) row(now time.Time, key api.RowKey) *rowState {
+	row, ok := o.rows[key]
+	if !ok {
+		row = &rowState{shares: map[api.NodeID]*holderShare{}, filled: now}
+		o.rows[key] = row
+	}
+	return row
+}
+
+func (r *rowState) share(router api.NodeID) *holderShare {
+	share, ok := r.shares[router]
+	if !ok {
+		share = &holderShare{}
+		r.shares[router] = share
+	}
+	return share
+}
+
+// take notes a row's report; the zero report says that nothing is in use.
+func (s *holderShare) take(now time.Time, report RowReport) {
+	s.inUse, s.want, s.last = report.InUse, report.Want, now
+	s.grants = slices.DeleteFunc(s.grants, func(g grantRecord) bool { return g.sequence <= report.Ended })
+}
+
+// held is the most that the holder can have in use now: what it reported, or
+// any grant since that it has not said to be over. A share that ended unheard
+// counts for MaximumRun, since its requests may go on that long.
+func (s *holderShare) held(now time.Time, settings Settings) int {
+	held := 0
+	if s.inUse > 0 && now.Sub(s.last) < settings.Lifetime+settings.MaximumRun {
+		held = s.inUse
+	}
+	for _, grant := range s.grants {
+		if now.Before(grant.expires.Add(settings.MaximumRun)) {
+			held = max(held, grant.concurrency)
+		}
+	}
+	return held
+}
+
+// concurrency gives the holder's share: its part of the ceiling by demand, as
+// far as it is free.
+func (o *Owner) concurrency(now time.Time, report Report, row RowReport, ceiling int) int {
+	state := o.row(now, row.Key)
+	others, wanted, wanting := 0, 0, 0
+	for router, share := range state.shares {
+		if router != report.Router {
+			others += share.held(now, o.settings)
+		}
+		if now.Sub(share.last) < o.settings.Lifetime {
+			wanted += share.want
+			wanting += min(share.want, 1)
+		}
+	}
+	free := max(o.capacity(now, state, ceiling)-others, 0)
+	granted := min(part(ceiling, row.Want, wanted, wanting), free)
+	own := state.share(report.Router)
+	own.grants = append(own.grants, grantRecord{
+		sequence: report.Sequence, concurrency: granted, expires: now.Add(o.settings.Lifetime + o.settings.Margin),
+	})
+	return granted
+}
+
+// part divides the ceiling by demand: in proportion when there is too little,
+// otherwise all that is wanted and an equal part of the rest.
+func part(ceiling, want, wanted, wanting int) int {
+	if want == 0 {
+		return 0
+	}
+	if wanted > ceiling {
+		return max(ceiling*want/wanted, min(want, 1))
+	}
+	return want + (ceiling-wanted)/max(wanting, 1)
+}
+
+// tokens takes admissions from the row's bucket, which holds one second's worth
+// and starts empty.
+func (o *Owner) tokens(now time.Time, report RowReport, rate float64) int {
+	row := o.row(now, report.Key)
+	row.tokens = min(row.tokens+rate*now.Sub(row.filled).Seconds(), max(rate, 1))
+	row.filled = now
+	granted := min(report.Tokens, int(row.tokens))
+	row.tokens -= float64(granted)
+	return granted
+}
