--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -40,11 +40,14 @@
 
 	admission *shell.Shell[admission.Message, admission.Action]
 	machine   *admission.Machine
-	workers   atomic.Pointer[[]api.Worker] // the machine list
 	homed     atomic.Pointer[[]api.Worker] // those that this router is home of
 	mutex     sync.Mutex                   // guards flights
 	flights   map[api.RequestID]context.CancelCauseFunc
 	metrics   *metrics
+
+	homesMutex sync.Mutex // guards homes and workers
+	homes      *placement.Homes
+	workers    []api.Worker // the machine list
 }
 
 // New adds the role to a node.
@@ -68,9 +71,10 @@
 		RetryAfter: refusalRetryAfter, Reserve: common.Settings.Router.BatchReserve,
 	})
 	router.admission = shell.Start(common.System, router.machine, router.execute)
-	router.workers.Store(&[]api.Worker{})
+	router.homes = placement.NewHomes(common.ID())
+	router.homes.SetNodes(common.Nodes())
 	router.homed.Store(&[]api.Worker{})
-	common.OnView(func([]api.Node) { router.rehome() })
+	common.OnView(router.setNodes)
 	common.OnTable(router.setRows)
 	common.SetSummary(router.summary)
 	common.Mux.HandleFunc("POST "+api.PathRequests+"/", router.serveRequest)
@@ -118,19 +122,25 @@
 }
 
 func (r *Router) setWorkers(workers []api.Worker) {
-	r.workers.Store(&workers)
+	r.homesMutex.Lock()
+	defer r.homesMutex.Unlock()
+	r.workers = workers
 	r.rehome()
 }
 
+// setNodes moves workers only when the routers changed: a view changes with
+// every load report.
+func (r *Router) setNodes(nodes []api.Node) {
+	r.homesMutex.Lock()
+	defer r.homesMutex.Unlock()
+	if r.homes.SetNodes(nodes) {
+		r.rehome()
+	}
+}
+
 // rehome finds the workers that this router is home of.
 func (r *Router) rehome() {
-	nodes := r.node.Nodes()
-	var homed []api.Worker
-	for _, worker := range *r.workers.Load() {
-		if home, ok := placement.HomeOf(worker, nodes); ok && home == r.node.ID() {
-			homed = append(homed, worker)
-		}
-	}
+	homed := r.homes.Mine(r.workers)
 	r.homed.Store(&homed)
 	r.admission.Tell(admission.Workers{Workers: homed})
 }
--- a/internal/scale/machines_test.go
+++ b/internal/scale/machines_test.go
@@ -67,6 +67,27 @@
 	}
 }
 
+// BenchmarkPlacementMine is what one router does when routers changed (rehome)
+// and when only loads did (same).
+func BenchmarkPlacementMine(b *testing.B) {
+	for _, count := range benchmarkNodes {
+		size := DesignSize().WithNodes(count)
+		nodes, workers := size.NodeList(), size.WorkerList()
+		homes := placement.NewHomes(nodes[0].ID)
+		homes.SetNodes(nodes)
+		b.Run(fmt.Sprintf("rehome/nodes=%d/workers=%d", count, size.Workers), func(b *testing.B) {
+			for b.Loop() {
+				homes.Mine(workers)
+			}
+		})
+		b.Run(fmt.Sprintf("same/nodes=%d", count), func(b *testing.B) {
+			for b.Loop() {
+				homes.SetNodes(nodes)
+			}
+		})
+	}
+}
+
 func BenchmarkTableApplyOneRow(b *testing.B) {
 	for _, models := range []int{6, 12, 24, 96} {
 		size := DesignSize()
