Decide outcomes from evidence, resume streams, claim keys

Cause: net/http may resend by itself, a stream that broke was lost, and an Idempotency-Key did nothing at the sidecar. Change: transport.Send counts bytes at the connection and takes away what makes net/http resend; retry has a drawn pause and the outcome of answers; sidecars hold short answers whole, resume streams by request id, and commit claims and records; bodies are read under a byte budget and a deadline; panics answer 500 unknown; batch and online have engine connections of their own.

--- a/api/headers.go
+++ b/api/headers.go
@@ -4,17 +4,24 @@
 const (
 	HeaderRequestID      = "X-Request-Id"
 	HeaderIdempotencyKey = "Idempotency-Key"
-	HeaderRepeatable     = "Dykewing-Repeatable" // "true" or "false"
-	HeaderOutcome        = "Dykewing-Outcome"
-	HeaderTenant         = "Dykewing-Tenant"
-	HeaderClass          = "Dykewing-Class"
-	HeaderService        = "Dykewing-Service"
-	HeaderPlace          = "Dykewing-Place"
-	HeaderWorker         = "Dykewing-Worker"
-	HeaderDeadline       = "Dykewing-Deadline-Ms" // remaining milliseconds, so that clocks need not agree
-	HeaderAttempt        = "Dykewing-Attempt"     // 1 for the first
-	HeaderHops           = "Dykewing-Hops"        // routers passed so far
-	HeaderTableRevision  = "Dykewing-Table-Revision"
+	// HeaderBackendKey carries the idempotency key between processes and to
+	// back ends: net/http may send a request with the usual name twice.
+	HeaderBackendKey = "Dykewing-Idempotency-Key"
+	HeaderRepeatable = "Dykewing-Repeatable" // "true" or "false"
+	// HeaderAttemptID is the unique id that the system gave the request; it
+	// is HeaderRequestID between processes and at back ends.
+	HeaderAttemptID     = "Dykewing-Request-Id"
+	HeaderReplayed      = "Dykewing-Replayed" // "true" on a recorded answer
+	HeaderOutcome       = "Dykewing-Outcome"
+	HeaderTenant        = "Dykewing-Tenant"
+	HeaderClass         = "Dykewing-Class"
+	HeaderService       = "Dykewing-Service"
+	HeaderPlace         = "Dykewing-Place"
+	HeaderWorker        = "Dykewing-Worker"
+	HeaderDeadline      = "Dykewing-Deadline-Ms" // remaining milliseconds, so that clocks need not agree
+	HeaderAttempt       = "Dykewing-Attempt"     // 1 for the first
+	HeaderHops          = "Dykewing-Hops"        // routers passed so far
+	HeaderTableRevision = "Dykewing-Table-Revision"
 )
 
 // Paths of the internal protocol, served by every role unless said otherwise.
@@ -23,6 +30,8 @@
 	PathGossip   = PathInternal + "gossip"   // POST membership.Exchange
 	PathTable    = PathInternal + "table"    // GET TableDelta, ?after=revision
 	PathRequests = PathInternal + "requests" // POST, router: the caller's path follows
+	PathResumes  = PathInternal + "resumes/" // GET, router: {request}?from=event
+	PathClaims   = PathInternal + "claims/"  // GET, sidecar: {request} is worked on here, or 404
 	PathGroups   = PathInternal + "groups/"  // store: {group}/messages, {group}/commands, {group}/claims...
 	PathNodes    = PathInternal + "nodes"    // GET []Node
 	PathShares   = PathInternal + "shares"   // POST quota messages, router
--- a/api/outcome.go
+++ b/api/outcome.go
@@ -40,6 +40,8 @@
 	CodeClientCancelled  ErrorCode = "client_cancelled"  // 499
 	CodeAlreadySubmitted ErrorCode = "in_progress"       // 409
 	CodeInternal         ErrorCode = "internal_error"    // 500
+	CodeOverloaded       ErrorCode = "overloaded"        // 503: this process holds all that it may
+	CodeRequestTimeout   ErrorCode = "request_timeout"   // 408: the caller sends too slowly
 )
 
 // httpStatus maps each code to the status it is answered with.
@@ -49,6 +51,7 @@
 	CodeNotLeader: 503, CodeNoQuorum: 503, CodeLeaving: 503, CodePreempted: 503,
 	CodeDiskFull: 507, CodeDeadline: 504, CodeUpstream: 502, CodeOutcomeUnknown: 502,
 	CodeClientCancelled: 499, CodeAlreadySubmitted: 409, CodeInternal: 500,
+	CodeOverloaded: 503, CodeRequestTimeout: 408,
 }
 
 // HTTPStatus is the status that the code is answered with.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -5,14 +5,13 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
-	"fmt"
-	"io"
 	"net/http"
 	"strings"
 
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/internal/transport"
+	"github.com/dykewing/dykewing/jobs"
+	"github.com/dykewing/dykewing/retry"
 )
 
 // PathLoad is where an engine publishes its Load.
@@ -41,6 +40,10 @@
 	// Send sends once and gives the answer when its header is there; closing
 	// its body cancels the request. Errors are *api.Error.
 	Send(ctx context.Context, call Call) (*http.Response, error)
+	// Resume gives the stream of a request that was sent before, from the
+	// given event on, counted from 0. It never starts the request. Of the call
+	// only worker and address are read. Errors are *api.Error.
+	Resume(ctx context.Context, call Call, request api.RequestID, from int) (*http.Response, error)
 	Load(ctx context.Context, address string) (Load, error)
 }
 
@@ -50,7 +53,8 @@
 	Control *http.Client // load reports
 }
 
-// Send posts the request.
+// Send posts the request. An answer that says that the request was refused, or
+// that leaves its effect open, is an error.
 func (b *HTTPBackend) Send(ctx context.Context, call Call) (*http.Response, error) {
 	const step = "send to worker"
 	body, err := withPriority(call)
@@ -64,27 +68,39 @@
 	for name, values := range call.Header {
 		request.Header[name] = values
 	}
-	// The transport must not send again by itself: that is package retry's.
-	request.GetBody = nil
-	response, err := b.Client.Do(request)
-	if err != nil {
-		return nil, transport.SendError(step, string(call.Worker), err)
+	response, failure := transport.Send(b.Client, request, step, string(call.Worker))
+	if failure != nil {
+		return nil, failure
+	}
+	if failure := checkAnswer(response, call); failure != nil {
+		response.Body.Close()
+		return nil, failure
 	}
 	return response, nil
 }
 
-// withPriority sets the engine's priority field in JSON bodies of the model
-// API; application requests stay as they are. Lower numbers go first there.
-func withPriority(call Call) ([]byte, error) {
-	if strings.HasPrefix(call.Path, "/v1/services/") {
-		return call.Body, nil
+// checkAnswer refuses answers of another request and those that are no answer.
+func checkAnswer(response *http.Response, call Call) *api.Error {
+	const step = "read answer of worker"
+	sent, echoed := call.Header.Get(api.HeaderRequestID), response.Header.Get(api.HeaderRequestID)
+	if echoed != "" && echoed != sent {
+		return api.NewError(step, string(call.Worker), api.CodeOutcomeUnknown, api.OutcomeUnknown, "the answer is for request %q, not %q", echoed, sent)
+	}
+	outcome := retry.OutcomeOfAnswer(retry.BackendAnswer{
+		Status: response.StatusCode, Outcome: api.Outcome(response.Header.Get(api.HeaderOutcome)),
+		RetryAfter:  response.Header.Get("Retry-After") != "",
+		Application: strings.HasPrefix(call.Path, jobs.ServicesPath),
+	})
+	if outcome == api.OutcomeRan {
+		return nil
 	}
-	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(call.Body, &fields); err != nil {
-		return nil, fmt.Errorf("set priority: %w", err)
+	failure := transport.ReadError(step, string(call.Worker), response)
+	failure.Outcome = outcome
+	failure.Code = api.CodeUpstream
+	if outcome == api.OutcomeNotRun {
+		failure.Code = api.CodeNoCapacity
 	}
-	fields["priority"] = json.RawMessage(fmt.Sprint(-call.Priority))
-	return json.Marshal(fields)
+	return failure
 }
 
 // Load reads the engine's report.
@@ -93,24 +109,3 @@
 	err := transport.Get(ctx, b.Control, "read load of worker", address, PathLoad, &load)
 	return load, err
 }
-
-// CopyStream passes an answer's body on as it comes.
-func CopyStream(w http.ResponseWriter, body io.Reader) error {
-	controller := http.NewResponseController(w)
-	buffer := make([]byte, 32<<10)
-	for {
-		n, err := body.Read(buffer)
-		if n > 0 {
-			if _, writeError := w.Write(buffer[:n]); writeError != nil {
-				return fmt.Errorf("write to caller: %w", writeError)
-			}
-			_ = controller.Flush()
-		}
-		if err == io.EOF {
-			return nil
-		}
-		if err != nil {
-			return fmt.Errorf("read answer: %w", err)
-		}
-	}
-}
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -6,6 +6,8 @@
 	admitted  *prometheus.CounterVec
 	refused   *prometheus.CounterVec
 	preempted prometheus.Counter
+	broken    prometheus.Counter
+	resumed   prometheus.Counter
 	items     *prometheus.CounterVec
 }
 
@@ -20,10 +22,16 @@
 		preempted: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "dykewing_router_preempted_total", Help: "Batch requests cancelled for online ones.",
 		}),
+		broken: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "dykewing_router_broken_answers_total", Help: "Answers of workers that broke off or were cut.",
+		}),
+		resumed: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "dykewing_router_resumed_total", Help: "Streams gone on with by request id.",
+		}),
 		items: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "dykewing_router_batch_items_total", Help: "Batch items run, by outcome.",
 		}, []string{"outcome"}),
 	}
-	registry.MustRegister(m.admitted, m.refused, m.preempted, m.items)
+	registry.MustRegister(m.admitted, m.refused, m.preempted, m.broken, m.resumed, m.items)
 	return m
 }
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -19,13 +18,17 @@
 var errPreempted = errors.New("preempted by online requests")
 
 // passedHeaders go from the caller to the back end.
-var passedHeaders = []string{"Content-Type", "Accept", "Authorization", "Traceparent", api.HeaderIdempotencyKey}
+var passedHeaders = []string{"Content-Type", "Accept", "Authorization", "Traceparent", api.HeaderBackendKey}
+
+// answerHeaders go from the back end towards the caller.
+var answerHeaders = []string{"Content-Type", "Content-Length", "Retry-After"}
 
 // serveRequest takes one attempt of an online request from a sidecar.
 func (r *Router) serveRequest(w http.ResponseWriter, request *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, r.node.Settings.Sidecar.MaximumBodyBytes))
-	if err != nil {
-		transport.WriteError(w, transport.BodyError("read request", err))
+	body, release, failure := r.bodies.Read(w, request, "read request")
+	defer release()
+	if failure != nil {
+		r.refuse(w, failure)
 		return
 	}
 	routed := routing.Request{
@@ -35,23 +38,31 @@
 		Place:   api.PlaceName(request.Header.Get(api.HeaderPlace)),
 		Class:   api.ClassOnline,
 	}
-	ctx, cancel := withDeadline(request.Context(), request.Header.Get(api.HeaderDeadline))
+	if routed.ID == "" {
+		r.refuse(w, api.NewError("read request", "", api.CodeBadRequest, api.OutcomeNotRun, "header %s is missing", api.HeaderRequestID))
+		return
+	}
+	ctx, cancel := r.withDeadline(request.Context(), request.Header.Get(api.HeaderDeadline))
 	defer cancel()
 	path := strings.TrimPrefix(request.URL.RequestURI(), api.PathRequests)
 	response, dispatch, finish, failure := r.run(ctx, routed, path, body, request.Header)
 	if failure != nil {
-		r.metrics.refused.WithLabelValues(string(failure.Code)).Inc()
-		transport.WriteError(w, failure)
+		r.refuse(w, failure)
 		return
 	}
 	defer finish()
 	r.relay(w, response, routed.ID, dispatch.Worker)
 }
 
-func withDeadline(ctx context.Context, remaining string) (context.Context, context.CancelFunc) {
+func (r *Router) refuse(w http.ResponseWriter, failure *api.Error) {
+	r.metrics.refused.WithLabelValues(string(failure.Code)).Inc()
+	transport.WriteError(w, failure)
+}
+
+func (r *Router) withDeadline(ctx context.Context, remaining string) (context.Context, context.CancelFunc) {
 	milliseconds, err := strconv.ParseInt(remaining, 10, 64)
 	if err != nil || milliseconds <= 0 {
-		return context.WithCancel(ctx)
+		return context.WithTimeout(ctx, r.node.Settings.Router.EngineTimeout)
 	}
 	return context.WithTimeout(ctx, time.Duration(milliseconds)*time.Millisecond)
 }
@@ -69,25 +80,33 @@
 		cancel(nil)
 		r.untrack(routed.ID)
 	}
-	response, err := r.backend.Send(ctx, engine.Call{
+	response, err := r.backendOf(routed.Class).Send(ctx, engine.Call{
 		Worker: dispatch.Worker, Address: dispatch.Address, Path: path, Body: body,
 		Header: backendHeader(header, routed.ID), Priority: dispatch.Priority,
 	})
 	if err != nil {
 		finish()
-		failure := api.AsError("send to worker", err)
+		failure := *api.AsError("send to worker", err)
 		if errors.Is(context.Cause(ctx), errPreempted) {
 			failure.Code = api.CodePreempted
 		}
-		return nil, dispatch, nil, failure
+		return nil, dispatch, nil, &failure
 	}
 	return response, dispatch, finish, nil
 }
 
+// backendOf keeps the connections of the classes apart.
+func (r *Router) backendOf(class api.Class) engine.Backend {
+	if class == api.ClassBatch {
+		return r.batchBackend
+	}
+	return r.backend
+}
+
 func backendHeader(header http.Header, id api.RequestID) http.Header {
-	passed := http.Header{}
+	passed := make(http.Header, len(passedHeaders)+1)
 	for _, name := range passedHeaders {
-		if values := header.Values(name); len(values) > 0 {
+		if values := header[http.CanonicalHeaderKey(name)]; len(values) > 0 {
 			passed[name] = values
 		}
 	}
@@ -131,7 +150,7 @@
 func (r *Router) relay(w http.ResponseWriter, response *http.Response, id api.RequestID, worker api.WorkerID) {
 	defer response.Body.Close()
 	header := w.Header()
-	for _, name := range []string{"Content-Type", "Content-Length", "Retry-After"} {
+	for _, name := range answerHeaders {
 		if value := response.Header.Get(name); value != "" {
 			header.Set(name, value)
 		}
@@ -140,7 +159,8 @@
 	header.Set(api.HeaderRequestID, string(id))
 	header.Set(api.HeaderWorker, string(worker))
 	w.WriteHeader(response.StatusCode)
-	if err := engine.CopyStream(w, response.Body); err != nil {
+	if err := engine.CopyStream(w, engine.Framed(response)); err != nil {
+		r.metrics.broken.Inc()
 		r.log.WithError(err).WithField("worker", worker).Debug("An answer broke off.")
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -28,15 +28,20 @@
 const (
 	requestConnections = 256
 	refusalRetryAfter  = time.Second
+	maximumHeldBytes   = 512 << 20 // of request bodies
+	bodyTimeout        = 30 * time.Second
 )
 
 // Router is the role's part of a process.
 type Router struct {
 	node    *node.Node
 	log     *logrus.Entry
-	backend engine.Backend
-	forward *http.Client // online requests to other routers
-	list    discovery.List
+	backend engine.Backend // online requests
+	// batchBackend has connections of its own, so that batch holds none up.
+	batchBackend engine.Backend
+	bodies       *transport.BodyBudget
+	forward      *http.Client // online requests to other routers
+	list         discovery.List
 
 	admission *shell.Shell[admission.Message, admission.Action]
 	machine   *admission.Machine
@@ -51,10 +56,12 @@
 func New(common *node.Node) (*Router, error) {
 	router := &Router{
 		node: common, log: common.Logger("router"),
-		backend: &engine.HTTPBackend{Client: transport.NewClient(requestConnections), Control: common.Control},
-		forward: transport.NewClient(requestConnections),
-		flights: map[api.RequestID]context.CancelCauseFunc{},
-		metrics: newMetrics(common.Registry),
+		backend:      &engine.HTTPBackend{Client: transport.NewClient(requestConnections), Control: common.Control},
+		batchBackend: &engine.HTTPBackend{Client: transport.NewClient(requestConnections), Control: common.Control},
+		bodies:       newBodyBudget(common.Settings.Sidecar.MaximumBodyBytes),
+		forward:      transport.NewClient(requestConnections),
+		flights:      map[api.RequestID]context.CancelCauseFunc{},
+		metrics:      newMetrics(common.Registry),
 	}
 	if address := common.Settings.MachineList.URL; address != "" {
 		parsed, err := url.Parse(address)
@@ -74,6 +81,7 @@
 	common.OnTable(router.setRows)
 	common.SetSummary(router.summary)
 	common.Mux.HandleFunc("POST "+api.PathRequests+"/", router.serveRequest)
+	common.Mux.HandleFunc("GET "+api.PathResumes+"{request}", router.serveResume)
 	return router, nil
 }
 
--- /dev/null
+++ b/internal/sidecar/homes.go
@@ -0,0 +1,91 @@
+package sidecar
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/routing"
+)
+
+// globalSource draws from the runtime's generators, which goroutines use side
+// by side without a lock.
+type globalSource struct{}
+
+// Uint64 draws.
+func (globalSource) Uint64() uint64 { return rand.Uint64() }
+
+// homeIndex is the view of home routers, built once a view so that requests
+// only read it. It is immutable.
+type homeIndex struct {
+	byRow   map[api.RowKey][]routing.Endpoint
+	routers []api.Node // not leaving
+}
+
+func newHomeIndex(nodes []api.Node) *homeIndex {
+	index := &homeIndex{byRow: map[api.RowKey][]routing.Endpoint{}}
+	for _, node := range nodes {
+		if node.Role == api.RoleRouter && !node.Leaving {
+			index.routers = append(index.routers, node)
+		}
+		for _, summary := range node.Summary.Services {
+			if summary.Workers == 0 || node.Leaving {
+				continue
+			}
+			index.byRow[summary.Key()] = append(index.byRow[summary.Key()], routing.Endpoint{
+				Name: string(node.ID), Address: node.Address, Key: summary.Key(), Location: node.Location,
+				Slots: summary.Slots, Online: summary.Online, Batch: summary.Batch,
+			})
+		}
+	}
+	return index
+}
+
+func (s *Sidecar) setHomes(nodes []api.Node) { s.homes.Store(newHomeIndex(nodes)) }
+
+// homeProfile chooses a home router by the summaries, which are old: two
+// choices keep many sidecars from all taking the same. The endpoints given to
+// it are of one row and stay.
+func homeProfile(self api.Location, random *rand.Rand) routing.Profile {
+	return routing.Profile{
+		Name:    "home",
+		Filters: []routing.Filter{routing.NotTriedFilter{}},
+		Scorers: []routing.WeightedScorer{
+			{Scorer: routing.LoadScorer{}, Weight: 2},
+			{Scorer: routing.ZoneScorer{Self: self}, Weight: 0.25},
+		},
+		Picker: routing.TwoChoicesPicker{Random: random},
+	}
+}
+
+// chooseHome draws a place by weight and a home router in it; places without
+// one are left out.
+func (s *Sidecar) chooseHome(routed *routing.Request) (routing.Endpoint, *api.Error) {
+	const step = "choose router"
+	rows := s.table.Load().Service(routed.Service)
+	homes := s.homes.Load()
+	for len(rows) > 0 {
+		row, ok := routing.ChoosePlace(rows, s.random)
+		if !ok {
+			break
+		}
+		routed.Place = row.Place
+		if endpoint, ok := s.profile.Choose(*routed, homes.byRow[row.Key()]); ok {
+			return endpoint, nil
+		}
+		rows = without(rows, row)
+	}
+	failure := api.NewError(step, "", api.CodeNoCapacity, api.OutcomeNotRun, "no router has a worker for %q", routed.Service)
+	failure.RetryAfter = time.Second
+	return routing.Endpoint{}, failure
+}
+
+func without(rows []api.Row, left api.Row) []api.Row {
+	var kept []api.Row
+	for _, row := range rows {
+		if row.Place != left.Place {
+			kept = append(kept, row)
+		}
+	}
+	return kept
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -19,13 +20,17 @@
 	"github.com/dykewing/dykewing/internal/transport"
 	"github.com/dykewing/dykewing/retry"
 	"github.com/dykewing/dykewing/routing"
+	"github.com/dykewing/dykewing/table"
 )
 
 const (
 	requestConnections = 256
 	storeConnections   = 32
 	readHeaderTimeout  = 10 * time.Second
+	bodyTimeout        = 30 * time.Second
+	idleTimeout        = 2 * time.Minute
 	maximumHeaderBytes = 64 << 10
+	maximumHeldBytes   = 256 << 20 // of request bodies
 )
 
 // Sidecar is the role's part of a process.
@@ -36,11 +41,25 @@
 	online   *http.Client // online requests only
 	stores   *storeclient.Client
 	metrics  *metrics
+	bodies   *transport.BodyBudget
+	held     atomic.Int64 // bytes of answers held whole
+	homes    atomic.Pointer[homeIndex]
+	random   *rand.Rand      // of globalSource: safe side by side
+	profile  routing.Profile // likewise
 
-	mutex   sync.Mutex // guards all below
-	random  *rand.Rand
-	policy  *retry.Policy
-	profile routing.Profile
+	table atomic.Pointer[table.Snapshot]
+
+	// Claimed requests worked on here, and records not committed yet, by
+	// api.RequestID.
+	unrecorded sync.Map
+	running    sync.Map
+	recording  sync.WaitGroup // records in the background
+
+	mutex  sync.Mutex // guards policy
+	policy *retry.Policy
+
+	// Faults that tests plant.
+	takeCrossed, takeTruncated bool
 }
 
 // New binds the callers' address and adds the role to a node.
@@ -49,30 +68,22 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for callers on %s: %w", common.Settings.Sidecar.Address, err)
 	}
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return &Sidecar{
+	random := rand.New(globalSource{})
+	sidecar := &Sidecar{
 		node: common, log: common.Logger("sidecar"), listener: listener,
 		online:  transport.NewClient(requestConnections),
 		stores:  &storeclient.Client{HTTP: transport.NewClient(storeConnections), Nodes: common.Nodes},
 		metrics: newMetrics(common.Registry),
+		bodies:  &transport.BodyBudget{Total: maximumHeldBytes, Each: common.Settings.Sidecar.MaximumBodyBytes, Timeout: bodyTimeout},
 		random:  random,
-		policy:  retry.NewPolicy(retry.DefaultSettings()),
+		policy:  retry.NewPolicy(retry.DefaultSettings(), random),
 		profile: homeProfile(common.Settings.Node.Location(), random),
-	}, nil
-}
-
-// homeProfile chooses a home router by the summaries, which are old: two
-// choices keep many sidecars from all taking the same.
-func homeProfile(self api.Location, random *rand.Rand) routing.Profile {
-	return routing.Profile{
-		Name:    "home",
-		Filters: []routing.Filter{routing.RowFilter{}, routing.NotLeavingFilter{}, routing.NotTriedFilter{}},
-		Scorers: []routing.WeightedScorer{
-			{Scorer: routing.LoadScorer{}, Weight: 2},
-			{Scorer: routing.ZoneScorer{Self: self}, Weight: 0.25},
-		},
-		Picker: routing.TwoChoicesPicker{Random: random},
 	}
+	sidecar.setHomes(common.Nodes())
+	common.OnView(sidecar.setHomes)
+	common.OnTable(func(snapshot *table.Snapshot) { sidecar.table.Store(snapshot) })
+	common.Mux.HandleFunc("GET "+api.PathClaims+"{request}", sidecar.serveHolder)
+	return sidecar, nil
 }
 
 // Address is where callers connect.
@@ -80,7 +91,10 @@
 
 // Run serves callers until ctx ends, then lets their requests finish.
 func (s *Sidecar) Run(ctx context.Context) error {
-	server := &http.Server{Handler: s.routes(), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maximumHeaderBytes}
+	server := &http.Server{
+		Handler:           transport.Guard(s.routes(), s.reportPanic),
+		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maximumHeaderBytes,
+	}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(s.listener) }()
 	s.log.Infof("Serving callers on %s.", s.Address())
@@ -91,7 +105,27 @@
 	}
 	deadline, cancel := context.WithTimeout(context.Background(), s.node.Settings.Node.StopTimeout)
 	defer cancel()
-	return server.Shutdown(deadline)
+	err := server.Shutdown(deadline)
+	s.awaitRecords(deadline)
+	return err
+}
+
+// awaitRecords lets records in the background be committed.
+func (s *Sidecar) awaitRecords(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		s.recording.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+func (s *Sidecar) reportPanic(cause any, stack []byte) {
+	s.metrics.panics.Inc()
+	s.log.WithField("stack", string(stack)).Errorf("A request's handler panicked: %v.", cause)
 }
 
 func (s *Sidecar) routes() http.Handler {
@@ -128,7 +162,7 @@
 }
 
 func (s *Sidecar) serveModels(w http.ResponseWriter, _ *http.Request) {
-	snapshot := s.node.Table()
+	snapshot := s.table.Load()
 	if snapshot == nil {
 		transport.WriteError(w, noTable("list models"))
 		return
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -26,18 +26,6 @@
 // maximumErrorBytes bounds how much of an error body is read.
 const maximumErrorBytes = 64 << 10
 
-// NewClient gives a client with a connection pool of its own; callers use one
-// client for each class of traffic, so that none waits for another's.
-func NewClient(connectionsPerHost int) *http.Client {
-	dialer := &net.Dialer{Timeout: 2 * time.Second, KeepAlive: 15 * time.Second}
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: connectionsPerHost,
-		IdleConnTimeout:     90 * time.Second,
-		DisableCompression:  true,
-	}}
-}
-
 // Call posts request as JSON to address+path and decodes the answer; answer
 // may be nil. Failures are *api.Error with the step and the address as peer.
 func Call(ctx context.Context, client *http.Client, step, address, path string, request, answer any) error {
@@ -85,14 +73,7 @@
 	if NeverConnected(err) {
 		outcome = api.OutcomeNotRun
 	}
-	code := api.CodeUpstream
-	if errors.Is(err, context.DeadlineExceeded) {
-		code = api.CodeDeadline
-	}
-	if errors.Is(err, context.Canceled) {
-		code = api.CodeClientCancelled
-	}
-	return &api.Error{Step: step, Peer: peer, Code: code, Outcome: outcome, Err: err}
+	return &api.Error{Step: step, Peer: peer, Code: codeOf(err), Outcome: outcome, Err: err}
 }
 
 // NeverConnected tells whether the error arose while dialling.
@@ -153,7 +134,9 @@
 		return failure
 	}
 	failure.Code = body.Error.Code
-	failure.Outcome = body.Outcome
+	if body.Outcome != "" {
+		failure.Outcome = body.Outcome
+	}
 	failure.Leader = body.Error.Leader
 	failure.Err = errors.New(body.Error.Message)
 	return failure
--- a/jobs/command.go
+++ b/jobs/command.go
@@ -118,9 +118,12 @@
 	Key      string        `json:"key"`
 	BodyHash string        `json:"body_hash"`
 	Request  api.RequestID `json:"request"`
+	// Holder is the address of the sidecar that works on the request.
+	Holder string `json:"holder,omitempty"`
 }
 
-// RecordRequest keeps the answer of a claimed request.
+// RecordRequest keeps the answer of a claimed request. An outcome of not run
+// gives the key free again.
 type RecordRequest struct {
 	Tenant  api.TenantID  `json:"tenant"`
 	Key     string        `json:"key"`
@@ -143,6 +146,7 @@
 	Duplicate bool           `json:"duplicate,omitempty"` // the same command took effect before
 	Accepted  int            `json:"accepted,omitempty"`  // Complete: records that were first
 	Recorded  *RecordRequest `json:"recorded,omitempty"`  // Claim: the answer that stands
+	Claimed   *ClaimRequest  `json:"claimed,omitempty"`   // Claim: whose claim stands in the way
 	Code      api.ErrorCode  `json:"code,omitempty"`      // empty on success
 	Message   string         `json:"message,omitempty"`
 }
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -220,14 +220,22 @@
 	if known.claim.Request == command.Request {
 		return Result{}
 	}
-	return failure(api.CodeAlreadySubmitted, "idempotency key %q is in use by a request whose answer is not recorded", command.Key)
+	standing := known.claim
+	result := failure(api.CodeAlreadySubmitted, "idempotency key %q is in use by a request whose answer is not recorded", command.Key)
+	result.Claimed = &standing
+	return result
 }
 
 func (s *State) record(command RecordRequest) Result {
-	known, ok := s.claims[claimKey{tenant: command.Tenant, key: command.Key}]
+	key := claimKey{tenant: command.Tenant, key: command.Key}
+	known, ok := s.claims[key]
 	if !ok || known.claim.Request != command.Request {
 		return failure(api.CodeNotFound, "no claim of key %q by request %s", command.Key, command.Request)
 	}
+	if known.record == nil && command.Outcome == api.OutcomeNotRun {
+		delete(s.claims, key)
+		return Result{}
+	}
 	if known.record == nil {
 		known.record = &command
 	}
