Let the stand-in engine resume and count executions

Cause: nothing told lost and doubled requests at the engine, and no stream could be gone on with. Change: executions by request id, the id echoed, GET /v1/requests/{id}/events?from=N. Conclusion: the kill and stop tests can count.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -36,14 +36,16 @@
 	running  atomic.Int64
 	served   atomic.Int64
 	leaving  atomic.Bool
+	memory   *memory
 }
 
 // New makes an engine.
 func New(settings Settings) *Engine {
-	engine := &Engine{settings: settings, mux: http.NewServeMux()}
+	engine := &Engine{settings: settings, mux: http.NewServeMux(), memory: newMemory()}
 	engine.mux.HandleFunc("POST /v1/chat/completions", engine.serveChat)
 	engine.mux.HandleFunc("POST /v1/completions", engine.serveChat)
 	engine.mux.HandleFunc("POST /v1/services/{service}/{path...}", engine.serveApplication)
+	engine.mux.HandleFunc("GET /v1/requests/{request}/events", engine.serveResume)
 	engine.mux.HandleFunc("GET /load", engine.serveLoad)
 	return engine
 }
@@ -52,7 +54,7 @@
 func (e *Engine) Served() int64 { return e.served.Load() }
 
 // ServeHTTP serves the engine's API.
-func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.mux.ServeHTTP(w, r) }
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.observe(w, r) }
 
 func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
 	running := e.running.Load()
@@ -133,21 +135,7 @@
 
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, id, model string, tokens []string) {
 	w.Header().Set("Content-Type", "text/event-stream")
-	controller := http.NewResponseController(w)
-	for i, token := range tokens {
-		pause := e.settings.BetweenTokens
-		if i == 0 {
-			pause = e.settings.FirstToken
-		}
-		if !e.wait(r, pause) {
-			return
-		}
-		writeEvent(w, chunk(id, model, map[string]any{"role": "assistant", "content": token}, nil))
-		_ = controller.Flush()
-	}
-	writeEvent(w, chunk(id, model, map[string]any{}, "stop"))
-	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
-	e.served.Add(1)
+	e.streamFrom(w, r, id, model, tokens, 0)
 }
 
 func chunk(id, model string, delta map[string]any, finish any) map[string]any {
