--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -146,6 +146,13 @@
 	}
 }
 
+// listed is the machine list; do not modify.
+func (r *Router) listed() []api.Worker {
+	r.homesMutex.Lock()
+	defer r.homesMutex.Unlock()
+	return r.workers
+}
+
 // rehome finds the workers that this router is home of.
 func (r *Router) rehome() {
 	homed := r.homes.Mine(r.workers)
