--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -28,33 +28,43 @@
 const (
 	requestConnections = 256
 	refusalRetryAfter  = time.Second
+	maximumHeldBytes   = 512 << 20 // of request bodies
+	bodyTimeout        = 30 * time.Second
 )
 
 // Router is the role's part of a process.
 type Router struct {
 	node    *node.Node
 	log     *logrus.Entry
-	backend engine.Backend
-	forward *http.Client // online requests to other routers
-	list    discovery.List
+	backend engine.Backend // online requests
+	// batchBackend has connections of its own, so that batch holds none up.
+	batchBackend engine.Backend
+	bodies       *transport.BodyBudget
+	forward      *http.Client // online requests to other routers
+	list         discovery.List
 
 	admission *shell.Shell[admission.Message, admission.Action]
 	machine   *admission.Machine
-	workers   atomic.Pointer[[]api.Worker] // the machine list
 	homed     atomic.Pointer[[]api.Worker] // those that this router is home of
 	mutex     sync.Mutex                   // guards flights
 	flights   map[api.RequestID]context.CancelCauseFunc
 	metrics   *metrics
+
+	homesMutex sync.Mutex // guards homes and workers
+	homes      *placement.Homes
+	workers    []api.Worker // the machine list
 }
 
 // New adds the role to a node.
 func New(common *node.Node) (*Router, error) {
 	router := &Router{
 		node: common, log: common.Logger("router"),
-		backend: &engine.HTTPBackend{Client: transport.NewClient(requestConnections), Control: common.Control},
-		forward: transport.NewClient(requestConnections),
-		flights: map[api.RequestID]context.CancelCauseFunc{},
-		metrics: newMetrics(common.Registry),
+		backend:      &engine.HTTPBackend{Client: transport.NewClient(requestConnections), Control: common.Control},
+		batchBackend: &engine.HTTPBackend{Client: transport.NewClient(requestConnections), Control: common.Control},
+		bodies:       newBodyBudget(common.Settings.Sidecar.MaximumBodyBytes),
+		forward:      transport.NewClient(requestConnections),
+		flights:      map[api.RequestID]context.CancelCauseFunc{},
+		metrics:      newMetrics(common.Registry),
 	}
 	if address := common.Settings.MachineList.URL; address != "" {
 		parsed, err := url.Parse(address)
@@ -68,12 +78,14 @@
 		RetryAfter: refusalRetryAfter, Reserve: common.Settings.Router.BatchReserve,
 	})
 	router.admission = shell.Start(common.System, router.machine, router.execute)
-	router.workers.Store(&[]api.Worker{})
+	router.homes = placement.NewHomes(common.ID())
+	router.homes.SetNodes(common.Nodes())
 	router.homed.Store(&[]api.Worker{})
-	common.OnView(func([]api.Node) { router.rehome() })
+	common.OnView(router.setNodes)
 	common.OnTable(router.setRows)
 	common.SetSummary(router.summary)
 	common.Mux.HandleFunc("POST "+api.PathRequests+"/", router.serveRequest)
+	common.Mux.HandleFunc("GET "+api.PathResumes+"{request}", router.serveResume)
 	return router, nil
 }
 
@@ -118,19 +130,32 @@
 }
 
 func (r *Router) setWorkers(workers []api.Worker) {
-	r.workers.Store(&workers)
+	r.homesMutex.Lock()
+	defer r.homesMutex.Unlock()
+	r.workers = workers
 	r.rehome()
 }
 
+// setNodes moves workers only when the routers changed: a view changes with
+// every load report.
+func (r *Router) setNodes(nodes []api.Node) {
+	r.homesMutex.Lock()
+	defer r.homesMutex.Unlock()
+	if r.homes.SetNodes(nodes) {
+		r.rehome()
+	}
+}
+
+// listed is the machine list; do not modify.
+func (r *Router) listed() []api.Worker {
+	r.homesMutex.Lock()
+	defer r.homesMutex.Unlock()
+	return r.workers
+}
+
 // rehome finds the workers that this router is home of.
 func (r *Router) rehome() {
-	nodes := r.node.Nodes()
-	var homed []api.Worker
-	for _, worker := range *r.workers.Load() {
-		if home, ok := placement.HomeOf(worker, nodes); ok && home == r.node.ID() {
-			homed = append(homed, worker)
-		}
-	}
+	homed := r.homes.Mine(r.workers)
 	r.homed.Store(&homed)
 	r.admission.Tell(admission.Workers{Workers: homed})
 }
