--- a/admission/admission.go
+++ b/admission/admission.go
@@ -6,8 +6,6 @@
 package admission
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/dykewing/dykewing/api"
@@ -22,6 +20,8 @@
 	RetryAfter time.Duration
 	// Reserve is the share of a worker's slots that batch leaves free, 0 to 1.
 	Reserve float64
+	// Filling says how batch takes idle room; zero is DefaultFilling.
+	Filling Filling
 }
 
 // DefaultReserve leaves an eighth of each worker for the start of a burst.
@@ -30,7 +30,8 @@
 // Message is what a Machine is stepped with.
 type Message interface{ admissionMessage() }
 
-// Workers replaces the workers that this router is home of.
+// Workers replaces the workers that this router is home of. Requests in
+// flight at a worker that is left out are still counted until they finish.
 type Workers struct{ Workers []api.Worker }
 
 // Rows replaces the table in force.
@@ -41,6 +42,7 @@
 	Worker  api.WorkerID
 	Running int // requests it runs
 	Waiting int // requests in its queue
+	Leaving bool
 	Asked   time.Time
 }
 
@@ -48,14 +50,24 @@
 // one Dispatch or Refuse.
 type Arrive struct{ Request routing.Request }
 
-// Finished says that a dispatched request no longer uses its worker.
+// FirstToken says that the answer of a dispatched request has begun.
+type FirstToken struct{ Request api.RequestID }
+
+// Finished says that a dispatched request no longer uses its worker; a second
+// one for the same request is ignored.
 type Finished struct{ Request api.RequestID }
 
-func (Workers) admissionMessage()  {}
-func (Rows) admissionMessage()     {}
-func (Load) admissionMessage()     {}
-func (Arrive) admissionMessage()   {}
-func (Finished) admissionMessage() {}
+// Unreachable says that a worker could not be connected to. It gets no
+// new request for Filling.Quarantine.
+type Unreachable struct{ Worker api.WorkerID }
+
+func (Workers) admissionMessage()     {}
+func (Rows) admissionMessage()        {}
+func (Load) admissionMessage()        {}
+func (Arrive) admissionMessage()      {}
+func (FirstToken) admissionMessage()  {}
+func (Finished) admissionMessage()    {}
+func (Unreachable) admissionMessage() {}
 
 // Action is what a Machine asks for.
 type Action interface{ admissionAction() }
@@ -74,7 +86,8 @@
 	Failure *api.Error
 }
 
-// Preempt cancels a batch request in flight to make room.
+// Preempt cancels a batch request in flight to make room. Its slot is free at
+// once; a Finished that follows is ignored.
 type Preempt struct {
 	Request api.RequestID
 	Worker  api.WorkerID
@@ -84,197 +97,128 @@
 func (Refuse) admissionAction()   {}
 func (Preempt) admissionAction()  {}
 
-type workerState struct {
-	worker api.Worker
-	online int
-	batch  []api.RequestID // oldest first
-	load   Load
-}
-
+// flight is a request between its Dispatch and its end.
 type flight struct {
-	worker api.WorkerID
-	class  api.Class
-	key    api.RowKey
+	request    api.RequestID
+	worker     *workerState
+	row        *rowState // the row at admission
+	class      api.Class
+	dispatched time.Time
+	starting   bool // no first token yet
 }
 
 // Machine is the admission state machine of one home router.
 type Machine struct {
 	settings Settings
 	workers  map[api.WorkerID]*workerState
-	rows     map[api.RowKey]api.Row
-	flights  map[api.RequestID]flight
-	inUse    map[api.RowKey]int
-	batchUse map[api.RowKey]int
+	rows     map[api.RowKey]*rowState
+	flights  map[api.RequestID]*flight
+	online   routing.Chooser
+	batch    routing.Chooser
+	roomy    []routing.Endpoint // reused: endpoints with idle room
 }
 
 // NewMachine starts with no worker and no row.
 func NewMachine(settings Settings) *Machine {
+	if settings.Filling == (Filling{}) {
+		settings.Filling = DefaultFilling()
+	}
 	return &Machine{
 		settings: settings,
 		workers:  map[api.WorkerID]*workerState{},
-		rows:     map[api.RowKey]api.Row{},
-		flights:  map[api.RequestID]flight{},
-		inUse:    map[api.RowKey]int{},
-		batchUse: map[api.RowKey]int{},
+		rows:     map[api.RowKey]*rowState{},
+		flights:  map[api.RequestID]*flight{},
+		online:   routing.Chooser{Profile: settings.Online},
+		batch:    routing.Chooser{Profile: settings.Batch},
 	}
 }
 
 // Step takes one message.
-func (m *Machine) Step(_ time.Time, message Message) []Action {
+func (m *Machine) Step(now time.Time, message Message) []Action {
 	switch message := message.(type) {
 	case Workers:
 		m.setWorkers(message.Workers)
 	case Rows:
-		m.rows = message.Rows
+		m.setRows(message.Rows)
 	case Load:
-		if state, ok := m.workers[message.Worker]; ok {
-			state.load = message
-		}
+		m.report(message)
 	case Arrive:
-		return m.arrive(message.Request)
+		return m.arrive(now, message.Request)
+	case FirstToken:
+		m.firstToken(now, message.Request)
 	case Finished:
 		m.finish(message.Request)
+	case Unreachable:
+		m.quarantine(now, message.Worker)
 	}
 	return nil
 }
 
-func (m *Machine) setWorkers(workers []api.Worker) {
-	next := map[api.WorkerID]*workerState{}
-	for _, worker := range workers {
-		state, ok := m.workers[worker.ID]
-		if !ok {
-			state = &workerState{}
-		}
-		state.worker = worker
-		next[worker.ID] = state
-	}
-	m.workers = next
-}
-
-func (m *Machine) arrive(request routing.Request) []Action {
+func (m *Machine) arrive(now time.Time, request routing.Request) []Action {
 	key := api.RowKey{Service: request.Service, Place: request.Place}
 	row, ok := m.rows[key]
-	if !ok {
+	if !ok || !row.inTable {
 		return m.refuse(request, api.CodeUnknownService, 0, "no row %s in the table", key)
 	}
-	if row.CeilingConcurrency > 0 && m.inUse[key] >= row.CeilingConcurrency {
-		return m.refuse(request, api.CodeCeiling, m.settings.RetryAfter, "row %s has %d requests in flight", key, m.inUse[key])
+	if ceiling := row.row.CeilingConcurrency; ceiling > 0 && row.inUse >= ceiling {
+		return m.refuse(request, api.CodeCeiling, m.settings.RetryAfter, "row %s has %d requests in flight", key, row.inUse)
 	}
-	if request.Class == api.ClassBatch {
-		return m.arriveBatch(request, row)
+	if _, running := m.flights[request.ID]; running {
+		return m.refuse(request, api.CodeNoCapacity, m.settings.RetryAfter, "request %s is still in flight here", request.ID)
 	}
-	endpoint, ok := m.settings.Online.Choose(request, m.endpoints(nil))
-	if !ok {
-		return m.refuse(request, api.CodeNoCapacity, m.settings.RetryAfter, "no worker for row %s", key)
+	if request.Class == api.ClassBatch {
+		return m.arriveBatch(now, request, row)
 	}
-	actions := m.dispatch(request, row, endpoint)
-	return append(m.preempt(api.WorkerID(endpoint.Name)), actions...)
+	return m.arriveOnline(now, request, row)
 }
 
-func (m *Machine) arriveBatch(request routing.Request, row api.Row) []Action {
-	if m.batchUse[row.Key()] >= row.BatchAllowance {
-		return m.refuse(request, api.CodeNoCapacity, m.settings.RetryAfter, "batch allowance %d of row %s is in use", row.BatchAllowance, row.Key())
+// arriveOnline sends at once where a worker is left. Batch is preempted in
+// the same step, before the online request can wait for it.
+func (m *Machine) arriveOnline(now time.Time, request routing.Request, row *rowState) []Action {
+	endpoint, ok := m.online.Choose(request, row.reachable(now))
+	if m.settings.Filling.Fault == FaultDelayOnline && row.batchUse > 0 {
+		ok = false
 	}
-	endpoint, ok := m.settings.Batch.Choose(request, m.endpoints(m.hasRoom))
 	if !ok {
-		return m.refuse(request, api.CodeNoCapacity, m.settings.RetryAfter, "no idle room for row %s", row.Key())
+		return m.refuse(request, api.CodeNoCapacity, m.settings.RetryAfter, "no worker for row %s", row.key)
 	}
-	return m.dispatch(request, row, endpoint)
+	worker := m.workers[api.WorkerID(endpoint.Name)]
+	dispatch := m.dispatch(now, request, row, worker)
+	return append(m.preempt(now, worker), dispatch)
 }
 
-// hasRoom is true when one more batch request leaves the reserve free.
-func (m *Machine) hasRoom(state *workerState) bool {
-	return m.room(state) > 0
-}
-
-func (m *Machine) room(state *workerState) int {
-	usable := int(float64(state.worker.Slots) * (1 - m.settings.Reserve))
-	return usable - state.online - len(state.batch)
-}
-
-// Room tells how many batch requests of the row could start now.
-func (m *Machine) Room(key api.RowKey) int {
-	total := 0
-	for _, state := range m.workers {
-		if state.worker.Leaving || state.worker.Service != key.Service || state.worker.Place != key.Place {
-			continue
-		}
-		total += max(m.room(state), 0)
-	}
-	return min(total, max(m.rows[key].BatchAllowance-m.batchUse[key], 0))
-}
-
-// Summaries reports each row's load at this home, sorted by row.
-func (m *Machine) Summaries() []api.ServiceSummary {
-	byKey := map[api.RowKey]*api.ServiceSummary{}
-	for _, state := range m.workers {
-		key := api.RowKey{Service: state.worker.Service, Place: state.worker.Place}
-		summary, ok := byKey[key]
-		if !ok {
-			summary = &api.ServiceSummary{Service: key.Service, Place: key.Place}
-			byKey[key] = summary
-		}
-		summary.Online += state.online
-		summary.Batch += len(state.batch)
-		if !state.worker.Leaving {
-			summary.Workers++
-			summary.Slots += state.worker.Slots
-		}
+func (m *Machine) arriveBatch(now time.Time, request routing.Request, row *rowState) []Action {
+	if row.batchUse >= row.row.BatchAllowance && m.settings.Filling.Fault != FaultIgnoreAllowance {
+		return m.refuse(request, api.CodeNoCapacity, m.settings.RetryAfter, "batch allowance %d of row %s is in use", row.row.BatchAllowance, row.key)
 	}
-	summaries := make([]api.ServiceSummary, 0, len(byKey))
-	for _, summary := range byKey {
-		summaries = append(summaries, *summary)
+	endpoint, ok := m.batch.Choose(request, m.endpointsWithRoom(now, row))
+	if !ok {
+		return m.refuse(request, api.CodeNoCapacity, m.settings.RetryAfter, "no idle room for row %s", row.key)
 	}
-	slices.SortFunc(summaries, func(a, b api.ServiceSummary) int {
-		return cmp.Compare(a.Key().String(), b.Key().String())
-	})
-	return summaries
+	return []Action{m.dispatch(now, request, row, m.workers[api.WorkerID(endpoint.Name)])}
 }
 
-func (m *Machine) endpoints(keep func(*workerState) bool) []routing.Endpoint {
-	endpoints := make([]routing.Endpoint, 0, len(m.workers))
-	for id, state := range m.workers {
-		if keep != nil && !keep(state) {
-			continue
-		}
-		endpoints = append(endpoints, routing.Endpoint{
-			Name: string(id), Address: state.worker.Address,
-			Key:      api.RowKey{Service: state.worker.Service, Place: state.worker.Place},
-			Location: state.worker.Location, Slots: state.worker.Slots,
-			Online: state.online, Batch: len(state.batch), Leaving: state.worker.Leaving,
-		})
+func (m *Machine) dispatch(now time.Time, request routing.Request, row *rowState, worker *workerState) Action {
+	flight := &flight{
+		request: request.ID, worker: worker, row: row, class: request.Class,
+		dispatched: now, starting: true,
 	}
-	slices.SortFunc(endpoints, func(a, b routing.Endpoint) int { return cmp.Compare(a.Name, b.Name) })
-	return endpoints
-}
-
-func (m *Machine) dispatch(request routing.Request, row api.Row, endpoint routing.Endpoint) []Action {
-	worker := api.WorkerID(endpoint.Name)
-	m.flights[request.ID] = flight{worker: worker, class: request.Class, key: row.Key()}
-	m.inUse[row.Key()]++
-	priority := row.Priority + 1
-	if request.Class == api.ClassBatch {
-		priority = 0
-		m.batchUse[row.Key()]++
-		m.workers[worker].batch = append(m.workers[worker].batch, request.ID)
-	} else {
-		m.workers[worker].online++
+	m.flights[request.ID] = flight
+	row.inUse++
+	worker.add(flight, m.settings.Filling)
+	return Dispatch{
+		Request: request.ID, Worker: worker.worker.ID, Address: worker.worker.Address,
+		Priority: m.settings.Filling.priority(request.Class, row.row.Priority),
 	}
-	return []Action{Dispatch{Request: request.ID, Worker: worker, Address: endpoint.Address, Priority: priority}}
 }
 
-// preempt cancels the youngest batch requests of the worker until its load is
-// within its slots again.
-func (m *Machine) preempt(worker api.WorkerID) []Action {
-	state := m.workers[worker]
-	excess := min(state.online+len(state.batch)-state.worker.Slots, len(state.batch))
-	var actions []Action
-	for range max(excess, 0) {
-		request := state.batch[len(state.batch)-1]
-		m.finish(request)
-		actions = append(actions, Preempt{Request: request, Worker: worker})
+func (m *Machine) firstToken(now time.Time, request api.RequestID) {
+	flight, ok := m.flights[request]
+	if !ok || !flight.starting {
+		return
 	}
-	return actions
+	flight.starting = false
+	flight.worker.started(now, flight)
 }
 
 func (m *Machine) finish(request api.RequestID) {
@@ -283,16 +227,11 @@
 		return
 	}
 	delete(m.flights, request)
-	m.inUse[flight.key]--
-	state := m.workers[flight.worker]
-	if flight.class == api.ClassBatch {
-		m.batchUse[flight.key]--
-		if state != nil {
-			state.batch = slices.DeleteFunc(state.batch, func(id api.RequestID) bool { return id == request })
-		}
-	} else if state != nil {
-		state.online--
+	flight.row.inUse--
+	if m.settings.Filling.Fault != FaultLeakSlot || flight.class == api.ClassOnline {
+		flight.worker.drop(flight)
 	}
+	m.forget(flight.worker)
 }
 
 func (m *Machine) refuse(request routing.Request, code api.ErrorCode, retryAfter time.Duration, format string, arguments ...any) []Action {
--- /dev/null
+++ b/admission/admission_test.go
@@ -0,0 +1,261 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/routing"
+)
+
+const (
+	testService = api.ServiceName("model")
+	testPlace   = api.PlaceName("here")
+)
+
+var testKey = api.RowKey{Service: testService, Place: testPlace}
+
+func newTestMachine(filling Filling) *Machine {
+	random := rand.New(rand.NewPCG(1, 2))
+	return NewMachine(Settings{
+		Online: routing.OnlineProfile(api.Location{Zone: "a"}, random), Batch: routing.BatchProfile(random),
+		RetryAfter: time.Second, Reserve: DefaultReserve, Filling: filling,
+	})
+}
+
+func testWorkers(count int) []api.Worker {
+	workers := make([]api.Worker, count)
+	for i := range workers {
+		workers[i] = api.Worker{
+			ID: api.WorkerID(fmt.Sprintf("worker-%d", i)), Service: testService, Place: testPlace,
+			Location: api.Location{Zone: "a"}, Slots: 8,
+		}
+	}
+	return workers
+}
+
+// observer keeps its own account of what a machine has let in.
+type observer struct {
+	machine  *Machine
+	now      time.Time
+	row      api.Row
+	listed   []api.Worker
+	flights  map[api.RequestID]Dispatch
+	classes  map[api.RequestID]api.Class
+	serial   int
+	problems []string
+}
+
+func newObserver(filling Filling) *observer {
+	o := &observer{
+		machine: newTestMachine(filling), now: time.Unix(1000, 0),
+		flights: map[api.RequestID]Dispatch{}, classes: map[api.RequestID]api.Class{},
+		row: api.Row{Service: testService, Place: testPlace, Weight: 1, BatchAllowance: 6, Priority: 1},
+	}
+	o.setRow(o.row)
+	o.setWorkers(testWorkers(3))
+	return o
+}
+
+func (o *observer) problem(format string, arguments ...any) {
+	o.problems = append(o.problems, fmt.Sprintf(format, arguments...))
+}
+
+func (o *observer) setRow(row api.Row) {
+	o.row = row
+	o.machine.Step(o.now, Rows{Rows: map[api.RowKey]api.Row{row.Key(): row}})
+}
+
+func (o *observer) setWorkers(workers []api.Worker) {
+	o.listed = workers
+	o.machine.Step(o.now, Workers{Workers: workers})
+}
+
+func (o *observer) count(worker api.WorkerID, class api.Class) int {
+	total := 0
+	for id, dispatch := range o.flights {
+		if (worker == "" || dispatch.Worker == worker) && o.classes[id] == class {
+			total++
+		}
+	}
+	return total
+}
+
+func (o *observer) arrive(class api.Class) {
+	o.serial++
+	id := api.RequestID(fmt.Sprintf("r%d", o.serial))
+	answers := 0
+	for _, action := range o.machine.Step(o.now, Arrive{Request: routing.Request{ID: id, Service: testService, Place: testPlace, Class: class}}) {
+		switch action := action.(type) {
+		case Dispatch:
+			answers++
+			o.flights[id], o.classes[id] = action, class
+			o.dispatched(action, class)
+		case Refuse:
+			answers++
+			if class == api.ClassOnline && o.mustAdmit() {
+				o.problem("online request was refused: %v", action.Failure)
+			}
+			if action.Failure.Outcome != api.OutcomeNotRun {
+				o.problem("refusal with outcome %s", action.Failure.Outcome)
+			}
+		case Preempt:
+			if o.classes[action.Request] != api.ClassBatch {
+				o.problem("preempted request %s is not batch in flight", action.Request)
+			}
+			delete(o.flights, action.Request)
+		}
+	}
+	if answers != 1 {
+		o.problem("arrival had %d answers in its step", answers)
+	}
+}
+
+func (o *observer) mustAdmit() bool {
+	return slices.ContainsFunc(o.listed, func(worker api.Worker) bool { return !worker.Leaving })
+}
+
+// dispatched checks a dispatch after the preemptions of its step.
+func (o *observer) dispatched(dispatch Dispatch, class api.Class) {
+	if class == api.ClassBatch {
+		if all := o.count("", api.ClassBatch); all > o.row.BatchAllowance {
+			o.problem("%d batch requests pass the allowance of %d", all, o.row.BatchAllowance)
+		}
+		if dispatch.Priority != 0 {
+			o.problem("batch has priority %d", dispatch.Priority)
+		}
+		return
+	}
+	if dispatch.Priority <= 0 {
+		o.problem("online has priority %d", dispatch.Priority)
+	}
+	online, batch := o.count(dispatch.Worker, api.ClassOnline), o.count(dispatch.Worker, api.ClassBatch)
+	if batch > 0 && online+batch > 8 {
+		o.problem("worker %s keeps %d batch beside %d online", dispatch.Worker, batch, online)
+	}
+}
+
+func (o *observer) sortedFlights() []api.RequestID {
+	ids := make([]api.RequestID, 0, len(o.flights))
+	for id := range o.flights {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (o *observer) finish(id api.RequestID, times int) {
+	delete(o.flights, id)
+	for range times {
+		o.machine.Step(o.now, Finished{Request: id})
+	}
+}
+
+// drain finishes all and checks that nothing is left.
+func (o *observer) drain() {
+	for _, id := range o.sortedFlights() {
+		o.finish(id, 1)
+	}
+	for _, summary := range o.machine.Summaries() {
+		if summary.Online != 0 || summary.Batch != 0 {
+			o.problem("after all finished %s has %d online and %d batch", summary.Key(), summary.Online, summary.Batch)
+		}
+	}
+	row := o.machine.rows[testKey]
+	if row.inUse != 0 || row.batchUse != 0 || len(o.machine.flights) != 0 {
+		o.problem("after all finished the row has %d in use, %d batch, %d flights", row.inUse, row.batchUse, len(o.machine.flights))
+	}
+}
+
+// play takes random steps from draw, which gives a number below its argument.
+func (o *observer) play(steps int, draw func(int) int) {
+	for range steps {
+		o.now = o.now.Add(time.Duration(draw(40)) * time.Millisecond)
+		ids := o.sortedFlights()
+		switch draw(8) {
+		case 0, 1:
+			o.arrive(api.ClassOnline)
+		case 2, 3, 4:
+			o.arrive(api.ClassBatch)
+		case 5:
+			if len(ids) > 0 {
+				o.finish(ids[draw(len(ids))], 1+draw(2))
+			}
+		case 6:
+			if len(ids) > 0 {
+				o.machine.Step(o.now, FirstToken{Request: ids[draw(len(ids))]})
+			}
+		case 7:
+			o.disturb(draw)
+		}
+	}
+	o.drain()
+}
+
+func (o *observer) disturb(draw func(int) int) {
+	switch draw(4) {
+	case 0:
+		workers := testWorkers(1 + draw(4))
+		workers[0].Leaving = draw(3) == 0
+		o.setWorkers(workers)
+	case 1:
+		row := o.row
+		row.BatchAllowance = max(draw(12), o.count("", api.ClassBatch))
+		o.setRow(row)
+	case 2:
+		o.machine.Step(o.now, Unreachable{Worker: "worker-0"})
+	case 3:
+		o.machine.Step(o.now, Load{Worker: "worker-0", Running: draw(8), Waiting: draw(3), Asked: o.now})
+	}
+}
+
+func TestAdmissionKeepsItsInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := newObserver(DefaultFilling())
+		o.play(120, func(below int) int { return rapid.IntRange(0, below-1).Draw(t, "choice") })
+		if len(o.problems) > 0 {
+			t.Fatal(o.problems)
+		}
+	})
+}
+
+func TestPlantedFaultsAreCaught(t *testing.T) {
+	faults := map[string]Fault{
+		"ignore allowance": FaultIgnoreAllowance, "leak slot": FaultLeakSlot, "invert priority": FaultInvertPriority,
+		"no preemption": FaultNoPreemption, "delay online": FaultDelayOnline,
+	}
+	for name, fault := range faults {
+		filling := DefaultFilling()
+		filling.Fault = fault
+		o := newObserver(filling)
+		o.row.BatchAllowance = 100
+		if fault == FaultIgnoreAllowance {
+			o.row.BatchAllowance = 2
+		}
+		o.setRow(o.row)
+		o.play(3000, rand.New(rand.NewPCG(7, 7)).IntN)
+		if len(o.problems) == 0 {
+			t.Errorf("the fault %q was not seen", name)
+		}
+	}
+}
+
+func TestWorkerThatReturnsKeepsItsCount(t *testing.T) {
+	o := newObserver(DefaultFilling())
+	o.arrive(api.ClassOnline)
+	worker := o.flights["r1"].Worker
+	o.setWorkers(nil)
+	o.setWorkers(testWorkers(3))
+	if got := o.machine.workers[worker].online; got != 1 {
+		t.Fatalf("after its return the worker has %d online, want 1", got)
+	}
+	o.drain()
+	if len(o.problems) > 0 {
+		t.Fatal(o.problems)
+	}
+}
--- /dev/null
+++ b/admission/room.go
@@ -0,0 +1,130 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/routing"
+)
+
+// Filling says how batch takes idle room. docs/design/admission.md weighs the
+// ways with figures.
+type Filling struct {
+	// Preempt cancels batch requests when online requests need the room.
+	Preempt bool
+	// LowerPriority gives batch the engine's lowest priority.
+	LowerPriority bool
+	// StartInterval is the least time between two batch requests sent to one
+	// worker, so that their prompts do not fill the engine's steps.
+	StartInterval time.Duration
+	// StartQuiet sends no batch request to a worker at which an online request
+	// has no first token yet.
+	StartQuiet bool
+	// Quarantine is how long a worker that could not be reached gets nothing.
+	Quarantine time.Duration
+	// Fault is planted by tests; none otherwise.
+	Fault Fault
+}
+
+// Fault breaks one invariant, so that a test can show that its check sees it.
+type Fault int
+
+// The planted faults.
+const (
+	NoFault              Fault = iota
+	FaultIgnoreAllowance       // batch passes its row's allowance
+	FaultLeakSlot              // a cancelled batch request keeps its slot
+	FaultInvertPriority        // batch goes first at the engine
+	FaultNoPreemption          // online does not push batch out of the slots
+	FaultDelayOnline           // online is refused while batch fills the slots
+)
+
+// DefaultFilling is what a router does.
+func DefaultFilling() Filling {
+	return Filling{
+		Preempt: true, LowerPriority: true,
+		StartInterval: defaultStartInterval, StartQuiet: true, Quarantine: defaultQuarantine,
+	}
+}
+
+// FillFreeSlots treats batch like online wherever a slot is free; it is there
+// to compare with.
+func FillFreeSlots() Filling { return Filling{Quarantine: defaultQuarantine} }
+
+const (
+	defaultStartInterval = 20 * time.Millisecond
+	defaultQuarantine    = time.Second
+)
+
+// priority is the engine's priority of a request: batch has 0, online more.
+func (f Filling) priority(class api.Class, row int) int {
+	batch := class == api.ClassBatch
+	if f.Fault == FaultInvertPriority {
+		batch = !batch
+	}
+	if batch && f.LowerPriority {
+		return 0
+	}
+	return row + 1
+}
+
+// room tells how many batch requests could be sent to the worker now.
+func (m *Machine) room(now time.Time, state *workerState) int {
+	filling := m.settings.Filling
+	if state.worker.Leaving || state.leaving || now.Before(state.quarantined) {
+		return 0
+	}
+	free := int(float64(state.worker.Slots)*(1-m.settings.Reserve)) - state.online - len(state.batch)
+	if free <= 0 {
+		return 0
+	}
+	if filling.StartQuiet && state.starting > 0 {
+		return 0
+	}
+	if filling.StartInterval > 0 {
+		if now.Sub(state.lastBatch) < filling.StartInterval {
+			return 0
+		}
+		return 1
+	}
+	return free
+}
+
+// Room tells how many batch requests of the row could start now.
+func (m *Machine) Room(now time.Time, key api.RowKey) int {
+	row, ok := m.rows[key]
+	if !ok || !row.inTable {
+		return 0
+	}
+	total := 0
+	for _, state := range row.workers {
+		total += m.room(now, state)
+	}
+	return min(total, max(row.row.BatchAllowance-row.batchUse, 0))
+}
+
+func (m *Machine) endpointsWithRoom(now time.Time, row *rowState) []routing.Endpoint {
+	m.roomy = m.roomy[:0]
+	for i, state := range row.workers {
+		if m.room(now, state) > 0 {
+			m.roomy = append(m.roomy, row.endpoints[i])
+		}
+	}
+	return m.roomy
+}
+
+// preempt cancels the youngest batch requests of the worker until its load is
+// within its slots again: they have lost the least.
+func (m *Machine) preempt(_ time.Time, worker *workerState) []Action {
+	if !m.settings.Filling.Preempt || m.settings.Filling.Fault == FaultNoPreemption {
+		return nil
+	}
+	excess := min(worker.online+len(worker.batch)-worker.worker.Slots, len(worker.batch))
+	var actions []Action
+	for range max(excess, 0) {
+		youngest := worker.batch[len(worker.batch)-1]
+		m.finish(youngest.request)
+		actions = append(actions, Preempt{Request: youngest.request, Worker: worker.worker.ID})
+	}
+	return actions
+}
--- a/config/load.go
+++ b/config/load.go
@@ -49,23 +49,30 @@
 // Parse is Load for bytes; file only names them in errors.
 func Parse(file string, raw []byte, overrides map[string]any) (Settings, error) {
 	settings := Default()
+	err := ParseDocument(file, raw, overrides, &settings)
+	return settings, err
+}
+
+// ParseDocument reads strict YAML into target, a pointer to a struct with
+// koanf and validate tags that holds the defaults. Problems are joined.
+func ParseDocument(file string, raw []byte, overrides map[string]any, target any) error {
 	k := koanf.New(keyDelimiter)
 	if err := k.Load(rawbytes.Provider(raw), yaml.Parser()); err != nil {
-		return settings, fmt.Errorf("settings %s: %w", file, err)
+		return fmt.Errorf("settings %s: %w", file, err)
 	}
 	for key, value := range overrides {
 		if err := k.Set(key, value); err != nil {
-			return settings, fmt.Errorf("set %s from flag: %w", key, err)
+			return fmt.Errorf("set %s from flag: %w", key, err)
 		}
 	}
 	locate := lineFinder(raw)
-	if err := decode(k, &settings, file, locate); err != nil {
-		return settings, err
+	if err := decode(k, target, file, locate); err != nil {
+		return err
 	}
-	return settings, check(settings, file, locate)
+	return check(target, file, locate)
 }
 
-func decode(k *koanf.Koanf, settings *Settings, file string, locate func(string) int) error {
+func decode(k *koanf.Koanf, settings any, file string, locate func(string) int) error {
 	var metadata mapstructure.Metadata
 	err := k.UnmarshalWithConf("", settings, koanf.UnmarshalConf{
 		DecoderConfig: &mapstructure.DecoderConfig{
@@ -89,7 +96,7 @@
 	return errors.Join(problems...)
 }
 
-func check(settings Settings, file string, locate func(string) int) error {
+func check(settings any, file string, locate func(string) int) error {
 	err := newValidator().Struct(settings)
 	var faults validator.ValidationErrors
 	if !errors.As(err, &faults) {
--- a/internal/dependencies/dependencies.go
+++ b/internal/dependencies/dependencies.go
@@ -3,7 +3,6 @@
 package dependencies
 
 import (
-	_ "github.com/HdrHistogram/hdrhistogram-go"
 	_ "github.com/anishathalye/porcupine"
 	_ "github.com/cenkalti/backoff/v5"
 	_ "github.com/google/uuid"
@@ -11,8 +10,5 @@
 	_ "go.etcd.io/bbolt"
 	_ "go.uber.org/goleak"
 	_ "golang.org/x/sync/errgroup"
-	_ "gonum.org/v1/plot"
-	_ "gonum.org/v1/plot/plotter"
-	_ "gonum.org/v1/plot/vg/vgimg"
 	_ "pgregory.net/rapid"
 )
--- /dev/null
+++ b/internal/experiment/engineprocess.go
@@ -0,0 +1,147 @@
+package experiment
+
+import (
+	"time"
+
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/internal/standin/engine/model"
+)
+
+// engineProcess is a simulated engine: the model with its clock.
+type engineProcess struct {
+	fleet      *fleet
+	worker     api.Worker
+	engine     *model.Engine
+	life       int // grows when it dies
+	dead       bool
+	executions map[model.Handle]*execution
+	next       model.Handle
+	busyBefore time.Duration // of earlier lives
+
+	busyAtWarmup      time.Duration
+	prefilledAtWarmup int64
+}
+
+// execution is a request at an engine.
+type execution struct {
+	handle  model.Handle
+	work    Work
+	online  bool
+	request api.RequestID
+	router  *router
+	last    time.Time // when the last token came
+	tokens  int
+	onToken func(index int, last bool)
+	onBreak func()
+}
+
+func newEngineProcess(f *fleet, worker api.Worker) *engineProcess {
+	process := &engineProcess{fleet: f, worker: worker, executions: map[model.Handle]*execution{}}
+	process.engine = model.New(f.engineSettings(worker.Service), f.random)
+	return process
+}
+
+// engineSettings gives applications an engine that ends a request in one step.
+func (f *fleet) engineSettings(name api.ServiceName) model.Settings {
+	for _, service := range f.scenario.Services {
+		if service.ApplicationTime > 0 && (service.Name == name || splitService(service.Name) == name) {
+			settings := f.scenario.Engine
+			settings.StepBase = service.ApplicationTime
+			settings.StepSequence, settings.StepContext, settings.StepPrefill = 0, 0, 0
+			return settings
+		}
+	}
+	return f.scenario.Engine
+}
+
+// submit starts an execution; false when the process can't be connected to.
+func (p *engineProcess) submit(execution *execution, priority int) bool {
+	if p.dead {
+		return false
+	}
+	p.next++
+	execution.handle = p.next
+	p.executions[p.next] = execution
+	p.step(model.Submit{Request: model.Request{
+		Handle: p.next, ID: string(execution.request), Priority: priority, Blocks: execution.work.Blocks,
+		PromptTokens: execution.work.PromptTokens, OutputTokens: execution.work.OutputTokens,
+	}})
+	return true
+}
+
+func (p *engineProcess) cancel(execution *execution) {
+	if _, ok := p.executions[execution.handle]; ok {
+		delete(p.executions, execution.handle)
+		p.step(model.Cancel{Handle: execution.handle})
+	}
+}
+
+func (p *engineProcess) step(message model.Message) {
+	for _, action := range p.engine.Step(p.fleet.simulation.Now(), message) {
+		switch action := action.(type) {
+		case model.StartStep:
+			life := p.life
+			p.fleet.simulation.After(action.Duration, func() {
+				if p.life == life {
+					p.step(model.StepDone{})
+				}
+			})
+		case model.Emit:
+			p.emit(action.Tokens)
+		case model.Reject:
+			execution := p.executions[action.Handle]
+			delete(p.executions, action.Handle)
+			p.fleet.simulation.After(0, execution.onBreak)
+		}
+	}
+}
+
+func (p *engineProcess) emit(tokens []model.Token) {
+	now := p.fleet.simulation.Now()
+	for _, token := range tokens {
+		execution, ok := p.executions[token.Handle]
+		if !ok {
+			continue
+		}
+		execution.tokens++
+		if execution.online && token.Index > 0 {
+			p.fleet.measure.between(execution.work.Service, now, now.Sub(execution.last))
+		}
+		execution.last = now
+		if token.Last {
+			delete(p.executions, token.Handle)
+		}
+		if token.Last || token.Index == 0 {
+			execution.onToken(token.Index, token.Last)
+		}
+	}
+}
+
+// die breaks all that is in flight.
+func (p *engineProcess) die() {
+	p.dead = true
+	p.life++
+	broken := p.executions
+	p.executions = map[model.Handle]*execution{}
+	for handle := model.Handle(1); handle <= p.next; handle++ {
+		if execution, ok := broken[handle]; ok {
+			execution.onBreak()
+		}
+	}
+	p.busyBefore += p.engine.Statistics().Busy
+}
+
+func (p *engineProcess) restart() {
+	p.dead = false
+	p.engine = model.New(p.fleet.engineSettings(p.worker.Service), p.fleet.random)
+}
+
+func (p *engineProcess) leave() { p.step(model.Leave{Leaving: true}) }
+
+// busy is the time spent in steps since the start.
+func (p *engineProcess) busy() time.Duration {
+	if p.dead {
+		return p.busyBefore
+	}
+	return p.busyBefore + p.engine.Statistics().Busy
+}
--- /dev/null
+++ b/internal/experiment/fleet.go
@@ -0,0 +1,185 @@
+package experiment
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/dykewing/dykewing/admission"
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/placement"
+	"github.com/dykewing/dykewing/routing"
+	"github.com/dykewing/dykewing/sim"
+)
+
+// fleet is one strategy's simulated deployment.
+type fleet struct {
+	scenario   Scenario
+	strategy   Strategy
+	simulation *sim.Simulation
+	random     *rand.Rand
+	rows       map[api.RowKey]api.Row // in force
+	listed     []api.Worker           // the machine list
+	routers    []*router
+	byNode     map[api.NodeID]*router
+	engines    map[api.WorkerID]*engineProcess
+	sidecars   []*sidecar // one a zone
+	backlogs   map[api.ServiceName]*backlog
+	names      []api.ServiceName // of backlogs, sorted
+	measure    *measure
+	serial     uint64
+}
+
+// newFleet builds a deployment; nothing happens until it runs.
+func newFleet(scenario Scenario, strategy Strategy, seed uint64, settings admission.Settings) *fleet {
+	f := &fleet{
+		scenario: scenario, strategy: strategy, simulation: sim.New(seed),
+		random: newStream(seed, streamFleet, "fleet"),
+		rows:   strategy.rows(scenario), listed: strategy.workers(scenario),
+		byNode: map[api.NodeID]*router{}, engines: map[api.WorkerID]*engineProcess{},
+		backlogs: map[api.ServiceName]*backlog{}, measure: newMeasure(scenario),
+	}
+	for _, worker := range f.listed {
+		f.engines[worker.ID] = newEngineProcess(f, worker)
+	}
+	for zone := range scenario.Fleet.Zones {
+		for i := range scenario.Fleet.RoutersPerZone {
+			f.addRouter(zone, i, strategy.settings(settings))
+		}
+		f.sidecars = append(f.sidecars, newSidecar(f, zone))
+	}
+	f.home()
+	f.publishRows()
+	return f
+}
+
+func (f *fleet) addRouter(zone, index int, settings admission.Settings) {
+	node := api.Node{
+		ID: api.NodeID(fmt.Sprintf("router-%d-%d", zone, index)), Role: api.RoleRouter,
+		Location: api.Location{Zone: zoneName(zone)},
+	}
+	router := newRouter(f, node, settings)
+	f.routers = append(f.routers, router)
+	f.byNode[node.ID] = router
+}
+
+// home tells each router its workers.
+func (f *fleet) home() {
+	nodes := make([]api.Node, 0, len(f.routers))
+	for _, router := range f.routers {
+		nodes = append(nodes, router.node)
+	}
+	homed := map[api.NodeID][]api.Worker{}
+	for _, worker := range f.listed {
+		if id, ok := placement.HomeOf(worker, nodes); ok {
+			homed[id] = append(homed[id], worker)
+		}
+	}
+	for _, router := range f.routers {
+		router.step(admission.Workers{Workers: homed[router.node.ID]})
+	}
+}
+
+func (f *fleet) publishRows() {
+	for _, router := range f.routers {
+		router.step(admission.Rows{Rows: f.rows})
+	}
+}
+
+// run plays the traces, the batch heaps and the scenario's events.
+func (f *fleet) run(traces [][]arrival, heaps []heap) {
+	for _, trace := range traces {
+		f.playOnline(trace, 0)
+	}
+	if f.strategy != StrategyNoBatch {
+		for _, heap := range heaps {
+			f.simulation.After(heap.at, func() { f.addHeap(heap) })
+		}
+	}
+	for _, event := range f.scenario.Events {
+		f.simulation.After(event.At, func() { f.happen(event) })
+	}
+	for _, router := range f.routers {
+		router.start()
+	}
+	for _, sidecar := range f.sidecars {
+		sidecar.start()
+	}
+	f.simulation.After(f.scenario.Warmup, f.beginMeasure)
+	f.simulation.Run(f.scenario.Duration)
+}
+
+// playOnline schedules one arrival at a time, so that the queue stays short.
+func (f *fleet) playOnline(trace []arrival, next int) {
+	if next >= len(trace) {
+		return
+	}
+	arrival := trace[next]
+	f.simulation.After(arrival.at-f.simulation.Elapsed(), func() {
+		f.sidecars[arrival.caller].receive(arrival)
+		f.playOnline(trace, next+1)
+	})
+}
+
+func (f *fleet) newID(kind string) api.RequestID {
+	f.serial++
+	return api.RequestID(fmt.Sprintf("%s-%d", kind, f.serial))
+}
+
+// latency is one way between two processes of the system or the platform.
+func (f *fleet) latency(from, to api.ZoneName) time.Duration {
+	if from == to {
+		return f.scenario.Network.WithinZone
+	}
+	return f.scenario.Network.BetweenZones
+}
+
+func (f *fleet) happen(event Event) {
+	id := api.WorkerID(fmt.Sprintf("%s-%s-%d", event.Service, event.Place, event.Worker))
+	f.simulation.Tracef("%s %s", event.Kind, id)
+	switch event.Kind {
+	case EventWorkerDies:
+		f.engines[id].die()
+		f.simulation.After(f.scenario.Fleet.ListLag, func() { f.unlist(id) })
+	case EventWorkerReturns:
+		f.engines[id].restart()
+		f.simulation.After(f.scenario.Fleet.ListLag, func() { f.list(f.engines[id].worker) })
+	case EventWorkerLeaves:
+		f.engines[id].leave()
+		f.simulation.After(f.scenario.Fleet.ListLag, func() { f.unlist(id) })
+	case EventEdit:
+		f.edit(event)
+	}
+}
+
+func (f *fleet) unlist(id api.WorkerID) {
+	f.listed = slices.DeleteFunc(slices.Clone(f.listed), func(worker api.Worker) bool { return worker.ID == id })
+	f.home()
+}
+
+func (f *fleet) list(worker api.Worker) {
+	if !slices.ContainsFunc(f.listed, func(other api.Worker) bool { return other.ID == worker.ID }) {
+		f.listed = append(slices.Clone(f.listed), worker)
+	}
+	f.home()
+}
+
+func (f *fleet) edit(event Event) {
+	rows := map[api.RowKey]api.Row{}
+	for key, row := range f.rows {
+		if key == (api.RowKey{Service: event.Service, Place: event.Place}) {
+			row.Weight, row.BatchAllowance = event.Weight, event.BatchAllowance
+		}
+		rows[key] = row
+	}
+	f.rows = rows
+	f.publishRows()
+}
+
+// onlineProfile and batchProfile are those of the router role.
+func onlineProfile(location api.Location, random *rand.Rand) routing.Profile {
+	return routing.OnlineProfile(location, random)
+}
+
+func batchProfile(random *rand.Rand) routing.Profile { return routing.BatchProfile(random) }
--- /dev/null
+++ b/internal/experiment/sidecar.go
@@ -0,0 +1,140 @@
+package experiment
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/routing"
+)
+
+// maximumAttempts bounds a caller's attempts, as the sidecar's policy does.
+const maximumAttempts = 4
+
+// sidecar is the simulated process beside the callers of a zone.
+type sidecar struct {
+	fleet   *fleet
+	zone    api.ZoneName
+	random  *rand.Rand
+	chooser routing.Chooser
+	view    []routing.Endpoint // homes by the last heartbeats
+}
+
+func newSidecar(f *fleet, zone int) *sidecar {
+	random := f.random
+	location := api.Location{Zone: zoneName(zone)}
+	return &sidecar{
+		fleet: f, zone: location.Zone, random: random,
+		chooser: routing.Chooser{Profile: routing.HomeProfile(location, random)},
+	}
+}
+
+func (s *sidecar) start() {
+	s.readHeartbeats()
+}
+
+// readHeartbeats takes the routers' summaries each heartbeat.
+func (s *sidecar) readHeartbeats() {
+	view := make([]routing.Endpoint, 0, len(s.view))
+	for _, router := range s.fleet.routers {
+		for _, summary := range router.machine.Summaries() {
+			if summary.Workers > 0 {
+				view = append(view, routing.HomeEndpoint(router.node, summary))
+			}
+		}
+	}
+	s.fleet.simulation.After(s.fleet.scenario.Network.BetweenZones, func() { s.view = view })
+	s.fleet.simulation.After(s.fleet.scenario.Fleet.Heartbeat, s.readHeartbeats)
+}
+
+// onlineRequest is a caller's request.
+type onlineRequest struct {
+	routed   routing.Request
+	work     Work
+	began    time.Time
+	attempts int
+	answered bool // the caller has the first token
+}
+
+func (s *sidecar) receive(arrival arrival) {
+	request := &onlineRequest{work: arrival.work, began: s.fleet.simulation.Now()}
+	request.routed = routing.Request{
+		ID: s.fleet.newID("online"), Service: arrival.work.Service, Class: api.ClassOnline,
+		Repeatable: true, Prefix: arrival.work.Blocks,
+	}
+	s.fleet.measure.arrived(arrival.work.Service, request.began)
+	s.send(request)
+}
+
+func (s *sidecar) send(request *onlineRequest) {
+	request.attempts++
+	home, ok := s.choose(&request.routed)
+	if !ok || request.attempts > maximumAttempts {
+		s.fleet.measure.failed(request.work.Service, request.began)
+		return
+	}
+	router := s.fleet.byNode[api.NodeID(home.Name)]
+	delay := s.fleet.scenario.Network.ToCallers + s.fleet.latency(s.zone, router.node.Location.Zone)
+	s.noteSent(home, 1)
+	routed := request.routed
+	routed.ID = s.fleet.newID("attempt")
+	again := func() {
+		s.fleet.simulation.After(delay, func() {
+			request.routed.Excluded = append(slices.Clip(request.routed.Excluded), home.Name)
+			s.fleet.measure.retried(request.work.Service, request.began)
+			s.send(request)
+		})
+	}
+	s.fleet.simulation.After(delay, func() {
+		router.admit(routed, request.work, nil, attempt{
+			onNotRun: again,
+			onBreak:  again,
+			onToken:  func(index int, last bool) { s.token(request, delay, index, last) },
+		})
+	})
+}
+
+func (s *sidecar) token(request *onlineRequest, delay time.Duration, index int, last bool) {
+	now := s.fleet.simulation.Now()
+	if index == 0 && !request.answered {
+		request.answered = true
+		s.fleet.measure.firstToken(request.work.Service, request.began, now.Add(delay).Sub(request.began))
+	}
+	if last {
+		s.fleet.measure.finished(request.work.Service, request.began)
+	}
+}
+
+// choose draws a place by weight and a home of it.
+func (s *sidecar) choose(routed *routing.Request) (routing.Endpoint, bool) {
+	var rows []api.Row
+	for _, service := range s.fleet.scenario.Services {
+		if service.Name != routed.Service {
+			continue
+		}
+		for _, place := range service.Places {
+			rows = append(rows, s.fleet.rows[api.RowKey{Service: service.Name, Place: place.Name}])
+		}
+	}
+	row, ok := routing.ChoosePlace(rows, s.random)
+	if !ok {
+		return routing.Endpoint{}, false
+	}
+	routed.Place = row.Place
+	endpoint, ok := s.chooser.Choose(*routed, s.view)
+	if !ok && len(routed.Excluded) > 0 {
+		routed.Excluded = nil
+		endpoint, ok = s.chooser.Choose(*routed, s.view)
+	}
+	return endpoint, ok
+}
+
+// noteSent corrects the lagging view by what was sent since.
+func (s *sidecar) noteSent(home routing.Endpoint, count int) {
+	for i := range s.view {
+		if s.view[i].Name == home.Name && s.view[i].Key == home.Key {
+			s.view[i].Online += count
+		}
+	}
+}
--- a/internal/router/batch.go
+++ b/internal/router/batch.go
@@ -85,7 +85,7 @@
 	_ = r.admission.Inspect(func() {
 		for _, backlog := range waiting {
 			for _, row := range snapshot.Service(backlog.Service) {
-				if room := r.machine.Room(row.Key()); room > 0 {
+				if room := r.machine.Room(time.Now(), row.Key()); room > 0 {
 					wants = append(wants, jobs.ClaimWant{Service: row.Service, Place: row.Place, Room: room})
 				}
 			}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -74,13 +74,17 @@
 		Header: backendHeader(header, routed.ID), Priority: dispatch.Priority,
 	})
 	if err != nil {
-		finish()
 		failure := api.AsError("send to worker", err)
+		if failure.Outcome == api.OutcomeNotRun && ctx.Err() == nil {
+			r.admission.Tell(admission.Unreachable{Worker: dispatch.Worker})
+		}
+		finish()
 		if errors.Is(context.Cause(ctx), errPreempted) {
 			failure.Code = api.CodePreempted
 		}
 		return nil, dispatch, nil, failure
 	}
+	r.admission.Tell(admission.FirstToken{Request: routed.ID})
 	return response, dispatch, finish, nil
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -64,7 +64,7 @@
 		router.list = &discovery.HTTPList{Address: parsed.Host, Path: parsed.RequestURI(), Client: common.Control}
 	}
 	router.machine = admission.NewMachine(admission.Settings{
-		Online: onlineProfile(common), Batch: batchProfile(),
+		Online: routing.OnlineProfile(common.Settings.Node.Location(), newRandom()), Batch: routing.BatchProfile(newRandom()),
 		RetryAfter: refusalRetryAfter, Reserve: common.Settings.Router.BatchReserve,
 	})
 	router.admission = shell.Start(common.System, router.machine, router.execute)
@@ -79,28 +79,6 @@
 
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
-func onlineProfile(common *node.Node) routing.Profile {
-	return routing.Profile{
-		Name:    "online",
-		Filters: []routing.Filter{routing.RowFilter{}, routing.NotLeavingFilter{}, routing.NotTriedFilter{}},
-		Scorers: []routing.WeightedScorer{
-			{Scorer: routing.LoadScorer{}, Weight: 2},
-			{Scorer: routing.PrefixScorer{}, Weight: 1},
-			{Scorer: routing.ZoneScorer{Self: common.Settings.Node.Location()}, Weight: 0.25},
-		},
-		Picker: routing.BestPicker{Random: newRandom()},
-	}
-}
-
-func batchProfile() routing.Profile {
-	return routing.Profile{
-		Name:    "batch",
-		Filters: []routing.Filter{routing.RowFilter{}, routing.NotLeavingFilter{}},
-		Scorers: []routing.WeightedScorer{{Scorer: routing.LoadScorer{}, Weight: 1}},
-		Picker:  routing.BestPicker{Random: newRandom()},
-	}
-}
-
 // Run polls the machine list and workers' loads and pulls batch items until
 // ctx ends.
 func (r *Router) Run(ctx context.Context) {
@@ -174,7 +152,7 @@
 	if err != nil {
 		return
 	}
-	r.admission.Tell(admission.Load{Worker: worker.ID, Running: load.Running, Waiting: load.Waiting, Asked: asked})
+	r.admission.Tell(admission.Load{Worker: worker.ID, Running: load.Running, Waiting: load.Waiting, Leaving: load.Leaving, Asked: asked})
 }
 
 // execute carries out admission's actions that are not the answer to a step.
--- a/internal/sidecar/online.go
+++ b/internal/sidecar/online.go
@@ -204,10 +204,7 @@
 			if summary.Workers == 0 {
 				continue
 			}
-			endpoints = append(endpoints, routing.Endpoint{
-				Name: string(node.ID), Address: node.Address, Key: summary.Key(), Location: node.Location,
-				Slots: summary.Slots, Online: summary.Online, Batch: summary.Batch, Leaving: node.Leaving,
-			})
+			endpoints = append(endpoints, routing.HomeEndpoint(node, summary))
 		}
 	}
 	return endpoints
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -57,24 +57,10 @@
 		metrics: newMetrics(common.Registry),
 		random:  random,
 		policy:  retry.NewPolicy(retry.DefaultSettings()),
-		profile: homeProfile(common.Settings.Node.Location(), random),
+		profile: routing.HomeProfile(common.Settings.Node.Location(), random),
 	}, nil
 }
 
-// homeProfile chooses a home router by the summaries, which are old: two
-// choices keep many sidecars from all taking the same.
-func homeProfile(self api.Location, random *rand.Rand) routing.Profile {
-	return routing.Profile{
-		Name:    "home",
-		Filters: []routing.Filter{routing.RowFilter{}, routing.NotLeavingFilter{}, routing.NotTriedFilter{}},
-		Scorers: []routing.WeightedScorer{
-			{Scorer: routing.LoadScorer{}, Weight: 2},
-			{Scorer: routing.ZoneScorer{Self: self}, Weight: 0.25},
-		},
-		Picker: routing.TwoChoicesPicker{Random: random},
-	}
-}
-
 // Address is where callers connect.
 func (s *Sidecar) Address() string { return s.listener.Addr().String() }
 
--- /dev/null
+++ b/internal/standin/engine/model/cache.go
@@ -0,0 +1,163 @@
+package model
+
+import (
+	"container/list"
+	"math/rand/v2"
+	"time"
+)
+
+// CacheEvent tells of prefix blocks that came into or left an engine's cache.
+// A jump of Sequence is a gap: events in between were lost.
+type CacheEvent struct {
+	Sequence uint64    `json:"sequence"` // from 1
+	At       time.Time `json:"at"`
+	Stored   []uint64  `json:"stored,omitempty"`
+	Removed  []uint64  `json:"removed,omitempty"`
+}
+
+// maximumEvents bounds the events kept for readers; older ones are a gap.
+const maximumEvents = 1024
+
+// block is a prefix block in the cache.
+type block struct {
+	hash  uint64
+	users int  // running sequences that hold it
+	valid bool // its content has been computed
+}
+
+// cache accounts for the engine's memory in blocks. Blocks that no running
+// sequence uses are evicted, the least recently used first.
+type cache struct {
+	capacity int
+	private  int // blocks of running sequences that are not shared
+	used     int // shared blocks with users
+	blocks   map[uint64]*list.Element
+	recent   *list.List // of *block, the most recently used in front
+	delay    time.Duration
+	loss     float64
+	random   *rand.Rand
+	sequence uint64
+	events   []CacheEvent
+	evicted  []uint64 // since the last event
+}
+
+func newCache(settings Settings, random *rand.Rand) *cache {
+	return &cache{
+		capacity: settings.CacheBlocks, blocks: map[uint64]*list.Element{}, recent: list.New(),
+		delay: settings.EventDelay, loss: settings.EventLoss, random: random,
+	}
+}
+
+// fits tells whether count blocks can be had, evicting unused ones.
+func (c *cache) fits(count int) bool { return c.used+c.private+count <= c.capacity }
+
+// acquire holds the blocks for a sequence and tells how many leading ones
+// need no computing.
+func (c *cache) acquire(hashes []uint64) int {
+	cached, leading := 0, true
+	for _, hash := range hashes {
+		element, ok := c.blocks[hash]
+		if !ok {
+			element = c.recent.PushFront(&block{hash: hash})
+			c.blocks[hash] = element
+		}
+		held := element.Value.(*block)
+		leading = leading && held.valid
+		if leading {
+			cached++
+		}
+		if held.users == 0 {
+			c.used++
+		}
+		held.users++
+		c.recent.MoveToFront(element)
+	}
+	c.evict()
+	return cached
+}
+
+// reserve takes private blocks, which must fit.
+func (c *cache) reserve(count int) {
+	c.private += count
+	c.evict()
+}
+
+// computed marks the blocks' content as usable by others.
+func (c *cache) computed(now time.Time, hashes []uint64) {
+	var stored []uint64
+	for _, hash := range hashes {
+		if element, ok := c.blocks[hash]; ok && !element.Value.(*block).valid {
+			element.Value.(*block).valid = true
+			stored = append(stored, hash)
+		}
+	}
+	c.publish(now, stored)
+}
+
+// releaseBlocks gives the blocks up; the first computed ones stay cached.
+func (c *cache) releaseBlocks(hashes []uint64, computed int) {
+	for i, hash := range hashes {
+		element, ok := c.blocks[hash]
+		if !ok {
+			continue
+		}
+		held := element.Value.(*block)
+		held.users--
+		if held.users > 0 {
+			continue
+		}
+		c.used--
+		held.valid = held.valid || i < computed
+		if !held.valid {
+			c.remove(element)
+		}
+	}
+}
+
+func (c *cache) evict() {
+	element := c.recent.Back()
+	for element != nil && len(c.blocks)+c.private > c.capacity {
+		previous := element.Prev()
+		if held := element.Value.(*block); held.users == 0 {
+			if held.valid {
+				c.evicted = append(c.evicted, held.hash)
+			}
+			c.remove(element)
+		}
+		element = previous
+	}
+}
+
+func (c *cache) remove(element *list.Element) {
+	delete(c.blocks, element.Value.(*block).hash)
+	c.recent.Remove(element)
+}
+
+func (c *cache) publish(now time.Time, stored []uint64) {
+	if len(stored) == 0 && len(c.evicted) == 0 {
+		return
+	}
+	c.sequence++
+	event := CacheEvent{Sequence: c.sequence, At: now, Stored: stored, Removed: c.evicted}
+	c.evicted = nil
+	if c.loss > 0 && c.random.Float64() < c.loss {
+		return
+	}
+	c.events = append(c.events, event)
+	if len(c.events) > maximumEvents {
+		c.events = append(c.events[:0], c.events[len(c.events)-maximumEvents/2:]...)
+	}
+}
+
+// CacheEvents gives the events after a sequence number that are old enough to
+// be published at the time.
+func (e *Engine) CacheEvents(now time.Time, after uint64) []CacheEvent {
+	published := now.Add(-e.cache.delay)
+	var events []CacheEvent
+	for _, event := range e.cache.events {
+		if event.Sequence > after && !event.At.After(published) {
+			events = append(events, event)
+		}
+	}
+	return events
+}
--- /dev/null
+++ b/internal/standin/engine/model/schedule.go
@@ -0,0 +1,214 @@
+package model
+
+import (
+	"slices"
+	"time"
+)
+
+// sequence is one execution.
+type sequence struct {
+	request   Request
+	arrival   uint64
+	active    bool // in the running batch
+	counted   bool // its start is in the count of executions
+	produced  int  // output tokens so far
+	prefilled int  // tokens of target that are computed or were cached
+	target    int  // prompt and earlier output to compute before the next token
+	chunk     int  // tokens of prefill in the present step
+	shared    int  // leading prompt blocks held in the prefix cache
+	private   int  // other blocks held
+}
+
+func (s *sequence) decoding() bool { return s.prefilled >= s.target }
+
+func (s *sequence) context() int { return s.request.PromptTokens + s.produced }
+
+// before orders sequences: higher priority first, then earlier arrival.
+func (s *sequence) before(other *sequence) bool {
+	if s.request.Priority != other.request.Priority {
+		return s.request.Priority > other.request.Priority
+	}
+	return s.arrival < other.arrival
+}
+
+func insert(list []*sequence, added *sequence) []*sequence {
+	at, _ := slices.BinarySearchFunc(list, added, func(a, b *sequence) int {
+		if a.before(b) {
+			return -1
+		}
+		return 1
+	})
+	return slices.Insert(list, at, added)
+}
+
+func remove(list []*sequence, removed *sequence) []*sequence {
+	if at := slices.Index(list, removed); at >= 0 {
+		return slices.Delete(list, at, at+1)
+	}
+	return list
+}
+
+// startStep fills the batch and starts a step when there is work.
+func (e *Engine) startStep(now time.Time, actions []Action) []Action {
+	e.admitWaiting()
+	if len(e.running) == 0 {
+		return actions
+	}
+	decoding, context := 0, 0
+	for _, sequence := range e.running {
+		if sequence.decoding() {
+			decoding++
+			context += sequence.context()
+		}
+	}
+	prefill := e.planPrefill(e.settings.StepTokens - decoding)
+	e.stepping = true
+	e.stepStart = now
+	return append(actions, StartStep{Duration: e.settings.StepTime(decoding, context, prefill)})
+}
+
+// planPrefill shares the step's budget out in order of priority.
+func (e *Engine) planPrefill(budget int) int {
+	total := 0
+	for _, sequence := range e.running {
+		if sequence.decoding() {
+			continue
+		}
+		sequence.chunk = max(min(sequence.target-sequence.prefilled, budget-total), 0)
+		total += sequence.chunk
+	}
+	return total
+}
+
+// admitWaiting moves waiting sequences into the batch, the first ones at the
+// cost of running ones with a lower priority.
+func (e *Engine) admitWaiting() {
+	for len(e.waiting) > 0 {
+		next := e.waiting[0]
+		if e.settings.IgnorePriority {
+			next = slices.MinFunc(e.waiting, func(a, b *sequence) int { return int(a.arrival) - int(b.arrival) })
+		}
+		if !e.makeRoom(next) {
+			break
+		}
+		e.waiting = remove(e.waiting, next)
+		e.activate(next)
+	}
+	if len(e.waiting) > 0 && len(e.running) > 0 &&
+		e.waiting[0].request.Priority > e.running[len(e.running)-1].request.Priority {
+		e.statistics.WaitedBehind++
+	}
+}
+
+// makeRoom preempts lower priorities until the sequence fits; false when it
+// does not fit.
+func (e *Engine) makeRoom(next *sequence) bool {
+	for len(e.running) >= e.settings.MaximumSequences || !e.cache.fits(e.needed(next)) {
+		if len(e.running) == 0 {
+			return false
+		}
+		victim := e.running[len(e.running)-1]
+		if e.settings.IgnorePriority || victim.request.Priority >= next.request.Priority {
+			return false
+		}
+		e.preempt(victim)
+	}
+	return true
+}
+
+func (e *Engine) preempt(victim *sequence) {
+	e.statistics.Preemptions++
+	e.running = remove(e.running, victim)
+	e.release(victim)
+	e.waiting = insert(e.waiting, victim)
+}
+
+// needed is an upper bound of the blocks that the sequence takes on admission.
+func (e *Engine) needed(next *sequence) int { return e.blocksOf(next.context() + 1) }
+
+func (e *Engine) blocksOf(tokens int) int {
+	return (tokens + e.settings.BlockTokens - 1) / e.settings.BlockTokens
+}
+
+func (e *Engine) activate(next *sequence) {
+	next.active = true
+	cached := e.cache.acquire(next.request.Blocks)
+	next.shared = len(next.request.Blocks)
+	next.private = max(e.needed(next)-next.shared, 0)
+	e.cache.reserve(next.private)
+	next.target = next.context()
+	// The last token is always computed, as it gives the next one.
+	next.prefilled = min(cached*e.settings.BlockTokens, next.target-1)
+	e.running = insert(e.running, next)
+	e.executions.started(next)
+}
+
+func (e *Engine) release(sequence *sequence) {
+	sequence.active = false
+	sequence.chunk = 0
+	e.cache.releaseBlocks(sequence.request.Blocks[:sequence.shared], sequence.prefilled/e.settings.BlockTokens)
+	e.cache.private -= sequence.private
+	sequence.shared, sequence.private = 0, 0
+}
+
+// finishStep gives the step's tokens and ends sequences that are complete.
+func (e *Engine) finishStep(now time.Time) []Action {
+	if !e.stepping {
+		return nil
+	}
+	e.stepping = false
+	e.statistics.Steps++
+	e.statistics.Busy += now.Sub(e.stepStart)
+	e.tokens = e.tokens[:0]
+	for _, sequence := range slices.Clone(e.running) {
+		if sequence.active {
+			e.advance(now, sequence)
+		}
+	}
+	if len(e.tokens) == 0 {
+		return nil
+	}
+	return []Action{Emit{Tokens: e.tokens}}
+}
+
+func (e *Engine) advance(now time.Time, sequence *sequence) {
+	if !sequence.decoding() {
+		sequence.prefilled += sequence.chunk
+		e.statistics.Prefilled += int64(sequence.chunk)
+		sequence.chunk = 0
+		if !sequence.decoding() {
+			return
+		}
+		e.cache.computed(now, sequence.request.Blocks[:sequence.shared])
+	}
+	sequence.produced++
+	sequence.target = sequence.context()
+	sequence.prefilled = sequence.target
+	e.statistics.Generated++
+	last := sequence.produced >= sequence.request.OutputTokens
+	e.tokens = append(e.tokens, Token{Handle: sequence.request.Handle, Index: sequence.produced - 1, Last: last})
+	if last {
+		e.statistics.Finished++
+		e.drop(sequence)
+		e.executions.finished(now, sequence.request.ID, sequence.produced, true)
+		return
+	}
+	e.grow(sequence)
+}
+
+// grow takes a block when the sequence's context needs one more; where none
+// is left, the last sequence of the batch is preempted.
+func (e *Engine) grow(sequence *sequence) {
+	for e.needed(sequence) > sequence.shared+sequence.private {
+		if e.cache.fits(1) {
+			sequence.private++
+			e.cache.reserve(1)
+			continue
+		}
+		victim := e.running[len(e.running)-1]
+		e.preempt(victim)
+		if victim == sequence {
+			return
+		}
+	}
+}
--- a/routing/picker.go
+++ b/routing/picker.go
@@ -10,16 +10,19 @@
 
 // Pick draws among the endpoints that share the highest score.
 func (p BestPicker) Pick(_ Request, scored []Scored) Scored {
-	best := scored[:1]
-	for _, candidate := range scored[1:] {
+	best, ties := 0, 1
+	for i := 1; i < len(scored); i++ {
 		switch {
-		case candidate.Score > best[0].Score:
-			best = []Scored{candidate}
-		case candidate.Score == best[0].Score:
-			best = append(best[:len(best):len(best)], candidate)
+		case scored[i].Score > scored[best].Score:
+			best, ties = i, 1
+		case scored[i].Score == scored[best].Score:
+			ties++
+			if p.Random.IntN(ties) == 0 {
+				best = i
+			}
 		}
 	}
-	return best[p.Random.IntN(len(best))]
+	return scored[best]
 }
 
 // TwoChoicesPicker draws two endpoints and takes the better one, so that many
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -31,6 +31,7 @@
 	Slots    int
 	Online   int // online requests in flight, with those sent since the last report
 	Batch    int
+	Starting int // online requests that have no first token yet, of Online
 	Leaving  bool
 	// CachedBlocks tells how many of the leading hashes are thought to be in
 	// the endpoint's prefix cache; nil when not known.
@@ -77,17 +78,8 @@
 
 // Choose runs the stages over the endpoints; false when none is left.
 func (p Profile) Choose(request Request, endpoints []Endpoint) (Endpoint, bool) {
-	scored := make([]Scored, 0, len(endpoints))
-	for _, endpoint := range endpoints {
-		if !p.keeps(request, endpoint) {
-			continue
-		}
-		scored = append(scored, Scored{Endpoint: endpoint, Score: p.score(request, endpoint)})
-	}
-	if len(scored) == 0 {
-		return Endpoint{}, false
-	}
-	return p.Picker.Pick(request, scored).Endpoint, true
+	chooser := Chooser{Profile: p, scored: make([]Scored, 0, len(endpoints))}
+	return chooser.Choose(request, endpoints)
 }
 
 func (p Profile) keeps(request Request, endpoint Endpoint) bool {
