--- a/api/headers.go
+++ b/api/headers.go
@@ -29,6 +29,8 @@
 	PathInternal = "/internal/v1/"
 	PathGossip   = PathInternal + "gossip"   // POST membership.Exchange
 	PathTable    = PathInternal + "table"    // GET TableDelta, ?after=revision
+	PathEdits    = PathTable + "/edits"      // POST TableEdit, answers EditResult
+	PathHistory  = PathTable + "/history"    // GET []EditRecord
 	PathRequests = PathInternal + "requests" // POST, router: the caller's path follows
 	PathResumes  = PathInternal + "resumes/" // GET, router: {request}?from=event
 	PathClaims   = PathInternal + "claims/"  // GET, sidecar: {request} is worked on here, or 404
@@ -36,9 +38,3 @@
 	PathNodes    = PathInternal + "nodes"    // GET []Node
 	PathShares   = PathInternal + "shares"   // POST quota messages, router
 )
-
-// TableDelta carries rows that are newer than the asked revision.
-type TableDelta struct {
-	Revision int64          `json:"revision"` // newest that the sender has in force
-	Rows     []VersionedRow `json:"rows"`
-}
--- /dev/null
+++ b/cmd/dykewingsim/keyvalue.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/dykewing/dykewing/internal/standin/keyvalue"
+)
+
+func registerKeyValue(application *kingpin.Application) {
+	command := application.Command("keyvalue", "Serve the stand-in of the key-value service (etcd v3 HTTP/JSON mapping).")
+	address := command.Flag("address", "Where it serves.").Default("127.0.0.1:0").String()
+	control := command.Flag("control-address", "Where faults are set: PUT "+keyvalue.PathFaults+".").Default("127.0.0.1:0").String()
+	seed := command.Flag("seed", "Seed of the faults' chance.").Default("1").Uint64()
+	faults := keyvalue.Faults{}
+	command.Flag("outage", "Refuse every call.").BoolVar(&faults.Outage)
+	command.Flag("hang", "Answer no call.").BoolVar(&faults.Hang)
+	command.Flag("delay-ms", "Milliseconds before each call takes effect.").IntVar(&faults.DelayMilliseconds)
+	command.Flag("lose-answers", "Chance that a change takes effect and its answer is lost.").Float64Var(&faults.LoseAnswers)
+	command.Flag("lose-requests", "Chance that a change is lost.").Float64Var(&faults.LoseRequests)
+	command.Flag("late-effects", "Chance that a change takes effect after its connection broke.").Float64Var(&faults.LateEffects)
+	command.Flag("late-ms", "Milliseconds by which late changes are late.").IntVar(&faults.LateMilliseconds)
+	command.Flag("requests-per-second", "Refuse calls beyond this rate; 0 is no limit.").Float64Var(&faults.RequestsPerSecond)
+	command.Flag("stuck-watches", "Keep watches open and deliver nothing.").BoolVar(&faults.StuckWatches)
+	command.Action(action(func() error {
+		if err := faults.Validate(); err != nil {
+			return err
+		}
+		server := keyvalue.NewServer()
+		server.Seed(*seed)
+		server.SetFaults(faults)
+		if err := serveControl(*control, server.Control()); err != nil {
+			return err
+		}
+		return serveStandIn(*address, server)
+	}))
+}
+
+// serveControl serves a stand-in's control port beside it.
+func serveControl(address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", address, err)
+	}
+	fmt.Printf("Control port on %s\n", listener.Addr())
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
--- /dev/null
+++ b/internal/kv/call.go
@@ -0,0 +1,97 @@
+package kv
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/dykewing/dykewing/internal/transport"
+)
+
+const (
+	maximumErrorBytes  = 512
+	maximumAnswerBytes = 64 << 20
+)
+
+// reading tells which calls have no effect, so that any failure of theirs may
+// be followed by a call to another endpoint. A txn is sent to another endpoint
+// only when the first was never connected to: otherwise it may have taken
+// effect there, and whoever asked has to find out.
+var reading = map[string]bool{PathRange: true, PathWatch: true}
+
+// call posts within the timeout; a failure after a change may have left wraps
+// ErrUnknown.
+func (e *Etcd) call(ctx context.Context, path string, request, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, e.timeout)
+	defer cancel()
+	body, err := json.Marshal(request)
+	if err != nil {
+		return err
+	}
+	response, err := e.post(ctx, path, body)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	limited := io.LimitReader(response.Body, maximumAnswerBytes)
+	if err := json.NewDecoder(limited).Decode(answer); err != nil {
+		return fmt.Errorf("%w: read answer: %w", ErrUnknown, err)
+	}
+	return nil
+}
+
+// post tries the endpoints in order, as far as that is safe.
+func (e *Etcd) post(ctx context.Context, path string, body []byte) (*http.Response, error) {
+	failure := errors.New("no endpoint is set")
+	for _, endpoint := range e.endpoints {
+		if err := e.limiter.Wait(ctx); err != nil {
+			return nil, errors.Join(failure, fmt.Errorf("%w: %w", ErrLimited, err))
+		}
+		response, err := e.attempt(ctx, endpoint, path, body)
+		if e.Observe != nil {
+			e.Observe(path, err)
+		}
+		if err == nil {
+			return response, nil
+		}
+		failure = fmt.Errorf("%s: %w", endpoint, err)
+		if !reading[path] && errors.Is(err, ErrUnknown) {
+			return nil, failure
+		}
+	}
+	return nil, failure
+}
+
+// attempt posts to one endpoint. Its errors wrap ErrUnknown unless the request
+// certainly had no effect: no connection was made, or the service refused it.
+func (e *Etcd) attempt(ctx context.Context, endpoint, path string, body []byte) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, endpoint+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := e.client.Do(request)
+	if err != nil && transport.NeverConnected(err) {
+		return nil, err
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	if response.StatusCode == http.StatusOK {
+		return response, nil
+	}
+	defer response.Body.Close()
+	text, _ := io.ReadAll(io.LimitReader(response.Body, maximumErrorBytes))
+	failure := fmt.Errorf("status %d: %s", response.StatusCode, bytes.TrimSpace(text))
+	switch {
+	case response.StatusCode == http.StatusTooManyRequests:
+		return nil, fmt.Errorf("%w: %w", ErrLimited, failure)
+	case response.StatusCode >= http.StatusInternalServerError:
+		return nil, fmt.Errorf("%w: %w", ErrUnknown, failure)
+	}
+	return nil, failure
+}
--- a/internal/kv/wire.go
+++ b/internal/kv/wire.go
@@ -1,8 +1,38 @@
 package kv
 
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+)
+
 // The JSON bodies of the etcd v3 HTTP mapping: bytes are base64 (Go's []byte),
-// 64-bit integers are strings. Source: etcd API reference v3.5 (rpc.proto and
-// its grpc-gateway mapping).
+// 64-bit integers are strings, and fields with the zero value may be missing.
+// Source: etcd API reference v3.5 (rpc.proto and its grpc-gateway mapping).
+
+// Int64 is a 64-bit integer of the mapping: written as a string, read from a
+// string or a number.
+type Int64 int64
+
+// MarshalJSON writes a string.
+func (i Int64) MarshalJSON() ([]byte, error) {
+	return []byte(`"` + strconv.FormatInt(int64(i), 10) + `"`), nil
+}
+
+// UnmarshalJSON reads a string, a number or null.
+func (i *Int64) UnmarshalJSON(raw []byte) error {
+	text := string(bytes.Trim(raw, `"`))
+	if text == "" || text == "null" {
+		*i = 0
+		return nil
+	}
+	value, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return fmt.Errorf("%s is not a 64-bit integer", raw)
+	}
+	*i = Int64(value)
+	return nil
+}
 
 // Paths of the mapping.
 const (
@@ -16,45 +46,60 @@
 
 // WireHeader is the header of each answer.
 type WireHeader struct {
-	Revision int64 `json:"revision,string,omitempty"`
+	Revision Int64 `json:"revision,omitempty"`
 }
 
 // WirePair is a key-value pair.
 type WirePair struct {
 	Key            []byte `json:"key"`
 	Value          []byte `json:"value,omitempty"`
-	CreateRevision int64  `json:"create_revision,string,omitempty"`
-	ModRevision    int64  `json:"mod_revision,string,omitempty"`
-	Version        int64  `json:"version,string,omitempty"`
-	Lease          int64  `json:"lease,string,omitempty"`
+	CreateRevision Int64  `json:"create_revision,omitempty"`
+	ModRevision    Int64  `json:"mod_revision,omitempty"`
+	Version        Int64  `json:"version,omitempty"`
+	Lease          Int64  `json:"lease,omitempty"`
 }
 
 // WireRangeRequest asks for keys within [Key, RangeEnd).
 type WireRangeRequest struct {
-	Key      []byte `json:"key"`
-	RangeEnd []byte `json:"range_end,omitempty"`
+	Key        []byte `json:"key"`
+	RangeEnd   []byte `json:"range_end,omitempty"`
+	Limit      Int64  `json:"limit,omitempty"`
+	SortOrder  string `json:"sort_order,omitempty"`  // DESCEND
+	SortTarget string `json:"sort_target,omitempty"` // MOD
 }
 
+// Values of a range's sort.
+const (
+	WireSortDescend = "DESCEND"
+	WireSortMod     = "MOD"
+)
+
 // WireRangeAnswer answers a range.
 type WireRangeAnswer struct {
 	Header WireHeader `json:"header"`
 	Pairs  []WirePair `json:"kvs,omitempty"`
-	Count  int64      `json:"count,string,omitempty"`
+	Count  Int64      `json:"count,omitempty"`
 }
 
+// Values of a compare.
+const (
+	WireCompareEqual = "EQUAL"
+	WireCompareMod   = "MOD"
+)
+
 // WireCompare compares one key; only Target MOD with Result EQUAL is used.
 type WireCompare struct {
 	Result      string `json:"result"`
 	Target      string `json:"target"`
 	Key         []byte `json:"key"`
-	ModRevision int64  `json:"mod_revision,string"`
+	ModRevision Int64  `json:"mod_revision"`
 }
 
 // WirePut writes a key.
 type WirePut struct {
 	Key   []byte `json:"key"`
 	Value []byte `json:"value"`
-	Lease int64  `json:"lease,string,omitempty"`
+	Lease Int64  `json:"lease,omitempty"`
 }
 
 // WireDelete removes a key.
@@ -97,7 +142,7 @@
 type WireWatchCreate struct {
 	Key            []byte `json:"key"`
 	RangeEnd       []byte `json:"range_end,omitempty"`
-	StartRevision  int64  `json:"start_revision,string,omitempty"`
+	StartRevision  Int64  `json:"start_revision,omitempty"`
 	ProgressNotify bool   `json:"progress_notify,omitempty"`
 }
 
@@ -112,7 +157,7 @@
 	Header          WireHeader  `json:"header"`
 	Created         bool        `json:"created,omitempty"`
 	Canceled        bool        `json:"canceled,omitempty"`
-	CompactRevision int64       `json:"compact_revision,string,omitempty"`
+	CompactRevision Int64       `json:"compact_revision,omitempty"`
 	Events          []WireEvent `json:"events,omitempty"`
 }
 
@@ -127,19 +172,20 @@
 
 // WireError is the body of an error answer.
 type WireError struct {
-	Code    int    `json:"code"`
+	Code    int    `json:"code,omitempty"`
+	HTTP    int    `json:"http_code,omitempty"`
 	Message string `json:"message"`
 }
 
 // WireLeaseGrant asks for a lease (TTL in seconds) and answers with its ID.
 type WireLeaseGrant struct {
-	TTL int64 `json:"TTL,string,omitempty"`
-	ID  int64 `json:"ID,string,omitempty"`
+	TTL Int64 `json:"TTL,omitempty"`
+	ID  Int64 `json:"ID,omitempty"`
 }
 
 // WireLease names a lease.
 type WireLease struct {
-	ID int64 `json:"ID,string"`
+	ID Int64 `json:"ID"`
 }
 
 // WireLeaseKeepAnswer is one message of a keepalive stream; TTL 0: it is gone.
--- a/internal/standin/keyvalue/keyvalue.go
+++ b/internal/standin/keyvalue/keyvalue.go
@@ -1,44 +1,78 @@
 // Package keyvalue is a stand-in for the platform's key-value service: the part
-// of the etcd v3 HTTP/JSON mapping that dykewing uses, in memory.
+// of the etcd v3 HTTP/JSON mapping that dykewing uses, in memory, with faults.
 package keyvalue
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/dykewing/dykewing/internal/kv"
 )
 
+// maximumHistory bounds the events that are kept for watches; older ones are
+// compacted.
+const maximumHistory = 100_000
+
 // Server is an http.Handler that holds the pairs.
 type Server struct {
-	mux      *http.ServeMux
-	mutex    sync.Mutex
-	revision int64
-	pairs    map[string]kv.WirePair
-	history  []kv.WireEvent // all events, oldest first
-	changed  chan struct{}  // closed and replaced at each change
+	mux       *http.ServeMux
+	mutex     sync.Mutex // guards all below
+	revision  int64
+	compacted int64 // revisions up to this are gone
+	pairs     map[string]kv.WirePair
+	history   []kv.WireEvent // events after compacted, oldest first
+	changed   chan struct{}  // closed and replaced at each change
+	leases    map[int64]*lease
+	faults    Faults
+	tokens    float64 // of the rate limit
+	refilled  time.Time
+	random    *rand.Rand
+	calls     map[string]int
+	watches   int
 }
 
 // NewServer starts at revision 1 without pairs.
 func NewServer() *Server {
-	server := &Server{mux: http.NewServeMux(), revision: 1, pairs: map[string]kv.WirePair{}, changed: make(chan struct{})}
-	server.mux.HandleFunc("POST "+kv.PathRange, server.serveRange)
-	server.mux.HandleFunc("POST "+kv.PathTxn, server.serveTxn)
-	server.mux.HandleFunc("POST "+kv.PathWatch, server.serveWatch)
+	server := &Server{
+		mux: http.NewServeMux(), revision: 1, pairs: map[string]kv.WirePair{}, changed: make(chan struct{}),
+		leases: map[int64]*lease{}, random: rand.New(rand.NewPCG(1, 1)), calls: map[string]int{},
+	}
+	server.handle(kv.PathRange, server.serveRange)
+	server.handle(kv.PathTxn, server.serveTxn)
+	server.handle(kv.PathWatch, server.serveWatch)
+	server.handle(kv.PathLeaseGrant, server.serveLeaseGrant)
+	server.handle(kv.PathLeaseKeep, server.serveLeaseKeep)
+	server.handle(kv.PathLeaseRevoke, server.serveLeaseRevoke)
 	return server
 }
 
+// Seed sets the source of chance of the faults.
+func (s *Server) Seed(seed uint64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.random = rand.New(rand.NewPCG(seed, seed))
+}
+
+func (s *Server) handle(path string, handler http.HandlerFunc) {
+	s.mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
+		if !s.refuse(w, r) {
+			handler(w, r)
+		}
+	})
+}
+
 // ServeHTTP serves the mapping.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
 func decode[T any](w http.ResponseWriter, r *http.Request) (T, bool) {
 	var request T
 	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		_ = json.NewEncoder(w).Encode(kv.WireError{Code: 3, Message: err.Error()})
+		writeFailure(w, http.StatusBadRequest, err.Error())
 		return request, false
 	}
 	return request, true
@@ -50,19 +84,27 @@
 		return
 	}
 	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	_ = json.NewEncoder(w).Encode(s.readRange(request))
+	answer := s.readRange(request)
+	s.mutex.Unlock()
+	writeJSON(w, answer)
 }
 
 func (s *Server) readRange(request kv.WireRangeRequest) kv.WireRangeAnswer {
-	answer := kv.WireRangeAnswer{Header: kv.WireHeader{Revision: s.revision}}
+	s.expireLeases()
+	answer := kv.WireRangeAnswer{Header: kv.WireHeader{Revision: kv.Int64(s.revision)}}
 	for key, pair := range s.pairs {
 		if within(key, string(request.Key), string(request.RangeEnd)) {
 			answer.Pairs = append(answer.Pairs, pair)
 		}
 	}
+	answer.Count = kv.Int64(len(answer.Pairs))
 	slices.SortFunc(answer.Pairs, func(a, b kv.WirePair) int { return strings.Compare(string(a.Key), string(b.Key)) })
-	answer.Count = int64(len(answer.Pairs))
+	if request.SortTarget == kv.WireSortMod && request.SortOrder == kv.WireSortDescend {
+		slices.SortStableFunc(answer.Pairs, func(a, b kv.WirePair) int { return int(b.ModRevision - a.ModRevision) })
+	}
+	if request.Limit > 0 && len(answer.Pairs) > int(request.Limit) {
+		answer.Pairs = answer.Pairs[:request.Limit]
+	}
 	return answer
 }
 
@@ -78,16 +120,33 @@
 	if !ok {
 		return
 	}
+	fate := s.fate()
+	switch fate {
+	case fateRequestLost:
+		panic(http.ErrAbortHandler)
+	case fateLate:
+		time.AfterFunc(time.Duration(s.Faults().LateMilliseconds)*time.Millisecond, func() { s.transact(txn) })
+		panic(http.ErrAbortHandler)
+	}
+	answer := s.transact(txn)
+	if fate == fateAnswerLost {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, answer)
+}
+
+func (s *Server) transact(txn kv.WireTxn) kv.WireTxnAnswer {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.expireLeases()
 	answer := kv.WireTxnAnswer{Succeeded: s.holds(txn.Compare)}
 	operations := txn.Failure
 	if answer.Succeeded {
 		operations = txn.Success
 	}
 	answer.Responses = s.perform(operations)
-	answer.Header.Revision = s.revision
-	_ = json.NewEncoder(w).Encode(answer)
+	answer.Header.Revision = kv.Int64(s.revision)
+	return answer
 }
 
 func (s *Server) holds(compares []kv.WireCompare) bool {
@@ -117,19 +176,32 @@
 		answers = append(answers, answer)
 	}
 	if len(s.history) > before {
-		s.revision = next
-		close(s.changed)
-		s.changed = make(chan struct{})
+		s.advance(next)
 	}
 	return answers
 }
 
+// advance ends a change at the revision.
+func (s *Server) advance(revision int64) {
+	s.revision = revision
+	if excess := len(s.history) - maximumHistory; excess > 0 {
+		s.compacted = int64(s.history[excess-1].Pair.ModRevision)
+		s.history = slices.Clone(s.history[excess:])
+	}
+	s.notify()
+}
+
+func (s *Server) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *Server) put(put kv.WirePut, revision int64) {
 	pair := s.pairs[string(put.Key)]
 	if pair.ModRevision == 0 {
-		pair = kv.WirePair{Key: put.Key, CreateRevision: revision}
+		pair = kv.WirePair{Key: put.Key, CreateRevision: kv.Int64(revision)}
 	}
-	pair.Value, pair.ModRevision, pair.Lease = put.Value, revision, put.Lease
+	pair.Value, pair.ModRevision, pair.Lease = put.Value, kv.Int64(revision), put.Lease
 	pair.Version++
 	s.pairs[string(put.Key)] = pair
 	s.history = append(s.history, kv.WireEvent{Pair: pair})
@@ -141,51 +213,13 @@
 		return
 	}
 	delete(s.pairs, key)
-	s.history = append(s.history, kv.WireEvent{Type: kv.WireEventDelete, Pair: kv.WirePair{Key: pair.Key, ModRevision: revision}})
-}
-
-func (s *Server) serveWatch(w http.ResponseWriter, r *http.Request) {
-	request, ok := decode[kv.WireWatchRequest](w, r)
-	if !ok {
-		return
-	}
-	controller := http.NewResponseController(w)
-	encoder := json.NewEncoder(w)
-	_ = encoder.Encode(kv.WireWatchAnswer{Result: &kv.WireWatchResult{Header: kv.WireHeader{Revision: s.current()}, Created: true}})
-	_ = controller.Flush()
-	next := 0
-	for {
-		events, revision, changed := s.eventsSince(&next, request.Create)
-		if len(events) > 0 {
-			result := kv.WireWatchResult{Header: kv.WireHeader{Revision: revision}, Events: events}
-			if err := encoder.Encode(kv.WireWatchAnswer{Result: &result}); err != nil {
-				return
-			}
-			_ = controller.Flush()
-		}
-		select {
-		case <-changed:
-		case <-r.Context().Done():
-			return
-		}
-	}
+	deleted := kv.WirePair{Key: pair.Key, ModRevision: kv.Int64(revision)}
+	s.history = append(s.history, kv.WireEvent{Type: kv.WireEventDelete, Pair: deleted})
 }
 
-func (s *Server) current() int64 {
+// Compact forgets all past revisions; watches that ask for them are told so.
+func (s *Server) Compact() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.revision
-}
-
-func (s *Server) eventsSince(next *int, create kv.WireWatchCreate) ([]kv.WireEvent, int64, <-chan struct{}) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	var events []kv.WireEvent
-	for ; *next < len(s.history); *next++ {
-		event := s.history[*next]
-		if event.Pair.ModRevision >= create.StartRevision && within(string(event.Pair.Key), string(create.Key), string(create.RangeEnd)) {
-			events = append(events, event)
-		}
-	}
-	return events, s.revision, s.changed
+	s.compacted, s.history = s.revision, nil
 }
--- a/internal/standin/machinelist/machinelist.go
+++ b/internal/standin/machinelist/machinelist.go
@@ -15,8 +15,9 @@
 // Server is an http.Handler that shows changes only after Lag.
 type Server struct {
 	lag     time.Duration
-	mutex   sync.Mutex
+	mutex   sync.Mutex // guards all below
 	changes []change
+	faults  Faults
 }
 
 type change struct {
@@ -37,7 +38,10 @@
 }
 
 // ServeHTTP answers the list as HTTP service-discovery JSON.
-func (s *Server) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.refuse(w, r) {
+		return
+	}
 	groups := []discovery.Group{}
 	for _, worker := range s.shown() {
 		groups = append(groups, groupOf(worker))
@@ -50,7 +54,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := time.Now()
-	for len(s.changes) > 1 && !s.changes[1].at.After(now) {
+	for !s.faults.Frozen && len(s.changes) > 1 && !s.changes[1].at.After(now) {
 		s.changes = s.changes[1:]
 	}
 	return s.changes[0].workers
--- /dev/null
+++ b/table/snapshot.go
@@ -0,0 +1,95 @@
+package table
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/dykewing/dykewing/api"
+)
+
+// Snapshot is the table at one revision: it contains all changes up to it. It
+// is immutable.
+type Snapshot struct {
+	revision  int64
+	floor     int64 // tombstones up to this revision are dropped
+	rows      map[api.RowKey]api.VersionedRow
+	byService map[api.ServiceName][]api.Row // live rows, sorted by place
+}
+
+// NewSnapshot builds a snapshot from rows with one entry a key.
+func NewSnapshot(revision int64, rows map[api.RowKey]api.VersionedRow) *Snapshot {
+	return newSnapshot(revision, 0, rows)
+}
+
+func newSnapshot(revision, floor int64, rows map[api.RowKey]api.VersionedRow) *Snapshot {
+	snapshot := &Snapshot{revision: revision, floor: floor, rows: rows, byService: map[api.ServiceName][]api.Row{}}
+	for _, versioned := range rows {
+		if !versioned.Deleted {
+			snapshot.byService[versioned.Row.Service] = append(snapshot.byService[versioned.Row.Service], versioned.Row)
+		}
+	}
+	for _, serviceRows := range snapshot.byService {
+		slices.SortFunc(serviceRows, func(a, b api.Row) int { return cmp.Compare(a.Place, b.Place) })
+	}
+	return snapshot
+}
+
+// Revision is the newest key-value revision that the snapshot contains.
+func (s *Snapshot) Revision() int64 { return s.revision }
+
+// Service gives the live rows of a service, sorted by place; do not modify.
+func (s *Snapshot) Service(service api.ServiceName) []api.Row { return s.byService[service] }
+
+// Row finds a live row.
+func (s *Snapshot) Row(key api.RowKey) (api.Row, bool) {
+	versioned, ok := s.rows[key]
+	return versioned.Row, ok && !versioned.Deleted
+}
+
+// Version finds a row with its revision, also a tombstone.
+func (s *Snapshot) Version(key api.RowKey) (api.VersionedRow, bool) {
+	versioned, ok := s.rows[key]
+	return versioned, ok
+}
+
+// Services lists the services with a live row, sorted.
+func (s *Snapshot) Services() []api.ServiceName {
+	names := make([]api.ServiceName, 0, len(s.byService))
+	for name := range s.byService {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Live counts the rows that are not deleted.
+func (s *Snapshot) Live() int {
+	count := 0
+	for _, rows := range s.byService {
+		count += len(rows)
+	}
+	return count
+}
+
+// After lists the rows newer than revision, tombstones included, oldest first.
+func (s *Snapshot) After(revision int64) []api.VersionedRow {
+	var newer []api.VersionedRow
+	for _, versioned := range s.rows {
+		if versioned.Revision > revision {
+			newer = append(newer, versioned)
+		}
+	}
+	slices.SortFunc(newer, func(a, b api.VersionedRow) int {
+		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Row.Key().String(), b.Row.Key().String()))
+	})
+	return newer
+}
+
+// Delta gives what a node that has all changes up to after lacks: only the
+// changes, or the whole table when tombstones that it would need are dropped.
+func (s *Snapshot) Delta(after int64) api.TableDelta {
+	if after < s.floor {
+		return api.TableDelta{Revision: s.revision, Rows: s.After(0), Full: true}
+	}
+	return api.TableDelta{After: max(after, 0), Revision: s.revision, Rows: s.After(after)}
+}
--- a/table/table.go
+++ b/table/table.go
@@ -1,6 +1,7 @@
 // Package table keeps the operators' table at a node: an immutable Snapshot
-// that request paths read without a lock, and the Replica machine that applies
-// newer rows and never an older one.
+// that request paths read without a lock, the Replica machine that applies
+// newer rows and never an older one, and the Editor machine that decides what
+// became of an edit.
 package table
 
 import (
@@ -11,71 +12,20 @@
 	"github.com/dykewing/dykewing/api"
 )
 
-// Snapshot is the table at one revision. It is immutable.
-type Snapshot struct {
-	revision  int64
-	rows      map[api.RowKey]api.VersionedRow // tombstones included
-	byService map[api.ServiceName][]api.Row   // live rows, sorted by place
-}
-
-// NewSnapshot builds a snapshot from rows with one entry a key.
-func NewSnapshot(revision int64, rows map[api.RowKey]api.VersionedRow) *Snapshot {
-	snapshot := &Snapshot{revision: revision, rows: rows, byService: map[api.ServiceName][]api.Row{}}
-	for _, versioned := range rows {
-		if !versioned.Deleted {
-			snapshot.byService[versioned.Row.Service] = append(snapshot.byService[versioned.Row.Service], versioned.Row)
-		}
-	}
-	for _, serviceRows := range snapshot.byService {
-		slices.SortFunc(serviceRows, func(a, b api.Row) int { return cmp.Compare(a.Place, b.Place) })
-	}
-	return snapshot
-}
-
-// Revision is the newest key-value revision that the snapshot contains.
-func (s *Snapshot) Revision() int64 { return s.revision }
-
-// Service gives the live rows of a service, sorted by place; do not modify.
-func (s *Snapshot) Service(service api.ServiceName) []api.Row { return s.byService[service] }
-
-// Row finds a live row.
-func (s *Snapshot) Row(key api.RowKey) (api.Row, bool) {
-	versioned, ok := s.rows[key]
-	return versioned.Row, ok && !versioned.Deleted
-}
-
-// Services lists the services with a live row, sorted.
-func (s *Snapshot) Services() []api.ServiceName {
-	names := make([]api.ServiceName, 0, len(s.byService))
-	for name := range s.byService {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
-// After lists the rows newer than revision, tombstones included, oldest first.
-func (s *Snapshot) After(revision int64) []api.VersionedRow {
-	var newer []api.VersionedRow
-	for _, versioned := range s.rows {
-		if versioned.Revision > revision {
-			newer = append(newer, versioned)
-		}
-	}
-	slices.SortFunc(newer, func(a, b api.VersionedRow) int {
-		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Row.Key().String(), b.Row.Key().String()))
-	})
-	return newer
-}
+// maximumTombstones bounds the deleted rows that a replica remembers. They are
+// only passed on: what keeps an old row from coming back is the revision of
+// the whole snapshot.
+const maximumTombstones = 256
 
 // Message is what a Replica is stepped with.
 type Message interface{ tableMessage() }
 
-// Received carries rows from the key-value service or from a peer. Complete
-// says that the rows are all that changed up to Revision, so that Revision
-// itself may be taken as in force.
+// Received carries changes from the key-value service or from a peer.
 type Received struct {
 	Delta api.TableDelta
+	// Unreadable are keys that a full delta found with values that are not
+	// valid: the rows in force stay.
+	Unreadable []api.RowKey
 }
 
 func (Received) tableMessage() {}
@@ -86,11 +36,30 @@
 // InForce says that the snapshot is the one to serve with from now on.
 type InForce struct{ Snapshot *Snapshot }
 
+// Gap says that a delta was left aside because changes between Revision, which
+// is in force, and its start are missing: ask again from Revision.
+type Gap struct{ Revision int64 }
+
 func (InForce) tableAction() {}
+func (Gap) tableAction()     {}
+
+// Replica applies newer rows. Invariants: a snapshot at revision R contains
+// all changes up to R, so a row of a revision up to R that is not in it is
+// known to be gone; the revision in force and the revision of each key never
+// fall.
+type Replica struct {
+	current *Snapshot
+	fault   fault
+}
+
+// fault is a planted defect, so that the checks can be shown to fail.
+type fault string
 
-// Replica applies newer rows. Invariant: the revision of a key never falls,
-// and neither does the revision of the snapshot in force.
-type Replica struct{ current *Snapshot }
+const (
+	faultApplyOlder    fault = "apply-older"
+	faultDropTombstone fault = "tombstone-dropped"
+	faultIgnoreGap     fault = "ignore-gap"
+)
 
 // NewReplica starts without a table: a node serves only once it has one.
 func NewReplica() *Replica { return &Replica{} }
@@ -98,37 +67,106 @@
 // Current is the snapshot in force; nil before the first.
 func (r *Replica) Current() *Snapshot { return r.current }
 
-// Step applies the rows that are newer than those in force.
+// Step applies the changes that are newer than those in force.
 func (r *Replica) Step(_ time.Time, message Message) []Action {
 	received, ok := message.(Received)
 	if !ok {
 		return nil
 	}
-	return r.apply(received.Delta)
+	delta := received.Delta
+	revision := r.revision()
+	if delta.Revision <= revision && r.fault != faultApplyOlder {
+		return nil
+	}
+	if !delta.Full && delta.After > max(revision, 0) && r.fault != faultIgnoreGap {
+		return []Action{Gap{Revision: max(revision, 0)}}
+	}
+	r.apply(received)
+	return []Action{InForce{Snapshot: r.current}}
+}
+
+// revision is that in force, -1 before the first.
+func (r *Replica) revision() int64 {
+	if r.current == nil {
+		return -1
+	}
+	return r.current.revision
 }
 
-func (r *Replica) apply(delta api.TableDelta) []Action {
+func (r *Replica) apply(received Received) {
+	delta := received.Delta
 	rows := map[api.RowKey]api.VersionedRow{}
-	revision := delta.Revision
-	changed := r.current == nil
+	floor := int64(0)
 	if r.current != nil {
+		floor = r.current.floor
 		for key, row := range r.current.rows {
 			rows[key] = row
 		}
-		changed = revision > r.current.revision
-		revision = max(revision, r.current.revision)
+	}
+	if delta.Full {
+		entomb(rows, received)
+		// Rows that came and went unseen have no tombstone here.
+		floor = delta.Revision
 	}
 	for _, row := range delta.Rows {
-		key := row.Row.Key()
-		if known, ok := rows[key]; ok && known.Revision >= row.Revision {
-			continue
+		// What a change up to the revision in force has left is already here.
+		if delta.Full || row.Revision > r.revision() || r.fault == faultApplyOlder {
+			r.applyRow(rows, row)
 		}
-		rows[key] = row
-		changed = true
 	}
-	if !changed {
-		return nil
+	if len(rows) > maximumTombstones {
+		floor = dropTombstones(rows, floor)
 	}
-	r.current = NewSnapshot(revision, rows)
-	return []Action{InForce{Snapshot: r.current}}
+	r.current = newSnapshot(delta.Revision, floor, rows)
+}
+
+func (r *Replica) applyRow(rows map[api.RowKey]api.VersionedRow, row api.VersionedRow) {
+	key := row.Row.Key()
+	if r.fault == faultDropTombstone && row.Deleted {
+		return
+	}
+	if known, ok := rows[key]; ok && known.Revision >= row.Revision && r.fault != faultApplyOlder {
+		return
+	}
+	rows[key] = row
+}
+
+// entomb marks the rows that a full delta no longer has as deleted at its
+// revision, unless their value there could not be read.
+func entomb(rows map[api.RowKey]api.VersionedRow, received Received) {
+	kept := map[api.RowKey]bool{}
+	for _, row := range received.Delta.Rows {
+		kept[row.Row.Key()] = true
+	}
+	for _, key := range received.Unreadable {
+		kept[key] = true
+	}
+	for key, row := range rows {
+		if !kept[key] && !row.Deleted {
+			rows[key] = api.VersionedRow{Row: row.Row, Revision: received.Delta.Revision, Deleted: true}
+		}
+	}
+}
+
+// dropTombstones forgets the oldest tombstones beyond the bound and gives the
+// revision up to which they are dropped.
+func dropTombstones(rows map[api.RowKey]api.VersionedRow, floor int64) int64 {
+	var tombstones []api.VersionedRow
+	for _, row := range rows {
+		if row.Deleted {
+			tombstones = append(tombstones, row)
+		}
+	}
+	excess := len(tombstones) - maximumTombstones
+	if excess <= 0 {
+		return floor
+	}
+	slices.SortFunc(tombstones, func(a, b api.VersionedRow) int {
+		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Row.Key().String(), b.Row.Key().String()))
+	})
+	for _, row := range tombstones[:excess] {
+		delete(rows, row.Row.Key())
+		floor = max(floor, row.Revision)
+	}
+	return floor
 }
