--- a/jobs/command.go
+++ b/jobs/command.go
@@ -97,7 +97,7 @@
 
 // Start records, before it is sent, that a non-repeatable item is sent. It is
 // refused when a start of the same or a later grant was ever committed, unless
-// it is the same start sent again.
+// it is the same start sent again, and once the job or the item has ended.
 type Start struct {
 	Item    ItemRef       `json:"item"`
 	Router  api.NodeID    `json:"router"`
--- a/jobs/grant.go
+++ b/jobs/grant.go
@@ -42,6 +42,8 @@
 	Repeatable bool            `json:"repeatable"`
 	Deadline   time.Time       `json:"deadline"`
 	LifetimeMs int64           `json:"lifetime_ms"`
+	// LastAttempt: a failed answer stands as the item's result.
+	LastAttempt bool `json:"last_attempt,omitempty"`
 }
 
 // Settle is a router's report on granted items. Results and the releases of
@@ -52,6 +54,17 @@
 	Returned []ReturnedItem `json:"returned,omitempty"`
 }
 
+// Command is what of the report goes through the log; false when nothing does.
+func (s Settle) Command() (Command, bool) {
+	complete := Complete{Results: s.Results}
+	for _, returned := range s.Returned {
+		if returned.Request != "" {
+			complete.Released = append(complete.Released, Release{Item: returned.Item, Request: returned.Request})
+		}
+	}
+	return Command{Complete: &complete}, len(complete.Results)+len(complete.Released) > 0
+}
+
 // ReturnReason tells why an item came back without a result.
 type ReturnReason string
 
--- a/jobs/read.go
+++ b/jobs/read.go
@@ -176,39 +176,3 @@
 	}
 	return result
 }
-
-// takenItems are the items that have a result or a standing start.
-func takenItems(r Reader, job Job, from, end int) map[int]bool {
-	taken := map[int]bool{}
-	eachNumbered(r, keyResult, string(job.ID()), from, func(number int, _ []byte) bool {
-		if number < end {
-			taken[number] = true
-		}
-		return number < end
-	})
-	if job.Repeatable {
-		return taken
-	}
-	eachNumbered(r, keyStart, string(job.ID()), from, func(number int, value []byte) bool {
-		var start storedStart
-		if number < end && json.Unmarshal(value, &start) == nil && !start.Released {
-			taken[number] = true
-		}
-		return number < end
-	})
-	return taken
-}
-
-// Runnable says whether an item may be handed out.
-func (s *State) Runnable(item ItemRef) (runnable bool, err error) {
-	err = s.storage.View(func(r Reader) error {
-		var job Job
-		found, err := get(r, jobKey(item.Job), &job)
-		if err != nil || !found || job.Status != JobInProgress || !job.holds(item) {
-			return err
-		}
-		runnable = !takenItems(r, job, item.Item, item.Item+1)[item.Item]
-		return nil
-	})
-	return runnable, err
-}
--- a/jobs/state_items.go
+++ b/jobs/state_items.go
@@ -43,15 +43,15 @@
 	}
 	var known storedStart
 	started := c.get(startKey(command.Item), &known)
+	if job.Status != JobInProgress && !c.faults.StartAfterCancel || c.Get(resultKey(command.Item)) != nil {
+		return failure(api.CodeConflict, "item %v may not start: it has ended or its job is %s", command.Item, job.Status)
+	}
 	if started && known.Request == command.Request && !known.Released {
 		return Result{Duplicate: true}
 	}
 	if started && (!known.Released || known.Epoch >= command.Epoch && !c.faults.IgnoreEpoch) {
 		return failure(api.CodeConflict, "item %v was started under grant %d", command.Item, known.Epoch)
 	}
-	if job.Status != JobInProgress && !c.faults.StartAfterCancel || c.Get(resultKey(command.Item)) != nil {
-		return failure(api.CodeConflict, "item %v may not start: the job is %s", command.Item, job.Status)
-	}
 	c.put(startKey(command.Item), storedStart{Router: command.Router, Request: command.Request, Epoch: command.Epoch})
 	job.Started++
 	c.storeJob(&job)
@@ -85,6 +85,9 @@
 		if !job.holds(result.Item) {
 			continue
 		}
+		if c.isRepeat(result) {
+			continue
+		}
 		if !c.mayComplete(job, result) {
 			job.Dropped++
 			continue
@@ -99,6 +102,15 @@
 	return accepted
 }
 
+// isRepeat recognises a report that was sent again because its answer was lost.
+func (c *change) isRepeat(result ItemResult) bool {
+	if c.faults.AcceptSecondResult || result.Request == "" {
+		return false
+	}
+	var known storedResult
+	return c.get(resultKey(result.Item), &known) && known.Request == result.Request
+}
+
 // mayComplete tells whether a result is the item's first. A repeatable item's
 // is taken while the job runs. A non-repeatable item's is taken, also while the
 // job winds up, from the request whose start is committed; an item that was
