--- a/jobs/state_claims.go
+++ b/jobs/state_claims.go
@@ -11,6 +11,8 @@
 	Claim   ClaimRequest   `json:"claim"`
 	Created time.Time      `json:"created"`
 	Record  *RecordRequest `json:"record,omitempty"`
+	// Free: the claiming request did not run, so another may claim the key.
+	Free bool `json:"free,omitempty"`
 }
 
 func claimKey(tenant api.TenantID, key string) []byte {
@@ -25,6 +27,10 @@
 		c.Put(timedKey(keyRetention, c.now, key), []byte{})
 		return Result{}
 	}
+	if known.Free {
+		c.put(key, storedClaim{Claim: command, Created: known.Created})
+		return Result{}
+	}
 	if known.Claim.BodyHash != command.BodyHash {
 		return failure(api.CodeConflict, "idempotency key %q was used with another body", command.Key)
 	}
@@ -34,7 +40,9 @@
 	if known.Claim.Request == command.Request {
 		return Result{}
 	}
-	return failure(api.CodeAlreadySubmitted, "idempotency key %q is in use by a request whose answer is not recorded", command.Key)
+	result := failure(api.CodeAlreadySubmitted, "idempotency key %q is in use by a request whose answer is not recorded", command.Key)
+	result.Claimed = &known.Claim
+	return result
 }
 
 func (c *change) record(command RecordRequest) Result {
@@ -43,6 +51,11 @@
 	if !c.get(key, &known) || known.Claim.Request != command.Request {
 		return failure(api.CodeNotFound, "no claim of key %q by request %s", command.Key, command.Request)
 	}
+	if known.Record == nil && command.Outcome == api.OutcomeNotRun {
+		known.Free = true
+		c.put(key, known)
+		return Result{}
+	}
 	if known.Record == nil {
 		known.Record = &command
 		c.put(key, known)
