Hand out batch items by a dispatcher and a runner, both pure machines

Cause: the skeleton's dispatcher held head-of-line items, polled, ran one HTTP call an item and knew neither deadlines, tenants, cancel nor lost grants. Change: jobs.Dispatcher (leader) parks claims until work comes, shares by tenant, orders by slack, fences and renews grants, adopts those of an earlier leader, ends started items that no router reports as unknown, ends items of unknown services and expired jobs through the log; jobs.Runner (router) holds, starts, runs and reports items, many a message; internal/dispatch and internal/router are their shells. A lost outcome of a non-repeatable item is asked for by its request id before it ends as unknown.

--- a/internal/router/batch.go
+++ b/internal/router/batch.go
@@ -2,166 +2,235 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
-	"io"
+	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
 
 	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/internal/shell"
 	"github.com/dykewing/dykewing/internal/storeclient"
 	"github.com/dykewing/dykewing/internal/transport"
 	"github.com/dykewing/dykewing/jobs"
-	"github.com/dykewing/dykewing/routing"
 )
 
 const (
-	batchPause          = 20 * time.Millisecond // between looks for idle room
-	maximumAnswerBytes  = 16 << 20
-	settleRetryInterval = 200 * time.Millisecond
+	storeConnections  = 16                     // a store, for batch only
+	batchTickBusy     = 5 * time.Millisecond   // while items are here
+	batchTickIdle     = 50 * time.Millisecond  // otherwise
+	storeCallTimeout  = 10 * time.Second       // without the wait of a claim
+	stopPollInterval  = 20 * time.Millisecond  // while a planned stop waits
+	leadersOfViewLate = 100 * time.Millisecond // a view is told at most this often
 )
 
-// pullBatch claims items from group leaders while there is idle room.
+// errItemStopped cancels an item that a leader no longer wants.
+var errItemStopped = errors.New("the batch item was cancelled")
+
+// batch runs the jobs.Runner of this router.
+type batch struct {
+	router *Router
+	ctx    context.Context // until the stores need no more reports
+	client *http.Client
+	runner *jobs.Runner
+	shell  *shell.Shell[jobs.RunnerMessage, jobs.RunnerAction]
+	calls  sync.WaitGroup
+	active atomic.Int64 // items being run
+
+	mutex   sync.Mutex // guards cancels
+	cancels map[api.RequestID]context.CancelCauseFunc
+}
+
+func newBatch(ctx context.Context, router *Router) *batch {
+	settings := jobs.DefaultRunnerSettings()
+	settings.Router = router.node.ID()
+	settings.ClaimWait = router.node.Settings.Router.ClaimWait
+	settings.NewRequestID = func() api.RequestID { return api.RequestID(uuid.NewString()) }
+	b := &batch{
+		router: router, ctx: ctx, client: transport.NewClient(storeConnections),
+		runner: jobs.NewRunner(settings), cancels: map[api.RequestID]context.CancelCauseFunc{},
+	}
+	b.shell = shell.Start(router.node.System, b.runner, b.execute)
+	return b
+}
+
+// pullBatch fills idle room with items until ctx ends, then lets those that run
+// end and be reported.
 func (r *Router) pullBatch(ctx context.Context) {
-	var running sync.WaitGroup
-	defer running.Wait()
+	reports, stop := context.WithCancel(context.WithoutCancel(ctx))
+	b := newBatch(reports, r)
+	b.run(ctx)
+	stop()
+	b.calls.Wait()
+	b.shell.Stop()
+}
+
+func (b *batch) run(ctx context.Context) {
+	viewed, stopping := time.Time{}, false
 	for ctx.Err() == nil {
-		claimed := 0
-		if !r.node.Leaving() {
-			claimed = r.claimRound(ctx, &running)
+		if time.Since(viewed) >= leadersOfViewLate {
+			viewed = time.Now()
+			b.shell.Tell(jobs.Leaders{Groups: leaders(b.router.node.Nodes())})
 		}
-		if claimed == 0 {
-			select {
-			case <-time.After(batchPause):
-			case <-ctx.Done():
-			}
+		if b.router.node.Leaving() && !stopping {
+			stopping = true
+			b.shell.Tell(jobs.Stopping{})
 		}
+		b.tellRooms()
+		b.shell.Tell(jobs.RunnerTick{})
+		b.pause(ctx)
 	}
+	b.shell.Tell(jobs.Stopping{})
+	b.awaitReports()
 }
 
-// claimRound asks each leader that has waiting items once.
-func (r *Router) claimRound(ctx context.Context, running *sync.WaitGroup) int {
-	claimed := 0
-	for _, candidate := range r.node.Nodes() {
-		for _, group := range candidate.Summary.Groups {
-			if !group.Leading || len(group.Waiting) == 0 {
-				continue
-			}
-			claimed += r.claimFrom(ctx, candidate.Address, group, running)
-		}
+func (b *batch) pause(ctx context.Context) {
+	interval := batchTickIdle
+	if b.active.Load() > 0 {
+		interval = batchTickBusy
+	}
+	select {
+	case <-time.After(interval):
+	case <-ctx.Done():
 	}
-	return claimed
 }
 
-func (r *Router) claimFrom(ctx context.Context, address string, group api.GroupSummary, running *sync.WaitGroup) int {
-	claim := jobs.ClaimItems{Router: r.node.ID(), Wants: r.wants(group.Waiting)}
-	if len(claim.Wants) == 0 {
-		return 0
+// awaitReports lets what runs end and be reported, within the stop timeout.
+func (b *batch) awaitReports() {
+	deadline := time.Now().Add(b.router.node.Settings.Node.StopTimeout)
+	for idle := false; !idle && time.Now().Before(deadline); {
+		b.shell.Tell(jobs.Leaders{Groups: leaders(b.router.node.Nodes())})
+		b.shell.Tell(jobs.RunnerTick{})
+		if b.shell.Inspect(func() { idle = b.runner.Idle() }) != nil {
+			return
+		}
+		time.Sleep(stopPollInterval)
 	}
-	var grant jobs.Grant
-	ctx, cancel := context.WithTimeout(ctx, r.node.Settings.Router.ClaimWait)
-	defer cancel()
-	err := transport.Call(ctx, r.node.Control, "claim items", address, storeclient.ClaimsPath(group.Group), claim, &grant)
-	if err != nil {
-		r.log.WithError(err).Debug("A store gave no items.")
-		return 0
+}
+
+// leaders finds each group's leader in a view: the one with the highest term.
+func leaders(nodes []api.Node) []jobs.GroupLeader {
+	found := map[api.GroupID]jobs.GroupLeader{}
+	for _, node := range nodes {
+		for _, group := range node.Summary.Groups {
+			known, ok := found[group.Group]
+			if group.Leading && (!ok || group.Term > known.Term) {
+				found[group.Group] = jobs.GroupLeader{Group: group.Group, Leader: node.ID, Term: group.Term, Waiting: group.Waiting}
+			}
+		}
 	}
-	for _, item := range grant.Items {
-		running.Go(func() { r.runItem(group.Group, address, item) })
+	list := make([]jobs.GroupLeader, 0, len(found))
+	for _, leader := range found {
+		list = append(list, leader)
 	}
-	return len(grant.Items)
+	return list
 }
 
-// wants lists the idle room of the rows whose service has waiting items.
-func (r *Router) wants(waiting []api.ServiceBacklog) []jobs.ClaimWant {
-	snapshot := r.node.Table()
+// tellRooms tells the runner the idle room of each row.
+func (b *batch) tellRooms() {
+	snapshot := b.router.node.Table()
 	if snapshot == nil {
-		return nil
+		return
 	}
-	var wants []jobs.ClaimWant
-	_ = r.admission.Inspect(func() {
-		for _, backlog := range waiting {
-			for _, row := range snapshot.Service(backlog.Service) {
-				if room := r.machine.Room(time.Now(), row.Key()); room > 0 {
-					wants = append(wants, jobs.ClaimWant{Service: row.Service, Place: row.Place, Room: room})
+	var rooms []jobs.ClaimWant
+	_ = b.router.admission.Inspect(func() {
+		now := time.Now()
+		for _, service := range snapshot.Services() {
+			for _, row := range snapshot.Service(service) {
+				if room := b.router.machine.Room(now, row.Key()); room > 0 {
+					rooms = append(rooms, jobs.ClaimWant{Service: row.Service, Place: row.Place, Room: room})
 				}
 			}
 		}
 	})
-	return wants
+	b.shell.Tell(jobs.Rooms{Rooms: rooms})
 }
 
-// runItem runs one granted item and reports it.
-func (r *Router) runItem(group api.GroupID, address string, item jobs.GrantedItem) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(item.LifetimeMs)*time.Millisecond)
-	defer cancel()
-	id := api.RequestID(uuid.NewString())
-	if !item.Repeatable && !r.commitStart(ctx, group, address, item, id) {
-		return
-	}
-	settle := jobs.Settle{Router: r.node.ID()}
-	result, failure := r.attemptItem(ctx, id, item)
-	switch {
-	case failure == nil:
-		settle.Results = []jobs.ItemResult{result}
-	case item.Repeatable:
-		settle.Returned = []jobs.ReturnedItem{{Item: item.Item, Epoch: item.Epoch, Reason: jobs.ReturnFailed}}
-	default:
-		settle.Results = []jobs.ItemResult{{Item: item.Item, CustomID: item.CustomID, Outcome: failure.Outcome, Request: id, Error: failure.Error()}}
+// execute carries out the runner's actions, each beside the others.
+func (b *batch) execute(action jobs.RunnerAction) {
+	switch action := action.(type) {
+	case jobs.SendClaim:
+		b.calls.Go(func() { b.claim(action) })
+	case jobs.SendStart:
+		b.calls.Go(func() { b.start(action) })
+	case jobs.SendSettle:
+		b.calls.Go(func() { b.settle(action) })
+	case jobs.SendRenew:
+		b.calls.Go(func() { b.renew(action) })
+	case jobs.RunItem:
+		b.active.Add(1)
+		b.calls.Go(func() {
+			defer b.active.Add(-1)
+			b.runItem(action)
+		})
+	case jobs.CancelItem:
+		b.cancel(action.Request)
 	}
-	r.settle(ctx, group, address, settle)
 }
 
-// commitStart commits that a non-repeatable item is about to be sent.
-func (r *Router) commitStart(ctx context.Context, group api.GroupID, address string, item jobs.GrantedItem, id api.RequestID) bool {
-	command := jobs.Command{Start: &jobs.Start{Item: item.Item, Router: r.node.ID(), Request: id, Epoch: item.Epoch}}
-	var result jobs.Result
-	err := transport.Call(ctx, r.node.Control, "commit start", address, storeclient.CommandsPath(group), command, &result)
-	return err == nil && result.Code == ""
+func (b *batch) cancel(request api.RequestID) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if cancel, ok := b.cancels[request]; ok {
+		cancel(errItemStopped)
+	}
 }
 
-func (r *Router) attemptItem(ctx context.Context, id api.RequestID, item jobs.GrantedItem) (jobs.ItemResult, *api.Error) {
-	routed := routing.Request{
-		ID: id, Tenant: item.Tenant, Service: item.Service, Place: item.Place,
-		Class: api.ClassBatch, Repeatable: item.Repeatable,
-	}
-	header := http.Header{"Content-Type": {"application/json"}}
-	response, _, finish, failure := r.run(ctx, routed, item.Path, item.Body, header)
-	if failure != nil {
-		r.metrics.items.WithLabelValues(string(failure.Outcome)).Inc()
-		return jobs.ItemResult{}, failure
-	}
-	defer finish()
-	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maximumAnswerBytes))
-	if err == nil && !json.Valid(body) {
-		err = fmt.Errorf("answer of status %d is not JSON", response.StatusCode)
+// call posts to the leader's store.
+func (b *batch) call(step string, leader api.NodeID, path string, wait time.Duration, request, answer any) error {
+	address, ok := addressOf(b.router.node.Nodes(), leader)
+	if !ok {
+		return api.NewError(step, string(leader), api.CodeNotLeader, api.OutcomeNotRun, "the leader is not in the view")
 	}
+	ctx, cancel := context.WithTimeout(b.ctx, storeCallTimeout+wait)
+	defer cancel()
+	err := transport.Call(ctx, b.client, step, address, path, request, answer)
 	if err != nil {
-		r.metrics.items.WithLabelValues(string(api.OutcomeUnknown)).Inc()
-		return jobs.ItemResult{}, api.NewError("read answer", "", api.CodeUpstream, api.OutcomeUnknown, "%w", err)
+		b.router.log.WithError(err).Debug("A store did not take a batch message.")
 	}
-	r.metrics.items.WithLabelValues(string(api.OutcomeRan)).Inc()
-	return jobs.ItemResult{Item: item.Item, CustomID: item.CustomID, Outcome: api.OutcomeRan, Status: response.StatusCode, Body: body, Request: id}, nil
+	b.router.metrics.batchMessages.WithLabelValues(step).Inc()
+	return err
 }
 
-// settle reports to the leader until it takes the report or the grant ends.
-func (r *Router) settle(ctx context.Context, group api.GroupID, address string, settle jobs.Settle) {
-	for ctx.Err() == nil {
-		err := transport.Call(ctx, r.node.Control, "settle items", address, storeclient.SettlePath(group), settle, nil)
-		if err == nil {
-			return
-		}
-		r.log.WithError(err).Debug("A store did not take results; trying again.")
-		select {
-		case <-time.After(settleRetryInterval):
-		case <-ctx.Done():
-		}
-		if leader, ok := storeclient.Leader(r.node.Nodes(), group); ok {
-			address = leader.Address
+func addressOf(nodes []api.Node, id api.NodeID) (string, bool) {
+	for _, node := range nodes {
+		if node.ID == id {
+			return node.Address, true
 		}
 	}
+	return "", false
+}
+
+func (b *batch) claim(action jobs.SendClaim) {
+	var grant jobs.Grant
+	wait := time.Duration(action.Claim.WaitMs) * time.Millisecond
+	err := b.call("claim items", action.Leader, storeclient.ClaimsPath(action.Group), wait, action.Claim, &grant)
+	b.shell.Tell(jobs.GrantArrived{Group: action.Group, Serial: action.Serial, Grant: grant, Failed: err != nil})
+}
+
+func (b *batch) settle(action jobs.SendSettle) {
+	var notice jobs.Notice
+	err := b.call("settle items", action.Leader, storeclient.SettlePath(action.Group), 0, action.Settle, &notice)
+	b.shell.Tell(jobs.SettleAnswered{Group: action.Group, Serial: action.Serial, Notice: notice, Failed: err != nil})
+}
+
+func (b *batch) renew(action jobs.SendRenew) {
+	var notice jobs.Notice
+	err := b.call("renew grants", action.Leader, storeclient.RenewPath(action.Group), 0, action.Renew, &notice)
+	b.shell.Tell(jobs.RenewAnswered{Group: action.Group, Notice: notice, Failed: err != nil})
+}
+
+func (b *batch) start(action jobs.SendStart) {
+	var result jobs.Result
+	err := b.call("commit start", action.Leader, storeclient.CommandsPath(action.Group), 0, jobs.Command{Start: &action.Start}, &result)
+	answer := jobs.StartCommitted
+	switch {
+	case err != nil, result.Code == api.CodeNotLeader, result.Code == api.CodeNoQuorum:
+		answer = jobs.StartUnknown
+	case result.Code != "":
+		answer = jobs.StartRefused
+	}
+	b.shell.Tell(jobs.StartAnswered{Request: action.Start.Request, Answer: answer})
 }
--- /dev/null
+++ b/internal/router/batchitem.go
@@ -0,0 +1,155 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/dykewing/dykewing/admission"
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/internal/engine"
+	"github.com/dykewing/dykewing/jobs"
+	"github.com/dykewing/dykewing/routing"
+)
+
+const (
+	maximumAnswerBytes = 16 << 20
+	learnTimeout       = 5 * time.Second
+)
+
+// runItem sends one item to a worker and tells the runner how it ended.
+func (b *batch) runItem(run jobs.RunItem) {
+	ctx, cancel := context.WithTimeout(b.ctx, b.router.node.Settings.Router.EngineTimeout)
+	defer cancel()
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	b.setCancel(run.Request, stop)
+	result, failure := b.attempt(ctx, stop, run)
+	b.setCancel(run.Request, nil)
+	b.tellRooms()
+	finished := jobs.ItemFinished{Request: run.Request}
+	if failure != nil && errors.Is(context.Cause(ctx), errItemStopped) {
+		failure.Err = errItemStopped
+	}
+	if failure == nil {
+		b.router.metrics.items.WithLabelValues(string(result.Outcome)).Inc()
+		finished.Result = &result
+	} else {
+		b.router.metrics.items.WithLabelValues(string(failure.Outcome)).Inc()
+		finished.Outcome = failure.Outcome
+		finished.Returned = returnedOf(failure)
+		if run.Item.LastAttempt && finished.Returned.Reason == jobs.ReturnFailed {
+			finished.Result = lastResult(run, failure)
+		}
+	}
+	b.shell.Tell(finished)
+}
+
+func (b *batch) setCancel(request api.RequestID, cancel context.CancelCauseFunc) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if cancel == nil {
+		delete(b.cancels, request)
+		return
+	}
+	b.cancels[request] = cancel
+}
+
+// returnedOf tells the dispatcher why an item came back.
+func returnedOf(failure *api.Error) jobs.ReturnedItem {
+	returned := jobs.ReturnedItem{Reason: jobs.ReturnFailed, Error: failure.Error(), RetryAfterMs: failure.RetryAfter.Milliseconds()}
+	switch {
+	case failure.Code == api.CodePreempted, errors.Is(failure.Err, errItemStopped), errors.Is(failure.Err, errPreempted):
+		returned.Reason = jobs.ReturnPreempted
+	case failure.Outcome == api.OutcomeNotRun && failure.Code != api.CodeBadRequest:
+		returned.Reason = jobs.ReturnNoRoom
+	}
+	return returned
+}
+
+// lastResult ends an item whose attempts are used up.
+func lastResult(run jobs.RunItem, failure *api.Error) *jobs.ItemResult {
+	return &jobs.ItemResult{
+		Item: run.Item.Item, CustomID: run.Item.CustomID, Outcome: failure.Outcome, Request: run.Request,
+		Error: fmt.Sprintf("the last attempt failed: %v", failure),
+	}
+}
+
+func (b *batch) attempt(ctx context.Context, stop context.CancelCauseFunc, run jobs.RunItem) (jobs.ItemResult, *api.Error) {
+	item := run.Item
+	routed := routing.Request{
+		ID: run.Request, Tenant: item.Tenant, Service: item.Service, Place: item.Place,
+		Class: api.ClassBatch, Repeatable: item.Repeatable,
+	}
+	dispatched, failure := b.router.admit(routed)
+	if failure != nil {
+		return jobs.ItemResult{}, failure
+	}
+	b.shell.Tell(jobs.ItemAdmitted{Request: run.Request})
+	header := http.Header{"Content-Type": {"application/json"}}
+	response, finish, failure := b.router.send(ctx, stop, routed, dispatched, item.Path, item.Body, header)
+	if failure != nil {
+		return b.learn(run, dispatched, failure)
+	}
+	defer finish()
+	defer response.Body.Close()
+	result, failure := readResult(ctx, run, response)
+	if failure != nil {
+		return b.learn(run, dispatched, failure)
+	}
+	return result, nil
+}
+
+func readResult(ctx context.Context, run jobs.RunItem, response *http.Response) (jobs.ItemResult, *api.Error) {
+	const step = "read answer of worker"
+	body, err := io.ReadAll(io.LimitReader(response.Body, maximumAnswerBytes+1))
+	if cause := context.Cause(ctx); err != nil && cause != nil {
+		err = cause
+	}
+	if err != nil {
+		return jobs.ItemResult{}, api.NewError(step, "", api.CodeUpstream, api.OutcomeUnknown, "%w", err)
+	}
+	result := jobs.ItemResult{
+		Item: run.Item.Item, CustomID: run.Item.CustomID, Outcome: api.OutcomeRan,
+		Status: response.StatusCode, Body: body, Request: run.Request,
+	}
+	retriable := run.Item.Repeatable && !run.Item.LastAttempt
+	switch {
+	case retriable && response.StatusCode >= http.StatusInternalServerError:
+		return jobs.ItemResult{}, api.NewError(step, "", api.CodeUpstream, api.OutcomeRan, "status %d", response.StatusCode)
+	case len(body) > maximumAnswerBytes:
+		result.Status, result.Body = 0, nil
+		result.Outcome, result.Error = api.OutcomeUnknown, fmt.Sprintf("the answer is over %d bytes and was not kept", maximumAnswerBytes)
+	case !json.Valid(body):
+		result.Body, _ = json.Marshal(string(body))
+	}
+	return result, nil
+}
+
+// learn asks the worker for the answer of a non-repeatable item whose outcome
+// was lost, by its request id: nothing is sent again.
+func (b *batch) learn(run jobs.RunItem, dispatched admission.Dispatch, failure *api.Error) (jobs.ItemResult, *api.Error) {
+	if run.Item.Repeatable || failure.Outcome != api.OutcomeUnknown {
+		return jobs.ItemResult{}, failure
+	}
+	ctx, cancel := context.WithTimeout(b.ctx, learnTimeout)
+	defer cancel()
+	call := engine.Call{Worker: dispatched.Worker, Address: dispatched.Address}
+	response, err := b.router.batchBackend.Resume(ctx, call, run.Request, 0)
+	if err != nil {
+		return jobs.ItemResult{}, failure
+	}
+	defer response.Body.Close()
+	if engine.IsEventStream(response.Header) {
+		return jobs.ItemResult{}, failure
+	}
+	result, second := readResult(ctx, run, response)
+	if second != nil {
+		return jobs.ItemResult{}, failure
+	}
+	return result, nil
+}
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -9,6 +9,8 @@
 	broken    prometheus.Counter
 	resumed   prometheus.Counter
 	items     *prometheus.CounterVec
+	// batchMessages counts what batch work costs between router and stores.
+	batchMessages *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -31,7 +33,10 @@
 		items: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "dykewing_router_batch_items_total", Help: "Batch items run, by outcome.",
 		}, []string{"outcome"}),
+		batchMessages: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "dykewing_router_batch_messages_total", Help: "Messages to stores about batch items, by step.",
+		}, []string{"step"}),
 	}
-	registry.MustRegister(m.admitted, m.refused, m.preempted, m.broken, m.resumed, m.items)
+	registry.MustRegister(m.admitted, m.refused, m.preempted, m.broken, m.resumed, m.items, m.batchMessages)
 	return m
 }
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -75,6 +75,13 @@
 		return nil, dispatch, nil, failure
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
+	response, finish, failure := r.send(ctx, cancel, routed, dispatch, path, body, header)
+	return response, dispatch, finish, failure
+}
+
+// send sends an admitted request to its worker; cancel ends ctx. On success
+// finish must be called once the answer is read.
+func (r *Router) send(ctx context.Context, cancel context.CancelCauseFunc, routed routing.Request, dispatch admission.Dispatch, path string, body []byte, header http.Header) (*http.Response, func(), *api.Error) {
 	r.track(routed.ID, cancel)
 	finish := func() {
 		cancel(nil)
@@ -93,10 +100,10 @@
 		if errors.Is(context.Cause(ctx), errPreempted) {
 			failure.Code = api.CodePreempted
 		}
-		return nil, dispatch, nil, &failure
+		return nil, nil, &failure
 	}
 	r.admission.Tell(admission.FirstToken{Request: routed.ID})
-	return response, dispatch, finish, nil
+	return response, finish, nil
 }
 
 // backendOf keeps the connections of the classes apart.
--- a/internal/scale/machines_test.go
+++ b/internal/scale/machines_test.go
@@ -203,19 +203,39 @@
 	return state
 }
 
+func benchmarkDispatcher(b *testing.B, group *benchmarkGroup) *jobs.Dispatcher {
+	settings := jobs.DefaultDispatcherSettings()
+	settings.AdoptWait = 0
+	dispatcher, err := jobs.NewDispatcher(group.State, settings, sim.Epoch)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return dispatcher
+}
+
+// claimOnce claims without waiting.
+func claimOnce(dispatcher *jobs.Dispatcher, wants []jobs.ClaimWant) jobs.Grant {
+	for _, action := range dispatcher.Step(sim.Epoch, jobs.ClaimArrived{Claim: jobs.ClaimItems{Router: "router", Wants: wants}}) {
+		if granted, ok := action.(jobs.Granted); ok {
+			return granted.Grant
+		}
+	}
+	return jobs.Grant{}
+}
+
 func BenchmarkJobsClaimAndComplete(b *testing.B) {
 	for _, items := range []int{1_000, 10_000, 76_000} {
 		b.Run(fmt.Sprintf("items=%d", items), func(b *testing.B) {
 			state := benchmarkState(b, items)
-			dispatcher := jobs.NewDispatcher(state.State, time.Minute)
+			dispatcher := benchmarkDispatcher(b, state)
 			wants := []jobs.ClaimWant{{Service: "model-00", Place: "place-00", Room: 16}}
 			done, claimBytes := 0, 0.0
 			for b.Loop() {
-				grant := dispatcher.Claim(sim.Epoch, wants)
+				grant := claimOnce(dispatcher, wants)
 				if len(grant.Items) == 0 {
 					b.StopTimer()
 					state = benchmarkState(b, items)
-					dispatcher = jobs.NewDispatcher(state.State, time.Minute)
+					dispatcher = benchmarkDispatcher(b, state)
 					b.StartTimer()
 					continue
 				}
@@ -225,9 +245,10 @@
 				results := make([]jobs.ItemResult, len(grant.Items))
 				for i, item := range grant.Items {
 					results[i] = jobs.ItemResult{Item: item.Item, CustomID: item.CustomID, Outcome: api.OutcomeRan, Status: 200, Body: json.RawMessage(`{}`)}
-					dispatcher.Settled(item.Item)
 				}
-				state.apply(b, jobs.Command{Complete: &jobs.Complete{Results: results}})
+				command := jobs.Command{Complete: &jobs.Complete{Results: results}}
+				state.apply(b, command)
+				dispatcher.Step(sim.Epoch, jobs.Applied{Command: command})
 				done += len(results)
 			}
 			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(max(done, 1)), "ns/item")
@@ -244,7 +265,7 @@
 				Job: jobs.JobID(fmt.Sprintf("job-%d", i)), Tenant: "tenant", File: "file-0", Repeatable: true, Deadline: sim.Epoch.Add(time.Hour),
 			}})
 		}
-		dispatcher := jobs.NewDispatcher(state.State, time.Minute)
+		dispatcher := benchmarkDispatcher(b, state)
 		b.Run(fmt.Sprintf("jobs=%d", count), func(b *testing.B) {
 			for b.Loop() {
 				dispatcher.Backlog()
--- a/internal/store/group.go
+++ b/internal/store/group.go
@@ -13,6 +13,7 @@
 
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/config"
+	"github.com/dykewing/dykewing/internal/dispatch"
 	"github.com/dykewing/dykewing/internal/shell"
 	"github.com/dykewing/dykewing/jobs"
 	"github.com/dykewing/dykewing/replication"
@@ -34,13 +35,14 @@
 	persists chan replication.Persist
 	done     chan struct{}
 
-	mutex      sync.Mutex // guards all below
-	state      *jobs.State
-	dispatcher *jobs.Dispatcher // nil unless leading
-	term       uint64
-	token      uint64
-	proposals  map[uint64]chan jobs.Result // by token, until the index is known
-	waiting    map[uint64]proposal         // by log index
+	mutex     sync.Mutex // guards all below
+	state     *jobs.State
+	leading   *dispatch.Leadership // nil unless leading
+	services  []api.ServiceName    // of the table in force; nil before the first
+	term      uint64
+	token     uint64
+	proposals map[uint64]chan jobs.Result // by token, until the index is known
+	waiting   map[uint64]proposal         // by log index
 }
 
 type proposal struct {
@@ -93,6 +95,12 @@
 }
 
 func (g *group) stop() {
+	g.mutex.Lock()
+	if g.leading != nil {
+		g.leading.Stop()
+		g.leading = nil
+	}
+	g.mutex.Unlock()
 	g.shell.Stop()
 	close(g.persists)
 	<-g.done
@@ -176,8 +184,8 @@
 			results[i] = applied[i]
 		}
 		g.answer(entry, results[i])
-		if submit := commands[i].Command.Submit; submit != nil && g.dispatcher != nil && results[i].Job != nil {
-			g.dispatcher.Add(results[i].Job.ID())
+		if g.leading != nil {
+			g.leading.Applied(commands[i].Command, results[i])
 		}
 	}
 }
@@ -199,10 +207,44 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.term = change.Term
-	g.dispatcher = nil
-	if change.Leading {
-		g.dispatcher = jobs.NewDispatcher(g.state, g.settings.GrantLifetime)
+	if g.leading != nil {
+		g.leading.Stop()
+		g.leading = nil
+	}
+	if !change.Leading {
+		return
+	}
+	settings := jobs.DefaultDispatcherSettings()
+	settings.Term, settings.Lifetime, settings.Retention = change.Term, g.settings.GrantLifetime, g.settings.Retention
+	leading, err := dispatch.Start(g.state, settings, g.propose, g.log)
+	if err != nil {
+		g.log.WithError(err).Error("The waiting items could not be read; none is handed out.")
+		return
+	}
+	g.leading = leading
+	if g.services != nil {
+		leading.SetServices(g.services)
+	}
+}
+
+// setServices tells the dispatcher which services the table has.
+func (g *group) setServices(services []api.ServiceName) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.services = services
+	if g.leading != nil {
+		g.leading.SetServices(services)
+	}
+}
+
+// leadership gives the dispatcher while this replica leads.
+func (g *group) leadership(step string) (*dispatch.Leadership, *api.Error) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.leading == nil {
+		return nil, api.NewError(step, "", api.CodeNotLeader, api.OutcomeNotRun, "this replica does not lead group %d", g.id)
 	}
+	return g.leading, nil
 }
 
 // propose commits a command and gives its result.
@@ -231,9 +273,9 @@
 func (g *group) summary() api.GroupSummary {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	summary := api.GroupSummary{Group: g.id, Term: g.term, Leading: g.dispatcher != nil}
-	if g.dispatcher != nil {
-		summary.Waiting = g.dispatcher.Backlog()
+	summary := api.GroupSummary{Group: g.id, Term: g.term, Leading: g.leading != nil}
+	if g.leading != nil {
+		summary.Waiting = g.leading.Backlog()
 	}
 	return summary
 }
--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/internal/storeclient"
@@ -22,6 +21,7 @@
 	s.handle("POST", "commands", serveCommand)
 	s.handle("POST", "claims", serveClaims)
 	s.handle("POST", "settle", serveSettle)
+	s.handle("POST", "renewals", serveRenew)
 	s.handle("GET", "jobs", serveJobs)
 	s.handle("GET", "jobs/{id}", serveJob)
 	s.handle("GET", "jobs/{id}/results", serveResults)
@@ -65,13 +65,17 @@
 		transport.WriteError(w, failure)
 		return
 	}
-	group.mutex.Lock()
-	defer group.mutex.Unlock()
-	if group.dispatcher == nil {
-		transport.WriteError(w, api.NewError("claim items", "", api.CodeNotLeader, api.OutcomeNotRun, "this replica does not lead group %d", group.id))
+	leading, failure := group.leadership("claim items")
+	if failure != nil {
+		transport.WriteError(w, failure)
 		return
 	}
-	transport.WriteJSON(w, http.StatusOK, group.dispatcher.Claim(time.Now(), claim.Wants))
+	grant, failure := leading.Claim(r.Context(), claim)
+	if failure != nil {
+		transport.WriteError(w, failure)
+		return
+	}
+	transport.WriteJSON(w, http.StatusOK, grant)
 }
 
 func serveSettle(w http.ResponseWriter, r *http.Request, group *group) {
@@ -80,27 +84,31 @@
 		transport.WriteError(w, failure)
 		return
 	}
-	if len(settle.Results) > 0 {
-		result, failure := group.propose(r.Context(), jobs.Command{Complete: &jobs.Complete{Results: settle.Results}})
-		if failure == nil && result.Code != "" {
-			failure = api.NewError("settle items", "", result.Code, api.OutcomeUnknown, "%s", result.Message)
-		}
-		if failure != nil {
-			transport.WriteError(w, failure)
-			return
-		}
+	leading, failure := group.leadership("settle items")
+	if failure != nil {
+		transport.WriteError(w, failure)
+		return
 	}
-	group.mutex.Lock()
-	defer group.mutex.Unlock()
-	if group.dispatcher != nil {
-		for _, returned := range settle.Returned {
-			group.dispatcher.Return(returned.Item)
-		}
-		for _, result := range settle.Results {
-			group.dispatcher.Settled(result.Item)
-		}
+	notice, failure := leading.Settle(r.Context(), settle)
+	if failure != nil {
+		transport.WriteError(w, failure)
+		return
+	}
+	transport.WriteJSON(w, http.StatusOK, notice)
+}
+
+func serveRenew(w http.ResponseWriter, r *http.Request, group *group) {
+	var renew jobs.Renew
+	if failure := transport.ReadJSON(w, r, "read renewal", maximumCommandBytes, &renew); failure != nil {
+		transport.WriteError(w, failure)
+		return
+	}
+	leading, failure := group.leadership("renew grants")
+	if failure != nil {
+		transport.WriteError(w, failure)
+		return
 	}
-	transport.WriteJSON(w, http.StatusOK, struct{}{})
+	transport.WriteJSON(w, http.StatusOK, leading.Renew(renew))
 }
 
 // Reads answer from the applied state and run beside it.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -12,6 +12,7 @@
 
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/internal/node"
+	"github.com/dykewing/dykewing/table"
 )
 
 const folderMode = 0o700
@@ -41,6 +42,11 @@
 		store.groups[id] = group
 	}
 	common.SetSummary(store.summary)
+	common.OnTable(func(snapshot *table.Snapshot) {
+		for _, group := range store.groups {
+			group.setServices(snapshot.Services())
+		}
+	})
 	store.routes()
 	return store, nil
 }
--- a/internal/storeclient/paths.go
+++ b/internal/storeclient/paths.go
@@ -18,7 +18,10 @@
 // ClaimsPath takes a jobs.ClaimItems and answers a jobs.Grant.
 func ClaimsPath(group api.GroupID) string { return groupPath(group, "claims") }
 
-// SettlePath takes a jobs.Settle.
+// RenewPath takes a jobs.Renew and answers a jobs.Notice.
+func RenewPath(group api.GroupID) string { return groupPath(group, "renewals") }
+
+// SettlePath takes a jobs.Settle and answers a jobs.Notice.
 func SettlePath(group api.GroupID) string { return groupPath(group, "settle") }
 
 // JobPath reads a jobs.Job.
--- a/jobs/dispatcher_events.go
+++ b/jobs/dispatcher_events.go
@@ -24,6 +24,9 @@
 // applied follows the committed commands.
 func (d *Dispatcher) applied(now time.Time, applied Applied) []DispatchAction {
 	command := applied.Command
+	if applied.Result.Duplicate {
+		return nil
+	}
 	switch {
 	case command.Submit != nil && applied.Result.Job != nil:
 		d.addJob(*applied.Result.Job)
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -63,6 +63,8 @@
 	key     api.RowKey
 	state   runState
 	since   time.Time // of the state
+	heldAt  time.Time // when it was first held
+	started bool      // non-repeatable: its start is committed
 	stopped bool      // cancelled or lost
 	askAt   time.Time // when to ask for the start again; zero: it is asked
 }
@@ -182,7 +184,7 @@
 	}
 	for _, item := range arrived.Grant.Items {
 		granted := &run{
-			group: arrived.Group, item: item, request: r.settings.NewRequestID(), since: now,
+			group: arrived.Group, item: item, request: r.settings.NewRequestID(), since: now, heldAt: now,
 			key: api.RowKey{Service: item.Service, Place: item.Place},
 		}
 		r.runs[granted.request] = granted
@@ -218,7 +220,7 @@
 // begin sends an item, after its start is committed when it is non-repeatable.
 func (r *Runner) begin(now time.Time, next *run) []RunnerAction {
 	next.since = now
-	if next.item.Repeatable {
+	if next.item.Repeatable || next.started {
 		next.state = runLaunching
 		return []RunnerAction{RunItem{Request: next.request, Item: next.item}}
 	}
@@ -244,17 +246,19 @@
 	}
 	switch answered.Answer {
 	case StartCommitted:
+		started.started = true
 		if started.stopped {
 			r.drop(started)
-			r.putReturned(started, ReturnedItem{Reason: ReturnPreempted, Request: started.request})
+			r.putReturned(started, ReturnedItem{Reason: ReturnPreempted})
 			return nil
 		}
 		started.state, started.since = runLaunching, now
 		return []RunnerAction{RunItem{Request: started.request, Item: started.item}}
 	case StartRefused:
 		// An earlier try whose answer was lost may have been committed.
+		started.started = true
 		r.drop(started)
-		r.putReturned(started, ReturnedItem{Reason: ReturnNoRoom, Request: started.request})
+		r.putReturned(started, ReturnedItem{Reason: ReturnNoRoom})
 	case StartUnknown:
 		started.askAt = now.Add(r.settings.RetryInterval)
 	}
@@ -281,6 +285,7 @@
 		row := r.row(admitted.key)
 		row.launching--
 		row.running++
+		r.rooms[admitted.key]-- // until Rooms counts it
 		admitted.state = runRunning
 	}
 }
@@ -307,17 +312,17 @@
 	if ended.state == runRunning {
 		r.row(ended.key).measure(now.Sub(ended.since))
 	}
+	refused := ended.state == runLaunching && finished.Returned.Reason == ReturnNoRoom && finished.Outcome == api.OutcomeNotRun
 	r.drop(ended)
-	if finished.Result != nil {
+	switch {
+	case finished.Result != nil:
 		r.putResult(ended, *finished.Result)
 		return
-	}
-	if ended.item.Repeatable || finished.Outcome == api.OutcomeNotRun {
-		returned := finished.Returned
-		if !ended.item.Repeatable {
-			returned.Request = ended.request
-		}
-		r.putReturned(ended, returned)
+	case refused && !ended.stopped:
+		r.holdAgain(now, ended)
+		return
+	case ended.item.Repeatable || finished.Outcome == api.OutcomeNotRun:
+		r.putReturned(ended, finished.Returned)
 		return
 	}
 	r.putResult(ended, ItemResult{
@@ -326,6 +331,15 @@
 	})
 }
 
+// holdAgain keeps an item that found no room for when there is some.
+func (r *Runner) holdAgain(now time.Time, refused *run) {
+	refused.state, refused.since = runHeld, now
+	r.runs[refused.request] = refused
+	row := r.row(refused.key)
+	row.held = slices.Insert(row.held, 0, refused)
+	r.rooms[refused.key] = 0 // until Rooms says otherwise
+}
+
 func (row *runnerRow) measure(took time.Duration) {
 	const weight = 8
 	if row.duration == 0 {
@@ -344,6 +358,9 @@
 
 func (r *Runner) putReturned(ended *run, returned ReturnedItem) {
 	returned.Item, returned.Epoch = ended.item.Item, ended.item.Epoch
+	if ended.started {
+		returned.Request = ended.request
+	}
 	group := r.group(ended.group)
 	group.outbox = append(group.outbox, report{returned: returned})
 }
@@ -352,7 +369,7 @@
 func (r *Runner) returnHeld(now time.Time) {
 	for _, key := range r.sortedRows() {
 		for _, held := range slices.Clone(r.rows[key].held) {
-			if r.stopping || now.Sub(held.since) >= r.settings.HoldTime {
+			if r.stopping || now.Sub(held.heldAt) >= r.settings.HoldTime {
 				r.drop(held)
 				r.putReturned(held, ReturnedItem{Reason: ReturnNoRoom})
 			}
