--- a/api/table.go
+++ b/api/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"time"
 )
 
@@ -73,6 +74,21 @@
 	By    string `json:"by,omitempty"` // who asks, for the history
 }
 
+// Validate names the first field that is not as it must be; cells are checked
+// on the row that the edit makes.
+func (e TableEdit) Validate() error {
+	if e.ID == "" || len(e.ID) > maximumEditIDBytes {
+		return fmt.Errorf("id of the edit must have 1 to %d bytes", maximumEditIDBytes)
+	}
+	if len(e.By) > maximumEditIDBytes {
+		return fmt.Errorf("by must have at most %d bytes", maximumEditIDBytes)
+	}
+	if err := ValidateName("service", string(e.Key.Service)); err != nil {
+		return err
+	}
+	return ValidateName("place", string(e.Key.Place))
+}
+
 // EditOutcome tells what became of an edit.
 type EditOutcome string
 
--- /dev/null
+++ b/internal/node/edit.go
@@ -0,0 +1,129 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/internal/kv"
+	"github.com/dykewing/dykewing/internal/transport"
+	"github.com/dykewing/dykewing/table"
+)
+
+const (
+	editTimeout         = 8 * time.Second
+	maximumEditBytes    = 16 << 10
+	maximumHistoryLimit = 10_000
+	defaultHistoryLimit = 50
+)
+
+// serveEdit takes an operator's edit of the table; the operator needs no
+// credentials of the key-value service. The outcome is in the answer's body.
+func (n *Node) serveEdit(w http.ResponseWriter, r *http.Request) {
+	var edit api.TableEdit
+	if failure := transport.ReadJSON(w, r, "read edit", maximumEditBytes, &edit); failure != nil {
+		transport.WriteError(w, failure)
+		return
+	}
+	if err := edit.Validate(); err != nil {
+		transport.WriteError(w, api.NewError("read edit", "", api.CodeBadRequest, api.OutcomeNotRun, "%w", err))
+		return
+	}
+	if n.KeyValue == nil {
+		transport.WriteError(w, noService("edit table"))
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), editTimeout)
+	defer cancel()
+	result := n.edit(ctx, edit)
+	n.tableMetrics.edits.WithLabelValues(string(result.Outcome)).Inc()
+	n.Logger("table").WithField("edit", edit.ID).Infof("Edit of row %s: %s.", edit.Key, result.Outcome)
+	transport.WriteJSON(w, http.StatusOK, result)
+}
+
+func noService(step string) *api.Error {
+	return api.NewError(step, "", api.CodeNotFound, api.OutcomeNotRun, "this node has no key-value service in its settings; ask a router")
+}
+
+// edit runs an Editor against the service.
+func (n *Node) edit(ctx context.Context, edit api.TableEdit) api.EditResult {
+	inForce := int64(0)
+	if snapshot := n.Table(); snapshot != nil {
+		inForce = snapshot.Revision()
+	}
+	editor := table.NewEditor(edit, inForce)
+	key := table.StoreKey(n.Settings.KeyValueService.Prefix, edit.Key)
+	var message table.EditorMessage = table.Begin{}
+	for {
+		for _, action := range editor.Step(time.Now(), message) {
+			if finished, ok := action.(table.Finished); ok {
+				return finished.Result
+			}
+			message = n.executeEdit(ctx, key, action)
+		}
+	}
+}
+
+// executeEdit carries one action out and gives the message that answers it.
+func (n *Node) executeEdit(ctx context.Context, key string, action table.EditorAction) table.EditorMessage {
+	switch action := action.(type) {
+	case table.ReadRow:
+		if !n.pause(ctx, action.Delay) {
+			return table.GiveUp{Reason: "the key-value service did not answer in time"}
+		}
+		pair, revision, err := n.KeyValue.Read(ctx, key)
+		return table.ReadDone{Pair: storedPair(pair), Revision: revision, Err: err}
+	case table.SwapRow:
+		result, err := n.KeyValue.Swap(ctx, kv.Swap{Key: key, Expected: action.Expected, Value: action.Value})
+		return table.SwapDone{
+			Succeeded: result.Succeeded, Revision: result.Revision, Standing: storedPair(result.Standing),
+			Unknown: errors.Is(err, kv.ErrUnknown), Err: err,
+		}
+	}
+	return table.GiveUp{Reason: "unknown action"}
+}
+
+func storedPair(pair *kv.Pair) table.StoredPair {
+	if pair == nil {
+		return table.StoredPair{}
+	}
+	return table.StoredPair{Value: pair.Value, Revision: pair.Revision}
+}
+
+// serveHistory answers the last edits, newest first, as the rows remember them.
+func (n *Node) serveHistory(w http.ResponseWriter, r *http.Request) {
+	if n.KeyValue == nil {
+		transport.WriteError(w, noService("read history"))
+		return
+	}
+	prefix := n.Settings.KeyValueService.Prefix
+	result, err := n.KeyValue.Range(r.Context(), prefix+table.KeyPrefix)
+	if err != nil {
+		transport.WriteError(w, api.NewError("read history", "key-value service", api.CodeUpstream, api.OutcomeNotRun, "%w", err))
+		return
+	}
+	records := []api.EditRecord{}
+	for _, pair := range result.Pairs {
+		past, err := table.History(pair.Value, pair.Revision)
+		if err != nil {
+			n.Logger("table").WithError(err).Errorf("Key %s holds no valid row; its history is left out.", pair.Key)
+			continue
+		}
+		records = append(records, past...)
+	}
+	slices.SortFunc(records, func(a, b api.EditRecord) int { return cmp.Compare(b.Revision, a.Revision) })
+	transport.WriteJSON(w, http.StatusOK, records[:min(len(records), historyLimit(r))])
+}
+
+func historyLimit(r *http.Request) int {
+	limit, err := strconv.Atoi(r.URL.Query().Get("limit"))
+	if err != nil || limit <= 0 {
+		return defaultHistoryLimit
+	}
+	return min(limit, maximumHistoryLimit)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,21 +48,22 @@
 	Control  *http.Client // for control messages only
 	KeyValue kv.Service   // nil when no endpoint is set
 
-	listener    net.Listener
-	server      *http.Server
-	membership  *shell.Shell[membership.Message, membership.Action]
-	machine     *membership.Machine
-	replica     *shell.Shell[table.Message, table.Action]
-	view        atomic.Pointer[[]api.Node]
-	snapshot    atomic.Pointer[table.Snapshot]
-	leaving     atomic.Bool
-	summary     func() api.Summary
-	sequence    uint64
-	mutex       sync.Mutex // guards the callbacks
-	onView      []func([]api.Node)
-	onTable     []func(*table.Snapshot)
-	background  sync.WaitGroup
-	incarnation uint64
+	listener     net.Listener
+	server       *http.Server
+	membership   *shell.Shell[membership.Message, membership.Action]
+	machine      *membership.Machine
+	replica      *shell.Shell[table.Message, table.Action]
+	view         atomic.Pointer[[]api.Node]
+	snapshot     atomic.Pointer[table.Snapshot]
+	leaving      atomic.Bool
+	summary      func() api.Summary
+	sequence     uint64
+	tableMetrics *tableMetrics
+	mutex        sync.Mutex // guards the callbacks
+	onView       []func([]api.Node)
+	onTable      []func(*table.Snapshot)
+	background   sync.WaitGroup
+	incarnation  uint64
 }
 
 // New binds the internal address and builds the common part.
@@ -79,8 +80,11 @@
 		summary: func() api.Summary { return api.Summary{} },
 	}
 	node.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	node.tableMetrics = newTableMetrics(node.Registry)
 	if len(settings.KeyValueService.Endpoints) > 0 {
-		node.KeyValue = kv.NewEtcd(settings.KeyValueService.Endpoints, settings.KeyValueService.Timeout, settings.KeyValueService.RequestsPerSecond)
+		service := kv.NewEtcd(settings.KeyValueService.Endpoints, settings.KeyValueService.Timeout, settings.KeyValueService.RequestsPerSecond)
+		service.Observe = node.tableMetrics.observeCall
+		node.KeyValue = service
 	}
 	node.machine = membership.NewMachine(membership.Settings{
 		Self: node.self(), Seeds: settings.Peers,
@@ -142,6 +146,8 @@
 	n.Mux.HandleFunc("GET /readyz", n.serveReady)
 	n.Mux.HandleFunc("POST "+api.PathGossip, n.serveGossip)
 	n.Mux.HandleFunc("GET "+api.PathTable, n.serveTable)
+	n.Mux.HandleFunc("POST "+api.PathEdits, n.serveEdit)
+	n.Mux.HandleFunc("GET "+api.PathHistory, n.serveHistory)
 	n.Mux.HandleFunc("GET "+api.PathNodes, n.serveNodes)
 }
 
--- /dev/null
+++ b/table/editor_test.go
@@ -0,0 +1,229 @@
+package table
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/sim"
+)
+
+// rowService is one key of a key-value service whose answers get lost and
+// whose swaps may take effect late.
+type rowService struct {
+	simulation *sim.Simulation
+	random     *rand.Rand
+	revision   int64
+	pair       StoredPair
+	applied    map[string]int // swaps that took effect, by edit
+	wiped      bool           // a foreign tool wrote the row
+}
+
+func (s *rowService) swap(edit string, swap SwapRow) SwapDone {
+	if swap.Expected != s.pair.Revision {
+		return SwapDone{Revision: s.revision, Standing: s.pair}
+	}
+	s.revision += 1 + s.random.Int64N(3) // other keys change too
+	s.pair = StoredPair{Value: swap.Value, Revision: s.revision}
+	s.applied[edit]++
+	return SwapDone{Succeeded: true, Revision: s.revision}
+}
+
+// client is an operator's tool that sends one edit, and again while the outcome
+// is not known.
+type client struct {
+	service *rowService
+	edit    api.TableEdit
+	editor  *Editor
+	fault   fault
+	sends   int
+	result  api.EditResult
+}
+
+func (c *client) send() {
+	c.sends++
+	c.editor = NewEditor(c.edit, 0)
+	c.editor.fault = c.fault
+	c.step(Begin{})
+	editor := c.editor
+	c.service.simulation.After(3*time.Second, func() {
+		if c.editor == editor {
+			c.step(GiveUp{Reason: "timeout"})
+		}
+	})
+}
+
+func (c *client) step(message EditorMessage) {
+	for _, action := range c.editor.Step(c.service.simulation.Now(), message) {
+		c.execute(action)
+	}
+}
+
+func (c *client) execute(action EditorAction) {
+	s := c.service
+	there := time.Duration(s.random.Int64N(int64(20 * time.Millisecond)))
+	back := time.Duration(s.random.Int64N(int64(20 * time.Millisecond)))
+	answer := func(message EditorMessage) {
+		editor := c.editor
+		s.simulation.After(back, func() {
+			if c.editor == editor {
+				c.step(message)
+			}
+		})
+	}
+	switch action := action.(type) {
+	case ReadRow:
+		s.simulation.After(action.Delay+there, func() {
+			if s.random.Float64() < 0.2 {
+				answer(ReadDone{Err: errors.New("timeout")})
+				return
+			}
+			answer(ReadDone{Pair: s.pair, Revision: s.revision})
+		})
+	case SwapRow:
+		c.executeSwap(action, there, answer)
+	case Finished:
+		c.result = action.Result
+		if c.result.Outcome == api.EditUnknown && c.sends < 4 {
+			c.edit.Since = max(c.edit.Since, 1)
+			s.simulation.After(time.Millisecond, c.send)
+		}
+	}
+}
+
+func (c *client) executeSwap(swap SwapRow, there time.Duration, answer func(EditorMessage)) {
+	s := c.service
+	lost := SwapDone{Unknown: true, Err: errors.New("connection broke")}
+	switch draw := s.random.Float64(); {
+	case draw < 0.15: // the answer is lost
+		s.simulation.After(there, func() { s.swap(c.edit.ID, swap); answer(lost) })
+	case draw < 0.3: // the request is lost
+		s.simulation.After(there, func() { answer(lost) })
+	case draw < 0.45: // it takes effect long after its connection broke
+		s.simulation.After(there, func() { answer(lost) })
+		late := time.Duration(s.random.Int64N(int64(5 * time.Second)))
+		s.simulation.After(late, func() { s.swap(c.edit.ID, swap) })
+	case draw < 0.5: // refused by the rate limit
+		s.simulation.After(there, func() { answer(SwapDone{Err: errors.New("rate limit")}) })
+	default:
+		s.simulation.After(there, func() { answer(s.swap(c.edit.ID, swap)) })
+	}
+}
+
+// runEdits lets operators race for one row and gives the first wrong answer.
+func runEdits(seed uint64, planted fault) (string, map[api.EditOutcome]int) {
+	simulation := sim.New(seed)
+	service := &rowService{simulation: simulation, random: simulation.Fork(), revision: 1, applied: map[string]int{}}
+	key := api.RowKey{Service: "model", Place: "east"}
+	var clients []*client
+	for i := range 40 {
+		weight := float64(i)
+		allowance := i
+		c := &client{service: service, fault: planted}
+		c.edit = api.TableEdit{ID: fmt.Sprintf("edit-%d", i), Key: key, Create: i%3 == 0}
+		switch i % 4 {
+		case 0, 1:
+			c.edit.Change.Weight = &weight
+		case 2:
+			c.edit.Change.BatchAllowance = &allowance
+		case 3:
+			c.edit.Delete = i%8 == 7
+			c.edit.Change.Weight = &weight
+		}
+		clients = append(clients, c)
+		simulation.After(time.Duration(service.random.Int64N(int64(4*time.Second))), func() {
+			if i%5 == 0 {
+				c.edit.ExpectRevision = service.pair.Revision
+			}
+			c.edit.Since = 0
+			c.send()
+		})
+	}
+	simulation.Run(2 * time.Minute)
+	outcomes := map[api.EditOutcome]int{}
+	for _, c := range clients {
+		outcomes[c.result.Outcome]++
+		count := service.applied[c.edit.ID]
+		switch {
+		case count > 1:
+			return fmt.Sprintf("%s took effect %d times", c.edit.ID, count), outcomes
+		case c.result.Outcome == api.EditAccepted && count == 0:
+			return c.edit.ID + " was reported accepted and never took effect", outcomes
+		case (c.result.Outcome == api.EditConflict || c.result.Outcome == api.EditRefused) && count > 0:
+			return fmt.Sprintf("%s was reported %s and took effect", c.edit.ID, c.result.Outcome), outcomes
+		case c.result.Outcome == "":
+			return c.edit.ID + " never ended", outcomes
+		}
+	}
+	return "", outcomes
+}
+
+func TestEditorNeverReportsWrongly(t *testing.T) {
+	total := map[api.EditOutcome]int{}
+	for seed := range uint64(300) {
+		wrong, outcomes := runEdits(seed, "")
+		if wrong != "" {
+			t.Fatalf("seed %d: %s", seed, wrong)
+		}
+		for outcome, count := range outcomes {
+			total[outcome] += count
+		}
+	}
+	t.Logf("outcomes: %v", total)
+	for _, outcome := range []api.EditOutcome{api.EditAccepted, api.EditConflict, api.EditRefused} {
+		if total[outcome] == 0 {
+			t.Errorf("no edit ended as %s: the run proves little", outcome)
+		}
+	}
+	if total[api.EditUnknown] > total[api.EditAccepted]/2 {
+		t.Errorf("too many edits stayed unknown: %v", total)
+	}
+}
+
+func TestPlantedEditorFaultIsCaught(t *testing.T) {
+	for seed := range uint64(50) {
+		if wrong, _ := runEdits(seed, faultAcceptLost); wrong != "" {
+			t.Logf("caught: %s", wrong)
+			return
+		}
+	}
+	t.Error("an editor that reports accepted after a lost answer was not caught")
+}
+
+func TestEditorKeepsOtherCells(t *testing.T) {
+	weight, allowance := 5.0, 7
+	row := api.Row{Service: "model", Place: "east", Weight: 1, BatchAllowance: 2, Priority: 3, Repeatable: true}
+	value, err := Encode(row, "first")
+	if err != nil {
+		t.Fatal(err)
+	}
+	editor := NewEditor(api.TableEdit{ID: "mine", Key: row.Key(), Change: api.RowChange{Weight: &weight}}, 0)
+	editor.Step(sim.Epoch, Begin{})
+	editor.Step(sim.Epoch, ReadDone{Pair: StoredPair{Value: value, Revision: 5}, Revision: 9})
+	row.BatchAllowance = allowance // another operator's cell
+	other, _ := Encode(row, "other")
+	actions := editor.Step(sim.Epoch, SwapDone{Standing: StoredPair{Value: other, Revision: 10}})
+	swap, ok := actions[0].(SwapRow)
+	if !ok {
+		t.Fatalf("got %#v, want another swap", actions[0])
+	}
+	stored, err := Decode(swap.Value, 11)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if row.Weight = weight; stored.Row != row || swap.Expected != 10 {
+		t.Errorf("got %+v at %d, want %+v at 10", stored.Row, swap.Expected, row)
+	}
+}
+
+func TestEditorRefusesARestoredService(t *testing.T) {
+	editor := NewEditor(api.TableEdit{ID: "mine", Key: api.RowKey{Service: "model", Place: "east"}, Create: true}, 100)
+	editor.Step(sim.Epoch, Begin{})
+	actions := editor.Step(sim.Epoch, ReadDone{Revision: 60})
+	if finished, ok := actions[0].(Finished); !ok || finished.Result.Outcome != api.EditRefused {
+		t.Errorf("got %#v, want a refusal", actions[0])
+	}
+}
--- a/table/snapshot.go
+++ b/table/snapshot.go
@@ -89,7 +89,8 @@
 // changes, or the whole table when tombstones that it would need are dropped.
 func (s *Snapshot) Delta(after int64) api.TableDelta {
 	if after < s.floor {
-		return api.TableDelta{Revision: s.revision, Rows: s.After(0), Full: true}
+		live := slices.DeleteFunc(s.After(0), func(row api.VersionedRow) bool { return row.Deleted })
+		return api.TableDelta{Revision: s.revision, Rows: live, Full: true}
 	}
 	return api.TableDelta{After: max(after, 0), Revision: s.revision, Rows: s.After(after)}
 }
--- a/table/table.go
+++ b/table/table.go
@@ -132,7 +132,8 @@
 }
 
 // entomb marks the rows that a full delta no longer has as deleted at its
-// revision, unless their value there could not be read.
+// revision, unless their value there could not be read. Older tombstones are
+// raised too: the row may have come back and gone again unseen.
 func entomb(rows map[api.RowKey]api.VersionedRow, received Received) {
 	kept := map[api.RowKey]bool{}
 	for _, row := range received.Delta.Rows {
@@ -142,7 +143,7 @@
 		kept[key] = true
 	}
 	for key, row := range rows {
-		if !kept[key] && !row.Deleted {
+		if !kept[key] {
 			rows[key] = api.VersionedRow{Row: row.Row, Revision: received.Delta.Revision, Deleted: true}
 		}
 	}
