Share the checks of answers between the exercise and the proofs

Cause: the load generator and the proofs on real processes need the checks that stood in the exercise's file.

Change: internal/verify holds them; the exercise calls it. No behaviour changes; the exercise's test passes.

--- a/internal/dev/exercise.go
+++ b/internal/dev/exercise.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"strings"
@@ -14,7 +13,7 @@
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
 
-	"github.com/dykewing/dykewing/internal/standin/engine"
+	"github.com/dykewing/dykewing/internal/verify"
 )
 
 const (
@@ -85,7 +84,7 @@
 		}
 		running.Go(func() {
 			began := time.Now()
-			err := streamOne(ctx, client, fmt.Sprintf("%s %d", name, i))
+			err := verify.Stream(ctx, client, ModelService, fmt.Sprintf("%s %d", name, i), answerTokens)
 			result.record(time.Since(began), err)
 		})
 		time.Sleep(exerciseInterval)
@@ -94,48 +93,6 @@
 	return result
 }
 
-func streamOne(ctx context.Context, client openai.Client, prompt string) error {
-	messages := []openai.ChatCompletionMessageParamUnion{openai.UserMessage(prompt)}
-	stream := client.Chat.Completions.NewStreaming(ctx, openai.ChatCompletionNewParams{
-		Model: string(ModelService), Messages: messages, MaxTokens: openai.Int(answerTokens),
-	})
-	var text strings.Builder
-	for stream.Next() {
-		for _, choice := range stream.Current().Choices {
-			text.WriteString(choice.Delta.Content)
-		}
-	}
-	if err := stream.Err(); err != nil {
-		return fmt.Errorf("stream %q: %w", prompt, err)
-	}
-	return checkText(messages, text.String())
-}
-
-// checkText compares an answer with the one that the engine makes.
-func checkText(messages any, text string) error {
-	raw, err := json.Marshal(messages)
-	if err != nil {
-		return err
-	}
-	if want := strings.Join(engine.Tokens(raw, answerTokens), ""); text != want {
-		return fmt.Errorf("answer %q is not %q", text, want)
-	}
-	return nil
-}
-
-func batchInput(items int) ([]byte, map[string]string) {
-	var input strings.Builder
-	want := map[string]string{}
-	for i := range items {
-		id := fmt.Sprintf("item-%d", i)
-		messages := fmt.Sprintf(`[{"role":"user","content":"mark %d"}]`, i)
-		want[id] = strings.Join(engine.Tokens([]byte(messages), answerTokens), "")
-		fmt.Fprintf(&input, `{"custom_id":%q,"method":"POST","url":"/v1/chat/completions","body":{"model":%q,"max_tokens":%d,"messages":%s}}`+"\n",
-			id, ModelService, answerTokens, messages)
-	}
-	return []byte(input.String()), want
-}
-
 func exerciseBatch(ctx context.Context, client openai.Client, name string, cancel bool) *step {
 	result := newStep(name)
 	began := time.Now()
@@ -148,7 +105,7 @@
 }
 
 func runBatch(ctx context.Context, client openai.Client, cancel bool) (int, error) {
-	input, want := batchInput(exerciseItems)
+	input, want := verify.BatchInput(ModelService, "mark", exerciseItems, answerTokens)
 	file, err := client.Files.New(ctx, openai.FileNewParams{
 		File: openai.File(strings.NewReader(string(input)), "input.jsonl", "application/jsonl"), Purpose: openai.FilePurposeBatch,
 	})
@@ -168,7 +125,7 @@
 	if err := awaitCount(ctx, client, batch.ID, exerciseItems); err != nil {
 		return 0, err
 	}
-	right, err := readResults(ctx, client, batch.ID, want)
+	right, err := verify.Results(ctx, client, batch.ID, want)
 	if err == nil && right != exerciseItems {
 		err = fmt.Errorf("%d of %d results", right, exerciseItems)
 	}
@@ -209,47 +166,13 @@
 	if later.RequestCounts.Completed != cancelled.RequestCounts.Completed {
 		return 0, fmt.Errorf("%d items completed after the cancel", later.RequestCounts.Completed-cancelled.RequestCounts.Completed)
 	}
-	right, err := readResults(ctx, client, id, want)
+	right, err := verify.Results(ctx, client, id, want)
 	if err == nil && int64(right) != cancelled.RequestCounts.Completed {
 		err = fmt.Errorf("%d results are readable, %d completed", right, cancelled.RequestCounts.Completed)
 	}
 	return right, err
 }
 
-// readResults checks each line of the output file and counts them.
-func readResults(ctx context.Context, client openai.Client, id string, want map[string]string) (int, error) {
-	batch, err := client.Batches.Get(ctx, id)
-	if err != nil {
-		return 0, fmt.Errorf("read batch: %w", err)
-	}
-	content, err := client.Files.Content(ctx, batch.OutputFileID)
-	if err != nil {
-		return 0, fmt.Errorf("read results: %w", err)
-	}
-	defer content.Body.Close()
-	decoder := json.NewDecoder(content.Body)
-	seen := map[string]bool{}
-	for decoder.More() {
-		var line struct {
-			CustomID string `json:"custom_id"`
-			Response struct {
-				Body openai.ChatCompletion `json:"body"`
-			} `json:"response"`
-		}
-		if err := decoder.Decode(&line); err != nil {
-			return 0, fmt.Errorf("read results: %w", err)
-		}
-		if seen[line.CustomID] {
-			return 0, fmt.Errorf("item %s has two results", line.CustomID)
-		}
-		seen[line.CustomID] = true
-		if text := line.Response.Body.Choices[0].Message.Content; text != want[line.CustomID] {
-			return 0, fmt.Errorf("item %s: answer %q is not %q", line.CustomID, text, want[line.CustomID])
-		}
-	}
-	return len(seen), nil
-}
-
 func report(steps []*step, output io.Writer) error {
 	table := tabwriter.NewWriter(output, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "STEP\tRIGHT\tWRONG\tP50\tP99\tNOTE")
