--- a/internal/scale/machines_test.go
+++ b/internal/scale/machines_test.go
@@ -294,7 +294,7 @@
 	for i, node := range nodes {
 		records[i] = membership.Record{Node: node, Status: membership.StatusAlive}
 	}
-	all := membership.Incoming{Exchange: membership.Exchange{From: nodes[2].ID, Records: records}}
+	all := membership.Incoming{Exchange: membership.Exchange{From: nodes[2].ID, Location: nodes[0].Location, Updates: records}}
 	sender.Step(sim.Epoch, all)
 	receiver.Step(sim.Epoch, all)
 	now, bytes := sim.Epoch, 0
--- a/internal/scale/memory_test.go
+++ b/internal/scale/memory_test.go
@@ -57,7 +57,7 @@
 		for i, node := range nodes {
 			records[i] = membership.Record{Node: node, Status: membership.StatusAlive}
 		}
-		raw, err := json.Marshal(membership.Exchange{From: nodes[1].ID, Records: records})
+		raw, err := json.Marshal(membership.Exchange{From: nodes[1].ID, Location: nodes[0].Location, Updates: records})
 		if err != nil {
 			b.Fatal(err)
 		}
