--- a/cmd/dykewingctl/table.go
+++ b/cmd/dykewingctl/table.go
@@ -170,4 +170,3 @@
 	}
 	return name
 }
-
--- a/table/replica_test.go
+++ b/table/replica_test.go
@@ -219,7 +219,9 @@
 		revision = delta.Revision
 		replica.Step(sim.Epoch, Received{Delta: delta})
 	}
-	key := func(i int) api.Row { return api.Row{Service: api.ServiceName(fmt.Sprintf("model-%d", i)), Place: "east"} }
+	key := func(i int) api.Row {
+		return api.Row{Service: api.ServiceName(fmt.Sprintf("model-%d", i)), Place: "east"}
+	}
 	for i := range 3 * maximumTombstones {
 		step(api.VersionedRow{Row: key(i), Revision: revision + 1})
 	}
