--- a/table/editor_test.go
+++ b/table/editor_test.go
@@ -19,7 +19,6 @@
 	revision   int64
 	pair       StoredPair
 	applied    map[string]int // swaps that took effect, by edit
-	wiped      bool           // a foreign tool wrote the row
 }
 
 func (s *rowService) swap(edit string, swap SwapRow) SwapDone {
