--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,6 +63,7 @@
 
 	unreachedLogged atomic.Bool
 	snapshot        atomic.Pointer[table.Snapshot]
+	tableMetrics    *tableMetrics
 	leaving         atomic.Bool
 	summary         func() api.Summary
 	mutex           sync.Mutex // guards the callbacks
@@ -87,8 +88,11 @@
 		summary: func() api.Summary { return api.Summary{} },
 	}
 	node.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	node.tableMetrics = newTableMetrics(node.Registry)
 	if len(settings.KeyValueService.Endpoints) > 0 {
-		node.KeyValue = kv.NewEtcd(settings.KeyValueService.Endpoints, settings.KeyValueService.Timeout, settings.KeyValueService.RequestsPerSecond)
+		service := kv.NewEtcd(settings.KeyValueService.Endpoints, settings.KeyValueService.Timeout, settings.KeyValueService.RequestsPerSecond)
+		service.Observe = node.tableMetrics.observeCall
+		node.KeyValue = service
 	}
 	node.machine = membership.NewMachine(membership.Settings{
 		Self: node.self(), Seeds: settings.Peers,
@@ -156,6 +160,8 @@
 	n.Mux.HandleFunc("GET /readyz", n.serveReady)
 	n.Mux.HandleFunc("POST "+api.PathGossip, n.serveGossip)
 	n.Mux.HandleFunc("GET "+api.PathTable, n.serveTable)
+	n.Mux.HandleFunc("POST "+api.PathEdits, n.serveEdit)
+	n.Mux.HandleFunc("GET "+api.PathHistory, n.serveHistory)
 	n.Mux.HandleFunc("GET "+api.PathNodes, n.serveNodes)
 }
 
