--- a/internal/store/bootstrap.go
+++ b/internal/store/bootstrap.go
@@ -166,14 +166,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("read stores: %w", err)
 	}
-	alive := s.shared.peers.stores()
+	known := s.shared.peers.stores(time.Now())
 	var stores []placement.Store
 	for _, pair := range found.Pairs {
 		var record storeRecord
 		if err := json.Unmarshal(pair.Value, &record); err != nil {
 			return nil, fmt.Errorf("read stores: key %s: %w", pair.Key, err)
 		}
-		if slices.ContainsFunc(alive, func(live placement.Store) bool { return live.Replica == record.Replica }) {
+		if slices.ContainsFunc(known, func(store placement.Store) bool { return store.Replica == record.Replica }) && s.answers(ctx, record.Replica) {
 			stores = append(stores, placement.Store{Replica: record.Replica, Location: record.Location})
 		}
 	}
--- a/internal/store/group.go
+++ b/internal/store/group.go
@@ -7,12 +7,14 @@
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/sirupsen/logrus"
 
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/config"
+	"github.com/dykewing/dykewing/internal/dispatch"
 	"github.com/dykewing/dykewing/internal/shell"
 	"github.com/dykewing/dykewing/jobs"
 	"github.com/dykewing/dykewing/replication"
@@ -54,7 +56,9 @@
 
 	mutex     sync.Mutex // guards all below
 	jobs      *jobs.State
-	leading   *leadership // nil unless leading and applied up to its own term
+	leading   *dispatch.Leadership // nil unless leading and applied up to its own term
+	ledSince  time.Time            // when leading was set
+	services  []api.ServiceName    // of the table in force; nil before the first
 	role      replication.RoleChanged
 	draining  bool // before a planned stop: nothing new is taken
 	token     uint64
@@ -95,6 +99,9 @@
 // stop ends fetches and the actor, after the messages that wait.
 func (g *group) stop() {
 	g.cancel()
+	g.mutex.Lock()
+	g.endLeading()
+	g.mutex.Unlock()
 	g.shell.Stop()
 }
 
@@ -111,7 +118,7 @@
 	g.halted.Store(true)
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.leading = nil
+	g.endLeading()
 	g.role = replication.RoleChanged{Term: g.role.Term}
 	failure := api.NewError("write log", "", api.CodeNoQuorum, api.OutcomeUnknown, "%w", cause)
 	g.failProposals(failure)
@@ -201,7 +208,7 @@
 		return jobs.Result{Code: api.CodeInternal, Message: err.Error()}
 	}
 	if g.leading != nil {
-		g.leading.applied(command, results[0])
+		g.leading.Applied(command, results[0])
 	}
 	return results[0]
 }
@@ -219,23 +226,13 @@
 		return
 	}
 	if lost || !change.Leading {
-		g.leading = nil
+		g.endLeading()
 		g.failProposals(g.notLeader("commit command", api.OutcomeUnknown))
 		g.failReads(g.notLeader("read group", api.OutcomeNotRun))
 	}
 	g.lead(g.state.position())
 }
 
-// lead begins to serve as leader when all that earlier leaders committed is
-// applied; the mutex is held.
-func (g *group) lead(at position) {
-	if g.leading != nil || !g.role.Leading || at.Term != g.role.Term {
-		return
-	}
-	g.leading = newLeadership(g.jobs, g.settings)
-	g.log.WithField("term", g.role.Term).Info("This replica leads the group.")
-}
-
 // notLeader is the answer of a replica that can't serve; the mutex is held.
 func (g *group) notLeader(step string, outcome api.Outcome) *api.Error {
 	failure := api.NewError(step, "", api.CodeNotLeader, outcome, "this replica does not lead group %d", g.id)
@@ -253,6 +250,13 @@
 	return g.leading != nil
 }
 
+// leadingSince tells when this replica began to lead.
+func (g *group) leadingSince() time.Time {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.ledSince
+}
+
 // maintain writes applied state that is only in memory, drops replaced states
 // and compacts the log, unless a snapshot is being streamed: the log after it
 // will be needed.
@@ -291,7 +295,7 @@
 	defer g.mutex.Unlock()
 	summary := api.GroupSummary{Group: g.id, Term: g.role.Term, Leading: g.leading != nil}
 	if g.leading != nil {
-		summary.Waiting = g.leading.dispatcher.Backlog()
+		summary.Waiting = g.leading.Backlog()
 	}
 	return summary
 }
--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -19,12 +19,14 @@
 
 func (s *Store) routes() {
 	s.route("POST "+pathMessages, s.serveMessages)
+	s.route("GET "+pathIdentity, s.serveIdentity)
 	s.handle("GET", "origin", serveOrigin)
 	s.handle("GET", "status", serveStatus)
 	s.handle("GET", "snapshot", serveSnapshot)
 	s.handle("POST", "commands", s.serveCommand)
 	s.handle("POST", "claims", serveClaims)
 	s.handle("POST", "settle", serveSettle)
+	s.handle("POST", "renewals", serveRenew)
 	s.handle("GET", "jobs", linearisable(serveJobs))
 	s.handle("GET", "jobs/{id}", linearisable(serveJob))
 	s.handle("GET", "jobs/{id}/results", linearisable(serveResults))
@@ -91,7 +93,12 @@
 		transport.WriteError(w, failure)
 		return
 	}
-	grant, failure := group.claim(claim)
+	leading, failure := group.leadership("claim items")
+	if failure != nil {
+		transport.WriteError(w, failure)
+		return
+	}
+	grant, failure := leading.Claim(r.Context(), claim)
 	if failure != nil {
 		transport.WriteError(w, failure)
 		return
@@ -105,18 +112,31 @@
 		transport.WriteError(w, failure)
 		return
 	}
-	if len(settle.Results) > 0 {
-		result, failure := group.propose(r.Context(), jobs.Command{Complete: &jobs.Complete{Results: settle.Results}})
-		if failure == nil && result.Code != "" {
-			failure = api.NewError("settle items", "", result.Code, api.OutcomeUnknown, "%s", result.Message)
-		}
-		if failure != nil {
-			transport.WriteError(w, failure)
-			return
-		}
+	leading, failure := group.leadership("settle items")
+	if failure != nil {
+		transport.WriteError(w, failure)
+		return
+	}
+	notice, failure := leading.Settle(r.Context(), settle)
+	if failure != nil {
+		transport.WriteError(w, failure)
+		return
+	}
+	transport.WriteJSON(w, http.StatusOK, notice)
+}
+
+func serveRenew(w http.ResponseWriter, r *http.Request, group *group) {
+	var renew jobs.Renew
+	if failure := transport.ReadJSON(w, r, "read renewal", maximumCommandBytes, &renew); failure != nil {
+		transport.WriteError(w, failure)
+		return
+	}
+	leading, failure := group.leadership("renew grants")
+	if failure != nil {
+		transport.WriteError(w, failure)
+		return
 	}
-	group.settled(settle)
-	transport.WriteJSON(w, http.StatusOK, struct{}{})
+	transport.WriteJSON(w, http.StatusOK, leading.Renew(renew))
 }
 
 // Reads answer from the applied state and run beside it.
--- a/internal/store/leadership.go
+++ b/internal/store/leadership.go
@@ -4,49 +4,56 @@
 	"time"
 
 	"github.com/dykewing/dykewing/api"
-	"github.com/dykewing/dykewing/config"
+	"github.com/dykewing/dykewing/internal/dispatch"
 	"github.com/dykewing/dykewing/jobs"
 )
 
-// leadership is what a replica has only while it leads: the dispatcher of the
-// group's waiting items. The group's mutex guards it.
-type leadership struct {
-	dispatcher *jobs.Dispatcher
-}
-
-func newLeadership(state *jobs.State, settings config.Store) *leadership {
-	return &leadership{dispatcher: jobs.NewDispatcher(state, settings.GrantLifetime)}
+// lead begins to serve as leader when all that earlier leaders committed is
+// applied; the mutex is held.
+func (g *group) lead(at position) {
+	if g.leading != nil || !g.role.Leading || at.Term != g.role.Term {
+		return
+	}
+	settings := jobs.DefaultDispatcherSettings()
+	settings.Term, settings.Lifetime, settings.Retention = g.role.Term, g.settings.GrantLifetime, g.settings.Retention
+	leading, err := dispatch.Start(g.jobs, settings, g.propose, g.log)
+	if err != nil {
+		g.log.WithError(err).Error("The waiting items could not be read; this replica does not serve.")
+		return
+	}
+	g.leading, g.ledSince = leading, time.Now()
+	if g.services != nil {
+		leading.SetServices(g.services)
+	}
+	g.log.WithField("term", g.role.Term).Info("This replica leads the group.")
 }
 
-// applied lets the dispatcher know of a command that took effect.
-func (l *leadership) applied(command jobs.Command, result jobs.Result) {
-	if command.Submit != nil && result.Job != nil {
-		l.dispatcher.Add(result.Job.ID())
+// endLeading ends what only a leader does; the mutex is held.
+func (g *group) endLeading() {
+	if g.leading != nil {
+		g.leading.Stop()
+		g.leading = nil
 	}
 }
 
-// claim hands out waiting items. It needs no round of confirmation: a grant of a
-// leader that is one no longer costs repeated work and never a second result.
-func (g *group) claim(claim jobs.ClaimItems) (jobs.Grant, *api.Error) {
+// setServices tells the dispatcher which services the table has.
+func (g *group) setServices(services []api.ServiceName) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if g.leading == nil {
-		return jobs.Grant{}, g.notLeader("claim items", api.OutcomeNotRun)
+	g.services = services
+	if g.leading != nil {
+		g.leading.SetServices(services)
 	}
-	return g.leading.dispatcher.Claim(time.Now(), claim.Wants), nil
 }
 
-// settled ends grants whose items have a result or wait again.
-func (g *group) settled(settle jobs.Settle) {
+// leadership gives the dispatcher while this replica leads. Its grants need no
+// round of confirmation: one of a leader that is none any more costs repeated
+// work and never a second result.
+func (g *group) leadership(step string) (*dispatch.Leadership, *api.Error) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if g.leading == nil {
-		return
-	}
-	for _, returned := range settle.Returned {
-		g.leading.dispatcher.Return(returned.Item)
-	}
-	for _, result := range settle.Results {
-		g.leading.dispatcher.Settled(result.Item)
+		return nil, g.notLeader(step, api.OutcomeNotRun)
 	}
+	return g.leading, nil
 }
--- a/internal/store/messages.go
+++ b/internal/store/messages.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/internal/transport"
@@ -18,7 +19,7 @@
 		transport.WriteError(w, failure)
 		return
 	}
-	s.shared.peers.heard(batch.From, batch.Address)
+	s.shared.peers.heard(time.Now(), batch.From, batch.Address)
 	for _, message := range batch.Messages {
 		s.receive(message, batch.Address)
 	}
@@ -64,6 +65,15 @@
 	})
 }
 
+// identityAnswer is the body of pathIdentity.
+type identityAnswer struct {
+	Replica replication.ReplicaID `json:"replica"`
+}
+
+func (s *Store) serveIdentity(w http.ResponseWriter, _ *http.Request) {
+	transport.WriteJSON(w, http.StatusOK, identityAnswer{Replica: s.shared.database.identity})
+}
+
 func originPath(id api.GroupID) string { return fmt.Sprintf("%s%d/origin", api.PathGroups, id) }
 
 func serveOrigin(w http.ResponseWriter, _ *http.Request, group *group) {
--- a/internal/store/sender.go
+++ b/internal/store/sender.go
@@ -13,6 +13,7 @@
 
 const (
 	pathMessages         = api.PathGroups + "messages"
+	pathIdentity         = api.PathGroups + "identity"
 	queuedMessages       = 4096 // to one replica; more are dropped
 	queuedBytes          = 32 << 20
 	maximumBatchBytes    = 4 << 20
@@ -127,7 +128,7 @@
 }
 
 func (s *sender) post(to replication.ReplicaID, batch []replication.WireMessage) {
-	address, ok := s.peers.address(to)
+	address, ok := s.peers.address(time.Now(), to)
 	if !ok {
 		s.metrics.dropped.Add(float64(len(batch)))
 		return
--- a/internal/store/snapshot.go
+++ b/internal/store/snapshot.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"go.etcd.io/bbolt"
 
@@ -123,7 +124,7 @@
 // stage reads a stream into a generation of its own, in bounded pieces.
 func (g *group) stage(ctx context.Context, asked replication.FetchSnapshot, generation uint64) (position, error) {
 	var at position
-	address, ok := g.peers.address(asked.From)
+	address, ok := g.peers.address(time.Now(), asked.From)
 	if !ok {
 		return at, fmt.Errorf("fetch snapshot: the address of replica %s is not known", asked.From)
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -17,6 +17,7 @@
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/internal/node"
 	"github.com/dykewing/dykewing/replication"
+	"github.com/dykewing/dykewing/table"
 )
 
 // flushInterval bounds how long applied state stays only in memory.
@@ -67,15 +68,16 @@
 		return nil, err
 	}
 	common.SetSummary(s.summary)
-	common.OnView(func(view []api.Node) { s.shared.peers.observe(time.Now(), view) })
+	common.OnView(func(view []api.Node) { s.shared.peers.observe(view) })
+	common.OnTable(s.tableChanged)
 	s.routes()
 	return s, nil
 }
 
 func (s *Store) build(database *database, hooks hooks) {
 	metrics := newMetrics(s.node.Registry)
-	peers := newPeers()
 	settings := s.node.Settings.Store
+	peers := newPeers(settings.ReplaceAfter)
 	s.shared = parts{
 		settings: settings, database: database, peers: peers, metrics: metrics, log: s.log,
 		sender: newSender(database.identity, s.node.Address(), peers, metrics),
@@ -127,10 +129,19 @@
 	if err != nil {
 		return err
 	}
+	if snapshot := s.node.Table(); snapshot != nil {
+		group.setServices(snapshot.Services())
+	}
 	s.groups[id] = group
 	return nil
 }
 
+func (s *Store) tableChanged(snapshot *table.Snapshot) {
+	for _, group := range s.list() {
+		group.setServices(snapshot.Services())
+	}
+}
+
 func (s *Store) group(id api.GroupID) (*group, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
