--- a/cmd/dykewingsim/main.go
+++ b/cmd/dykewingsim/main.go
@@ -15,6 +15,8 @@
 	application := kingpin.New("dykewingsim", "Stand-ins, load and experiments of dykewing.")
 	registerEngine(application)
 	registerScale(application)
+	registerKeyValue(application)
+	registerMachineList(application)
 	registerRun(application)
 	kingpin.MustParse(application.Parse(os.Args[1:]))
 }
--- a/cmd/dykewingsim/scale.go
+++ b/cmd/dykewingsim/scale.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -65,9 +66,11 @@
 	}
 	report, err := scale.RunAll(ctx, runs)
 	fmt.Fprint(os.Stderr, "\r\033[K")
-	if err != nil {
-		return err
-	}
+	return errors.Join(err, f.print(report))
+}
+
+// print shows what was measured, also of a run that was cut short.
+func (f *scaleFlags) print(report scale.Report) error {
 	if f.output == "json" {
 		encoder := json.NewEncoder(os.Stdout)
 		encoder.SetIndent("", "  ")
--- a/internal/scale/backlog.go
+++ b/internal/scale/backlog.go
@@ -35,7 +35,11 @@
 			}
 		}
 	}
-	return jobs.NewDispatcher(state, time.Minute)
+	dispatcher, err := jobs.NewDispatcher(state, jobs.DispatcherSettings{Lifetime: time.Minute}, sim.Epoch)
+	if err != nil {
+		panic(fmt.Sprintf("make a backlog: %v", err))
+	}
+	return dispatcher
 }
 
 // jobCommands upload a file of items and submit a job over it.
--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -46,13 +46,20 @@
 	return f
 }
 
-// seedsOf is one node for all: with several, membership as it stands can stay
-// in islands, since it asks seeds only while it knows no peer.
+const seedsOfNode = 3
+
+// seedsOf are the first routers of the node's zone and one of another.
 func seedsOf(self api.Node, nodes []api.Node) []string {
-	if self.ID == nodes[0].ID {
-		return nil
+	var seeds []string
+	for _, node := range nodes {
+		if node.Role != api.RoleRouter || node.ID == self.ID || node.Location != self.Location {
+			continue
+		}
+		if seeds = append(seeds, node.Address); len(seeds) == seedsOfNode-1 {
+			break
+		}
 	}
-	return []string{nodes[0].Address}
+	return append(seeds, nodes[0].Address)
 }
 
 func delay(from, to api.Location) time.Duration {
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -31,7 +31,6 @@
 	replica    *table.Replica
 	view       []api.Node
 	fetching   bool // a table fetch is on its way
-	sequence   uint64
 
 	homes     *placement.Homes // routers
 	homed     []api.Worker
@@ -89,6 +88,13 @@
 // tick is what the real shell does each interval.
 func (h *hollow) tick() {
 	h.moveLoad()
+	h.reportSelf()
+	h.stepMembership(membership.Tick{})
+	h.syncTable()
+}
+
+// reportSelf is done each interval and when a table comes into force.
+func (h *hollow) reportSelf() {
 	var summary api.Summary
 	h.cost.timed(PartSummary, func() { summary = h.summary() })
 	changed := membership.SelfChanged{Summary: summary}
@@ -96,13 +102,10 @@
 		changed.TableRevision = snapshot.Revision()
 	}
 	h.stepMembership(changed)
-	h.stepMembership(membership.Tick{})
-	h.syncTable()
 }
 
 func (h *hollow) summary() api.Summary {
-	h.sequence++
-	summary := api.Summary{Sequence: h.sequence}
+	var summary api.Summary
 	if h.admission != nil {
 		summary.Services = h.admission.Summaries()
 	}
@@ -176,23 +179,19 @@
 // send carries one exchange as encoded JSON; the answer or its absence comes
 // back as the real shell gives it.
 func (h *hollow) send(send membership.Send) {
-	raw := h.encode(send.Exchange)
+	raw := h.encodeExchange(send.Exchange)
 	h.fleet.exchange(h, send.Address, raw, func(target *hollow, request []byte) []byte {
-		var incoming membership.Exchange
-		target.decode(request, &incoming)
-		reply := target.stepMembership(membership.Incoming{Exchange: incoming})
+		reply := target.stepMembership(membership.Incoming{Exchange: target.decodeExchange(request)})
 		if reply == nil {
-			return target.encode(membership.Exchange{From: target.self.ID})
+			reply = &membership.Exchange{From: target.self.ID}
 		}
-		return target.encode(*reply)
+		return target.encodeExchange(*reply)
 	}, func(answer []byte) {
 		if answer == nil {
 			h.stepMembership(unreachable(send))
 			return
 		}
-		var decoded membership.Exchange
-		h.decode(answer, &decoded)
-		h.stepMembership(answered(send, decoded))
+		h.stepMembership(answered(send, h.decodeExchange(answer)))
 	})
 }
 
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -36,6 +36,7 @@
 	for _, options := range runs {
 		result, err := Run(ctx, options, wire)
 		if err != nil {
+			report.Slopes = slopes(report.Results)
 			return report, err
 		}
 		report.Results = append(report.Results, result)
@@ -101,6 +102,9 @@
 // variedOnly keeps the results in which only the dimension differs from the
 // first one, with the first.
 func variedOnly(results []Result, dimension int) []Result {
+	if len(results) == 0 {
+		return nil
+	}
 	varied := results[:1:1]
 	for _, result := range results[1:] {
 		if dimensions[dimension].of(result) == dimensions[dimension].of(results[0]) {
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -157,7 +157,11 @@
 	return missing
 }
 
-const rackShare = 5 // a rack holds every fifth node of a zone
+const (
+	rackShare = 5 // a rack holds every fifth node of a zone
+	// zoneWindowFactor: a lost zone is told from a slow one by silence alone.
+	zoneWindowFactor = 3
+)
 
 // faults crashes one node, a rack of another zone, and a whole zone.
 func (f *fleet) faults(ctx context.Context, result *Result) error {
@@ -195,6 +199,10 @@
 	if wholeZone {
 		dead[nodes[0].self.Location] = true
 	}
+	window := f.options.FaultWindow
+	if wholeZone {
+		window *= zoneWindowFactor
+	}
 	f.crash(nodes)
 	var gap HomeGap
 	watch := func() {
@@ -204,7 +212,7 @@
 			gap.UnsettledLast = f.simulation.Now().Sub(f.watch.began)
 		}
 	}
-	peak, err := f.advance(ctx, "after the crash of "+name, f.options.FaultWindow, watch)
+	peak, err := f.advance(ctx, "after the crash of "+name, window, watch)
 	if err != nil {
 		return err
 	}
--- a/internal/scale/tablesync.go
+++ b/internal/scale/tablesync.go
@@ -36,9 +36,10 @@
 	k.edits = append(k.edits, edit{revision: k.revision, at: now})
 }
 
-// after is what a watch from a revision on delivers.
+// after is what a watch from a revision on delivers, and what the first read
+// gives to a node without a table.
 func (k *keyValue) after(revision int64) api.TableDelta {
-	delta := api.TableDelta{Revision: k.revision}
+	delta := api.TableDelta{After: max(revision, 0), Revision: k.revision, Full: revision < 0}
 	for _, row := range k.rows {
 		if row.Revision > revision {
 			delta.Rows = append(delta.Rows, row)
@@ -72,7 +73,7 @@
 	higher := 0
 	own := placement.Score("table-watch", h.self.ID)
 	for _, node := range h.view {
-		if node.Role == api.RoleRouter && placement.Score("table-watch", node.ID) > own {
+		if node.Role == api.RoleRouter && !node.Leaving && placement.Score("table-watch", node.ID) > own {
 			higher++
 		}
 	}
@@ -87,17 +88,12 @@
 	if watching && h.revision() < h.fleet.keyValue.revision {
 		h.takeDelta(h.fleet.keyValue.after(h.revision()))
 	}
-	var newest api.Node
-	for _, node := range h.view {
-		if node.ID != h.self.ID && node.TableRevision > max(h.revision(), newest.TableRevision) {
-			newest = node
-		}
-	}
-	if newest.ID == "" || h.fetching {
+	peer, ok := h.tablePeer()
+	if !ok || h.fetching {
 		return
 	}
 	h.fetching = true
-	h.fleet.exchange(h, newest.Address, nil, serveTable(h.revision()), func(answer []byte) {
+	h.fleet.exchange(h, peer.Address, nil, serveTable(h.revision()), func(answer []byte) {
 		h.fetching = false
 		if answer != nil {
 			var delta api.TableDelta
@@ -107,12 +103,45 @@
 	})
 }
 
+// tablePeer draws one of the nearest peers with a newer revision, by the rule of
+// the real shell.
+func (h *hollow) tablePeer() (api.Node, bool) {
+	var nearest []api.Node
+	best := -1
+	for _, node := range h.view {
+		if node.ID == h.self.ID || node.TableRevision <= max(h.revision(), 0) {
+			continue
+		}
+		nearness := nearnessOf(node.Location, h.self.Location)
+		if nearness > best {
+			nearest, best = nearest[:0], nearness
+		}
+		if nearness == best {
+			nearest = append(nearest, node)
+		}
+	}
+	if len(nearest) == 0 {
+		return api.Node{}, false
+	}
+	return nearest[h.random.IntN(len(nearest))], true
+}
+
+func nearnessOf(a, b api.Location) int {
+	switch {
+	case a == b:
+		return 2
+	case a.Region == b.Region:
+		return 1
+	}
+	return 0
+}
+
 func serveTable(after int64) func(*hollow, []byte) []byte {
 	return func(target *hollow, _ []byte) []byte {
-		delta := api.TableDelta{Revision: -1}
+		var delta api.TableDelta
 		if snapshot := target.replica.Current(); snapshot != nil {
 			target.cost.timed(PartTable, func() {
-				delta = api.TableDelta{Revision: snapshot.Revision(), Rows: snapshot.After(after)}
+				delta = snapshot.Delta(after)
 			})
 		}
 		return target.encode(delta)
@@ -135,4 +164,5 @@
 	if h.admission != nil {
 		h.takeRows()
 	}
+	h.reportSelf()
 }
--- a/internal/scale/viewwatch.go
+++ b/internal/scale/viewwatch.go
@@ -35,7 +35,9 @@
 		return
 	}
 	id := node.self.ID
-	sees := slices.ContainsFunc(node.view, func(seen api.Node) bool { return f.watch.crashed[seen.ID] })
+	sees := slices.ContainsFunc(node.view, func(seen api.Node) bool {
+		return f.watch.crashed[seen.ID] && (seen.Location == node.self.Location || len(seen.Summary.Services) > 0)
+	})
 	if f.watch.seeing[id] && !sees {
 		f.watch.cleared[id] = f.simulation.Now().Sub(f.watch.began)
 	}
@@ -43,7 +45,8 @@
 }
 
 // Detection is how long the survivors of a crash still held a crashed node in
-// their view.
+// their view: one of their zone as live, one of another zone with services that
+// it offers.
 type Detection struct {
 	Observers   int           `json:"observers"` // survivors that held one
 	Median      time.Duration `json:"median"`
