--- a/replication/actions.go
+++ b/replication/actions.go
@@ -41,7 +41,9 @@
 	Err    error     // the command is not in the log and never will be
 }
 
-// RoleChanged tells that leadership changed here or elsewhere.
+// RoleChanged tells that leadership changed here or elsewhere. Once it no longer
+// leads, the shell answers what it proposed and has not seen applied: the
+// outcome is unknown, as a later leader may still commit it.
 type RoleChanged struct {
 	Leading bool
 	Term    uint64
--- a/replication/durability.go
+++ b/replication/durability.go
@@ -4,10 +4,12 @@
 // acknowledged; index and term alone would not do, as the same entry can be
 // written, overwritten and written again while the first sync still runs.
 type durability struct {
-	issued  uint64 // sequence of the last Persist
-	synced  uint64 // sequence up to which Persists are on disk
-	index   uint64 // last entry of the present log on disk
-	waiting []write
+	issued      uint64 // sequence of the last Persist
+	synced      uint64 // sequence up to which Persists are on disk
+	index       uint64 // last entry of the present log on disk
+	waiting     []write
+	checked     uint64 // synced at the last call of stalled
+	lastChecked uint64 // issued then
 }
 
 // write is a Persist of entries that is not yet known to be on disk.
@@ -45,6 +47,13 @@
 	return sequence
 }
 
+// stalled tells whether entries wait and nothing was synced since the last call.
+func (d *durability) stalled() bool {
+	still := d.synced == d.checked && len(d.waiting) > 0 && d.waiting[0].sequence <= d.lastChecked
+	d.checked, d.lastChecked = d.synced, d.issued
+	return still
+}
+
 // complete takes the shell's answer and tells whether more of the log is on disk.
 func (d *durability) complete(sequence uint64) bool {
 	if sequence > d.issued || sequence <= d.synced {
--- a/replication/election.go
+++ b/replication/election.go
@@ -180,8 +180,10 @@
 
 // tickLeader sends heartbeats and gives up a leadership that no quorum answers.
 func (m *Machine) tickLeader() {
-	if !m.now.Before(m.quorumDue) && !m.checkQuorum() {
-		m.becomeFollower(m.state.Term, "")
+	if !m.now.Before(m.quorumDue) {
+		m.checkLeadership()
+	}
+	if m.role != RoleLeader {
 		return
 	}
 	m.tickTransfer()
@@ -194,8 +196,28 @@
 	m.heartbeat()
 }
 
-func (m *Machine) checkQuorum() bool {
+// checkLeadership gives way when no quorum was heard for an election timeout or
+// the own disk stood still so long: nothing would be applied here.
+func (m *Machine) checkLeadership() {
 	m.quorumDue = m.now.Add(m.settings.ElectionTimeout)
+	switch {
+	case !m.quorumHeard():
+		m.becomeFollower(m.state.Term, "")
+	case m.disk.stalled():
+		m.stepAside()
+	}
+}
+
+// stepAside gives up leading and lets the best successor begin at once.
+func (m *Machine) stepAside() {
+	if successor := m.bestSuccessor(); successor != "" {
+		m.sendAppend(successor, m.peers[successor], true)
+		m.send(WireMessage{Type: MessageTimeoutNow, To: successor})
+		m.becomeFollower(m.state.Term, "")
+	}
+}
+
+func (m *Machine) quorumHeard() bool {
 	heard := majority(m.members.current().Voters, func(id ReplicaID) bool {
 		return id == m.settings.Self || m.peers[id].active
 	})
--- a/replication/members.go
+++ b/replication/members.go
@@ -194,9 +194,5 @@
 	if m.role != RoleLeader || !removed {
 		return
 	}
-	if successor := m.bestSuccessor(); successor != "" {
-		m.sendAppend(successor, m.peers[successor], true)
-		m.send(WireMessage{Type: MessageTimeoutNow, To: successor})
-	}
-	m.becomeFollower(m.state.Term, "")
+	m.stepAside()
 }
--- a/replication/progress.go
+++ b/replication/progress.go
@@ -69,7 +69,7 @@
 			p.replicate(verified + 1)
 		}
 	case ProgressSnapshot:
-		if p.match >= p.snapshot {
+		if grew { // by this snapshot or an older one; what lacks is sent from here
 			p.replicate(p.match + 1)
 		}
 	default:
--- a/replication/quorum.go
+++ b/replication/quorum.go
@@ -2,6 +2,9 @@
 
 import "slices"
 
+// usualVoters is how many are counted without an allocation.
+const usualVoters = 7
+
 // quorumOf is the smallest majority of voters.
 func quorumOf(voters int) int { return voters/2 + 1 }
 
@@ -10,7 +13,8 @@
 	if len(voters) == 0 {
 		return 0
 	}
-	values := make([]uint64, 0, len(voters))
+	var buffer [usualVoters]uint64
+	values := buffer[:0]
 	for _, voter := range voters {
 		values = append(values, value(voter))
 	}
--- a/replication/replication.go
+++ b/replication/replication.go
@@ -108,10 +108,10 @@
 	ElectionTimeout time.Duration // shortest wait; up to twice that is drawn
 	Random          *rand.Rand
 
-	MaxAppendBytes      int    // of one append; one entry may be larger; 0: DefaultMaxAppendBytes
-	MaxInflight         int    // appends to one replica not yet on its disk; 0: DefaultMaxInflight
-	MaxUncommittedBytes int    // of proposals that wait for a quorum; 0: DefaultMaxUncommittedBytes
-	TrailingEntries     uint64 // kept in memory before a snapshot, for replicas that lag a little
+	MaxAppendBytes      int // of one append; one entry may be larger; 0: DefaultMaxAppendBytes
+	MaxInflight         int // appends to one replica not yet on its disk; 0: DefaultMaxInflight
+	MaxUncommittedBytes int // of proposals that wait for a quorum; 0: DefaultMaxUncommittedBytes
+	TrailingEntries     int // kept in memory before a snapshot, for replicas that lag a little; 0: DefaultTrailingEntries
 }
 
 // Defaults of Settings.
@@ -119,12 +119,14 @@
 	DefaultMaxAppendBytes      = 256 << 10
 	DefaultMaxInflight         = 16
 	DefaultMaxUncommittedBytes = 64 << 20
+	DefaultTrailingEntries     = 1024
 )
 
 func (s Settings) withDefaults() Settings {
 	s.MaxAppendBytes = cmp.Or(s.MaxAppendBytes, DefaultMaxAppendBytes)
 	s.MaxInflight = cmp.Or(s.MaxInflight, DefaultMaxInflight)
 	s.MaxUncommittedBytes = cmp.Or(s.MaxUncommittedBytes, DefaultMaxUncommittedBytes)
+	s.TrailingEntries = cmp.Or(s.TrailingEntries, DefaultTrailingEntries)
 	return s
 }
 
--- a/replication/snapshot.go
+++ b/replication/snapshot.go
@@ -15,9 +15,7 @@
 	snapshot.Members = m.members.at(snapshot.Index)
 	m.snapshot = snapshot
 	m.emit(Persist{Sequence: m.disk.next(), Snapshot: &snapshot})
-	if snapshot.Index > m.settings.TrailingEntries {
-		m.trim(snapshot.Index - m.settings.TrailingEntries)
-	}
+	m.trim(snapshot.Index - min(snapshot.Index, uint64(m.settings.TrailingEntries)))
 }
 
 func (m *Machine) trim(index uint64) {
@@ -33,7 +31,7 @@
 	snapshot := m.snapshot
 	peer.state, peer.snapshot, peer.inflight = ProgressSnapshot, snapshot.Index, nil
 	peer.resendDue = m.now.Add(m.settings.ElectionTimeout)
-	m.send(WireMessage{Type: MessageSnapshot, To: id, Snapshot: &snapshot, Commit: m.committed, Round: m.confirmRound})
+	m.send(WireMessage{Type: MessageSnapshot, To: id, Snapshot: &snapshot, Round: m.confirmRound})
 }
 
 // retrySnapshot sends again to a replica that is alive and has not answered.
@@ -56,8 +54,8 @@
 		m.answerAppend()
 		return
 	}
-	if m.fetching != nil && m.fetching.from == w.From && m.fetching.snapshot.Index == snapshot.Index {
-		return
+	if m.fetching != nil && m.fetching.from == w.From {
+		return // a newer one must not break off a long fetch again and again
 	}
 	m.fetching = &fetch{snapshot: snapshot, from: w.From}
 	m.emit(FetchSnapshot{From: w.From, Snapshot: snapshot})
