--- a/replication/machine_test.go
+++ b/replication/machine_test.go
@@ -100,7 +100,7 @@
 				if action.Message.Type == MessageAppendAnswer && !action.Message.Granted {
 					refusals++
 				}
-				carry(action.Message.To, machines[action.Message.To].Step(sim.Epoch.Add(time.Second), Received{Message: action.Message}))
+				carry(action.Message.To, machines[action.Message.To].Step(sim.Epoch.Add(time.Second), Received(action)))
 			}
 		}
 	}
