Suspend batch for late online requests; know prefix caches; expect first tokens

Change: routing keeps a bounded prefix index from late, gappy events and from what was sent; online requests go where the first token is expected soonest; batch is suspended (cancelled, then resumed by request id at the same engine, whose cache still holds it) at a worker where an online request would be among the latest five in a hundred; reserve 5% of slots. Requests that may not be repeated are never cancelled.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -20,12 +20,16 @@
 	RetryAfter time.Duration
 	// Reserve is the share of a worker's slots that batch leaves free, 0 to 1.
 	Reserve float64
+	// Prefix bounds what is known of workers' prefix caches; zero is
+	// routing.DefaultPrefixSettings.
+	Prefix routing.PrefixSettings
 	// Filling says how batch takes idle room; zero is DefaultFilling.
 	Filling Filling
 }
 
-// DefaultReserve leaves an eighth of each worker for the start of a burst.
-const DefaultReserve = 0.125
+// DefaultReserve leaves a twentieth of each worker for the start of a burst;
+// more costs batch and helps online little (docs/design/admission.md).
+const DefaultReserve = 0.05
 
 // Message is what a Machine is stepped with.
 type Message interface{ admissionMessage() }
@@ -57,6 +61,12 @@
 // one for the same request is ignored.
 type Finished struct{ Request api.RequestID }
 
+// CacheEvents are a worker's prefix cache events, in order.
+type CacheEvents struct {
+	Worker api.WorkerID
+	Events []routing.CacheEvent
+}
+
 // Unreachable says that a worker could not be connected to. It gets no
 // new request for Filling.Quarantine.
 type Unreachable struct{ Worker api.WorkerID }
@@ -68,6 +78,7 @@
 func (FirstToken) admissionMessage()  {}
 func (Finished) admissionMessage()    {}
 func (Unreachable) admissionMessage() {}
+func (CacheEvents) admissionMessage() {}
 
 // Action is what a Machine asks for.
 type Action interface{ admissionAction() }
@@ -86,16 +97,27 @@
 	Failure *api.Error
 }
 
-// Preempt cancels a batch request in flight to make room. Its slot is free at
-// once; a Finished that follows is ignored.
+// Preempt ends a batch request in flight or suspended, to be run again
+// elsewhere. Its slot is free at once; a Finished that follows is ignored.
 type Preempt struct {
 	Request api.RequestID
 	Worker  api.WorkerID
 }
 
+// Suspend cancels a batch request at its engine, which remembers how far it
+// has come. A Resume or a Preempt of the request follows.
+type Suspend struct {
+	Request api.RequestID
+	Worker  api.WorkerID
+}
+
+// Resume sends a suspended request to its engine again, to go on where it was.
+type Resume struct{ Dispatch }
+
 func (Dispatch) admissionAction() {}
 func (Refuse) admissionAction()   {}
 func (Preempt) admissionAction()  {}
+func (Suspend) admissionAction()  {}
 
 // flight is a request between its Dispatch and its end.
 type flight struct {
@@ -104,7 +126,11 @@
 	row        *rowState // the row at admission
 	class      api.Class
 	dispatched time.Time
-	starting   bool // no first token yet
+	priority   int
+	repeatable bool
+	suspended  time.Time // zero while it runs
+	starting   bool      // no first token yet
+	blocks     int       // of prompt to compute, by what was thought cached
 }
 
 // Machine is the admission state machine of one home router.
@@ -115,6 +141,8 @@
 	flights  map[api.RequestID]*flight
 	online   routing.Chooser
 	batch    routing.Chooser
+	prefix   *routing.PrefixIndex
+	tail     tailEstimate
 	roomy    []routing.Endpoint // reused: endpoints with idle room
 }
 
@@ -123,13 +151,16 @@
 	if settings.Filling == (Filling{}) {
 		settings.Filling = DefaultFilling()
 	}
+	if settings.Prefix == (routing.PrefixSettings{}) {
+		settings.Prefix = routing.DefaultPrefixSettings()
+	}
 	return &Machine{
-		settings: settings,
-		workers:  map[api.WorkerID]*workerState{},
-		rows:     map[api.RowKey]*rowState{},
-		flights:  map[api.RequestID]*flight{},
-		online:   routing.Chooser{Profile: settings.Online},
-		batch:    routing.Chooser{Profile: settings.Batch},
+		settings: settings, prefix: routing.NewPrefixIndex(settings.Prefix),
+		workers: map[api.WorkerID]*workerState{},
+		rows:    map[api.RowKey]*rowState{},
+		flights: map[api.RequestID]*flight{},
+		online:  routing.Chooser{Profile: settings.Online},
+		batch:   routing.Chooser{Profile: settings.Batch},
 	}
 }
 
@@ -137,19 +168,23 @@
 func (m *Machine) Step(now time.Time, message Message) []Action {
 	switch message := message.(type) {
 	case Workers:
-		m.setWorkers(message.Workers)
+		return m.setWorkers(message.Workers)
 	case Rows:
 		m.setRows(message.Rows)
 	case Load:
-		m.report(message)
+		return m.report(now, message)
 	case Arrive:
 		return m.arrive(now, message.Request)
 	case FirstToken:
-		m.firstToken(now, message.Request)
+		return m.firstToken(message.Request)
 	case Finished:
-		m.finish(message.Request)
+		return m.finished(message.Request)
+	case CacheEvents:
+		if m.Homes(message.Worker) {
+			m.prefix.Apply(now, message.Worker, message.Events)
+		}
 	case Unreachable:
-		m.quarantine(now, message.Worker)
+		return m.quarantine(now, message.Worker)
 	}
 	return nil
 }
@@ -175,7 +210,7 @@
 // arriveOnline sends at once where a worker is left. Batch is preempted in
 // the same step, before the online request can wait for it.
 func (m *Machine) arriveOnline(now time.Time, request routing.Request, row *rowState) []Action {
-	endpoint, ok := m.online.Choose(request, row.reachable(now))
+	endpoint, ok := m.online.Choose(request, m.candidates(now, request, row))
 	if m.settings.Filling.Fault == FaultDelayOnline && row.batchUse > 0 {
 		ok = false
 	}
@@ -183,14 +218,17 @@
 		return m.refuse(request, api.CodeNoCapacity, m.settings.RetryAfter, "no worker for row %s", row.key)
 	}
 	worker := m.workers[api.WorkerID(endpoint.Name)]
+	ahead := worker.pending
 	dispatch := m.dispatch(now, request, row, worker)
-	return append(m.preempt(now, worker), dispatch)
+	late := m.tail.late(ahead+m.flights[request.ID].blocks, m.settings.Filling.SuspendQuantile)
+	return append(m.yield(now, worker, late), dispatch)
 }
 
 func (m *Machine) arriveBatch(now time.Time, request routing.Request, row *rowState) []Action {
 	if row.batchUse >= row.row.BatchAllowance && m.settings.Filling.Fault != FaultIgnoreAllowance {
 		return m.refuse(request, api.CodeNoCapacity, m.settings.RetryAfter, "batch allowance %d of row %s is in use", row.row.BatchAllowance, row.key)
 	}
+	m.prefix.Match(now, request.Prefix)
 	endpoint, ok := m.batch.Choose(request, m.endpointsWithRoom(now, row))
 	if !ok {
 		return m.refuse(request, api.CodeNoCapacity, m.settings.RetryAfter, "no idle room for row %s", row.key)
@@ -200,33 +238,43 @@
 
 func (m *Machine) dispatch(now time.Time, request routing.Request, row *rowState, worker *workerState) Action {
 	flight := &flight{
-		request: request.ID, worker: worker, row: row, class: request.Class,
-		dispatched: now, starting: true,
+		request: request.ID, worker: worker, row: row, class: request.Class, repeatable: request.Repeatable,
+		priority:   m.settings.Filling.priority(request.Class, row.row.Priority),
+		dispatched: now, starting: true, blocks: m.uncached(request, worker),
 	}
+	m.prefix.Sent(now, worker.worker.ID, request.Prefix)
 	m.flights[request.ID] = flight
 	row.inUse++
-	worker.add(flight, m.settings.Filling)
-	return Dispatch{
-		Request: request.ID, Worker: worker.worker.ID, Address: worker.worker.Address,
-		Priority: m.settings.Filling.priority(request.Class, row.row.Priority),
-	}
+	worker.add(flight)
+	return flight.dispatch()
+}
+
+func (f *flight) dispatch() Dispatch {
+	return Dispatch{Request: f.request, Worker: f.worker.worker.ID, Address: f.worker.worker.Address, Priority: f.priority}
 }
 
-func (m *Machine) firstToken(now time.Time, request api.RequestID) {
+func (m *Machine) firstToken(request api.RequestID) []Action {
 	flight, ok := m.flights[request]
 	if !ok || !flight.starting {
-		return
+		return nil
 	}
 	flight.starting = false
-	flight.worker.started(now, flight)
+	flight.worker.started(flight)
+	return m.resume(flight.worker)
 }
 
-func (m *Machine) finish(request api.RequestID) {
+func (m *Machine) finished(request api.RequestID) []Action {
 	flight, ok := m.flights[request]
 	if !ok {
-		return
+		return nil
 	}
-	delete(m.flights, request)
+	m.finish(flight)
+	return m.resume(flight.worker)
+}
+
+// finish takes a request out of all accounts.
+func (m *Machine) finish(flight *flight) {
+	delete(m.flights, flight.request)
 	flight.row.inUse--
 	if m.settings.Filling.Fault != FaultLeakSlot || flight.class == api.ClassOnline {
 		flight.worker.drop(flight)
--- a/admission/room.go
+++ b/admission/room.go
@@ -22,6 +22,13 @@
 	StartQuiet bool
 	// Quarantine is how long a worker that could not be reached gets nothing.
 	Quarantine time.Duration
+	// SuspendQuantile bounds the online requests for which batch is suspended:
+	// those whose first token is expected later than that of this share of
+	// them, 0 to 1. 1 or more suspends for none.
+	SuspendQuantile float64
+	// SuspendLimit is how long a batch request stays suspended before it is
+	// given back, to run elsewhere.
+	SuspendLimit time.Duration
 	// Fault is planted by tests; none otherwise.
 	Fault Fault
 }
@@ -37,6 +44,8 @@
 	FaultInvertPriority        // batch goes first at the engine
 	FaultNoPreemption          // online does not push batch out of the slots
 	FaultDelayOnline           // online is refused while batch fills the slots
+	FaultForgetSuspended       // a suspended request is never sent again
+	FaultCancelOnce            // requests that may not be repeated are cancelled too
 )
 
 // DefaultFilling is what a router does.
@@ -44,16 +53,22 @@
 	return Filling{
 		Preempt: true, LowerPriority: true,
 		StartInterval: defaultStartInterval, StartQuiet: true, Quarantine: defaultQuarantine,
+		SuspendQuantile: defaultSuspendQuantile, SuspendLimit: defaultSuspendLimit,
 	}
 }
 
 // FillFreeSlots treats batch like online wherever a slot is free; it is there
 // to compare with.
-func FillFreeSlots() Filling { return Filling{Quarantine: defaultQuarantine} }
+func FillFreeSlots() Filling {
+	return Filling{Quarantine: defaultQuarantine, SuspendQuantile: 1}
+}
 
 const (
 	defaultStartInterval = 20 * time.Millisecond
 	defaultQuarantine    = time.Second
+
+	defaultSuspendQuantile = 0.95
+	defaultSuspendLimit    = 2 * time.Second
 )
 
 // priority is the engine's priority of a request: batch has 0, online more.
@@ -74,7 +89,7 @@
 	if state.worker.Leaving || state.leaving || now.Before(state.quarantined) {
 		return 0
 	}
-	free := int(float64(state.worker.Slots)*(1-m.settings.Reserve)) - state.online - len(state.batch)
+	free := int(float64(state.worker.Slots)*(1-m.settings.Reserve)) - state.online - len(state.batch) - len(state.suspended)
 	if free <= 0 {
 		return 0
 	}
@@ -112,19 +127,3 @@
 	}
 	return m.roomy
 }
-
-// preempt cancels the youngest batch requests of the worker until its load is
-// within its slots again: they have lost the least.
-func (m *Machine) preempt(_ time.Time, worker *workerState) []Action {
-	if !m.settings.Filling.Preempt || m.settings.Filling.Fault == FaultNoPreemption {
-		return nil
-	}
-	excess := min(worker.online+len(worker.batch)-worker.worker.Slots, len(worker.batch))
-	var actions []Action
-	for range max(excess, 0) {
-		youngest := worker.batch[len(worker.batch)-1]
-		m.finish(youngest.request)
-		actions = append(actions, Preempt{Request: youngest.request, Worker: worker.worker.ID})
-	}
-	return actions
-}
--- a/admission/worker.go
+++ b/admission/worker.go
@@ -31,10 +31,11 @@
 	index       int // in row.workers; only while listed
 	online      int
 	starting    int       // online requests without a first token
-	batch       []*flight // oldest first
+	pending     int       // blocks of prompt that they have to compute
+	batch       []*flight // in the engine, oldest first
+	suspended   []*flight // oldest first
 	quarantined time.Time // no new request before
 	lastBatch   time.Time // when a batch request was last sent
-	quietSince  time.Time // when the last online request got its first token
 }
 
 func (m *Machine) setRows(rows map[api.RowKey]api.Row) {
@@ -61,7 +62,7 @@
 	return state
 }
 
-func (m *Machine) setWorkers(workers []api.Worker) {
+func (m *Machine) setWorkers(workers []api.Worker) []Action {
 	for _, state := range m.workers {
 		state.listed = false
 	}
@@ -72,11 +73,20 @@
 	for _, worker := range sorted {
 		m.list(worker)
 	}
-	for id, state := range m.workers {
-		if !state.listed && state.idle() {
-			delete(m.workers, id)
+	var gone []*workerState
+	for _, state := range m.workers {
+		if !state.listed {
+			gone = append(gone, state)
 		}
 	}
+	slices.SortFunc(gone, func(a, b *workerState) int { return cmp.Compare(a.worker.ID, b.worker.ID) })
+	var actions []Action
+	for _, state := range gone {
+		m.prefix.Forget(state.worker.ID)
+		actions = append(actions, m.giveUp(state, state.suspended)...)
+		m.forget(state)
+	}
+	return actions
 }
 
 func (m *Machine) list(worker api.Worker) {
@@ -105,11 +115,14 @@
 		return
 	}
 	endpoint := &s.row.endpoints[s.index]
-	endpoint.Online, endpoint.Batch, endpoint.Starting = s.online, len(s.batch), s.starting
+	endpoint.Online, endpoint.Batch = s.online, len(s.batch)
+	endpoint.Starting, endpoint.Pending = s.starting, s.pending
 	endpoint.Leaving = s.worker.Leaving || s.leaving
 }
 
-func (s *workerState) idle() bool { return s.online == 0 && len(s.batch) == 0 }
+func (s *workerState) idle() bool {
+	return s.online == 0 && len(s.batch) == 0 && len(s.suspended) == 0
+}
 
 func (m *Machine) forget(state *workerState) {
 	if !state.listed && state.idle() {
@@ -117,35 +130,71 @@
 	}
 }
 
-func (m *Machine) report(load Load) {
-	if state, ok := m.workers[load.Worker]; ok {
-		state.leaving = load.Leaving
-		state.refresh()
+func (m *Machine) report(now time.Time, load Load) []Action {
+	state, ok := m.workers[load.Worker]
+	if !ok {
+		return nil
 	}
+	state.leaving = load.Leaving
+	state.refresh()
+	return append(m.giveUp(state, m.overdue(now, state)), m.resume(state)...)
 }
 
-func (m *Machine) quarantine(now time.Time, worker api.WorkerID) {
-	if state, ok := m.workers[worker]; ok {
-		state.quarantined = now.Add(m.settings.Filling.Quarantine)
+func (m *Machine) quarantine(now time.Time, worker api.WorkerID) []Action {
+	state, ok := m.workers[worker]
+	if !ok {
+		return nil
 	}
+	state.quarantined = now.Add(m.settings.Filling.Quarantine)
+	return m.giveUp(state, state.suspended)
 }
 
-// reachable gives the endpoints that are not quarantined. When all are, it
-// gives all: a try is better than a refusal.
-func (r *rowState) reachable(now time.Time) []routing.Endpoint {
-	r.present = r.present[:0]
-	for i, worker := range r.workers {
+// candidates gives the row's endpoints as the online request sees them,
+// without those that are quarantined; but when all are, it gives all: a try is
+// better than a refusal.
+func (m *Machine) candidates(now time.Time, request routing.Request, row *rowState) []routing.Endpoint {
+	m.prefix.Match(now, request.Prefix)
+	row.present = row.present[:0]
+	for i, worker := range row.workers {
 		if !now.Before(worker.quarantined) {
-			r.present = append(r.present, r.endpoints[i])
+			row.present = append(row.present, m.endpoint(now, row, i))
 		}
 	}
-	if len(r.present) == 0 || len(r.present) == len(r.endpoints) {
-		return r.endpoints
+	if len(row.present) > 0 {
+		return row.present
+	}
+	for i := range row.workers {
+		row.present = append(row.present, m.endpoint(now, row, i))
+	}
+	return row.present
+}
+
+func (m *Machine) endpoint(now time.Time, row *rowState, index int) routing.Endpoint {
+	endpoint := row.endpoints[index]
+	endpoint.Cached = m.prefix.Cached(row.workers[index].worker.ID)
+	endpoint.BatchStarting = row.workers[index].batchStarting(now)
+	return endpoint
+}
+
+// uncached is how many blocks of the request's prompt the worker has to
+// compute, by the last match.
+func (m *Machine) uncached(request routing.Request, worker *workerState) int {
+	return max(len(request.Prefix)-m.prefix.Cached(worker.worker.ID), 0)
+}
+
+// batchStartTime is how long a batch request counts as starting: its first
+// token is not seen, as its answer is not streamed.
+const batchStartTime = 50 * time.Millisecond
+
+func (s *workerState) batchStarting(now time.Time) int {
+	starting := 0
+	for i := len(s.batch) - 1; i >= 0 && now.Sub(s.batch[i].dispatched) < batchStartTime; i-- {
+		starting++
 	}
-	return r.present
+	return starting
 }
 
-func (s *workerState) add(flight *flight, filling Filling) {
+func (s *workerState) add(flight *flight) {
 	if flight.class == api.ClassBatch {
 		flight.row.batchUse++
 		s.batch = append(s.batch, flight)
@@ -153,14 +202,15 @@
 	} else {
 		s.online++
 		s.starting++
+		s.pending += flight.blocks
 	}
 	s.refresh()
 }
 
-func (s *workerState) started(now time.Time, flight *flight) {
+func (s *workerState) started(flight *flight) {
 	if flight.class == api.ClassOnline {
 		s.starting--
-		s.quietSince = now
+		s.pending -= flight.blocks
 	}
 	s.refresh()
 }
@@ -168,17 +218,25 @@
 func (s *workerState) drop(flight *flight) {
 	if flight.class == api.ClassBatch {
 		flight.row.batchUse--
-		at := slices.Index(s.batch, flight)
-		s.batch = slices.Delete(s.batch, at, at+1)
+		s.batch = without(s.batch, flight)
+		s.suspended = without(s.suspended, flight)
 	} else {
 		s.online--
 		if flight.starting {
 			s.starting--
+			s.pending -= flight.blocks
 		}
 	}
 	s.refresh()
 }
 
+func without(flights []*flight, dropped *flight) []*flight {
+	if at := slices.Index(flights, dropped); at >= 0 {
+		return slices.Delete(flights, at, at+1)
+	}
+	return flights
+}
+
 // Summaries reports each row's load at this home, sorted by row.
 func (m *Machine) Summaries() []api.ServiceSummary {
 	byKey := map[api.RowKey]*api.ServiceSummary{}
@@ -189,7 +247,7 @@
 			byKey[state.row.key] = summary
 		}
 		summary.Online += state.online
-		summary.Batch += len(state.batch)
+		summary.Batch += len(state.batch) + len(state.suspended)
 		if state.listed && !state.worker.Leaving && !state.leaving {
 			summary.Workers++
 			summary.Slots += state.worker.Slots
@@ -210,3 +268,6 @@
 	state, ok := m.workers[worker]
 	return ok && state.listed
 }
+
+// CacheSequence is the number of the last cache event taken from the worker.
+func (m *Machine) CacheSequence(worker api.WorkerID) uint64 { return m.prefix.Sequence(worker) }
--- a/config/config.go
+++ b/config/config.go
@@ -107,7 +107,7 @@
 			DefaultDeadline: 2 * time.Minute, MaximumBodyBytes: 8 << 20, MaximumFileBytes: 1 << 30,
 		},
 		Router: Router{
-			BatchReserve: 0.125, ClaimWait: 2 * time.Second,
+			BatchReserve: 0.05, ClaimWait: 2 * time.Second,
 			LoadInterval: 250 * time.Millisecond, EngineTimeout: 10 * time.Minute,
 		},
 		Store: Store{
--- a/internal/experiment/measure.go
+++ b/internal/experiment/measure.go
@@ -34,6 +34,7 @@
 	itemsASec  []int                   // done in each second of the run
 	offeredAll int
 	preempts   int
+	suspends   int
 }
 
 func newMeasure(scenario Scenario) *measure {
@@ -102,6 +103,12 @@
 	}
 }
 
+func (m *measure) suspended(now time.Time) {
+	if m.counts(now) {
+		m.suspends++
+	}
+}
+
 func (m *measure) itemDone(now time.Time, item *item) {
 	m.itemsASec[int(now.Sub(sim.Epoch)/time.Second)]++
 	if m.counts(now) {
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -66,6 +66,7 @@
 	// engines took no step in the run without batch; it can pass 1.
 	UnusedShare float64 `json:"unused_share"`
 	Preempted   int     `json:"preempted"` // all services
+	Suspended   int     `json:"suspended"` // all services
 	Backlog     int     `json:"backlog"`   // items that wait at the end
 }
 
@@ -91,7 +92,7 @@
 
 func batchResult(run *fleet, service Service, capacity capacity) BatchResult {
 	name := run.strategy.batchService(service.Name)
-	result := BatchResult{Items: run.measure.items[name], IdleItems: capacity.idleItems, Preempted: run.measure.preempts}
+	result := BatchResult{Items: run.measure.items[name], IdleItems: capacity.idleItems, Preempted: run.measure.preempts, Suspended: run.measure.suspends}
 	result.ItemsPerSecond = float64(result.Items) / run.measure.window().Seconds()
 	result.IdleShare = ratio(result.ItemsPerSecond, capacity.idleItems)
 	result.UnusedShare = ratio(result.ItemsPerSecond, capacity.unusedItems)
@@ -138,14 +139,14 @@
 func (r *Report) WriteTable(w io.Writer) error {
 	_, _ = fmt.Fprintf(w, "%s, seed %d, %v of which %v warmup; latencies in ms, (x) over no batch\n", r.Scenario, r.Seed, r.Duration, r.Warmup)
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	_, _ = fmt.Fprintln(table, "service\tstrategy\trequests\tfailed\tfirst p50\tp99\tp99.9\tbetween p50\tp99\tp99.9\titems/s\tidle filled\tpreempted\tbacklog\t")
+	_, _ = fmt.Fprintln(table, "service\tstrategy\trequests\tfailed\tfirst p50\tp99\tp99.9\tbetween p50\tp99\tp99.9\titems/s\tidle filled\tpreempted\tsuspended\tbacklog\t")
 	for _, result := range r.Results {
 		first, between, batch := result.FirstToken, result.BetweenTokens, result.Batch
-		_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%.1f (%.2f)\t%.1f (%.3f)\t%.1f (%.2f)\t%.1f (%.2f)\t%.1f (%.2f)\t%.1f (%.2f)\t%.1f\t%.1f%%\t%d\t%d\t\n",
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%.1f (%.2f)\t%.1f (%.3f)\t%.1f (%.2f)\t%.1f (%.2f)\t%.1f (%.2f)\t%.1f (%.2f)\t%.1f\t%.1f%%\t%d\t%d\t%d\t\n",
 			result.Service, result.Strategy, result.Requests, result.Failed,
 			first.P50, first.RatioP50, first.P99, first.RatioP99, first.P999, first.RatioP999,
 			between.P50, between.RatioP50, between.P99, between.RatioP99, between.P999, between.RatioP999,
-			batch.ItemsPerSecond, percent*batch.IdleShare, batch.Preempted, batch.Backlog)
+			batch.ItemsPerSecond, percent*batch.IdleShare, batch.Preempted, batch.Suspended, batch.Backlog)
 	}
 	if err := table.Flush(); err != nil {
 		return fmt.Errorf("write report: %w", err)
--- a/internal/standin/engine/model/cache.go
+++ b/internal/standin/engine/model/cache.go
@@ -114,6 +114,16 @@
 	}
 }
 
+// keep caches blocks that were private and have been computed.
+func (c *cache) keep(hashes []uint64) {
+	for _, hash := range hashes {
+		if _, ok := c.blocks[hash]; !ok {
+			c.blocks[hash] = c.recent.PushFront(&block{hash: hash, valid: true})
+		}
+	}
+	c.evict()
+}
+
 func (c *cache) evict() {
 	element := c.recent.Back()
 	for element != nil && len(c.blocks)+c.private > c.capacity {
@@ -152,6 +162,9 @@
 // CacheEvents gives the events after a sequence number that are old enough to
 // be published at the time.
 func (e *Engine) CacheEvents(now time.Time, after uint64) []CacheEvent {
+	if after > e.cache.sequence {
+		after = 0 // the reader knew an earlier life of this engine
+	}
 	published := now.Add(-e.cache.delay)
 	var events []CacheEvent
 	for _, event := range e.cache.events {
--- a/internal/standin/engine/model/execution.go
+++ b/internal/standin/engine/model/execution.go
@@ -57,6 +57,16 @@
 	x.ended = append(x.ended, endedID{id: id, at: now})
 }
 
+// resume tells how far executions of the id have come, and whether one of them
+// has been counted as started.
+func (x *executions) resume(id string) (int, bool) {
+	record, ok := x.byID[id]
+	if !ok {
+		return 0, false
+	}
+	return record.produced, record.started > 0
+}
+
 func (x *executions) prune(now time.Time) {
 	for len(x.ended) > 0 && now.Sub(x.ended[0].at) > x.retention {
 		id := x.ended[0].id
--- a/internal/standin/engine/model/model.go
+++ b/internal/standin/engine/model/model.go
@@ -24,6 +24,9 @@
 	Blocks       []uint64
 	PromptTokens int
 	OutputTokens int
+	// Resume goes on after the output tokens that a cancelled execution of the
+	// same id has made, while the engine remembers it.
+	Resume bool
 }
 
 // Message is what an Engine is stepped with.
@@ -156,6 +159,10 @@
 	}
 	e.arrivals++
 	sequence := &sequence{request: request, arrival: e.arrivals}
+	if request.Resume {
+		sequence.produced, sequence.counted = e.executions.resume(request.ID)
+		sequence.produced = min(sequence.produced, request.OutputTokens-1)
+	}
 	e.byHandle[request.Handle] = sequence
 	e.waiting = insert(e.waiting, sequence)
 	e.executions.submitted(now, request.ID)
--- a/routing/profiles.go
+++ b/routing/profiles.go
@@ -8,11 +8,11 @@
 
 // Weights of the scorers in the profiles.
 const (
-	onlineLoadWeight   = 2
-	onlinePrefixWeight = 1
-	onlineZoneWeight   = 0.25
-	homeLoadWeight     = 2
-	homeZoneWeight     = 0.25
+	firstTokenWeight = 4
+	onlineLoadWeight = 0.25
+	onlineZoneWeight = 0.05
+	homeLoadWeight   = 2
+	homeZoneWeight   = 0.25
 )
 
 // OnlineProfile is how a home chooses the worker of an online request.
@@ -21,8 +21,8 @@
 		Name:    "online",
 		Filters: []Filter{RowFilter{}, NotLeavingFilter{}, NotTriedFilter{}},
 		Scorers: []WeightedScorer{
+			{Scorer: FirstTokenScorer{}, Weight: firstTokenWeight},
 			{Scorer: LoadScorer{}, Weight: onlineLoadWeight},
-			{Scorer: PrefixScorer{}, Weight: onlinePrefixWeight},
 			{Scorer: ZoneScorer{Self: self}, Weight: onlineZoneWeight},
 		},
 		Picker: BestPicker{Random: random},
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -33,9 +33,15 @@
 	Batch    int
 	Starting int // online requests that have no first token yet, of Online
 	Leaving  bool
-	// CachedBlocks tells how many of the leading hashes are thought to be in
-	// the endpoint's prefix cache; nil when not known.
-	CachedBlocks func(prefix []uint64) int
+	// Cached is how many leading blocks of the request's prompt are thought to
+	// be in the endpoint's prefix cache.
+	Cached int
+	// Pending is how many blocks of prompt online requests there have yet to
+	// be computed before their first token.
+	Pending int
+	// BatchStarting counts batch requests sent there a moment ago, whose
+	// prompts are likely being computed.
+	BatchStarting int
 }
 
 // Filter leaves out endpoints that can't take the request.
--- a/routing/scorer.go
+++ b/routing/scorer.go
@@ -51,8 +51,29 @@
 
 // Score is the share of the prompt's blocks thought to be cached.
 func (PrefixScorer) Score(request Request, endpoint Endpoint) float64 {
-	if endpoint.CachedBlocks == nil || len(request.Prefix) == 0 {
+	if len(request.Prefix) == 0 {
 		return 0
 	}
-	return float64(endpoint.CachedBlocks(request.Prefix)) / float64(len(request.Prefix))
+	return float64(endpoint.Cached) / float64(len(request.Prefix))
+}
+
+// FirstTokenScorer prefers endpoints where the first token will come soonest:
+// few blocks of prompt to compute, of this request and of those before it.
+type FirstTokenScorer struct{}
+
+const (
+	firstTokenScale     = 64.0 // blocks at which the score is a half
+	batchStartingBlocks = 12.0 // a batch prompt that is being computed
+	onlineRequestBlocks = 0.5  // an online request that makes tokens
+)
+
+// Name is the stage's name in logs.
+func (FirstTokenScorer) Name() string { return "first-token" }
+
+// Score is 1 when nothing has to be computed and falls towards 0.
+func (FirstTokenScorer) Score(request Request, endpoint Endpoint) float64 {
+	blocks := float64(endpoint.Pending + len(request.Prefix) - endpoint.Cached)
+	blocks += batchStartingBlocks * float64(endpoint.BatchStarting)
+	blocks += onlineRequestBlocks * float64(endpoint.Online)
+	return firstTokenScale / (firstTokenScale + blocks)
 }
