Suspend and resume batch items in the router

Cause: admission now suspends batch requests for late online ones; the router's shell has to cancel and send them again by request id. Change: flights of batch requests can be stopped and sent again with Dykewing-Resume; online requests are never stopped and are no longer tracked.

--- a/api/headers.go
+++ b/api/headers.go
@@ -20,6 +20,7 @@
 	HeaderWorker        = "Dykewing-Worker"
 	HeaderDeadline      = "Dykewing-Deadline-Ms" // remaining milliseconds, so that clocks need not agree
 	HeaderAttempt       = "Dykewing-Attempt"     // 1 for the first
+	HeaderResume        = "Dykewing-Resume"      // "true": to an engine that ran a part of the request before
 	HeaderHops          = "Dykewing-Hops"        // routers passed so far
 	HeaderTableRevision = "Dykewing-Table-Revision"
 )
--- a/internal/router/batchitem.go
+++ b/internal/router/batchitem.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/dykewing/dykewing/admission"
@@ -28,7 +29,7 @@
 	ctx, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
 	b.setCancel(run.Request, stop)
-	result, failure := b.attempt(ctx, stop, run)
+	result, failure := b.attempt(ctx, run)
 	b.setCancel(run.Request, nil)
 	b.tellRooms()
 	finished := jobs.ItemFinished{Request: run.Request}
@@ -79,29 +80,50 @@
 	}
 }
 
-func (b *batch) attempt(ctx context.Context, stop context.CancelCauseFunc, run jobs.RunItem) (jobs.ItemResult, *api.Error) {
+// attempt admits an item and sends it, again and again while admission
+// suspends and resumes it.
+func (b *batch) attempt(ctx context.Context, run jobs.RunItem) (jobs.ItemResult, *api.Error) {
 	item := run.Item
 	routed := routing.Request{
 		ID: run.Request, Tenant: item.Tenant, Service: item.Service, Place: item.Place,
-		Class: api.ClassBatch, Repeatable: item.Repeatable,
+		Class: api.ClassBatch, Repeatable: item.Repeatable, Prefix: engine.PromptPrefix(item.Body),
 	}
+	flight := b.router.flights.add(run.Request)
+	defer b.router.flights.remove(run.Request)
 	dispatched, failure := b.router.admit(routed)
 	if failure != nil {
 		return jobs.ItemResult{}, failure
 	}
+	defer b.router.admission.Tell(admission.Finished{Request: run.Request})
 	b.shell.Tell(jobs.ItemAdmitted{Request: run.Request})
-	header := http.Header{"Content-Type": {"application/json"}}
-	response, finish, failure := b.router.send(ctx, stop, routed, dispatched, item.Path, item.Body, header)
+	header := backendHeader(http.Header{"Content-Type": {"application/json"}}, run.Request)
+	for {
+		result, suspended, failure := b.sendOnce(ctx, flight, run, routed, dispatched, header)
+		if !suspended {
+			return b.learn(run, dispatched, result, failure)
+		}
+		resumed, ok := flight.await(ctx)
+		if !ok {
+			failure.Code = api.CodePreempted
+			return jobs.ItemResult{}, failure
+		}
+		dispatched = resumed
+		header.Set(api.HeaderResume, strconv.FormatBool(true))
+	}
+}
+
+// sendOnce sends an item; it also tells whether a suspension broke it off.
+func (b *batch) sendOnce(ctx context.Context, flight *flight, run jobs.RunItem, routed routing.Request, dispatched admission.Dispatch, header http.Header) (jobs.ItemResult, bool, *api.Error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	flight.begin(cancel)
+	response, failure := b.router.send(ctx, routed, dispatched, run.Item.Path, run.Item.Body, header)
 	if failure != nil {
-		return b.learn(run, dispatched, failure)
+		return jobs.ItemResult{}, errors.Is(context.Cause(ctx), errSuspended), failure
 	}
-	defer finish()
 	defer response.Body.Close()
 	result, failure := readResult(ctx, run, response)
-	if failure != nil {
-		return b.learn(run, dispatched, failure)
-	}
-	return result, nil
+	return result, failure != nil && errors.Is(context.Cause(ctx), errSuspended), failure
 }
 
 func readResult(ctx context.Context, run jobs.RunItem, response *http.Response) (jobs.ItemResult, *api.Error) {
@@ -132,7 +154,10 @@
 
 // learn asks the worker for the answer of a non-repeatable item whose outcome
 // was lost, by its request id: nothing is sent again.
-func (b *batch) learn(run jobs.RunItem, dispatched admission.Dispatch, failure *api.Error) (jobs.ItemResult, *api.Error) {
+func (b *batch) learn(run jobs.RunItem, dispatched admission.Dispatch, result jobs.ItemResult, failure *api.Error) (jobs.ItemResult, *api.Error) {
+	if failure == nil {
+		return result, nil
+	}
 	if run.Item.Repeatable || failure.Outcome != api.OutcomeUnknown {
 		return jobs.ItemResult{}, failure
 	}
@@ -147,9 +172,9 @@
 	if engine.IsEventStream(response.Header) {
 		return jobs.ItemResult{}, failure
 	}
-	result, second := readResult(ctx, run, response)
+	learnt, second := readResult(ctx, run, response)
 	if second != nil {
 		return jobs.ItemResult{}, failure
 	}
-	return result, nil
+	return learnt, nil
 }
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -6,6 +6,7 @@
 	admitted  *prometheus.CounterVec
 	refused   *prometheus.CounterVec
 	preempted prometheus.Counter
+	suspended prometheus.Counter
 	broken    prometheus.Counter
 	resumed   prometheus.Counter
 	items     *prometheus.CounterVec
@@ -24,6 +25,9 @@
 		preempted: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "dykewing_router_preempted_total", Help: "Batch requests cancelled for online ones.",
 		}),
+		suspended: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "dykewing_router_suspended_total", Help: "Batch requests held for online ones, to go on later.",
+		}),
 		broken: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "dykewing_router_broken_answers_total", Help: "Answers of workers that broke off or were cut.",
 		}),
@@ -37,6 +41,6 @@
 			Name: "dykewing_router_batch_messages_total", Help: "Messages to stores about batch items, by step.",
 		}, []string{"step"}),
 	}
-	registry.MustRegister(m.admitted, m.refused, m.preempted, m.broken, m.resumed, m.items, m.batchMessages)
+	registry.MustRegister(m.admitted, m.refused, m.preempted, m.suspended, m.broken, m.resumed, m.items, m.batchMessages)
 	return m
 }
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -15,8 +15,6 @@
 	"github.com/dykewing/dykewing/routing"
 )
 
-var errPreempted = errors.New("preempted by online requests")
-
 // passedHeaders go from the caller to the back end.
 var passedHeaders = []string{"Content-Type", "Accept", "Authorization", "Traceparent", api.HeaderBackendKey}
 
@@ -37,6 +35,7 @@
 		Service: api.ServiceName(request.Header.Get(api.HeaderService)),
 		Place:   api.PlaceName(request.Header.Get(api.HeaderPlace)),
 		Class:   api.ClassOnline,
+		Prefix:  engine.PromptPrefix(body),
 	}
 	if routed.ID == "" {
 		r.refuse(w, api.NewError("read request", "", api.CodeBadRequest, api.OutcomeNotRun, "header %s is missing", api.HeaderRequestID))
@@ -74,36 +73,37 @@
 	if failure != nil {
 		return nil, dispatch, nil, failure
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	response, finish, failure := r.send(ctx, cancel, routed, dispatch, path, body, header)
-	return response, dispatch, finish, failure
-}
-
-// send sends an admitted request to its worker; cancel ends ctx. On success
-// finish must be called once the answer is read.
-func (r *Router) send(ctx context.Context, cancel context.CancelCauseFunc, routed routing.Request, dispatch admission.Dispatch, path string, body []byte, header http.Header) (*http.Response, func(), *api.Error) {
-	r.track(routed.ID, cancel)
+	ctx, cancel := context.WithCancel(ctx)
 	finish := func() {
-		cancel(nil)
-		r.untrack(routed.ID)
+		cancel()
+		r.admission.Tell(admission.Finished{Request: routed.ID})
+	}
+	response, failure := r.send(ctx, routed, dispatch, path, body, backendHeader(header, routed.ID))
+	if failure != nil {
+		finish()
+		return nil, dispatch, nil, failure
 	}
+	return response, dispatch, finish, nil
+}
+
+// send sends an admitted request to its worker once.
+func (r *Router) send(ctx context.Context, routed routing.Request, dispatch admission.Dispatch, path string, body []byte, header http.Header) (*http.Response, *api.Error) {
 	response, err := r.backendOf(routed.Class).Send(ctx, engine.Call{
 		Worker: dispatch.Worker, Address: dispatch.Address, Path: path, Body: body,
-		Header: backendHeader(header, routed.ID), Priority: dispatch.Priority,
+		Header: header, Priority: dispatch.Priority,
 	})
 	if err != nil {
 		failure := *api.AsError("send to worker", err)
 		if transport.NeverConnected(err) && ctx.Err() == nil {
 			r.admission.Tell(admission.Unreachable{Worker: dispatch.Worker})
 		}
-		finish()
 		if errors.Is(context.Cause(ctx), errPreempted) {
 			failure.Code = api.CodePreempted
 		}
-		return nil, nil, &failure
+		return nil, &failure
 	}
 	r.admission.Tell(admission.FirstToken{Request: routed.ID})
-	return response, finish, nil
+	return response, nil
 }
 
 // backendOf keeps the connections of the classes apart.
@@ -143,19 +143,6 @@
 	return admission.Dispatch{}, api.NewError("admit request", "", api.CodeInternal, api.OutcomeNotRun, "no decision")
 }
 
-func (r *Router) track(id api.RequestID, cancel context.CancelCauseFunc) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.flights[id] = cancel
-}
-
-func (r *Router) untrack(id api.RequestID) {
-	r.mutex.Lock()
-	delete(r.flights, id)
-	r.mutex.Unlock()
-	r.admission.Tell(admission.Finished{Request: id})
-}
-
 // relay passes a back end's answer on. A broken answer breaks the connection,
 // so that it is never taken for whole.
 func (r *Router) relay(w http.ResponseWriter, response *http.Response, id api.RequestID, worker api.WorkerID) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -46,8 +46,7 @@
 	admission *shell.Shell[admission.Message, admission.Action]
 	machine   *admission.Machine
 	homed     atomic.Pointer[[]api.Worker] // those that this router is home of
-	mutex     sync.Mutex                   // guards flights
-	flights   map[api.RequestID]context.CancelCauseFunc
+	flights   *flights
 	metrics   *metrics
 
 	homesMutex sync.Mutex // guards homes and workers
@@ -63,7 +62,7 @@
 		batchBackend: &engine.HTTPBackend{Client: transport.NewClient(requestConnections), Control: common.Control},
 		bodies:       newBodyBudget(common.Settings.Sidecar.MaximumBodyBytes),
 		forward:      transport.NewClient(requestConnections),
-		flights:      map[api.RequestID]context.CancelCauseFunc{},
+		flights:      newFlights(),
 		metrics:      newMetrics(common.Registry),
 	}
 	if address := common.Settings.MachineList.URL; address != "" {
@@ -179,18 +178,3 @@
 	}
 	r.admission.Tell(admission.Load{Worker: worker.ID, Running: load.Running, Waiting: load.Waiting, Leaving: load.Leaving, Asked: asked})
 }
-
-// execute carries out admission's actions that are not the answer to a step.
-func (r *Router) execute(action admission.Action) {
-	preempt, ok := action.(admission.Preempt)
-	if !ok {
-		return
-	}
-	r.mutex.Lock()
-	cancel := r.flights[preempt.Request]
-	r.mutex.Unlock()
-	if cancel != nil {
-		r.metrics.preempted.Inc()
-		cancel(errPreempted)
-	}
-}
