--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -111,8 +111,8 @@
 	case Stopping:
 		r.stopping = true
 	}
+	r.returnHeld(now) // first: a router that was paused must not run what it holds
 	actions = append(actions, r.launch(now)...)
-	r.returnHeld(now)
 	return append(actions, r.sends(now)...)
 }
 
