Serve the OpenAI files and batches API whole

Cause: lists had no pages, files could not be listed or deleted, a failed upload stayed, any tenant could read any job, and batch fields were missing.

--- a/internal/router/batchitem.go
+++ b/internal/router/batchitem.go
@@ -74,7 +74,7 @@
 // lastResult ends an item whose attempts are used up.
 func lastResult(run jobs.RunItem, failure *api.Error) *jobs.ItemResult {
 	return &jobs.ItemResult{
-		Item: run.Item.Item, CustomID: run.Item.CustomID, Outcome: failure.Outcome, Request: run.Request,
+		Item: run.Item.Item, CustomID: run.Item.CustomID, Outcome: failure.Outcome, Request: run.Request, Code: failure.Code,
 		Error: fmt.Sprintf("the last attempt failed: %v", failure),
 	}
 }
@@ -123,7 +123,7 @@
 		return jobs.ItemResult{}, api.NewError(step, "", api.CodeUpstream, api.OutcomeRan, "status %d", response.StatusCode)
 	case len(body) > maximumAnswerBytes:
 		result.Status, result.Body = 0, nil
-		result.Outcome, result.Error = api.OutcomeUnknown, fmt.Sprintf("the answer is over %d bytes and was not kept", maximumAnswerBytes)
+		result.Outcome, result.Code, result.Error = api.OutcomeUnknown, api.CodeTooLarge, fmt.Sprintf("the answer is over %d bytes and was not kept", maximumAnswerBytes)
 	case !json.Valid(body):
 		result.Body, _ = json.Marshal(string(body))
 	}
--- a/internal/sidecar/batches.go
+++ b/internal/sidecar/batches.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -17,6 +16,12 @@
 	"github.com/dykewing/dykewing/placement"
 )
 
+const (
+	maximumBatchBody = 1 << 20
+	maximumWindow    = 30 * 24 * time.Hour
+	maximumMetadata  = 16 // pairs, as in the OpenAI API
+)
+
 // batchRequest is the body of a batch's creation in the OpenAI API's shape.
 type batchRequest struct {
 	InputFileID      string            `json:"input_file_id"`
@@ -25,11 +30,13 @@
 	Metadata         map[string]string `json:"metadata"`
 }
 
-// batchObject is a batch in the OpenAI API's shape.
+// batchObject is a batch in the OpenAI API's shape. Times are in seconds; those
+// of what has not happened are left out.
 type batchObject struct {
 	ID               string            `json:"id"`
 	Object           string            `json:"object"`
 	Endpoint         string            `json:"endpoint"`
+	Errors           *struct{}         `json:"errors"`
 	InputFileID      string            `json:"input_file_id"`
 	CompletionWindow string            `json:"completion_window"`
 	Status           string            `json:"status"`
@@ -38,7 +45,10 @@
 	CreatedAt        int64             `json:"created_at"`
 	InProgressAt     int64             `json:"in_progress_at,omitempty"`
 	ExpiresAt        int64             `json:"expires_at,omitempty"`
+	FinalizingAt     int64             `json:"finalizing_at,omitempty"`
 	CompletedAt      int64             `json:"completed_at,omitempty"`
+	ExpiredAt        int64             `json:"expired_at,omitempty"`
+	CancellingAt     int64             `json:"cancelling_at,omitempty"`
 	CancelledAt      int64             `json:"cancelled_at,omitempty"`
 	RequestCounts    requestCounts     `json:"request_counts"`
 	Metadata         map[string]string `json:"metadata,omitempty"`
@@ -50,50 +60,42 @@
 	Failed    int `json:"failed"`
 }
 
-// resultLine is one line of an output or error file.
-type resultLine struct {
-	ID       string          `json:"id"`
-	CustomID string          `json:"custom_id"`
-	Response *resultResponse `json:"response"`
-	Error    *resultError    `json:"error"`
-}
-
-type resultResponse struct {
-	StatusCode int             `json:"status_code"`
-	RequestID  string          `json:"request_id"`
-	Body       json.RawMessage `json:"body"`
-}
-
-type resultError struct {
-	Code    string      `json:"code"`
-	Message string      `json:"message"`
-	Outcome api.Outcome `json:"dykewing_outcome"`
-}
-
 func batchObjectOf(job jobs.Job) batchObject {
-	suffix := strings.TrimPrefix(string(job.ID()), batchPrefix)
 	object := batchObject{
 		ID: string(job.ID()), Object: "batch", Endpoint: job.Endpoint, InputFileID: string(job.File),
-		CompletionWindow: job.Deadline.Sub(job.Created).Round(time.Second).String(), Status: string(job.Status),
-		OutputFileID: outputPrefix + suffix, ErrorFileID: errorPrefix + suffix,
+		CompletionWindow: job.Window, Status: string(job.Status),
 		CreatedAt: job.Created.Unix(), InProgressAt: job.Created.Unix(), ExpiresAt: job.Deadline.Unix(),
 		RequestCounts: requestCounts{Total: job.Total, Completed: job.Completed, Failed: job.Failed},
 		Metadata:      job.Metadata,
 	}
+	suffix := strings.TrimPrefix(string(job.ID()), batchPrefix)
+	if job.Completed > 0 {
+		object.OutputFileID = outputPrefix + suffix
+	}
+	if job.Failed+job.Unfinished > 0 {
+		object.ErrorFileID = errorPrefix + suffix
+	}
+	object.setTimes(job)
+	return object
+}
+
+func (o *batchObject) setTimes(job jobs.Job) {
+	if !job.Cancelling.IsZero() {
+		o.CancellingAt = job.Cancelling.Unix()
+	}
 	switch job.Status {
+	case jobs.JobFinalizing:
+		o.FinalizingAt = job.Deadline.Unix()
 	case jobs.JobCompleted:
-		object.CompletedAt = job.Ended.Unix()
+		o.FinalizingAt, o.CompletedAt = job.Ended.Unix(), job.Ended.Unix()
 	case jobs.JobCancelled:
-		object.CancelledAt = job.Ended.Unix()
+		o.CancelledAt = job.Ended.Unix()
+	case jobs.JobExpired:
+		o.ExpiredAt = job.Ended.Unix()
+		o.RequestCounts.Failed += job.Unfinished
 	}
-	return object
 }
 
-const (
-	maximumBatchBody = 1 << 20
-	defaultPage      = 20
-)
-
 func (s *Sidecar) createBatch(w http.ResponseWriter, r *http.Request) {
 	const step = "create batch"
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maximumBatchBody))
@@ -106,11 +108,15 @@
 		s.refuse(w, failure)
 		return
 	}
-	group, failure := groupOf(string(submit.File))
+	file, group, failure := s.file(r, string(submit.File))
 	if failure != nil {
 		s.refuse(w, failure)
 		return
 	}
+	if submit.Repeatable, failure = s.batchRepeatable(r, file); failure != nil {
+		s.refuse(w, failure)
+		return
+	}
 	submit.Job = jobs.JobID(newID(batchPrefix, group))
 	result, err := s.stores.Command(r.Context(), group, jobs.Command{Submit: submit})
 	if err != nil {
@@ -120,6 +126,18 @@
 	transport.WriteJSON(w, http.StatusOK, batchObjectOf(*result.Job))
 }
 
+// batchRepeatable tells whether the file's items may be sent again: as the
+// header says, else as the table says of every service of the file. Without a
+// table, or for a service that it does not have, they may not.
+func (s *Sidecar) batchRepeatable(r *http.Request, file jobs.File) (bool, *api.Error) {
+	byDefault := true
+	snapshot := s.node.Table()
+	for service := range file.Services {
+		byDefault = byDefault && snapshot != nil && len(snapshot.Service(service)) > 0 && allRepeatable(snapshot.Service(service))
+	}
+	return repeatableOf(r, byDefault)
+}
+
 func submitOf(r *http.Request, raw []byte) (*jobs.Submit, *api.Error) {
 	const step = "create batch"
 	var body batchRequest
@@ -127,100 +145,85 @@
 		return nil, api.NewError(step, "", api.CodeBadRequest, api.OutcomeNotRun, "%w", err)
 	}
 	window, err := time.ParseDuration(body.CompletionWindow)
-	if err != nil || window <= 0 {
-		return nil, api.NewError(step, "", api.CodeBadRequest, api.OutcomeNotRun, "completion_window %q is not a duration such as 24h", body.CompletionWindow)
+	if err != nil || window <= 0 || window > maximumWindow {
+		return nil, api.NewError(step, "", api.CodeBadRequest, api.OutcomeNotRun, "completion_window %q is not a duration up to %v, such as 24h", body.CompletionWindow, maximumWindow)
 	}
-	repeatable, failure := repeatableOf(r, true)
-	if failure != nil {
-		return nil, failure
+	if len(body.Metadata) > maximumMetadata {
+		return nil, api.NewError(step, "", api.CodeBadRequest, api.OutcomeNotRun, "metadata has %d pairs, more than %d", len(body.Metadata), maximumMetadata)
+	}
+	key := r.Header.Get(api.HeaderIdempotencyKey)
+	if len(key) > maximumKeyBytes || strings.ContainsRune(key, 0) {
+		return nil, api.NewError(step, "", api.CodeBadRequest, api.OutcomeNotRun, "header %s is over %d bytes or not text", api.HeaderIdempotencyKey, maximumKeyBytes)
 	}
-	hash := sha256.Sum256(raw)
+	hash := sha256.New()
+	hash.Write([]byte(r.Header.Get(api.HeaderRepeatable) + "\n"))
+	hash.Write(raw)
 	return &jobs.Submit{
-		Tenant: tenantOf(r), Key: r.Header.Get(api.HeaderIdempotencyKey), BodyHash: hex.EncodeToString(hash[:]),
-		File: jobs.FileID(body.InputFileID), Endpoint: body.Endpoint, Repeatable: repeatable,
+		Tenant: tenantOf(r), Key: key, BodyHash: hex.EncodeToString(hash.Sum(nil)),
+		File: jobs.FileID(body.InputFileID), Endpoint: body.Endpoint, Window: body.CompletionWindow,
 		Deadline: time.Now().UTC().Add(window), Metadata: body.Metadata,
 	}, nil
 }
 
 func (s *Sidecar) listBatches(w http.ResponseWriter, r *http.Request) {
+	limit, failure := pageLimit(r)
+	if failure != nil {
+		s.refuse(w, failure)
+		return
+	}
 	tenant := tenantOf(r)
 	group := placement.GroupOf(tenant, s.node.Settings.Store.Groups)
 	var found storeclient.JobsPage
-	if err := s.stores.Read(r.Context(), group, storeclient.JobsPath(group, tenant, r.URL.Query().Get("after"), defaultPage), &found); err != nil {
+	path := storeclient.JobsPath(group, tenant, r.URL.Query().Get("after"), limit)
+	if err := s.stores.Read(r.Context(), group, path, &found); err != nil {
 		s.refuse(w, api.AsError("list batches", err))
 		return
 	}
-	objects := []batchObject{}
+	answer := page[batchObject]{Object: "list", Data: []batchObject{}, HasMore: found.More}
 	for _, job := range found.Jobs {
-		objects = append(objects, batchObjectOf(job))
+		answer.Data = append(answer.Data, batchObjectOf(job))
+	}
+	if last := len(answer.Data) - 1; last >= 0 {
+		answer.FirstID, answer.LastID = answer.Data[0].ID, answer.Data[last].ID
 	}
-	transport.WriteJSON(w, http.StatusOK, list[batchObject]{Object: "list", Data: objects, HasMore: found.More})
+	transport.WriteJSON(w, http.StatusOK, answer)
 }
 
-func (s *Sidecar) getBatch(w http.ResponseWriter, r *http.Request) {
-	group, failure := groupOf(r.PathValue("id"))
+// batch reads a job that the caller's tenant owns.
+func (s *Sidecar) batch(r *http.Request, id string) (jobs.Job, api.GroupID, *api.Error) {
+	group, failure := groupOf(id)
 	if failure != nil {
-		s.refuse(w, failure)
-		return
+		return jobs.Job{}, 0, failure
 	}
 	var job jobs.Job
-	if err := s.stores.Read(r.Context(), group, storeclient.JobPath(group, r.PathValue("id")), &job); err != nil {
-		s.refuse(w, api.AsError("read batch", err))
+	if err := s.stores.Read(r.Context(), group, storeclient.JobPath(group, id), &job); err != nil {
+		return jobs.Job{}, 0, api.AsError("read batch", err)
+	}
+	if job.Tenant != tenantOf(r) {
+		return jobs.Job{}, 0, noObject(id)
+	}
+	return job, group, nil
+}
+
+func (s *Sidecar) getBatch(w http.ResponseWriter, r *http.Request) {
+	job, _, failure := s.batch(r, r.PathValue("id"))
+	if failure != nil {
+		s.refuse(w, failure)
 		return
 	}
 	transport.WriteJSON(w, http.StatusOK, batchObjectOf(job))
 }
 
 func (s *Sidecar) cancelBatch(w http.ResponseWriter, r *http.Request) {
-	group, failure := groupOf(r.PathValue("id"))
+	job, group, failure := s.batch(r, r.PathValue("id"))
 	if failure != nil {
 		s.refuse(w, failure)
 		return
 	}
-	command := jobs.Command{Cancel: &jobs.Cancel{Job: jobs.JobID(r.PathValue("id"))}}
-	result, err := s.stores.Command(r.Context(), group, command)
+	result, err := s.stores.Command(r.Context(), group, jobs.Command{Cancel: &jobs.Cancel{Job: job.ID()}})
 	if err != nil {
 		s.refuse(w, api.AsError("cancel batch", err))
 		return
 	}
 	transport.WriteJSON(w, http.StatusOK, batchObjectOf(*result.Job))
 }
-
-// writeResults writes a job's answers, or its failures, as lines.
-func (s *Sidecar) writeResults(ctx context.Context, w io.Writer, group api.GroupID, id jobs.JobID, failures bool) error {
-	var job jobs.Job
-	if err := s.stores.Read(ctx, group, storeclient.JobPath(group, string(id)), &job); err != nil {
-		return err
-	}
-	encoder := json.NewEncoder(w)
-	for from := 0; from >= 0; {
-		var page storeclient.ResultsPage
-		if err := s.stores.Read(ctx, group, storeclient.ResultsPath(group, string(id), from), &page); err != nil {
-			return err
-		}
-		for _, result := range page.Results {
-			if isFailure(result) != failures {
-				continue
-			}
-			if err := encoder.Encode(lineOf(result)); err != nil {
-				return err
-			}
-		}
-		from = page.Next
-	}
-	return nil
-}
-
-func isFailure(result jobs.ItemResult) bool {
-	return result.Outcome != api.OutcomeRan || result.Status >= 400
-}
-
-func lineOf(result jobs.ItemResult) resultLine {
-	line := resultLine{ID: string(result.Request), CustomID: result.CustomID}
-	if result.Outcome == api.OutcomeRan {
-		line.Response = &resultResponse{StatusCode: result.Status, RequestID: string(result.Request), Body: result.Body}
-		return line
-	}
-	line.Error = &resultError{Code: "not_completed", Message: result.Error, Outcome: result.Outcome}
-	return line
-}
--- a/internal/sidecar/files.go
+++ b/internal/sidecar/files.go
@@ -1,9 +1,7 @@
 package sidecar
 
 import (
-	"bufio"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -21,14 +19,14 @@
 )
 
 const (
-	appendLines     = 500
-	appendBytes     = 1 << 20
-	maximumLine     = 4 << 20
-	filePrefix      = "file-"
-	outputPrefix    = "file-output-"
-	errorPrefix     = "file-errors-"
-	batchPrefix     = "batch_"
-	multipartMemory = 1 << 20
+	filePrefix     = "file-"
+	outputPrefix   = "file-output-"
+	errorPrefix    = "file-errors-"
+	batchPrefix    = "batch_"
+	maximumPurpose = 64
+	maximumName    = 256
+	defaultPage    = 20
+	maximumPage    = 100
 )
 
 // fileObject is a file in the OpenAI API's shape.
@@ -53,6 +51,28 @@
 	}
 }
 
+// page is a list in the OpenAI API's shape.
+type page[T any] struct {
+	Object  string `json:"object"`
+	Data    []T    `json:"data"`
+	FirstID string `json:"first_id,omitempty"`
+	LastID  string `json:"last_id,omitempty"`
+	HasMore bool   `json:"has_more"`
+}
+
+// pageLimit reads how many objects a list is to have.
+func pageLimit(r *http.Request) (int, *api.Error) {
+	text := r.URL.Query().Get("limit")
+	if text == "" {
+		return defaultPage, nil
+	}
+	limit, err := strconv.Atoi(text)
+	if err != nil || limit < 1 || limit > maximumPage {
+		return 0, api.NewError("read limit", "", api.CodeBadRequest, api.OutcomeNotRun, "limit %q is not within 1 to %d", text, maximumPage)
+	}
+	return limit, nil
+}
+
 // newID makes an id that names its group.
 func newID(prefix string, group api.GroupID) string {
 	return fmt.Sprintf("%sg%d-%s", prefix, group, uuid.NewString())
@@ -60,18 +80,36 @@
 
 // groupOf reads the group from an id.
 func groupOf(id string) (api.GroupID, *api.Error) {
-	for _, prefix := range []string{outputPrefix, errorPrefix, filePrefix} {
-		id = strings.TrimPrefix(id, prefix)
+	rest := id
+	for _, prefix := range []string{outputPrefix, errorPrefix, filePrefix, batchPrefix} {
+		if after, ok := strings.CutPrefix(id, prefix); ok {
+			rest = after
+			break
+		}
 	}
-	id = strings.TrimPrefix(id, batchPrefix)
-	number, _, ok := strings.Cut(strings.TrimPrefix(id, "g"), "-")
+	number, _, ok := strings.Cut(strings.TrimPrefix(rest, "g"), "-")
 	group, err := strconv.ParseUint(number, 10, 32)
 	if !ok || err != nil {
-		return 0, api.NewError("read id", "", api.CodeNotFound, api.OutcomeNotRun, "no object has the id %q", id)
+		return 0, noObject(id)
 	}
 	return api.GroupID(group), nil
 }
 
+func noObject(id string) *api.Error {
+	return api.NewError("read id", "", api.CodeNotFound, api.OutcomeNotRun, "no object has the id %q", id)
+}
+
+// batchOfFile gives the batch whose output or error file the id names.
+func batchOfFile(id string) (batch string, failures, ok bool) {
+	if rest, ok := strings.CutPrefix(id, outputPrefix); ok {
+		return batchPrefix + rest, false, true
+	}
+	if rest, ok := strings.CutPrefix(id, errorPrefix); ok {
+		return batchPrefix + rest, true, true
+	}
+	return "", false, false
+}
+
 // createFile streams an upload into its group, a bounded part at a time.
 func (s *Sidecar) createFile(w http.ResponseWriter, r *http.Request) {
 	const step = "upload file"
@@ -83,7 +121,7 @@
 	}
 	tenant := tenantOf(r)
 	group := placement.GroupOf(tenant, s.node.Settings.Store.Groups)
-	purpose := ""
+	purpose := "batch"
 	for {
 		part, err := parts.NextPart()
 		if err != nil {
@@ -91,14 +129,15 @@
 			return
 		}
 		if part.FormName() == "purpose" {
-			raw, _ := io.ReadAll(io.LimitReader(part, 64))
+			raw, _ := io.ReadAll(io.LimitReader(part, maximumPurpose))
 			purpose = string(raw)
 			continue
 		}
 		if part.FormName() != "file" {
 			continue
 		}
-		file := jobs.CreateFile{File: jobs.FileID(newID(filePrefix, group)), Tenant: tenant, Name: part.FileName(), Purpose: purpose}
+		name := part.FileName()
+		file := jobs.CreateFile{File: jobs.FileID(newID(filePrefix, group)), Tenant: tenant, Name: name[:min(len(name), maximumName)], Purpose: purpose}
 		stored, failure := s.storeFile(r.Context(), group, file, part)
 		if failure != nil {
 			s.refuse(w, failure)
@@ -116,90 +155,124 @@
 	return transport.BodyError(step, err)
 }
 
-func (s *Sidecar) storeFile(ctx context.Context, group api.GroupID, create jobs.CreateFile, content io.Reader) (*jobs.File, *api.Error) {
-	const step = "upload file"
-	if _, err := s.stores.Command(ctx, group, jobs.Command{CreateFile: &create}); err != nil {
-		return nil, api.AsError(step, err)
-	}
-	scanner := bufio.NewScanner(content)
-	scanner.Buffer(make([]byte, 64<<10), maximumLine)
-	pending := jobs.AppendFile{File: create.File}
-	size, bytes := 0, int64(0)
-	flush := func() *api.Error {
-		if len(pending.Lines) == 0 {
-			return nil
-		}
-		if _, err := s.stores.Command(ctx, group, jobs.Command{AppendFile: &pending}); err != nil {
-			return api.AsError(step, err)
-		}
-		pending = jobs.AppendFile{File: create.File, Line: pending.Line + len(pending.Lines)}
-		size = 0
-		return nil
-	}
-	for scanner.Scan() {
-		line := scanner.Bytes()
-		bytes += int64(len(line)) + 1
-		if len(strings.TrimSpace(string(line))) == 0 {
-			continue
-		}
-		if _, err := jobs.ParseLine(line); err != nil {
-			return nil, api.NewError(step, "", api.CodeBadRequest, api.OutcomeNotRun, "line %d: %w", pending.Line+len(pending.Lines)+1, err)
-		}
-		pending.Lines = append(pending.Lines, json.RawMessage(append([]byte(nil), line...)))
-		size += len(line)
-		if len(pending.Lines) >= appendLines || size >= appendBytes {
-			if failure := flush(); failure != nil {
-				return nil, failure
-			}
-		}
+func (s *Sidecar) listFiles(w http.ResponseWriter, r *http.Request) {
+	limit, failure := pageLimit(r)
+	if failure != nil {
+		s.refuse(w, failure)
+		return
 	}
-	if err := scanner.Err(); err != nil {
-		return nil, transport.BodyError(step, err)
+	tenant := tenantOf(r)
+	group := placement.GroupOf(tenant, s.node.Settings.Store.Groups)
+	var found storeclient.FilesPage
+	path := storeclient.FilesPath(group, tenant, r.URL.Query().Get("after"), limit)
+	if err := s.stores.Read(r.Context(), group, path, &found); err != nil {
+		s.refuse(w, api.AsError("list files", err))
+		return
 	}
-	if failure := flush(); failure != nil {
-		return nil, failure
+	answer := page[fileObject]{Object: "list", Data: []fileObject{}, HasMore: found.More}
+	for _, file := range found.Files {
+		answer.Data = append(answer.Data, fileObjectOf(file))
 	}
-	seal := jobs.SealFile{File: create.File, Lines: pending.Line, Bytes: bytes}
-	result, err := s.stores.Command(ctx, group, jobs.Command{SealFile: &seal})
-	if err != nil {
-		return nil, api.AsError(step, err)
+	if last := len(answer.Data) - 1; last >= 0 {
+		answer.FirstID, answer.LastID = answer.Data[0].ID, answer.Data[last].ID
 	}
-	return result.File, nil
+	transport.WriteJSON(w, http.StatusOK, answer)
 }
 
-func (s *Sidecar) getFile(w http.ResponseWriter, r *http.Request) {
-	group, failure := groupOf(r.PathValue("id"))
+// file reads a file that the caller's tenant owns.
+func (s *Sidecar) file(r *http.Request, id string) (jobs.File, api.GroupID, *api.Error) {
+	group, failure := groupOf(id)
 	if failure != nil {
-		s.refuse(w, failure)
-		return
+		return jobs.File{}, 0, failure
 	}
 	var file jobs.File
-	if err := s.stores.Read(r.Context(), group, storeclient.FilePath(group, r.PathValue("id")), &file); err != nil {
-		s.refuse(w, api.AsError("read file", err))
+	if err := s.stores.Read(r.Context(), group, storeclient.FilePath(group, id), &file); err != nil {
+		return jobs.File{}, 0, api.AsError("read file", err)
+	}
+	if file.Tenant != tenantOf(r) {
+		return jobs.File{}, 0, noObject(id)
+	}
+	return file, group, nil
+}
+
+func (s *Sidecar) getFile(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	if batch, failures, ok := batchOfFile(id); ok {
+		job, _, failure := s.batch(r, batch)
+		if failure != nil {
+			s.refuse(w, failure)
+			return
+		}
+		transport.WriteJSON(w, http.StatusOK, resultFileOf(job, id, failures))
+		return
+	}
+	file, _, failure := s.file(r, id)
+	if failure != nil {
+		s.refuse(w, failure)
 		return
 	}
 	transport.WriteJSON(w, http.StatusOK, fileObjectOf(file))
 }
 
-// getContent streams a file: an uploaded one, or a job's output or errors.
-func (s *Sidecar) getContent(w http.ResponseWriter, r *http.Request) {
+// resultFileOf describes a file that is made of results when it is read, so
+// that its size is not known before.
+func resultFileOf(job jobs.Job, id string, failures bool) fileObject {
+	name := string(job.ID()) + "_output.jsonl"
+	if failures {
+		name = string(job.ID()) + "_error.jsonl"
+	}
+	return fileObject{ID: id, Object: "file", CreatedAt: job.Created.Unix(), Filename: name, Purpose: "batch_output", Status: "processed"}
+}
+
+// deletedObject answers a deletion in the OpenAI API's shape.
+type deletedObject struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Deleted bool   `json:"deleted"`
+}
+
+// deleteFile hides a file at once. Jobs over it go on; its space is freed with
+// the last of them.
+func (s *Sidecar) deleteFile(w http.ResponseWriter, r *http.Request) {
 	id := r.PathValue("id")
-	group, failure := groupOf(id)
+	if batch, _, ok := batchOfFile(id); ok {
+		s.refuse(w, api.NewError("delete file", "", api.CodeBadRequest, api.OutcomeNotRun, "file %s is kept as long as %s", id, batch))
+		return
+	}
+	_, group, failure := s.file(r, id)
 	if failure != nil {
 		s.refuse(w, failure)
 		return
 	}
-	w.Header().Set("Content-Type", "application/jsonl")
-	var err error
-	switch {
-	case strings.HasPrefix(id, outputPrefix):
-		err = s.writeResults(r.Context(), w, group, jobs.JobID(batchPrefix+strings.TrimPrefix(id, outputPrefix)), false)
-	case strings.HasPrefix(id, errorPrefix):
-		err = s.writeResults(r.Context(), w, group, jobs.JobID(batchPrefix+strings.TrimPrefix(id, errorPrefix)), true)
-	default:
-		err = s.writeLines(r.Context(), w, group, id)
+	command := jobs.Command{DeleteFile: &jobs.DeleteFile{File: jobs.FileID(id)}}
+	if _, err := s.stores.Command(r.Context(), group, command); err != nil {
+		s.refuse(w, api.AsError("delete file", err))
+		return
 	}
-	if err != nil {
+	transport.WriteJSON(w, http.StatusOK, deletedObject{ID: id, Object: "file", Deleted: true})
+}
+
+// getContent streams a file: an uploaded one, or a job's output or errors.
+func (s *Sidecar) getContent(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	var write func() error
+	if batch, failures, ok := batchOfFile(id); ok {
+		job, group, failure := s.batch(r, batch)
+		if failure != nil {
+			s.refuse(w, failure)
+			return
+		}
+		write = func() error { return s.writeResults(r.Context(), w, group, job, failures) }
+	} else {
+		_, group, failure := s.file(r, id)
+		if failure != nil {
+			s.refuse(w, failure)
+			return
+		}
+		write = func() error { return s.writeLines(r.Context(), w, group, id) }
+	}
+	w.Header().Set("Content-Type", "application/jsonl")
+	if err := write(); err != nil {
 		s.log.WithError(err).Warn("A file could not be read to its end; the caller's connection is cut.")
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -25,6 +25,7 @@
 	s.handle("GET", "jobs", serveJobs)
 	s.handle("GET", "jobs/{id}", serveJob)
 	s.handle("GET", "jobs/{id}/results", serveResults)
+	s.handle("GET", "files", serveFiles)
 	s.handle("GET", "files/{id}", serveFile)
 	s.handle("GET", "files/{id}/lines", serveLines)
 }
--- a/internal/storeclient/paths.go
+++ b/internal/storeclient/paths.go
@@ -34,6 +34,12 @@
 	return groupPath(group, "jobs?"+query.Encode())
 }
 
+// FilesPath lists a tenant's files as JobsPath does its jobs.
+func FilesPath(group api.GroupID, tenant api.TenantID, after string, limit int) string {
+	query := url.Values{"tenant": {string(tenant)}, "after": {after}, "limit": {strconv.Itoa(limit)}}
+	return groupPath(group, "files?"+query.Encode())
+}
+
 // ResultsPath reads a page of a job's results.
 func ResultsPath(group api.GroupID, job string, from int) string {
 	return groupPath(group, fmt.Sprintf("jobs/%s/results?from=%d", job, from))
@@ -82,3 +88,9 @@
 	Jobs []jobs.Job `json:"jobs"`
 	More bool       `json:"more"`
 }
+
+// FilesPage is a page of a tenant's files.
+type FilesPage struct {
+	Files []jobs.File `json:"files"`
+	More  bool        `json:"more"`
+}
--- a/jobs/command.go
+++ b/jobs/command.go
@@ -80,6 +80,7 @@
 	File       FileID            `json:"file"`
 	Endpoint   string            `json:"endpoint"`
 	Repeatable bool              `json:"repeatable"`
+	Window     string            `json:"window,omitempty"` // as the caller gave it
 	Deadline   time.Time         `json:"deadline"`
 	Metadata   map[string]string `json:"metadata,omitempty"`
 }
@@ -124,10 +125,23 @@
 	Outcome  api.Outcome     `json:"outcome"`
 	Status   int             `json:"status"` // HTTP status of the answer
 	Body     json.RawMessage `json:"body,omitempty"`
+	Code     api.ErrorCode   `json:"code,omitempty"` // why there is no answer
 	Error    string          `json:"error,omitempty"`
 	Request  api.RequestID   `json:"request"`
 }
 
+// Failed tells whether the item has no answer or one of status 400 or more.
+func (r ItemResult) Failed() bool {
+	return r.Outcome != api.OutcomeRan || r.Status == 0 || r.Status >= 400
+}
+
+// The codes of items that their job left without a result; the words are the
+// OpenAI API's.
+const (
+	CodeExpired   api.ErrorCode = "batch_expired"
+	CodeCancelled api.ErrorCode = "batch_cancelled"
+)
+
 // ClaimRequest reserves an idempotency key for an online request that may not
 // be repeated, before it is sent.
 type ClaimRequest struct {
--- a/jobs/dispatcher_events.go
+++ b/jobs/dispatcher_events.go
@@ -264,7 +264,7 @@
 		}
 		d.grants.prolong(grant, now.Add(proposeAgain))
 		unknown = append(unknown, ItemResult{
-			Item: grant.item, CustomID: grant.custom, Outcome: api.OutcomeUnknown, Request: grant.request,
+			Item: grant.item, CustomID: grant.custom, Outcome: api.OutcomeUnknown, Request: grant.request, Code: api.CodeOutcomeUnknown,
 			Error: fmt.Sprintf("router %s sent the request and did not report; it is not sent again", grant.router),
 		})
 	}
@@ -296,8 +296,8 @@
 			outcome = api.OutcomeNotRun
 		}
 		results = append(results, ItemResult{
-			Item: item.Item, CustomID: item.CustomID, Outcome: outcome,
-			Error: fmt.Sprintf("%s: the table has no row for the model or service %q", api.CodeUnknownService, item.Service),
+			Item: item.Item, CustomID: item.CustomID, Outcome: outcome, Code: api.CodeUnknownService,
+			Error: fmt.Sprintf("the table has no row for the model or service %q", item.Service),
 		})
 	}
 	if len(results) == 0 {
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -326,7 +326,7 @@
 		return
 	}
 	r.putResult(ended, ItemResult{
-		Item: ended.item.Item, CustomID: ended.item.CustomID, Outcome: finished.Outcome,
+		Item: ended.item.Item, CustomID: ended.item.CustomID, Outcome: finished.Outcome, Code: api.CodeOutcomeUnknown,
 		Request: ended.request, Status: finished.Returned.Status, Error: finished.Returned.Error,
 	})
 }
--- a/jobs/simworld_test.go
+++ b/jobs/simworld_test.go
@@ -227,7 +227,7 @@
 			switch {
 			case !recorded:
 				unfinished++
-			case result.Outcome == api.OutcomeRan && result.Status < 400:
+			case !result.Failed():
 				completed++
 				w.checkBody(result)
 			default:
--- a/jobs/state_files.go
+++ b/jobs/state_files.go
@@ -24,6 +24,7 @@
 	file := File{ID: command.File, Tenant: command.Tenant, Name: command.Name, Purpose: command.Purpose, Created: c.now}
 	c.put(fileKey(file.ID), file)
 	c.Put(timedKey(keyUpload, file.Created, fileKey(file.ID)), []byte{})
+	c.Put(tenantKey(keyFiles, file.Tenant, file.Created, string(file.ID)), []byte{})
 	return Result{File: &file}
 }
 
@@ -103,6 +104,9 @@
 
 // freeFile stores a file that has lost its last use or a job, or removes it.
 func (c *change) freeFile(file File) {
+	if file.Deleted {
+		c.Delete(tenantKey(keyFiles, file.Tenant, file.Created, string(file.ID)))
+	}
 	if !file.Deleted || file.Jobs > 0 {
 		c.put(fileKey(file.ID), file)
 		return
--- a/jobs/state_items.go
+++ b/jobs/state_items.go
@@ -12,6 +12,7 @@
 	Outcome  api.Outcome     `json:"o"`
 	Status   int             `json:"s,omitempty"`
 	Body     json.RawMessage `json:"b,omitempty"`
+	Code     api.ErrorCode   `json:"k,omitempty"`
 	Error    string          `json:"e,omitempty"`
 	Request  api.RequestID   `json:"q,omitempty"`
 }
@@ -19,7 +20,7 @@
 func (s storedResult) result(item ItemRef) ItemResult {
 	return ItemResult{
 		Item: item, CustomID: s.CustomID, Outcome: s.Outcome, Status: s.Status,
-		Body: s.Body, Error: s.Error, Request: s.Request,
+		Body: s.Body, Code: s.Code, Error: s.Error, Request: s.Request,
 	}
 }
 
@@ -94,7 +95,7 @@
 		}
 		c.put(resultKey(result.Item), storedResult{
 			CustomID: result.CustomID, Outcome: result.Outcome, Status: result.Status,
-			Body: result.Body, Error: result.Error, Request: result.Request,
+			Body: result.Body, Code: result.Code, Error: result.Error, Request: result.Request,
 		})
 		job.count(result)
 		accepted++
@@ -135,10 +136,10 @@
 }
 
 func (j *Job) count(result ItemResult) {
-	if result.Outcome == api.OutcomeRan && result.Status < 400 {
-		j.Completed++
-	} else {
+	if result.Failed() {
 		j.Failed++
+	} else {
+		j.Completed++
 	}
 	if result.Outcome == api.OutcomeUnknown {
 		j.Unknown++
--- a/jobs/state_jobs.go
+++ b/jobs/state_jobs.go
@@ -34,7 +34,7 @@
 	job := Job{Submit: command, Status: JobInProgress, Created: c.now, Total: file.Lines, Services: file.Services}
 	c.put(jobKey(job.ID()), job)
 	c.Put(activeKey(job.ID()), []byte{})
-	c.Put(tenantJobKey(job.Tenant, job.Created, job.ID()), []byte{})
+	c.Put(tenantKey(keyTenant, job.Tenant, job.Created, string(job.ID())), []byte{})
 	if command.Key != "" {
 		c.Put(identityKey(command.Tenant, command.Key), []byte(job.ID()))
 	}
--- a/jobs/state_retention.go
+++ b/jobs/state_retention.go
@@ -61,7 +61,7 @@
 		return
 	}
 	c.Delete(holder)
-	c.Delete(tenantJobKey(job.Tenant, job.Created, job.ID()))
+	c.Delete(tenantKey(keyTenant, job.Tenant, job.Created, string(job.ID())))
 	if job.Key != "" {
 		c.Delete(identityKey(job.Tenant, job.Key))
 	}
--- a/jobs/storage.go
+++ b/jobs/storage.go
@@ -46,6 +46,7 @@
 	keyIdentity  = 'k' // tenant, idempotency key: job id
 	keyClaim     = 'c' // tenant, idempotency key: storedClaim
 	keyTenant    = 't' // tenant, newest first, job: empty
+	keyFiles     = 'w' // tenant, newest first, file: empty
 	keyRetention = 'e' // end time, kind, id: empty
 	keyUpload    = 'u' // begin time, file: empty, while the file is not sealed
 	keyGarbage   = 'g' // prefix whose keys are to be deleted: empty
@@ -81,11 +82,14 @@
 	return int(binary.BigEndian.Uint32(key[len(key)-4:]))
 }
 
-// tenantJobKey sorts a tenant's jobs with the newest first.
-func tenantJobKey(tenant api.TenantID, created time.Time, job JobID) []byte {
-	key := append(nameKey(keyTenant, string(tenant)), separator)
-	key = binary.BigEndian.AppendUint64(key, ^uint64(created.UnixMicro()))
-	return append(key, job...)
+// tenantKey sorts a tenant's jobs or files with the newest first.
+func tenantKey(kind byte, tenant api.TenantID, created time.Time, id string) []byte {
+	key := binary.BigEndian.AppendUint64(tenantPrefix(kind, tenant), ^uint64(created.UnixMicro()))
+	return append(key, id...)
+}
+
+func tenantPrefix(kind byte, tenant api.TenantID) []byte {
+	return append(nameKey(kind, string(tenant)), separator)
 }
 
 // timeBytes is the length of a time within a key.
