--- a/cmd/dykewingsim/scale.go
+++ b/cmd/dykewingsim/scale.go
@@ -100,9 +100,7 @@
 		if len(runs) > 0 {
 			smallest = runs[0].Size
 		}
-		for _, varied := range scale.Sweep(f.options, smallest) {
-			runs = append(runs, varied)
-		}
+		runs = append(runs, scale.Sweep(f.options, smallest)...)
 	}
 	add(f.options, f.size)
 	return runs, nil
