Add the platform's stand-ins in one process and an open-loop load generator

Change: dykewingsim platform serves the key-value service, machine list and engines and writes settings for daemons; dykewingsim load sends Poisson arrivals, counts latency from the intended start and checks every answer against engine.Tokens; wrong answers end with a non-zero code.

--- /dev/null
+++ b/cmd/dykewingsim/load.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/internal/load"
+)
+
+func registerLoad(application *kingpin.Application) {
+	command := application.Command("load", "Send Poisson arrivals to a sidecar, open loop, and check every answer.")
+	options := load.DefaultOptions()
+	command.Flag("url", "Base URL for callers, with /v1.").Required().StringVar(&options.URL)
+	class := command.Flag("class", "online: streamed chats; batch: jobs of --items items.").Default(string(options.Class)).Enum(string(api.ClassOnline), string(api.ClassBatch))
+	model := command.Flag("model", "The service asked for.").Default(string(options.Model)).String()
+	tenant := command.Flag("tenant", "Whom the work is accounted to.").Default(string(options.Tenant)).String()
+	command.Flag("rate", "Arrivals a second.").Default(fmt.Sprint(options.Rate)).Float64Var(&options.Rate)
+	command.Flag("duration", "How long requests arrive.").Default(options.Duration.String()).DurationVar(&options.Duration)
+	command.Flag("tokens", "Tokens of an answer.").Default(fmt.Sprint(options.Tokens)).IntVar(&options.Tokens)
+	command.Flag("prompt-bytes", "Bytes of a prompt.").Default(fmt.Sprint(options.PromptBytes)).IntVar(&options.PromptBytes)
+	command.Flag("items", "Items of a batch job.").Default(fmt.Sprint(options.Items)).IntVar(&options.Items)
+	command.Flag("timeout", "Of one request or job.").Default(options.Timeout.String()).DurationVar(&options.Timeout)
+	command.Flag("maximum-open", "Requests in flight; arrivals beyond are counted and not sent.").Default(fmt.Sprint(options.MaximumOpen)).IntVar(&options.MaximumOpen)
+	command.Flag("seed", "Seed of the arrivals and prompts.").Default("1").Uint64Var(&options.Seed)
+	output := command.Flag("output", "table or json.").Default(outputTable).Enum(outputTable, outputJSON)
+	command.Action(action(func() error {
+		options.Class, options.Model, options.Tenant = api.Class(*class), api.ServiceName(*model), api.TenantID(*tenant)
+		return runLoad(options, *output)
+	}))
+}
+
+// runLoad fails when an answer was wrong; refusals and failures are reported.
+func runLoad(options load.Options, output string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	line := progressLine()
+	options.Progress = func(done, wrong int) { line(fmt.Sprintf("%d ended, %d wrong", done, wrong)) }
+	report, err := load.Run(ctx, options)
+	fmt.Fprint(os.Stderr, "\r\033[K")
+	if report == nil {
+		return err
+	}
+	if output == outputJSON {
+		if err := json.NewEncoder(os.Stdout).Encode(report); err != nil {
+			return err
+		}
+	} else {
+		report.Print(os.Stdout)
+	}
+	if report.Wrong > 0 {
+		return fmt.Errorf("%d answers were wrong", report.Wrong)
+	}
+	if report.Right == 0 {
+		return fmt.Errorf("no request was answered")
+	}
+	return nil
+}
--- a/cmd/dykewingsim/main.go
+++ b/cmd/dykewingsim/main.go
@@ -17,6 +17,8 @@
 	registerScale(application)
 	registerKeyValue(application)
 	registerMachineList(application)
+	registerLoad(application)
+	registerPlatform(application)
 	registerRun(application)
 	kingpin.MustParse(application.Parse(os.Args[1:]))
 }
--- /dev/null
+++ b/cmd/dykewingsim/platform.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/dykewing/dykewing/internal/standin/platform"
+)
+
+func registerPlatform(application *kingpin.Application) {
+	command := application.Command("platform", "Serve the whole platform's stand-ins and write settings files for daemons that run as processes of their own.")
+	options := platform.DefaultOptions("")
+	command.Arg("folder", "Folder for the settings files and the stores' data.").Required().StringVar(&options.Folder)
+	integer := func(name, help string, target *int) {
+		command.Flag(name, help).Default(fmt.Sprint(*target)).IntVar(target)
+	}
+	integer("routers", "Settings files for routers.", &options.Routers)
+	integer("stores", "Settings files for stores.", &options.Stores)
+	integer("sidecars", "Settings files for sidecars.", &options.Sidecars)
+	integer("workers", "Engines for each row of the table.", &options.WorkersPerRow)
+	integer("zones", "Zones that daemons and engines are dealt out to.", &options.Zones)
+	integer("slots", "Requests at once at an engine.", &options.Engine.Slots)
+	command.Flag("first-token", "Time of an engine before the first token.").Default(options.Engine.FirstToken.String()).DurationVar(&options.Engine.FirstToken)
+	command.Flag("between-tokens", "Time of an engine between tokens.").Default(options.Engine.BetweenTokens.String()).DurationVar(&options.Engine.BetweenTokens)
+	command.Action(action(func() error { return runPlatform(options) }))
+}
+
+// runPlatform serves until it is interrupted.
+func runPlatform(options platform.Options) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	running, err := platform.Start(ctx, options)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("Key-value service: %s\nMachine list: %s\n\nStart each in a terminal of its own:\n", running.KeyValueURL, running.MachineListURL)
+	for _, daemon := range running.Daemons {
+		fmt.Printf("  dykewing %s --settings %s\n", daemon.Role, daemon.File)
+	}
+	for _, daemon := range running.Daemons {
+		if daemon.CallersAddress != "" {
+			fmt.Printf("\nBase URL for callers at %s: http://%s/v1\n", daemon.ID, daemon.CallersAddress)
+		}
+	}
+	fmt.Println("Stop with Ctrl-C.")
+	<-ctx.Done()
+	return running.Close()
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,37 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+	"time"
+)
+
+// Print writes the report as a table.
+func (r *Report) Print(output io.Writer) {
+	table := tabwriter.NewWriter(output, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(table, "SENT\tRIGHT\tWRONG\tNOT SENT")
+	fmt.Fprintf(table, "%d\t%d\t%d\t%d\n\n", r.Sent, r.Right, r.Wrong, r.Dropped)
+	fmt.Fprintln(table, "LATENCY\tCOUNT\tP50\tP95\tP99\tP99.9\tMOST")
+	for _, row := range []struct {
+		name    string
+		latency Latency
+	}{{"first token", r.FirstToken}, {"between tokens", r.BetweenTokens}, {"whole", r.Whole}} {
+		l := row.latency
+		fmt.Fprintf(table, "%s\t%d\t%v\t%v\t%v\t%v\t%v\n", row.name, l.Count, micro(l.P50), micro(l.P95), micro(l.P99), micro(l.P999), micro(l.Most))
+	}
+	if len(r.Failures) > 0 {
+		fmt.Fprintln(table, "\nFAILURE\tCOUNT")
+	}
+	for _, name := range slices.Sorted(maps.Keys(r.Failures)) {
+		fmt.Fprintf(table, "%s\t%d\n", name, r.Failures[name])
+	}
+	_ = table.Flush()
+	for _, example := range r.Examples {
+		fmt.Fprintf(output, "example: %s\n", example)
+	}
+}
+
+func micro(value int64) time.Duration { return time.Duration(value) * time.Microsecond }
--- /dev/null
+++ b/internal/standin/platform/settings.go
@@ -0,0 +1,129 @@
+package platform
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	yaml "go.yaml.in/yaml/v3"
+
+	"github.com/dykewing/dykewing/api"
+)
+
+// Daemon is one process that a settings file was written for.
+type Daemon struct {
+	Role           api.Role
+	ID             api.NodeID
+	File           string
+	Address        string // internal protocol, health and metrics
+	CallersAddress string // sidecars only
+}
+
+// settingsFile has the keys of package config that the platform sets.
+type settingsFile struct {
+	Node            nodeSettings        `yaml:"node"`
+	Peers           []string            `yaml:"peers"`
+	Membership      map[string]string   `yaml:"membership"`
+	KeyValueService map[string][]string `yaml:"key_value_service"`
+	MachineList     map[string]string   `yaml:"machine_list"`
+	Sidecar         map[string]string   `yaml:"sidecar,omitempty"`
+	Store           *storeSettings      `yaml:"store,omitempty"`
+}
+
+type nodeSettings struct {
+	ID          string `yaml:"id"`
+	Address     string `yaml:"address"`
+	Region      string `yaml:"region"`
+	Zone        string `yaml:"zone"`
+	StopTimeout string `yaml:"stop_timeout"`
+}
+
+type storeSettings struct {
+	DataFolder string `yaml:"data_folder"`
+	Replicas   int    `yaml:"replicas"`
+}
+
+const stopTimeout = 30 * time.Second
+
+// writeSettings draws free ports and writes a file for each daemon.
+func (p *Platform) writeSettings() error {
+	if err := os.MkdirAll(p.options.Folder, 0o755); err != nil {
+		return fmt.Errorf("make settings folder: %w", err)
+	}
+	var peers []string
+	for _, part := range []struct {
+		role  api.Role
+		count int
+	}{{api.RoleRouter, p.options.Routers}, {api.RoleStore, p.options.Stores}, {api.RoleSidecar, p.options.Sidecars}} {
+		for i := range part.count {
+			daemon, err := p.daemon(part.role, i)
+			if err != nil {
+				return err
+			}
+			if part.role == api.RoleRouter {
+				peers = append(peers, daemon.Address)
+			}
+			p.Daemons = append(p.Daemons, daemon)
+		}
+	}
+	for i, daemon := range p.Daemons {
+		if err := p.writeFile(daemon, i, peers); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p *Platform) daemon(role api.Role, number int) (Daemon, error) {
+	id := fmt.Sprintf("%s-%d", role, number+1)
+	daemon := Daemon{Role: role, ID: api.NodeID(id), File: filepath.Join(p.options.Folder, id+".yaml")}
+	var err error
+	if daemon.Address, err = freeAddress(); err != nil {
+		return daemon, err
+	}
+	if role == api.RoleSidecar {
+		daemon.CallersAddress, err = freeAddress()
+	}
+	return daemon, err
+}
+
+func (p *Platform) writeFile(daemon Daemon, number int, peers []string) error {
+	location := p.location(number)
+	file := settingsFile{
+		Node: nodeSettings{
+			ID: string(daemon.ID), Address: daemon.Address, Region: string(location.Region),
+			Zone: string(location.Zone), StopTimeout: stopTimeout.String(),
+		},
+		Peers:           peers,
+		Membership:      map[string]string{"interval": p.options.Heartbeat.String(), "suspect_timeout": p.options.SuspectTimeout.String()},
+		KeyValueService: map[string][]string{"endpoints": {p.KeyValueURL}},
+		MachineList:     map[string]string{"url": p.MachineListURL, "interval": p.options.Heartbeat.String()},
+	}
+	switch daemon.Role {
+	case api.RoleSidecar:
+		file.Sidecar = map[string]string{"address": daemon.CallersAddress}
+	case api.RoleStore:
+		folder := filepath.Join(p.options.Folder, string(daemon.ID)+"-data")
+		file.Store = &storeSettings{DataFolder: folder, Replicas: min(p.options.Stores, 3)}
+	}
+	raw, err := yaml.Marshal(file)
+	if err != nil {
+		return fmt.Errorf("write settings of %s: %w", daemon.ID, err)
+	}
+	if err := os.WriteFile(daemon.File, raw, 0o644); err != nil {
+		return fmt.Errorf("write settings of %s: %w", daemon.ID, err)
+	}
+	return nil
+}
+
+// freeAddress gives a loopback address that nobody listens on now.
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", net.JoinHostPort(loopback, "0"))
+	if err != nil {
+		return "", fmt.Errorf("find a free port: %w", err)
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
