Test the roles as separate processes

Change: cmd/dykewing/process_test.go starts real processes beside the platform's stand-ins and sends checked load through them.

--- /dev/null
+++ b/cmd/dykewing/process_test.go
@@ -0,0 +1,338 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/internal/load"
+	"github.com/dykewing/dykewing/internal/standin/platform"
+)
+
+// patience bounds waits; no verdict depends on how long one takes within it.
+const patience = 60 * time.Second
+
+// binary is built once for all tests of this file.
+var binary = sync.OnceValues(func() (string, error) {
+	folder, err := os.MkdirTemp("", "dykewing-process-test-")
+	if err != nil {
+		return "", err
+	}
+	file := filepath.Join(folder, "dykewing")
+	output, err := exec.Command("go", "build", "-o", file, ".").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build: %w: %s", err, output)
+	}
+	return file, nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if file, err := binary(); err == nil {
+		_ = os.RemoveAll(filepath.Dir(file))
+	}
+	os.Exit(code)
+}
+
+// process is a started daemon with what it wrote to standard error.
+type process struct {
+	command *exec.Cmd
+	errors  *safeBuffer
+	ended   chan struct{}
+}
+
+type safeBuffer struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+// Write appends.
+func (b *safeBuffer) Write(p []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.Write(p)
+}
+
+// String gives all so far.
+func (b *safeBuffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.String()
+}
+
+// start runs the program and kills it at the end of the test.
+func start(t *testing.T, arguments ...string) *process {
+	t.Helper()
+	file, err := binary()
+	if err != nil {
+		t.Fatal(err)
+	}
+	started := &process{command: exec.Command(file, arguments...), errors: &safeBuffer{}, ended: make(chan struct{})}
+	started.command.Stderr = started.errors
+	if err := started.command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		_ = started.command.Wait()
+		close(started.ended)
+	}()
+	t.Cleanup(func() {
+		_ = started.command.Process.Kill()
+		<-started.ended
+	})
+	return started
+}
+
+// exitCode waits for the end.
+func (p *process) exitCode(t *testing.T) int {
+	t.Helper()
+	select {
+	case <-p.ended:
+	case <-time.After(patience):
+		t.Fatalf("%v still runs; it wrote:\n%s", p.command.Args, p.errors)
+	}
+	return p.command.ProcessState.ExitCode()
+}
+
+// await polls until the condition holds.
+func await(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); !condition(); {
+		if time.Now().After(deadline) {
+			t.Fatalf("waited in vain for %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func ready(address string) bool {
+	response, err := http.Get("http://" + address + "/readyz")
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func startPlatform(t *testing.T, change func(*platform.Options)) *platform.Platform {
+	t.Helper()
+	options := platform.DefaultOptions(t.TempDir())
+	options.Stores = 1
+	if change != nil {
+		change(&options)
+	}
+	running, err := platform.Start(context.Background(), options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = running.Close() })
+	return running
+}
+
+// TestRolesAsProcesses serves streamed chats and a batch job through roles that
+// run as processes of their own, and stops each as planned.
+func TestRolesAsProcesses(t *testing.T) {
+	running := startPlatform(t, nil)
+	var processes []*process
+	callers := ""
+	for _, daemon := range running.Daemons {
+		processes = append(processes, start(t, string(daemon.Role), "--settings", daemon.File))
+		if daemon.CallersAddress != "" {
+			callers = daemon.CallersAddress
+		}
+	}
+	for _, daemon := range running.Daemons {
+		await(t, string(daemon.ID)+" to be ready", func() bool { return ready(daemon.Address) })
+	}
+	options := load.DefaultOptions()
+	options.URL, options.Model = "http://"+callers+"/v1", platform.Model
+	options.Rate, options.Duration, options.Timeout = 20, time.Second, patience
+	awaitRight(t, options)
+	report, err := load.Run(context.Background(), options)
+	if err != nil || report.Right != report.Sent || report.Sent == 0 {
+		t.Errorf("online: right %d of %d, wrong %d, failures %v %v, %v", report.Right, report.Sent, report.Wrong, report.Failures, report.Examples, err)
+	}
+	options.Class, options.Rate = api.ClassBatch, 2
+	report, err = load.Run(context.Background(), options)
+	if err != nil || report.Right != report.Sent || report.Sent == 0 {
+		t.Errorf("batch: right %d of %d, wrong %d, failures %v %v, %v", report.Right, report.Sent, report.Wrong, report.Failures, report.Examples, err)
+	}
+	for i := len(processes) - 1; i >= 0; i-- {
+		if err := processes[i].command.Process.Signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+		if code := processes[i].exitCode(t); code != 0 {
+			t.Errorf("%v ended with %d after SIGTERM:\n%s", processes[i].command.Args, code, processes[i].errors)
+		}
+	}
+}
+
+// awaitRight polls with single requests until one of each class is answered:
+// the routers' homes and the groups' leaders are found after readiness.
+func awaitRight(t *testing.T, options load.Options) {
+	t.Helper()
+	options.Duration, options.Items = 50*time.Millisecond, 1
+	for _, class := range []api.Class{api.ClassOnline, api.ClassBatch} {
+		options.Class = class
+		await(t, "the first right "+string(class)+" answer", func() bool {
+			report, err := load.Run(context.Background(), options)
+			return err == nil && report.Right > 0
+		})
+	}
+}
+
+// oneLine fails unless the text is a single line that names want.
+func oneLine(t *testing.T, text, want string) {
+	t.Helper()
+	text = strings.TrimSpace(text)
+	if strings.Count(text, "\n") != 0 || !strings.Contains(text, want) {
+		t.Errorf("want one line with %q, got:\n%s", want, text)
+	}
+}
+
+func TestBadSettingsExitWithTwoAndOneLine(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "bad.yaml")
+	if err := os.WriteFile(file, []byte("node:\n  id: a\n  address: 127.0.0.1:0\n  colour: red\n"), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	for _, arguments := range [][]string{{"router", "--settings", file}, {"check-settings", file}} {
+		failed := start(t, arguments...)
+		if code := failed.exitCode(t); code != exitSettings {
+			t.Errorf("%v ended with %d", arguments, code)
+		}
+		oneLine(t, failed.errors.String(), "line 4: node.colour: unknown key")
+	}
+}
+
+func TestUsedPortExitsWithOneAndOneLine(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	running := startPlatform(t, nil)
+	for _, daemon := range running.Daemons {
+		failed := start(t, string(daemon.Role), "--settings", daemon.File, "--address", listener.Addr().String())
+		if code := failed.exitCode(t); code != exitFailure {
+			t.Errorf("%s ended with %d", daemon.Role, code)
+		}
+		oneLine(t, failed.errors.String(), "address already in use")
+	}
+}
+
+func TestCorruptDataFolderIsOneLine(t *testing.T) {
+	running := startPlatform(t, func(options *platform.Options) { options.Routers, options.Sidecars = 0, 0 })
+	store := running.Daemons[0]
+	first := start(t, "store", "--settings", store.File)
+	await(t, "the store to serve", func() bool {
+		response, err := http.Get("http://" + store.Address + "/healthz")
+		if err != nil {
+			return false
+		}
+		return response.Body.Close() == nil
+	})
+	if err := first.command.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	first.exitCode(t)
+	if overwriteFiles(t, strings.TrimSuffix(store.File, ".yaml")+"-data") == 0 {
+		t.Fatal("the store wrote no file")
+	}
+	failed := start(t, "store", "--settings", store.File)
+	if code := failed.exitCode(t); code != exitFailure {
+		t.Errorf("ended with %d", code)
+	}
+	oneLine(t, failed.errors.String(), "store")
+}
+
+// overwriteFiles puts noise into every file of the folder.
+func overwriteFiles(t *testing.T, folder string) int {
+	t.Helper()
+	count := 0
+	err := filepath.WalkDir(folder, func(path string, entry os.DirEntry, err error) error {
+		if err != nil || entry.IsDir() {
+			return err
+		}
+		info, err := entry.Info()
+		if err != nil {
+			return err
+		}
+		count++
+		return os.WriteFile(path, bytes.Repeat([]byte("noise\n"), int(info.Size())/6+1), 0o600)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return count
+}
+
+// TestUnreachableKeyValueServiceIsRetried holds that a daemon without its table
+// says so once, goes on, and is ready when the service is there.
+func TestUnreachableKeyValueServiceIsRetried(t *testing.T) {
+	running := startPlatform(t, func(options *platform.Options) { options.Stores, options.Sidecars, options.Routers = 0, 0, 1 })
+	router := running.Daemons[0]
+	address := strings.TrimPrefix(running.KeyValueURL, "http://")
+	hidden, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	unreachable := hidden.Addr().String()
+	_ = hidden.Close()
+	raw, err := os.ReadFile(router.File)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(router.File, bytes.ReplaceAll(raw, []byte(address), []byte(unreachable)), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	started := start(t, "router", "--settings", router.File)
+	await(t, "the warning", func() bool { return strings.Contains(started.errors.String(), "key-value service") })
+	if ready(router.Address) {
+		t.Error("ready without a table")
+	}
+	stop := relay(t, unreachable, address)
+	defer stop()
+	await(t, "the router to be ready", func() bool { return ready(router.Address) })
+}
+
+// relay passes connections on from one address to another from now on.
+func relay(t *testing.T, from, to string) (stop func()) {
+	t.Helper()
+	listener, err := net.Listen("tcp", from)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go join(connection, to)
+		}
+	}()
+	return func() { _ = listener.Close() }
+}
+
+func join(near net.Conn, address string) {
+	defer near.Close()
+	far, err := net.Dial("tcp", address)
+	if err != nil {
+		return
+	}
+	defer far.Close()
+	go func() { _, _ = io.Copy(far, near) }()
+	_, _ = io.Copy(near, far)
+}
