Run the HTTP stand-in engine on the engine model; faults, cache events, orders

Change: the stand-in is a real-time shell around the model; POST /control sets faults (die, hang, slow, leave, truncate, lie about length, drop reports); /cache/events, /orders and /debug/executions; resume by POST with Dykewing-Resume or by the events path. A refused request does not count as started. Routers read cache events with the load reports.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -12,6 +12,7 @@
 	"github.com/dykewing/dykewing/internal/transport"
 	"github.com/dykewing/dykewing/jobs"
 	"github.com/dykewing/dykewing/retry"
+	"github.com/dykewing/dykewing/routing"
 )
 
 // PathLoad is where an engine publishes its Load.
@@ -45,6 +46,9 @@
 	// only worker and address are read. Errors are *api.Error.
 	Resume(ctx context.Context, call Call, request api.RequestID, from int) (*http.Response, error)
 	Load(ctx context.Context, address string) (Load, error)
+	// CacheEvents gives what is published of the engine's prefix cache after a
+	// sequence number.
+	CacheEvents(ctx context.Context, address string, after uint64) ([]routing.CacheEvent, error)
 }
 
 // HTTPBackend is a Backend over the OpenAI HTTP API.
--- a/internal/engine/prefix.go
+++ b/internal/engine/prefix.go
@@ -2,7 +2,10 @@
 
 import (
 	"bytes"
+	"context"
+	"fmt"
 
+	"github.com/dykewing/dykewing/internal/transport"
 	"github.com/dykewing/dykewing/routing"
 )
 
@@ -20,3 +23,16 @@
 	}
 	return nil
 }
+
+// PathCacheEvents is where an engine publishes changes of its prefix cache.
+const PathCacheEvents = "/cache/events"
+
+// CacheEvents reads the events after a sequence number.
+func (b *HTTPBackend) CacheEvents(ctx context.Context, address string, after uint64) ([]routing.CacheEvent, error) {
+	var answer struct {
+		Events []routing.CacheEvent `json:"events"`
+	}
+	path := fmt.Sprintf("%s?after=%d", PathCacheEvents, after)
+	err := transport.Get(ctx, b.Control, "read cache events of worker", address, path, &answer)
+	return answer.Events, err
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -177,4 +177,19 @@
 		return
 	}
 	r.admission.Tell(admission.Load{Worker: worker.ID, Running: load.Running, Waiting: load.Waiting, Leaving: load.Leaving, Asked: asked})
+	r.pollCache(ctx, worker)
+}
+
+// pollCache reads what has changed in the worker's prefix cache. Applications
+// have none, and an engine that publishes nothing is left alone.
+func (r *Router) pollCache(ctx context.Context, worker api.Worker) {
+	var after uint64
+	if r.admission.Inspect(func() { after = r.machine.CacheSequence(worker.ID) }) != nil {
+		return
+	}
+	events, err := r.backend.CacheEvents(ctx, worker.Address, after)
+	if err != nil || len(events) == 0 {
+		return
+	}
+	r.admission.Tell(admission.CacheEvents{Worker: worker.ID, Events: events})
 }
--- /dev/null
+++ b/internal/standin/engine/control.go
@@ -0,0 +1,102 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/dykewing/dykewing/internal/standin/engine/model"
+)
+
+// Faults are what an engine does wrong; a POST to PathControl replaces them.
+type Faults struct {
+	Die            bool    `json:"die,omitempty"`              // breaks all connections, now and later
+	Hang           bool    `json:"hang,omitempty"`             // accepts requests and makes no token
+	Slow           float64 `json:"slow,omitempty"`             // factor of the time of steps; 0 and 1 are none
+	Leave          bool    `json:"leave,omitempty"`            // refuses new work, finishes what it has
+	TruncateAfter  int     `json:"truncate_after,omitempty"`   // breaks streams after so many tokens, other answers half way
+	LieAboutLength bool    `json:"lie_about_length,omitempty"` // promises twice the bytes of answers that are not streamed
+	DropReports    bool    `json:"drop_reports,omitempty"`     // load reports and cache events fail
+}
+
+// slowed is the time that a step takes.
+func (f *Faults) slowed(duration time.Duration) time.Duration {
+	if f.Slow <= 0 {
+		return duration
+	}
+	return time.Duration(f.Slow * float64(duration))
+}
+
+// SetFaults replaces the faults.
+func (e *Engine) SetFaults(faults Faults) {
+	e.faults.Store(&faults)
+	e.shell.apply(faults)
+}
+
+func (e *Engine) setFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&faults); err != nil {
+		writeEngineError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	e.SetFaults(faults)
+	writeJSON(w, faults)
+}
+
+func (e *Engine) serveFaults(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.faults.Load()) }
+
+func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	if e.faults.Load().DropReports {
+		writeEngineError(w, http.StatusServiceUnavailable, "no report")
+		return
+	}
+	load := e.shell.load()
+	apps := int(e.apps.Load())
+	writeJSON(w, map[string]any{
+		"running": load.Running + min(apps, e.settings.Slots), "waiting": load.Waiting + max(apps-e.settings.Slots, 0),
+		"slots": e.settings.Slots, "leaving": load.Leaving, "free_share": load.FreeShare, "version": load.Version,
+	})
+}
+
+// CacheEventsAnswer is the body at PathCacheEvents.
+type CacheEventsAnswer struct {
+	Events []model.CacheEvent `json:"events"`
+}
+
+func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	switch {
+	case e.faults.Load().DropReports:
+		writeEngineError(w, http.StatusServiceUnavailable, "no events")
+	case err != nil:
+		writeEngineError(w, http.StatusBadRequest, err.Error())
+	default:
+		writeJSON(w, CacheEventsAnswer{Events: e.shell.cacheEvents(after)})
+	}
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var order model.Order
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		writeEngineError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	answer := e.shell.order(order)
+	w.Header().Set("Content-Type", "application/json")
+	if !answer.Accepted {
+		w.WriteHeader(http.StatusConflict)
+	}
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func (e *Engine) serveExecutions(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, e.Executions())
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -1,52 +1,74 @@
 // Package engine is a stand-in for a model engine and for an application back
 // end: it speaks the OpenAI HTTP API with made-up tokens that depend only on
-// the prompt, so that every answer can be checked.
+// the prompt, so that every answer can be checked. The time that tokens take
+// comes from package model, in real time. Faults are set at PathControl.
 package engine
 
 import (
 	"encoding/json"
-	"fmt"
-	"hash/fnv"
 	"io"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/internal/standin/engine/model"
+)
+
+// Paths beside the OpenAI API.
+const (
+	PathLoad        = "/load"             // GET, lagging load report
+	PathCacheEvents = "/cache/events"     // GET, ?after=sequence
+	PathOrders      = "/orders"           // POST model.Order: load a version
+	PathControl     = "/control"          // GET and POST Faults
+	PathExecutions  = "/debug/executions" // GET, by request id
 )
 
 // Settings of an Engine.
 type Settings struct {
-	Slots         int
-	FirstToken    time.Duration // prefill time of a request
-	BetweenTokens time.Duration // step time
-	DefaultTokens int
+	Slots           int           // requests it runs at once at full speed
+	ApplicationTime time.Duration // of a request to an application
+	DefaultTokens   int
+	Model           model.Settings
 }
 
-// DefaultSettings are a small, quick engine.
+// DefaultSettings are a small, quick engine: a millisecond a step.
 func DefaultSettings() Settings {
-	return Settings{Slots: 8, FirstToken: 5 * time.Millisecond, BetweenTokens: time.Millisecond, DefaultTokens: 16}
+	settings := Settings{Slots: 8, ApplicationTime: 5 * time.Millisecond, DefaultTokens: 16, Model: model.DefaultSettings()}
+	settings.Model.StepBase = time.Millisecond
+	settings.Model.StepSequence = 10 * time.Microsecond
+	settings.Model.StepContext = 10 * time.Microsecond
+	settings.Model.StepPrefill = 5 * time.Millisecond
+	return settings
 }
 
 // Engine is an http.Handler.
 type Engine struct {
 	settings Settings
 	mux      *http.ServeMux
-	running  atomic.Int64
-	served   atomic.Int64
-	leaving  atomic.Bool
+	shell    *shell
 	memory   *memory
+	faults   atomic.Pointer[Faults]
+	apps     atomic.Int64 // application requests that run
+	served   atomic.Int64
 }
 
 // New makes an engine.
 func New(settings Settings) *Engine {
+	settings.Model.MaximumSequences = settings.Slots
 	engine := &Engine{settings: settings, mux: http.NewServeMux(), memory: newMemory()}
+	engine.faults.Store(&Faults{})
+	engine.shell = newShell(settings.Model, &engine.faults)
 	engine.mux.HandleFunc("POST /v1/chat/completions", engine.serveChat)
 	engine.mux.HandleFunc("POST /v1/completions", engine.serveChat)
 	engine.mux.HandleFunc("POST /v1/services/{service}/{path...}", engine.serveApplication)
 	engine.mux.HandleFunc("GET /v1/requests/{request}/events", engine.serveResume)
-	engine.mux.HandleFunc("GET /load", engine.serveLoad)
+	engine.mux.HandleFunc("GET "+PathLoad, engine.serveLoad)
+	engine.mux.HandleFunc("GET "+PathCacheEvents, engine.serveCacheEvents)
+	engine.mux.HandleFunc("POST "+PathOrders, engine.serveOrder)
+	engine.mux.HandleFunc("GET "+PathControl, engine.serveFaults)
+	engine.mux.HandleFunc("POST "+PathControl, engine.setFaults)
+	engine.mux.HandleFunc("GET "+PathExecutions, engine.serveExecutions)
 	return engine
 }
 
@@ -54,14 +76,11 @@
 func (e *Engine) Served() int64 { return e.served.Load() }
 
 // ServeHTTP serves the engine's API.
-func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.observe(w, r) }
-
-func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
-	running := e.running.Load()
-	waiting := max(running-int64(e.settings.Slots), 0)
-	_ = json.NewEncoder(w).Encode(map[string]any{
-		"running": running - waiting, "waiting": waiting, "slots": e.settings.Slots, "leaving": e.leaving.Load(),
-	})
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if e.faults.Load().Die && r.URL.Path != PathControl {
+		panic(http.ErrAbortHandler)
+	}
+	e.observe(w, r)
 }
 
 type chatRequest struct {
@@ -70,103 +89,126 @@
 	Prompt    json.RawMessage `json:"prompt"`
 	MaxTokens int             `json:"max_tokens"`
 	Stream    bool            `json:"stream"`
+	Priority  int             `json:"priority"` // lower goes first, as in the API's extensions
 }
 
-// Tokens gives the answer that an engine makes for a prompt.
-func Tokens(prompt []byte, count int) []string {
-	hash := fnv.New32a()
-	_, _ = hash.Write(prompt)
-	seed := hash.Sum32()
-	tokens := make([]string, count)
-	for i := range tokens {
-		tokens[i] = fmt.Sprintf("t%08x-%d ", seed, i)
+func (e *Engine) parse(body []byte) (chatRequest, error) {
+	var request chatRequest
+	err := json.Unmarshal(body, &request)
+	if request.MaxTokens <= 0 {
+		request.MaxTokens = e.settings.DefaultTokens
 	}
-	return tokens
+	return request, err
+}
+
+func (r chatRequest) tokens() []string {
+	return Tokens(append(r.Messages, r.Prompt...), r.MaxTokens)
 }
 
 func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
-	raw, err := io.ReadAll(r.Body)
+	body, err := io.ReadAll(r.Body)
 	var request chatRequest
 	if err == nil {
-		err = json.Unmarshal(raw, &request)
+		request, err = e.parse(body)
 	}
 	if err != nil {
 		writeEngineError(w, http.StatusBadRequest, err.Error())
 		return
 	}
-	e.running.Add(1)
-	defer e.running.Add(-1)
-	if request.MaxTokens <= 0 {
-		request.MaxTokens = e.settings.DefaultTokens
-	}
-	tokens := Tokens(append(request.Messages, request.Prompt...), request.MaxTokens)
 	id := r.Header.Get(api.HeaderRequestID)
+	run := e.shell.start(id, body, request, r.Header.Get(api.HeaderResume) == "true")
+	defer e.shell.cancel(run)
 	if request.Stream {
-		e.stream(w, r, id, request.Model, tokens)
+		e.stream(w, r, run, id, request, 0)
 		return
 	}
-	if !e.wait(r, e.settings.FirstToken+time.Duration(len(tokens))*e.settings.BetweenTokens) {
+	e.answer(w, r, run, id, request)
+}
+
+// answer gives the whole answer once it is there.
+func (e *Engine) answer(w http.ResponseWriter, r *http.Request, run *run, id string, request chatRequest) {
+	if !e.await(w, r, run, id, request.MaxTokens) {
 		return
 	}
+	e.writeCompletion(w, id, request)
 	e.served.Add(1)
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(completion(id, request.Model, strings.Join(tokens, ""), len(tokens)))
 }
 
-func (e *Engine) wait(r *http.Request, duration time.Duration) bool {
-	select {
-	case <-time.After(duration):
+// await waits for so many tokens; when they will not come it answers or breaks
+// the connection and is false.
+func (e *Engine) await(w http.ResponseWriter, r *http.Request, run *run, id string, tokens int) bool {
+	switch e.shell.await(r.Context(), run, tokens) {
+	case awaitedTokens:
 		return true
-	case <-r.Context().Done():
-		return false
+	case awaitedRejection:
+		e.refuse(w, id, run.rejected)
+	case awaitedDeath:
+		panic(http.ErrAbortHandler)
 	}
+	return false
 }
 
-func completion(id, model, text string, tokens int) map[string]any {
-	return map[string]any{
-		"id": "chatcmpl-" + id, "object": "chat.completion", "created": time.Now().Unix(), "model": model,
-		"choices": []any{map[string]any{
-			"index": 0, "finish_reason": "stop", "text": text,
-			"message": map[string]any{"role": "assistant", "content": text},
-		}},
-		"usage": map[string]any{"prompt_tokens": 1, "completion_tokens": tokens, "total_tokens": tokens + 1},
-	}
+// refuse answers a request that has not run.
+func (e *Engine) refuse(w http.ResponseWriter, id, reason string) {
+	e.memory.update(id, func(known *remembered) { known.executions.Started-- })
+	w.Header().Set("Retry-After", "1")
+	w.Header().Set(api.HeaderOutcome, string(api.OutcomeNotRun))
+	writeEngineError(w, http.StatusServiceUnavailable, reason)
 }
 
-func (e *Engine) stream(w http.ResponseWriter, r *http.Request, id, model string, tokens []string) {
+// stream writes events from the given one on, as their tokens come.
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, run *run, id string, request chatRequest, from int) {
+	tokens := request.tokens()
+	controller := http.NewResponseController(w)
+	for i := from; i < len(tokens); i++ {
+		if !e.await(w, r, run, id, i+1) {
+			return
+		}
+		if cut := e.faults.Load().TruncateAfter; cut > 0 && i >= cut {
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("Content-Type", "text/event-stream")
+		writeEvent(w, chunk(id, request.Model, map[string]any{"role": "assistant", "content": tokens[i]}, nil))
+		_ = controller.Flush()
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	e.streamFrom(w, r, id, model, tokens, 0)
-}
-
-func chunk(id, model string, delta map[string]any, finish any) map[string]any {
-	return map[string]any{
-		"id": "chatcmpl-" + id, "object": "chat.completion.chunk", "created": time.Now().Unix(), "model": model,
-		"choices": []any{map[string]any{"index": 0, "delta": delta, "finish_reason": finish}},
+	if from <= len(tokens) {
+		writeEvent(w, chunk(id, request.Model, map[string]any{}, "stop"))
 	}
-}
-
-func writeEvent(w io.Writer, value any) {
-	raw, _ := json.Marshal(value)
-	_, _ = fmt.Fprintf(w, "data: %s\n\n", raw)
+	_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	e.served.Add(1)
 }
 
 func (e *Engine) serveApplication(w http.ResponseWriter, r *http.Request) {
-	raw, _ := io.ReadAll(r.Body)
-	e.running.Add(1)
-	defer e.running.Add(-1)
-	if !e.wait(r, e.settings.FirstToken) {
+	body, _ := io.ReadAll(r.Body)
+	if e.shell.leaving() {
+		e.refuse(w, r.Header.Get(api.HeaderRequestID), model.ReasonLeaving)
+		return
+	}
+	e.apps.Add(1)
+	defer e.apps.Add(-1)
+	if !e.wait(r, e.settings.ApplicationTime) {
 		return
 	}
 	e.served.Add(1)
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(map[string]any{
 		"service": r.PathValue("service"), "path": r.PathValue("path"),
-		"request_id": r.Header.Get(api.HeaderRequestID), "echo": string(raw),
+		"request_id": r.Header.Get(api.HeaderRequestID), "echo": string(body),
 	})
 }
 
-func writeEngineError(w http.ResponseWriter, status int, message string) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(map[string]any{"error": map[string]any{"message": message, "type": "invalid_request_error"}})
+// wait takes the time of an application's request.
+func (e *Engine) wait(r *http.Request, duration time.Duration) bool {
+	faults := e.faults.Load()
+	if faults.Hang {
+		<-r.Context().Done()
+		return false
+	}
+	select {
+	case <-time.After(faults.slowed(duration)):
+		return true
+	case <-r.Context().Done():
+		return false
+	}
 }
--- a/internal/standin/engine/model/model.go
+++ b/internal/standin/engine/model/model.go
@@ -226,5 +226,12 @@
 // InFlight counts the sequences that run or wait.
 func (e *Engine) InFlight() int { return len(e.byHandle) }
 
+// Produced is how many output tokens executions of a request id have made, as
+// far as the engine remembers it.
+func (e *Engine) Produced(id string) int {
+	produced, _ := e.executions.resume(id)
+	return produced
+}
+
 // Executions tells how often each recent request id was started.
 func (e *Engine) Executions() map[string]int { return e.executions.counts() }
--- a/internal/standin/engine/resume.go
+++ b/internal/standin/engine/resume.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
@@ -76,8 +75,13 @@
 	}
 	r.Body = io.NopCloser(bytes.NewReader(body))
 	w.Header().Set(api.HeaderRequestID, id)
+	resumed := r.Header.Get(api.HeaderResume) == "true"
 	e.memory.update(id, func(known *remembered) {
-		known.executions.Started++
+		if resumed && known.executions.Started > 0 {
+			known.executions.Resumed++
+		} else {
+			known.executions.Started++
+		}
 		known.body = body
 	})
 	e.mux.ServeHTTP(w, r)
@@ -96,41 +100,15 @@
 	e.memory.mutex.Unlock()
 	var request chatRequest
 	if err == nil && ok {
-		err = json.Unmarshal(known.body, &request)
+		request, err = e.parse(known.body)
 	}
 	if err != nil || !ok || from < 0 || !request.Stream {
 		writeEngineError(w, http.StatusNotFound, "no such stream")
 		return
 	}
 	e.memory.update(id, func(known *remembered) { known.executions.Resumed++ })
-	if request.MaxTokens <= 0 {
-		request.MaxTokens = e.settings.DefaultTokens
-	}
 	w.Header().Set(api.HeaderRequestID, id)
-	w.Header().Set("Content-Type", "text/event-stream")
-	e.running.Add(1)
-	defer e.running.Add(-1)
-	tokens := Tokens(append(request.Messages, request.Prompt...), request.MaxTokens)
-	e.streamFrom(w, r, id, request.Model, tokens, from)
-}
-
-// streamFrom writes the events from the given one on.
-func (e *Engine) streamFrom(w http.ResponseWriter, r *http.Request, id, model string, tokens []string, from int) {
-	controller := http.NewResponseController(w)
-	for i := from; i < len(tokens); i++ {
-		pause := e.settings.BetweenTokens
-		if i == 0 {
-			pause = e.settings.FirstToken
-		}
-		if !e.wait(r, pause) {
-			return
-		}
-		writeEvent(w, chunk(id, model, map[string]any{"role": "assistant", "content": tokens[i]}, nil))
-		_ = controller.Flush()
-	}
-	if from <= len(tokens) {
-		writeEvent(w, chunk(id, model, map[string]any{}, "stop"))
-	}
-	_, _ = io.WriteString(w, "data: [DONE]\n\n")
-	e.served.Add(1)
+	run := e.shell.start(id, known.body, request, true)
+	defer e.shell.cancel(run)
+	e.stream(w, r, run, id, request, from)
 }
