--- a/config/config.go
+++ b/config/config.go
@@ -107,12 +107,12 @@
 			DefaultDeadline: 2 * time.Minute, MaximumBodyBytes: 8 << 20, MaximumFileBytes: 1 << 30,
 		},
 		Router: Router{
-			BatchReserve: 0.125, ClaimWait: 2 * time.Second,
+			BatchReserve: 0.125, ClaimWait: 10 * time.Second,
 			LoadInterval: 250 * time.Millisecond, EngineTimeout: 10 * time.Minute,
 		},
 		Store: Store{
 			Groups: 3, Replicas: 3, Heartbeat: 50 * time.Millisecond, ElectionTimeout: 300 * time.Millisecond,
-			GrantLifetime: time.Minute, Retention: 30 * 24 * time.Hour,
+			GrantLifetime: 15 * time.Second, Retention: 30 * 24 * time.Hour,
 		},
 		Log: Log{Level: "info", Format: "text"},
 	}
