--- a/cmd/dykewingsim/platform.go
+++ b/cmd/dykewingsim/platform.go
@@ -25,8 +25,8 @@
 	integer("workers", "Engines for each row of the table.", &options.WorkersPerRow)
 	integer("zones", "Zones that daemons and engines are dealt out to.", &options.Zones)
 	integer("slots", "Requests at once at an engine.", &options.Engine.Slots)
-	command.Flag("first-token", "Time of an engine before the first token.").Default(options.Engine.FirstToken.String()).DurationVar(&options.Engine.FirstToken)
-	command.Flag("between-tokens", "Time of an engine between tokens.").Default(options.Engine.BetweenTokens.String()).DurationVar(&options.Engine.BetweenTokens)
+	command.Flag("step", "Time of an engine's step, which gives each request a token.").Default(options.Engine.Model.StepBase.String()).DurationVar(&options.Engine.Model.StepBase)
+	command.Flag("prefill", "Time of an engine to prefill 1000 tokens.").Default(options.Engine.Model.StepPrefill.String()).DurationVar(&options.Engine.Model.StepPrefill)
 	command.Action(action(func() error { return runPlatform(options) }))
 }
 
--- a/cmd/dykewingsim/scale.go
+++ b/cmd/dykewingsim/scale.go
@@ -48,6 +48,7 @@
 	command.Flag("sweep", "Also vary workers, models, tenants, jobs and items one at a time, at the smallest size.").BoolVar(&flags.sweep)
 	command.Flag("seed", "Seed of all chance.").Default("1").Uint64Var(&flags.options.Seed)
 	command.Flag("duration", "Virtual time of the steady part.").Default(flags.options.Duration.String()).DurationVar(&flags.options.Duration)
+	command.Flag("warm-up", "Virtual time before anything is measured.").Default(flags.options.WarmUp.String()).DurationVar(&flags.options.WarmUp)
 	command.Flag("fault-window", "Virtual time after each crash; 0 makes none.").Default(flags.options.FaultWindow.String()).DurationVar(&flags.options.FaultWindow)
 	command.Flag("interval", "Between heartbeats.").Default(flags.options.Interval.String()).DurationVar(&flags.options.Interval)
 	command.Flag("output", "text or json.").Default("text").EnumVar(&flags.output, "text", "json")
