--- a/replication/cluster_test.go
+++ b/replication/cluster_test.go
@@ -129,7 +129,8 @@
 	r.applied, r.digest = held.snapshot.Index, snapshotDigest(held.snapshot)
 	r.compacts = r.applied
 	r.proposed, r.confirms, r.answers = map[uint64]uint64{}, map[uint64]uint64{}, map[uint64]error{}
-	r.process.Every(testHeartbeat/2, func() { r.step(Tick{}) })
+	phase := time.Duration(random.Int64N(int64(testHeartbeat / 2)))
+	r.process.After(phase, func() { r.process.Every(testHeartbeat/2, func() { r.step(Tick{}) }) })
 }
 
 func snapshotDigest(s Snapshot) uint64 {
--- a/replication/election.go
+++ b/replication/election.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// quickPreVotes is how many pre-votes follow one another a heartbeat apart.
+const quickPreVotes = 10
+
 // tick lets time decide whether to lead on or to ask for votes.
 func (m *Machine) tick() {
 	if m.role == RoleLeader {
@@ -21,12 +24,24 @@
 	m.electionDue = m.now.Add(timeout + time.Duration(m.settings.Random.Int64N(int64(timeout))))
 }
 
+// retryPreVote asks again soon: the others may just not have missed the leader
+// yet. A replica that asks in vain goes over to the long wait.
+func (m *Machine) retryPreVote() {
+	if m.preVotes < quickPreVotes {
+		m.preVotes++
+		m.electionDue = m.now.Add(m.settings.Heartbeat)
+	}
+}
+
 // campaign asks for votes, first without raising the term: a replica that was
 // cut off must not depose a leader that the others still hear.
 func (m *Machine) campaign(role Role, transfer bool) {
 	m.role, m.leader = role, ""
 	m.votes = map[ReplicaID]bool{m.settings.Self: true}
 	m.resetElection()
+	if role == RolePreCandidate {
+		m.retryPreVote()
+	}
 	request := WireMessage{Type: MessagePreVote, Term: m.state.Term + 1, Transfer: transfer}
 	if role == RoleCandidate {
 		m.enterTerm(m.state.Term+1, m.settings.Self)
@@ -103,7 +118,7 @@
 	answer := WireMessage{Type: MessageVoteAnswer, To: w.From}
 	if w.Type == MessagePreVote {
 		answer.Type = MessagePreVoteAnswer
-		answer.Granted = w.Term > m.state.Term && m.upToDate(w)
+		answer.Granted = w.Term > m.state.Term && m.upToDate(w) && !m.precedes(w)
 		if answer.Granted {
 			answer.Term = w.Term
 		}
@@ -119,6 +134,13 @@
 	m.send(answer)
 }
 
+// precedes settles between two replicas with equal logs that ask for pre-votes
+// at the same time: else each would go on to vote for itself.
+func (m *Machine) precedes(w WireMessage) bool {
+	equal := w.LogTerm == m.log.lastTerm() && w.Index == m.log.last()
+	return m.role == RolePreCandidate && equal && m.settings.Self < w.From
+}
+
 func (m *Machine) mayVoteFor(candidate ReplicaID) bool {
 	free := m.state.Vote == "" && m.leader == ""
 	return free || m.state.Vote == candidate || m.planted.voteTwice
@@ -147,7 +169,7 @@
 	if term > m.state.Term {
 		m.enterTerm(term, "")
 	}
-	m.role, m.leader, m.votes = RoleFollower, leader, nil
+	m.role, m.leader, m.votes, m.preVotes = RoleFollower, leader, nil, 0
 	m.resetElection()
 	if led {
 		m.endLeadership()
--- a/replication/machine.go
+++ b/replication/machine.go
@@ -37,6 +37,7 @@
 	electionDue time.Time
 	heardLeader time.Time
 	votes       map[ReplicaID]bool
+	preVotes    int // asked for since a leader or a newer term was heard
 
 	// As follower, within the present term.
 	verified uint64 // last entry known equal to the leader's
--- a/replication/simulation_test.go
+++ b/replication/simulation_test.go
@@ -147,6 +147,29 @@
 	}
 }
 
+// TestSafetyAndLivenessUnderTwoFaultsAtATime lets each kind meet each other kind,
+// the second while the first still lasts.
+func TestSafetyAndLivenessUnderTwoFaultsAtATime(t *testing.T) {
+	for i, first := range faultKinds {
+		for j, second := range faultKinds[i:] {
+			seed := uint64(100*i + j)
+			random := randomOf(seed)
+			var faults []fault
+			for round := range 3 {
+				at := time.Duration(round+1) * 900 * time.Millisecond
+				length := 100*time.Millisecond + time.Duration(random.Int64N(int64(700*time.Millisecond)))
+				overlap := time.Duration(random.Int64N(int64(length)))
+				faults = append(faults,
+					fault{At: at, Kind: first, Slot: random.IntN(5), Other: random.IntN(5), Length: length},
+					fault{At: at + overlap, Kind: second, Slot: random.IntN(5), Other: random.IntN(5), Length: length})
+			}
+			if c := run(options{seed: seed, voters: 3 + 2*(j%2)}, faults); len(c.broken) > 0 {
+				t.Fatalf("%s with %s: %v", first, second, c.broken)
+			}
+		}
+	}
+}
+
 func TestSafetyAndLivenessUnderMixedFaults(t *testing.T) {
 	for seed := range *seeds {
 		c := run(options{seed: seed, voters: 3 + 2*int(seed%2)}, plan(seed, faultKinds, 14))
