Draw the daemons' ports below the outgoing range

Cause: a store of a hand-started fleet found its port used: a closed listener's port had been given twice, or taken by an outgoing connection. Change: ports are drawn from 20000 to 32000, each once. Conclusion: the race is left only with other programs.

--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -67,12 +67,13 @@
 	keyValue       *keyvalue.Server
 	list           *machinelist.Server
 	workers        []api.Worker
+	given          map[string]bool // addresses for daemons
 }
 
 // Start serves the stand-ins, fills the table and the machine list, and writes
 // the settings files.
 func Start(ctx context.Context, options Options) (*Platform, error) {
-	platform := &Platform{options: options, keyValue: keyvalue.NewServer(), list: machinelist.NewServer(listLag)}
+	platform := &Platform{options: options, keyValue: keyvalue.NewServer(), list: machinelist.NewServer(listLag), given: map[string]bool{}}
 	if err := platform.start(ctx); err != nil {
 		return nil, errors.Join(err, platform.Close())
 	}
--- a/internal/standin/platform/settings.go
+++ b/internal/standin/platform/settings.go
@@ -1,10 +1,13 @@
 package platform
 
 import (
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
+	"strconv"
 	"time"
 
 	yaml "go.yaml.in/yaml/v3"
@@ -80,11 +83,11 @@
 	id := fmt.Sprintf("%s-%d", role, number+1)
 	daemon := Daemon{Role: role, ID: api.NodeID(id), File: filepath.Join(p.options.Folder, id+".yaml")}
 	var err error
-	if daemon.Address, err = freeAddress(); err != nil {
+	if daemon.Address, err = p.freeAddress(); err != nil {
 		return daemon, err
 	}
 	if role == api.RoleSidecar {
-		daemon.CallersAddress, err = freeAddress()
+		daemon.CallersAddress, err = p.freeAddress()
 	}
 	return daemon, err
 }
@@ -118,12 +121,28 @@
 	return nil
 }
 
-// freeAddress gives a loopback address that nobody listens on now.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", net.JoinHostPort(loopback, "0"))
-	if err != nil {
-		return "", fmt.Errorf("find a free port: %w", err)
+// Ports for daemons are drawn below the range that systems use for outgoing
+// connections, so that none takes one before its daemon starts.
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+)
+
+// freeAddress gives a loopback address that nobody listens on now and that it
+// has not given before.
+func (p *Platform) freeAddress() (string, error) {
+	for range lastPort - firstPort {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		address := net.JoinHostPort(loopback, strconv.Itoa(port))
+		if p.given[address] {
+			continue
+		}
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		p.given[address] = true
+		return address, listener.Close()
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", errors.New("find a free port: none is left")
 }
