--- a/internal/transport/body.go
+++ b/internal/transport/body.go
@@ -46,7 +46,15 @@
 	}
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(b.Timeout))
-	defer controller.SetReadDeadline(time.Time{})
+	defer func() {
+		if failure != nil {
+			// The rest of the body stays unread. The deadline stays too, since
+			// the server may wait for that rest before it lets the caller go.
+			w.Header().Set("Connection", "close")
+			return
+		}
+		_ = controller.SetReadDeadline(time.Time{})
+	}()
 	reader := http.MaxBytesReader(w, r.Body, b.Each)
 	for {
 		if len(body) == cap(body) {
--- /dev/null
+++ b/internal/transport/send_test.go
@@ -0,0 +1,184 @@
+package transport
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/dykewing/dykewing/api"
+)
+
+// closingServer answers the first request of each connection and closes the
+// connection unanswered once a second one has come on it, as a server does
+// whose idle timeout meets a new request.
+type closingServer struct {
+	listener net.Listener
+	requests atomic.Int64
+}
+
+func newClosingServer(t *testing.T) *closingServer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &closingServer{listener: listener}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go server.serve(conn)
+		}
+	}()
+	return server
+}
+
+func (s *closingServer) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for served := 0; ; served++ {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		s.requests.Add(1)
+		if served == 1 {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	}
+}
+
+func (s *closingServer) request(t *testing.T, body string) *http.Request {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+s.listener.Addr().String(), bytes.NewReader([]byte(body)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set(api.HeaderIdempotencyKey, "key")
+	return request
+}
+
+func discard(response *http.Response) {
+	_, _ = io.Copy(io.Discard, response.Body)
+	response.Body.Close()
+}
+
+func TestSendNeverSendsTwice(t *testing.T) {
+	for name, body := range map[string]string{"body": "a body", "no body": ""} {
+		t.Run(name, func(t *testing.T) {
+			server := newClosingServer(t)
+			client := NewClient(2)
+			response, failure := Send(client, server.request(t, body), "send", "peer")
+			if failure != nil {
+				t.Fatal(failure)
+			}
+			discard(response)
+			_, failure = Send(client, server.request(t, body), "send", "peer")
+			if failure == nil || failure.Outcome != api.OutcomeUnknown {
+				t.Fatalf("a request cut off after it was sent gave %v, not unknown", failure)
+			}
+			if got := server.requests.Load(); got != 2 {
+				t.Fatalf("%d requests arrived of 2 sent", got)
+			}
+		})
+	}
+}
+
+// TestPlainClientSendsTwice shows that the check above can fail: without Send,
+// net/http does send a request with an idempotency key a second time.
+func TestPlainClientSendsTwice(t *testing.T) {
+	server := newClosingServer(t)
+	client := NewClient(2)
+	for range 2 {
+		response, err := client.Do(server.request(t, "a body"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		discard(response)
+	}
+	if got := server.requests.Load(); got != 3 {
+		t.Fatalf("%d requests arrived: net/http no longer resends, and this guard is not needed", got)
+	}
+}
+
+func TestSendTellsWhatCannotHaveRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	listener.Close()
+	request, _ := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address, bytes.NewReader([]byte("x")))
+	_, failure := Send(NewClient(1), request, "send", address)
+	if failure == nil || failure.Outcome != api.OutcomeNotRun {
+		t.Fatalf("a refused connection gave %v, not not_run", failure)
+	}
+}
+
+// TestSendSeesNothingWritten has the server close an idle connection before the
+// next request: whatever net/http makes of it, not run is said only when no
+// request arrived.
+func TestSendSeesNothingWritten(t *testing.T) {
+	server := newClosingServer(t)
+	client := NewClient(1)
+	for range 50 {
+		before := server.requests.Load()
+		response, failure := Send(client, server.request(t, "x"), "send", "peer")
+		if failure == nil {
+			discard(response)
+			continue
+		}
+		if failure.Outcome == api.OutcomeNotRun && server.requests.Load() != before {
+			t.Fatal("not run was said of a request that arrived")
+		}
+	}
+}
+
+func TestForbiddenConnectionWritesNothing(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	conn := &countingConn{Conn: near}
+	var watch sendWatch
+	watch.conns, watch.before = []*countingConn{conn}, []int64{0}
+	if evidence := watch.evidence(); evidence.BytesLeft || !evidence.Connected {
+		t.Fatalf("evidence %+v of a connection without a write", evidence)
+	}
+	if _, err := conn.Write([]byte("late")); err == nil {
+		t.Fatal("a late write left after not run was said")
+	}
+}
+
+func TestCancelledSendIsUnknown(t *testing.T) {
+	arrived := make(chan struct{})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		close(arrived)
+		<-r.Context().Done()
+	}), ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	request, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+listener.Addr().String(), http.NoBody)
+	_, failure := Send(NewClient(1), request, "send", "peer")
+	if failure == nil || failure.Outcome != api.OutcomeUnknown || failure.Code != api.CodeClientCancelled {
+		t.Fatalf("a cancelled request gave %v", failure)
+	}
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -26,6 +26,9 @@
 // maximumErrorBytes bounds how much of an error body is read.
 const maximumErrorBytes = 64 << 10
 
+// maximumRetryAfterSeconds bounds what a peer's advice is taken for.
+const maximumRetryAfterSeconds = 24 * 60 * 60
+
 // Call posts request as JSON to address+path and decodes the answer; answer
 // may be nil. Failures are *api.Error with the step and the address as peer.
 func Call(ctx context.Context, client *http.Client, step, address, path string, request, answer any) error {
@@ -125,8 +128,8 @@
 func ReadError(step, peer string, response *http.Response) *api.Error {
 	raw, _ := io.ReadAll(io.LimitReader(response.Body, maximumErrorBytes))
 	failure := &api.Error{Step: step, Peer: peer, Code: api.CodeUpstream, Outcome: api.OutcomeUnknown}
-	if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil {
-		failure.RetryAfter = time.Duration(seconds) * time.Second
+	if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil && seconds > 0 {
+		failure.RetryAfter = min(time.Duration(seconds), maximumRetryAfterSeconds) * time.Second
 	}
 	var body api.ErrorBody
 	if err := json.Unmarshal(raw, &body); err != nil || body.Error.Code == "" {
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,131 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/dykewing/dykewing/api"
+)
+
+func newTestPolicy() *Policy {
+	return NewPolicy(DefaultSettings(), rand.New(rand.NewPCG(1, 2)))
+}
+
+var allCodes = []api.ErrorCode{
+	api.CodeBadRequest, api.CodeTooLarge, api.CodeNotFound, api.CodeConflict, api.CodeUnknownService,
+	api.CodeCeiling, api.CodeNoCapacity, api.CodeNoTable, api.CodeNotLeader, api.CodeNoQuorum, api.CodeLeaving,
+	api.CodePreempted, api.CodeDiskFull, api.CodeDeadline, api.CodeUpstream, api.CodeOutcomeUnknown,
+	api.CodeClientCancelled, api.CodeAlreadySubmitted, api.CodeInternal, api.CodeOverloaded, api.CodeRequestTimeout,
+}
+
+func drawAttempt(t *rapid.T) Attempt {
+	outcomes := []api.Outcome{api.OutcomeNotRun, api.OutcomeRan, api.OutcomeUnknown}
+	return Attempt{
+		Number: rapid.IntRange(1, 6).Draw(t, "number"), Repeatable: rapid.Bool().Draw(t, "repeatable"),
+		Started: rapid.Bool().Draw(t, "started"), Remaining: time.Duration(rapid.Int64Range(-1e9, 1e10).Draw(t, "remaining")),
+		Failure: &api.Error{
+			Code: rapid.SampledFrom(allCodes).Draw(t, "code"), Outcome: rapid.SampledFrom(outcomes).Draw(t, "outcome"),
+		},
+	}
+}
+
+// checkRules gives the first rule that a decision breaks.
+func checkRules(attempt Attempt, decision Decision) string {
+	if !decision.Again {
+		return ""
+	}
+	switch {
+	case !attempt.Repeatable && attempt.Failure.Outcome != api.OutcomeNotRun:
+		return "a request that may not be repeated is sent again after " + string(attempt.Failure.Outcome)
+	case attempt.Started:
+		return "a retry after the answer began"
+	case attempt.Remaining <= decision.Delay:
+		return "a retry after the deadline"
+	case attempt.Number >= DefaultSettings().MaximumAttempts:
+		return "too many attempts"
+	}
+	return ""
+}
+
+func TestDecideKeepsItsRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		policy := newTestPolicy()
+		attempt := drawAttempt(t)
+		if broken := checkRules(attempt, policy.Decide(attempt)); broken != "" {
+			t.Fatal(broken)
+		}
+	})
+}
+
+func TestPlantedRepeatOfUnknownIsCaught(t *testing.T) {
+	policy := newTestPolicy()
+	policy.repeatUnknown = true
+	attempt := Attempt{Number: 1, Remaining: time.Minute, Failure: &api.Error{Code: api.CodeUpstream, Outcome: api.OutcomeUnknown}}
+	if checkRules(attempt, policy.Decide(attempt)) == "" {
+		t.Fatal("the rules do not catch a repeated unknown")
+	}
+}
+
+// TestBudgetBoundsRetries has every attempt fail: retries never pass the burst
+// and the ratio of first attempts.
+func TestBudgetBoundsRetries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		settings := DefaultSettings()
+		policy := newTestPolicy()
+		requests := rapid.IntRange(1, 2000).Draw(t, "requests")
+		retries := 0
+		for range requests {
+			policy.FirstAttempt()
+			for number := 1; ; number++ {
+				attempt := Attempt{Number: number, Repeatable: true, Remaining: time.Minute, Failure: &api.Error{Code: api.CodeUpstream, Outcome: api.OutcomeUnknown}}
+				if !policy.Decide(attempt).Again {
+					break
+				}
+				retries++
+			}
+		}
+		if bound := settings.BudgetBurst + settings.BudgetRatio*float64(requests); float64(retries) > bound {
+			t.Fatalf("%d retries of %d requests, bound %v", retries, requests, bound)
+		}
+	})
+}
+
+func TestOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		evidence Evidence
+		want     api.Outcome
+	}{
+		{"no connection", Evidence{}, api.OutcomeNotRun},
+		{"connection, no byte", Evidence{Connected: true}, api.OutcomeNotRun},
+		{"a byte", Evidence{Connected: true, BytesLeft: true}, api.OutcomeUnknown},
+	} {
+		if got := OutcomeOf(c.evidence); got != c.want {
+			t.Errorf("%s: %s, want %s", c.name, got, c.want)
+		}
+	}
+	for _, c := range []struct {
+		name   string
+		answer BackendAnswer
+		want   api.Outcome
+	}{
+		{"200", BackendAnswer{Status: 200}, api.OutcomeRan},
+		{"400", BackendAnswer{Status: 400}, api.OutcomeRan},
+		{"302 is passed on, not followed", BackendAnswer{Status: 302}, api.OutcomeRan},
+		{"429", BackendAnswer{Status: 429}, api.OutcomeNotRun},
+		{"429 of an application", BackendAnswer{Status: 429, Application: true}, api.OutcomeNotRun},
+		{"503 of an engine that says when", BackendAnswer{Status: 503, RetryAfter: true}, api.OutcomeNotRun},
+		{"503 that does not say when", BackendAnswer{Status: 503}, api.OutcomeUnknown},
+		{"503 of an application", BackendAnswer{Status: 503, RetryAfter: true, Application: true}, api.OutcomeUnknown},
+		{"503 of an application that says not run", BackendAnswer{Status: 503, Application: true, Outcome: api.OutcomeNotRun}, api.OutcomeNotRun},
+		{"500", BackendAnswer{Status: 500}, api.OutcomeUnknown},
+		{"502 with Retry-After", BackendAnswer{Status: 502, RetryAfter: true}, api.OutcomeUnknown},
+	} {
+		if got := OutcomeOfAnswer(c.answer); got != c.want {
+			t.Errorf("%s: %s, want %s", c.name, got, c.want)
+		}
+	}
+}
