--- a/internal/sidecar/claim.go
+++ b/internal/sidecar/claim.go
@@ -86,7 +86,7 @@
 	defer cancel()
 	claim := jobs.ClaimRequest{
 		Tenant: request.routed.Tenant, Key: request.key, BodyHash: hashOf(request),
-		Request: request.routed.ID, Holder: s.node.Address(),
+		Request: request.routed.ID, Holder: s.holder,
 	}
 	result, err := s.stores.Command(ctx, s.groupOf(request), jobs.Command{Claim: &claim})
 	if err == nil {
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -56,6 +56,9 @@
 			header.Set(name, value)
 		}
 	}
+	if answer.stream {
+		header.Del("Content-Length") // of the part that came before it broke
+	}
 	w.WriteHeader(answer.response.StatusCode)
 	writer := newCallerWriter(w)
 	if answer.stream {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -53,6 +53,7 @@
 	// api.RequestID.
 	unrecorded sync.Map
 	running    sync.Map
+	holder     string         // address at which this sidecar is asked about them
 	recording  sync.WaitGroup // records in the background
 
 	mutex  sync.Mutex // guards policy
@@ -79,6 +80,7 @@
 		policy:  retry.NewPolicy(retry.DefaultSettings(), random),
 		profile: homeProfile(common.Settings.Node.Location(), random),
 	}
+	sidecar.holder = common.Address()
 	sidecar.setHomes(common.Nodes())
 	common.OnView(sidecar.setHomes)
 	common.OnTable(func(snapshot *table.Snapshot) { sidecar.table.Store(snapshot) })
