--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -47,6 +47,15 @@
 	return buffer.Bytes(), true, nil
 }
 
+// DecodeExchange reads a body as EncodeExchange gives it.
+func DecodeExchange(body []byte) (membership.Exchange, error) {
+	encoding := ""
+	if bytes.HasPrefix(body, []byte{0x1f, 0x8b}) { // gzip's mark; JSON never begins so
+		encoding = gzipEncoding
+	}
+	return decodeExchange(bytes.NewReader(body), encoding)
+}
+
 // decodeExchange reads a bounded body that may be compressed.
 func decodeExchange(body io.Reader, encoding string) (membership.Exchange, error) {
 	var exchange membership.Exchange
