--- a/admission/admission.go
+++ b/admission/admission.go
@@ -6,8 +6,6 @@
 package admission
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/dykewing/dykewing/api"
@@ -22,15 +20,22 @@
 	RetryAfter time.Duration
 	// Reserve is the share of a worker's slots that batch leaves free, 0 to 1.
 	Reserve float64
+	// Prefix bounds what is known of workers' prefix caches; zero is
+	// routing.DefaultPrefixSettings.
+	Prefix routing.PrefixSettings
+	// Filling says how batch takes idle room; zero is DefaultFilling.
+	Filling Filling
 }
 
-// DefaultReserve leaves an eighth of each worker for the start of a burst.
-const DefaultReserve = 0.125
+// DefaultReserve leaves a twentieth of each worker for the start of a burst;
+// more costs batch and helps online little (docs/design/admission.md).
+const DefaultReserve = 0.05
 
 // Message is what a Machine is stepped with.
 type Message interface{ admissionMessage() }
 
-// Workers replaces the workers that this router is home of.
+// Workers replaces the workers that this router is home of. Requests in
+// flight at a worker that is left out are still counted until they finish.
 type Workers struct{ Workers []api.Worker }
 
 // Rows replaces the table in force.
@@ -41,6 +46,7 @@
 	Worker  api.WorkerID
 	Running int // requests it runs
 	Waiting int // requests in its queue
+	Leaving bool
 	Asked   time.Time
 }
 
@@ -48,14 +54,31 @@
 // one Dispatch or Refuse.
 type Arrive struct{ Request routing.Request }
 
-// Finished says that a dispatched request no longer uses its worker.
+// FirstToken says that the answer of a dispatched request has begun.
+type FirstToken struct{ Request api.RequestID }
+
+// Finished says that a dispatched request no longer uses its worker; a second
+// one for the same request is ignored.
 type Finished struct{ Request api.RequestID }
 
-func (Workers) admissionMessage()  {}
-func (Rows) admissionMessage()     {}
-func (Load) admissionMessage()     {}
-func (Arrive) admissionMessage()   {}
-func (Finished) admissionMessage() {}
+// CacheEvents are a worker's prefix cache events, in order.
+type CacheEvents struct {
+	Worker api.WorkerID
+	Events []routing.CacheEvent
+}
+
+// Unreachable says that a worker could not be connected to. It gets no
+// new request for Filling.Quarantine.
+type Unreachable struct{ Worker api.WorkerID }
+
+func (Workers) admissionMessage()     {}
+func (Rows) admissionMessage()        {}
+func (Load) admissionMessage()        {}
+func (Arrive) admissionMessage()      {}
+func (FirstToken) admissionMessage()  {}
+func (Finished) admissionMessage()    {}
+func (Unreachable) admissionMessage() {}
+func (CacheEvents) admissionMessage() {}
 
 // Action is what a Machine asks for.
 type Action interface{ admissionAction() }
@@ -74,225 +97,189 @@
 	Failure *api.Error
 }
 
-// Preempt cancels a batch request in flight to make room.
+// Preempt ends a batch request in flight or suspended, to be run again
+// elsewhere. Its slot is free at once; a Finished that follows is ignored.
 type Preempt struct {
 	Request api.RequestID
 	Worker  api.WorkerID
 }
 
+// Suspend cancels a batch request at its engine, which remembers how far it
+// has come. A Resume or a Preempt of the request follows.
+type Suspend struct {
+	Request api.RequestID
+	Worker  api.WorkerID
+}
+
+// Resume sends a suspended request to its engine again, to go on where it was.
+type Resume struct{ Dispatch }
+
 func (Dispatch) admissionAction() {}
 func (Refuse) admissionAction()   {}
 func (Preempt) admissionAction()  {}
+func (Suspend) admissionAction()  {}
 
-type workerState struct {
-	worker api.Worker
-	online int
-	batch  []api.RequestID // oldest first
-	load   Load
-}
-
+// flight is a request between its Dispatch and its end.
 type flight struct {
-	worker api.WorkerID
-	class  api.Class
-	key    api.RowKey
+	request    api.RequestID
+	worker     *workerState
+	row        *rowState // the row at admission
+	class      api.Class
+	dispatched time.Time
+	priority   int
+	repeatable bool
+	suspended  time.Time // zero while it runs
+	starting   bool      // no first token yet
+	blocks     int       // of prompt to compute, by what was thought cached
 }
 
 // Machine is the admission state machine of one home router.
 type Machine struct {
 	settings Settings
 	workers  map[api.WorkerID]*workerState
-	rows     map[api.RowKey]api.Row
-	flights  map[api.RequestID]flight
-	inUse    map[api.RowKey]int
-	batchUse map[api.RowKey]int
+	rows     map[api.RowKey]*rowState
+	flights  map[api.RequestID]*flight
+	online   routing.Chooser
+	batch    routing.Chooser
+	prefix   *routing.PrefixIndex
+	tail     tailEstimate
+	roomy    []routing.Endpoint // reused: endpoints with idle room
 }
 
 // NewMachine starts with no worker and no row.
 func NewMachine(settings Settings) *Machine {
+	if settings.Filling == (Filling{}) {
+		settings.Filling = DefaultFilling()
+	}
+	if settings.Prefix == (routing.PrefixSettings{}) {
+		settings.Prefix = routing.DefaultPrefixSettings()
+	}
 	return &Machine{
-		settings: settings,
-		workers:  map[api.WorkerID]*workerState{},
-		rows:     map[api.RowKey]api.Row{},
-		flights:  map[api.RequestID]flight{},
-		inUse:    map[api.RowKey]int{},
-		batchUse: map[api.RowKey]int{},
+		settings: settings, prefix: routing.NewPrefixIndex(settings.Prefix),
+		workers: map[api.WorkerID]*workerState{},
+		rows:    map[api.RowKey]*rowState{},
+		flights: map[api.RequestID]*flight{},
+		online:  routing.Chooser{Profile: settings.Online},
+		batch:   routing.Chooser{Profile: settings.Batch},
 	}
 }
 
 // Step takes one message.
-func (m *Machine) Step(_ time.Time, message Message) []Action {
+func (m *Machine) Step(now time.Time, message Message) []Action {
 	switch message := message.(type) {
 	case Workers:
-		m.setWorkers(message.Workers)
+		return m.setWorkers(message.Workers)
 	case Rows:
-		m.rows = message.Rows
+		m.setRows(message.Rows)
 	case Load:
-		if state, ok := m.workers[message.Worker]; ok {
-			state.load = message
-		}
+		return m.report(now, message)
 	case Arrive:
-		return m.arrive(message.Request)
+		return m.arrive(now, message.Request)
+	case FirstToken:
+		return m.firstToken(message.Request)
 	case Finished:
-		m.finish(message.Request)
-	}
-	return nil
-}
-
-func (m *Machine) setWorkers(workers []api.Worker) {
-	next := map[api.WorkerID]*workerState{}
-	for _, worker := range workers {
-		state, ok := m.workers[worker.ID]
-		if !ok {
-			state = &workerState{}
+		return m.finished(message.Request)
+	case CacheEvents:
+		if m.Homes(message.Worker) {
+			m.prefix.Apply(now, message.Worker, message.Events)
 		}
-		state.worker = worker
-		next[worker.ID] = state
+	case Unreachable:
+		return m.quarantine(now, message.Worker)
 	}
-	m.workers = next
+	return nil
 }
 
-func (m *Machine) arrive(request routing.Request) []Action {
+func (m *Machine) arrive(now time.Time, request routing.Request) []Action {
 	key := api.RowKey{Service: request.Service, Place: request.Place}
 	row, ok := m.rows[key]
-	if !ok {
+	if !ok || !row.inTable {
 		return m.refuse(request, api.CodeUnknownService, 0, "no row %s in the table", key)
 	}
-	if row.CeilingConcurrency > 0 && m.inUse[key] >= row.CeilingConcurrency {
-		return m.refuse(request, api.CodeCeiling, m.settings.RetryAfter, "row %s has %d requests in flight", key, m.inUse[key])
+	if ceiling := row.row.CeilingConcurrency; ceiling > 0 && row.inUse >= ceiling {
+		return m.refuse(request, api.CodeCeiling, m.settings.RetryAfter, "row %s has %d requests in flight", key, row.inUse)
 	}
-	if request.Class == api.ClassBatch {
-		return m.arriveBatch(request, row)
+	if _, running := m.flights[request.ID]; running {
+		return m.refuse(request, api.CodeNoCapacity, m.settings.RetryAfter, "request %s is still in flight here", request.ID)
 	}
-	endpoint, ok := m.settings.Online.Choose(request, m.endpoints(nil))
-	if !ok {
-		return m.refuse(request, api.CodeNoCapacity, m.settings.RetryAfter, "no worker for row %s", key)
+	if request.Class == api.ClassBatch {
+		return m.arriveBatch(now, request, row)
 	}
-	actions := m.dispatch(request, row, endpoint)
-	return append(m.preempt(api.WorkerID(endpoint.Name)), actions...)
+	return m.arriveOnline(now, request, row)
 }
 
-func (m *Machine) arriveBatch(request routing.Request, row api.Row) []Action {
-	if m.batchUse[row.Key()] >= row.BatchAllowance {
-		return m.refuse(request, api.CodeNoCapacity, m.settings.RetryAfter, "batch allowance %d of row %s is in use", row.BatchAllowance, row.Key())
+// arriveOnline sends at once where a worker is left. Batch is preempted in
+// the same step, before the online request can wait for it.
+func (m *Machine) arriveOnline(now time.Time, request routing.Request, row *rowState) []Action {
+	endpoint, ok := m.online.Choose(request, m.candidates(now, request, row))
+	if m.settings.Filling.Fault == FaultDelayOnline && row.batchUse > 0 {
+		ok = false
 	}
-	endpoint, ok := m.settings.Batch.Choose(request, m.endpoints(m.hasRoom))
 	if !ok {
-		return m.refuse(request, api.CodeNoCapacity, m.settings.RetryAfter, "no idle room for row %s", row.Key())
-	}
-	return m.dispatch(request, row, endpoint)
-}
-
-// hasRoom is true when one more batch request leaves the reserve free.
-func (m *Machine) hasRoom(state *workerState) bool {
-	return m.room(state) > 0
-}
-
-func (m *Machine) room(state *workerState) int {
-	usable := int(float64(state.worker.Slots) * (1 - m.settings.Reserve))
-	return usable - state.online - len(state.batch)
-}
-
-// Room tells how many batch requests of the row could start now.
-func (m *Machine) Room(key api.RowKey) int {
-	total := 0
-	for _, state := range m.workers {
-		if state.worker.Leaving || state.worker.Service != key.Service || state.worker.Place != key.Place {
-			continue
-		}
-		total += max(m.room(state), 0)
+		return m.refuse(request, api.CodeNoCapacity, m.settings.RetryAfter, "no worker for row %s", row.key)
 	}
-	return min(total, max(m.rows[key].BatchAllowance-m.batchUse[key], 0))
+	worker := m.workers[api.WorkerID(endpoint.Name)]
+	ahead := worker.pending
+	dispatch := m.dispatch(now, request, row, worker)
+	late := m.tail.late(ahead+m.flights[request.ID].blocks, m.settings.Filling.SuspendQuantile)
+	return append(m.yield(now, worker, late), dispatch)
 }
 
-// Summaries reports each row's load at this home, sorted by row.
-func (m *Machine) Summaries() []api.ServiceSummary {
-	byKey := map[api.RowKey]*api.ServiceSummary{}
-	for _, state := range m.workers {
-		key := api.RowKey{Service: state.worker.Service, Place: state.worker.Place}
-		summary, ok := byKey[key]
-		if !ok {
-			summary = &api.ServiceSummary{Service: key.Service, Place: key.Place}
-			byKey[key] = summary
-		}
-		summary.Online += state.online
-		summary.Batch += len(state.batch)
-		if !state.worker.Leaving {
-			summary.Workers++
-			summary.Slots += state.worker.Slots
-		}
+func (m *Machine) arriveBatch(now time.Time, request routing.Request, row *rowState) []Action {
+	if row.batchUse >= row.row.BatchAllowance && m.settings.Filling.Fault != FaultIgnoreAllowance {
+		return m.refuse(request, api.CodeNoCapacity, m.settings.RetryAfter, "batch allowance %d of row %s is in use", row.row.BatchAllowance, row.key)
 	}
-	summaries := make([]api.ServiceSummary, 0, len(byKey))
-	for _, summary := range byKey {
-		summaries = append(summaries, *summary)
+	m.prefix.Match(now, request.Prefix)
+	endpoint, ok := m.batch.Choose(request, m.endpointsWithRoom(now, row))
+	if !ok {
+		return m.refuse(request, api.CodeNoCapacity, m.settings.RetryAfter, "no idle room for row %s", row.key)
 	}
-	slices.SortFunc(summaries, func(a, b api.ServiceSummary) int {
-		return cmp.Compare(a.Key().String(), b.Key().String())
-	})
-	return summaries
+	return []Action{m.dispatch(now, request, row, m.workers[api.WorkerID(endpoint.Name)])}
 }
 
-func (m *Machine) endpoints(keep func(*workerState) bool) []routing.Endpoint {
-	endpoints := make([]routing.Endpoint, 0, len(m.workers))
-	for id, state := range m.workers {
-		if keep != nil && !keep(state) {
-			continue
-		}
-		endpoints = append(endpoints, routing.Endpoint{
-			Name: string(id), Address: state.worker.Address,
-			Key:      api.RowKey{Service: state.worker.Service, Place: state.worker.Place},
-			Location: state.worker.Location, Slots: state.worker.Slots,
-			Online: state.online, Batch: len(state.batch), Leaving: state.worker.Leaving,
-		})
+func (m *Machine) dispatch(now time.Time, request routing.Request, row *rowState, worker *workerState) Action {
+	flight := &flight{
+		request: request.ID, worker: worker, row: row, class: request.Class, repeatable: request.Repeatable,
+		priority:   m.settings.Filling.priority(request.Class, row.row.Priority),
+		dispatched: now, starting: true, blocks: m.uncached(request, worker),
 	}
-	slices.SortFunc(endpoints, func(a, b routing.Endpoint) int { return cmp.Compare(a.Name, b.Name) })
-	return endpoints
+	m.prefix.Sent(now, worker.worker.ID, request.Prefix)
+	m.flights[request.ID] = flight
+	row.inUse++
+	worker.add(flight)
+	return flight.dispatch()
 }
 
-func (m *Machine) dispatch(request routing.Request, row api.Row, endpoint routing.Endpoint) []Action {
-	worker := api.WorkerID(endpoint.Name)
-	m.flights[request.ID] = flight{worker: worker, class: request.Class, key: row.Key()}
-	m.inUse[row.Key()]++
-	priority := row.Priority + 1
-	if request.Class == api.ClassBatch {
-		priority = 0
-		m.batchUse[row.Key()]++
-		m.workers[worker].batch = append(m.workers[worker].batch, request.ID)
-	} else {
-		m.workers[worker].online++
-	}
-	return []Action{Dispatch{Request: request.ID, Worker: worker, Address: endpoint.Address, Priority: priority}}
+func (f *flight) dispatch() Dispatch {
+	return Dispatch{Request: f.request, Worker: f.worker.worker.ID, Address: f.worker.worker.Address, Priority: f.priority}
 }
 
-// preempt cancels the youngest batch requests of the worker until its load is
-// within its slots again.
-func (m *Machine) preempt(worker api.WorkerID) []Action {
-	state := m.workers[worker]
-	excess := min(state.online+len(state.batch)-state.worker.Slots, len(state.batch))
-	var actions []Action
-	for range max(excess, 0) {
-		request := state.batch[len(state.batch)-1]
-		m.finish(request)
-		actions = append(actions, Preempt{Request: request, Worker: worker})
+func (m *Machine) firstToken(request api.RequestID) []Action {
+	flight, ok := m.flights[request]
+	if !ok || !flight.starting {
+		return nil
 	}
-	return actions
+	flight.starting = false
+	flight.worker.started(flight)
+	return m.resume(flight.worker)
 }
 
-func (m *Machine) finish(request api.RequestID) {
+func (m *Machine) finished(request api.RequestID) []Action {
 	flight, ok := m.flights[request]
 	if !ok {
-		return
+		return nil
 	}
-	delete(m.flights, request)
-	m.inUse[flight.key]--
-	state := m.workers[flight.worker]
-	if flight.class == api.ClassBatch {
-		m.batchUse[flight.key]--
-		if state != nil {
-			state.batch = slices.DeleteFunc(state.batch, func(id api.RequestID) bool { return id == request })
-		}
-	} else if state != nil {
-		state.online--
+	m.finish(flight)
+	return m.resume(flight.worker)
+}
+
+// finish takes a request out of all accounts.
+func (m *Machine) finish(flight *flight) {
+	delete(m.flights, flight.request)
+	flight.row.inUse--
+	if m.settings.Filling.Fault != FaultLeakSlot || flight.class == api.ClassOnline {
+		flight.worker.drop(flight)
 	}
+	m.forget(flight.worker)
 }
 
 func (m *Machine) refuse(request routing.Request, code api.ErrorCode, retryAfter time.Duration, format string, arguments ...any) []Action {
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -6,9 +6,12 @@
 	admitted  *prometheus.CounterVec
 	refused   *prometheus.CounterVec
 	preempted prometheus.Counter
+	suspended prometheus.Counter
 	broken    prometheus.Counter
 	resumed   prometheus.Counter
 	items     *prometheus.CounterVec
+	// batchMessages counts what batch work costs between router and stores.
+	batchMessages *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -22,6 +25,9 @@
 		preempted: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "dykewing_router_preempted_total", Help: "Batch requests cancelled for online ones.",
 		}),
+		suspended: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "dykewing_router_suspended_total", Help: "Batch requests held for online ones, to go on later.",
+		}),
 		broken: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "dykewing_router_broken_answers_total", Help: "Answers of workers that broke off or were cut.",
 		}),
@@ -31,7 +37,10 @@
 		items: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "dykewing_router_batch_items_total", Help: "Batch items run, by outcome.",
 		}, []string{"outcome"}),
+		batchMessages: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "dykewing_router_batch_messages_total", Help: "Messages to stores about batch items, by step.",
+		}, []string{"step"}),
 	}
-	registry.MustRegister(m.admitted, m.refused, m.preempted, m.broken, m.resumed, m.items)
+	registry.MustRegister(m.admitted, m.refused, m.preempted, m.suspended, m.broken, m.resumed, m.items, m.batchMessages)
 	return m
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -45,11 +45,13 @@
 
 	admission *shell.Shell[admission.Message, admission.Action]
 	machine   *admission.Machine
-	workers   atomic.Pointer[[]api.Worker] // the machine list
 	homed     atomic.Pointer[[]api.Worker] // those that this router is home of
-	mutex     sync.Mutex                   // guards flights
-	flights   map[api.RequestID]context.CancelCauseFunc
+	flights   *flights
 	metrics   *metrics
+
+	homesMutex sync.Mutex // guards homes and workers
+	homes      *placement.Homes
+	workers    []api.Worker // the machine list
 }
 
 // New adds the role to a node.
@@ -60,7 +62,7 @@
 		batchBackend: &engine.HTTPBackend{Client: transport.NewClient(requestConnections), Control: common.Control},
 		bodies:       newBodyBudget(common.Settings.Sidecar.MaximumBodyBytes),
 		forward:      transport.NewClient(requestConnections),
-		flights:      map[api.RequestID]context.CancelCauseFunc{},
+		flights:      newFlights(),
 		metrics:      newMetrics(common.Registry),
 	}
 	if address := common.Settings.MachineList.URL; address != "" {
@@ -71,13 +73,14 @@
 		router.list = &discovery.HTTPList{Address: parsed.Host, Path: parsed.RequestURI(), Client: common.Control}
 	}
 	router.machine = admission.NewMachine(admission.Settings{
-		Online: onlineProfile(common), Batch: batchProfile(),
+		Online: routing.OnlineProfile(common.Settings.Node.Location(), newRandom()), Batch: routing.BatchProfile(newRandom()),
 		RetryAfter: refusalRetryAfter, Reserve: common.Settings.Router.BatchReserve,
 	})
 	router.admission = shell.Start(common.System, router.machine, router.execute)
-	router.workers.Store(&[]api.Worker{})
+	router.homes = placement.NewHomes(common.ID())
+	router.homes.SetNodes(common.Nodes())
 	router.homed.Store(&[]api.Worker{})
-	common.OnView(func([]api.Node) { router.rehome() })
+	common.OnView(router.setNodes)
 	common.OnTable(router.setRows)
 	common.SetSummary(router.summary)
 	common.Mux.HandleFunc("POST "+api.PathRequests+"/", router.serveRequest)
@@ -87,28 +90,6 @@
 
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
-func onlineProfile(common *node.Node) routing.Profile {
-	return routing.Profile{
-		Name:    "online",
-		Filters: []routing.Filter{routing.RowFilter{}, routing.NotLeavingFilter{}, routing.NotTriedFilter{}},
-		Scorers: []routing.WeightedScorer{
-			{Scorer: routing.LoadScorer{}, Weight: 2},
-			{Scorer: routing.PrefixScorer{}, Weight: 1},
-			{Scorer: routing.ZoneScorer{Self: common.Settings.Node.Location()}, Weight: 0.25},
-		},
-		Picker: routing.BestPicker{Random: newRandom()},
-	}
-}
-
-func batchProfile() routing.Profile {
-	return routing.Profile{
-		Name:    "batch",
-		Filters: []routing.Filter{routing.RowFilter{}, routing.NotLeavingFilter{}},
-		Scorers: []routing.WeightedScorer{{Scorer: routing.LoadScorer{}, Weight: 1}},
-		Picker:  routing.BestPicker{Random: newRandom()},
-	}
-}
-
 // Run polls the machine list and workers' loads and pulls batch items until
 // ctx ends.
 func (r *Router) Run(ctx context.Context) {
@@ -126,19 +107,32 @@
 }
 
 func (r *Router) setWorkers(workers []api.Worker) {
-	r.workers.Store(&workers)
+	r.homesMutex.Lock()
+	defer r.homesMutex.Unlock()
+	r.workers = workers
 	r.rehome()
 }
 
+// setNodes moves workers only when the routers changed: a view changes with
+// every load report.
+func (r *Router) setNodes(nodes []api.Node) {
+	r.homesMutex.Lock()
+	defer r.homesMutex.Unlock()
+	if r.homes.SetNodes(nodes) {
+		r.rehome()
+	}
+}
+
+// listed is the machine list; do not modify.
+func (r *Router) listed() []api.Worker {
+	r.homesMutex.Lock()
+	defer r.homesMutex.Unlock()
+	return r.workers
+}
+
 // rehome finds the workers that this router is home of.
 func (r *Router) rehome() {
-	nodes := r.node.Nodes()
-	var homed []api.Worker
-	for _, worker := range *r.workers.Load() {
-		if home, ok := placement.HomeOf(worker, nodes); ok && home == r.node.ID() {
-			homed = append(homed, worker)
-		}
-	}
+	homed := r.homes.Mine(r.workers)
 	r.homed.Store(&homed)
 	r.admission.Tell(admission.Workers{Workers: homed})
 }
@@ -182,20 +176,20 @@
 	if err != nil {
 		return
 	}
-	r.admission.Tell(admission.Load{Worker: worker.ID, Running: load.Running, Waiting: load.Waiting, Asked: asked})
+	r.admission.Tell(admission.Load{Worker: worker.ID, Running: load.Running, Waiting: load.Waiting, Leaving: load.Leaving, Asked: asked})
+	r.pollCache(ctx, worker)
 }
 
-// execute carries out admission's actions that are not the answer to a step.
-func (r *Router) execute(action admission.Action) {
-	preempt, ok := action.(admission.Preempt)
-	if !ok {
+// pollCache reads what has changed in the worker's prefix cache. Applications
+// have none, and an engine that publishes nothing is left alone.
+func (r *Router) pollCache(ctx context.Context, worker api.Worker) {
+	var after uint64
+	if r.admission.Inspect(func() { after = r.machine.CacheSequence(worker.ID) }) != nil {
 		return
 	}
-	r.mutex.Lock()
-	cancel := r.flights[preempt.Request]
-	r.mutex.Unlock()
-	if cancel != nil {
-		r.metrics.preempted.Inc()
-		cancel(errPreempted)
+	events, err := r.backend.CacheEvents(ctx, worker.Address, after)
+	if err != nil || len(events) == 0 {
+		return
 	}
+	r.admission.Tell(admission.CacheEvents{Worker: worker.ID, Events: events})
 }
