--- a/internal/transport/body_test.go
+++ b/internal/transport/body_test.go
@@ -16,18 +16,18 @@
 func TestBodyBudget(t *testing.T) {
 	cases := []struct {
 		name   string
-		budget BodyBudget
+		budget *BodyBudget
 		body   string
 		length int64 // as announced; -1 for chunks
 		code   api.ErrorCode
 	}{
-		{"fits", BodyBudget{Total: 1 << 20, Each: 1 << 10}, "body", 4, ""},
-		{"fits in chunks", BodyBudget{Total: 1 << 20, Each: 1 << 14}, strings.Repeat("b", 1<<14), -1, ""},
-		{"empty", BodyBudget{Total: 1 << 20, Each: 1 << 10}, "", 0, ""},
-		{"announced too large", BodyBudget{Total: 1 << 20, Each: 10}, strings.Repeat("b", 11), 11, api.CodeTooLarge},
-		{"too large in chunks", BodyBudget{Total: 1 << 20, Each: 10}, strings.Repeat("b", 11), -1, api.CodeTooLarge},
-		{"no budget for the request", BodyBudget{Total: 10, Each: 10}, "b", 1, api.CodeOverloaded},
-		{"no budget for the body", BodyBudget{Total: requestBytes + 1000, Each: 1 << 20}, strings.Repeat("b", 5000), -1, api.CodeOverloaded},
+		{"fits", &BodyBudget{Total: 1 << 20, Each: 1 << 10}, "body", 4, ""},
+		{"fits in chunks", &BodyBudget{Total: 1 << 20, Each: 1 << 14}, strings.Repeat("b", 1<<14), -1, ""},
+		{"empty", &BodyBudget{Total: 1 << 20, Each: 1 << 10}, "", 0, ""},
+		{"announced too large", &BodyBudget{Total: 1 << 20, Each: 10}, strings.Repeat("b", 11), 11, api.CodeTooLarge},
+		{"too large in chunks", &BodyBudget{Total: 1 << 20, Each: 10}, strings.Repeat("b", 11), -1, api.CodeTooLarge},
+		{"no budget for the request", &BodyBudget{Total: 10, Each: 10}, "b", 1, api.CodeOverloaded},
+		{"no budget for the body", &BodyBudget{Total: requestBytes + 1000, Each: 1 << 20}, strings.Repeat("b", 5000), -1, api.CodeOverloaded},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
