--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -43,20 +45,46 @@
 	Workers(ctx context.Context) ([]api.Worker, error)
 }
 
-// HTTPList reads the list from a URL.
+// HTTPList reads the list from a URL. It asks with the entity tag of the list
+// that it has (RFC 9110), so that a list that did not change is not sent again
+// by a platform that gives tags. It is not safe for concurrent use.
 type HTTPList struct {
 	Address string // host:port
 	Path    string
 	Client  *http.Client
+
+	tag string // of the last list that was read whole
 }
 
 // Workers reads the list; targets that are not valid are left out and reported
-// in the error beside the valid ones.
+// in the error beside the valid ones. Both are nil when nothing changed since
+// the last call.
 func (l *HTTPList) Workers(ctx context.Context) ([]api.Worker, error) {
+	const step = "read machine list"
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+l.Address+l.Path, nil)
+	if err != nil {
+		return nil, api.NewError(step, l.Address, api.CodeInternal, api.OutcomeNotRun, "%w", err)
+	}
+	if l.tag != "" {
+		request.Header.Set("If-None-Match", l.tag)
+	}
+	response, err := l.Client.Do(request)
+	if err != nil {
+		return nil, transport.SendError(step, l.Address, err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode == http.StatusNotModified {
+		return nil, nil
+	}
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return nil, transport.ReadError(step, l.Address, response)
+	}
 	var groups []Group
-	if err := transport.Get(ctx, l.Client, "read machine list", l.Address, l.Path, &groups); err != nil {
-		return nil, err
+	body := io.LimitReader(response.Body, transport.MaximumControlBytes)
+	if err := json.NewDecoder(body).Decode(&groups); err != nil {
+		return nil, api.NewError(step, l.Address, api.CodeUpstream, api.OutcomeUnknown, "read answer: %w", err)
 	}
+	l.tag = response.Header.Get("ETag")
 	return WorkersOf(groups)
 }
 
--- a/internal/scale/cost.go
+++ b/internal/scale/cost.go
@@ -1,6 +1,9 @@
 package scale
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Part is one of the control mechanisms that costs are booked to.
 type Part string
@@ -20,10 +23,19 @@
 	Processor     map[Part]time.Duration
 	BytesSent     int64 // JSON and HTTP headers, without TCP and IP
 	BytesReceived int64
-	Messages      int64 // exchanges begun
+	Messages      int64            // exchanges begun
+	SentFor       map[string]int64 // BytesSent by what they were for
+}
+
+func newCost() *Cost {
+	return &Cost{Processor: map[Part]time.Duration{}, SentFor: map[string]int64{}}
 }
 
-func newCost() *Cost { return &Cost{Processor: map[Part]time.Duration{}} }
+// sent books bytes that leave the node.
+func (c *Cost) sent(purpose string, bytes int) {
+	c.BytesSent += int64(bytes)
+	c.SentFor[purpose] += int64(bytes)
+}
 
 // timed books the processor time of f.
 func (c *Cost) timed(part Part, f func()) {
@@ -45,9 +57,8 @@
 func (c *Cost) clone() *Cost {
 	copied := newCost()
 	copied.BytesSent, copied.BytesReceived, copied.Messages = c.BytesSent, c.BytesReceived, c.Messages
-	for part, spent := range c.Processor {
-		copied.Processor[part] = spent
-	}
+	maps.Copy(copied.Processor, c.Processor)
+	maps.Copy(copied.SentFor, c.SentFor)
 	return copied
 }
 
@@ -60,5 +71,8 @@
 	for part, before := range earlier.Processor {
 		spent.Processor[part] -= before
 	}
+	for purpose, before := range earlier.SentFor {
+		spent.SentFor[purpose] -= before
+	}
 	return spent
 }
--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -74,9 +74,9 @@
 
 // exchange carries a request to the process at address and its answer back;
 // done gets nil when there was none within the interval.
-func (f *fleet) exchange(from *hollow, address string, request []byte, serve func(*hollow, []byte) []byte, done func([]byte)) {
+func (f *fleet) exchange(from *hollow, purpose, address string, request []byte, serve func(*hollow, []byte) []byte, done func([]byte)) {
 	from.cost.Messages++
-	from.cost.BytesSent += int64(len(request) + f.wire.RequestHeader)
+	from.cost.sent(purpose, len(request)+f.wire.RequestHeader)
 	target, ok := f.byAddress[address]
 	if !ok {
 		from.process.After(f.options.Interval, func() { done(nil) })
@@ -94,7 +94,7 @@
 	target.process.After(oneWay, func() {
 		target.cost.BytesReceived += int64(len(request) + f.wire.RequestHeader)
 		answer := serve(target, request)
-		target.cost.BytesSent += int64(len(answer) + f.wire.ResponseHeader)
+		target.cost.sent(purpose+" answer", len(answer)+f.wire.ResponseHeader)
 		from.process.After(oneWay, func() {
 			from.cost.BytesReceived += int64(len(answer) + f.wire.ResponseHeader)
 			finish(answer)
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -180,7 +180,7 @@
 // back as the real shell gives it.
 func (h *hollow) send(send membership.Send) {
 	raw := h.encodeExchange(send.Exchange)
-	h.fleet.exchange(h, send.Address, raw, func(target *hollow, request []byte) []byte {
+	h.fleet.exchange(h, string(send.Purpose), send.Address, raw, func(target *hollow, request []byte) []byte {
 		reply := target.stepMembership(membership.Incoming{Exchange: target.decodeExchange(request)})
 		if reply == nil {
 			reply = &membership.Exchange{From: target.self.ID}
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -1,9 +1,11 @@
 package scale
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"text/tabwriter"
 	"time"
@@ -154,11 +156,32 @@
 			rounded(result.InForce.Median), rounded(result.InForce.Worst), result.InForce.Missing, result.Missing, rounded(result.Wall), rounded(result.Processor))
 	}
 	fmt.Fprintln(table)
+	r.printPurposes(table)
 	r.printFaults(table)
 	r.printSlopes(table)
 	_ = table.Flush()
 }
 
+// printPurposes says what the bytes of the largest fleet were for.
+func (r Report) printPurposes(table io.Writer) {
+	if len(r.Results) == 0 {
+		return
+	}
+	largest := slices.MaxFunc(r.Results, func(a, b Result) int { return cmp.Compare(a.Size.Nodes(), b.Size.Nodes()) })
+	fmt.Fprintf(table, "SENT B/S AT %d NODES FOR\tROUTER\tSTORE\tSIDECAR\n", largest.Size.Nodes())
+	purposes := map[string]bool{}
+	for _, role := range largest.Roles {
+		for purpose := range role.SentFor {
+			purposes[purpose] = true
+		}
+	}
+	for _, purpose := range slices.Sorted(maps.Keys(purposes)) {
+		fmt.Fprintf(table, "%s\t%.0f\t%.0f\t%.0f\n", purpose, largest.role(api.RoleRouter).SentFor[purpose],
+			largest.role(api.RoleStore).SentFor[purpose], largest.role(api.RoleSidecar).SentFor[purpose])
+	}
+	fmt.Fprintln(table)
+}
+
 func (r Report) printFaults(table io.Writer) {
 	fmt.Fprintln(table, "NODES\tCRASH OF\tCRASHED\tSEEN BY\tGONE P50\tWORST\tSTILL SEEN\tNO HOME\tTWO HOMES\tHOMES SETTLED\tPEAK B/S")
 	for _, result := range r.Results {
--- a/internal/scale/roles.go
+++ b/internal/scale/roles.go
@@ -15,6 +15,7 @@
 	ByPart        map[Part]time.Duration `json:"by_part"`        // mean of the nodes
 	Sent          float64                `json:"sent_bytes"`     // mean of the nodes
 	SentMost      float64                `json:"sent_bytes_most"`
+	SentFor       map[string]float64     `json:"sent_for"`       // Sent by what it was for
 	Received      float64                `json:"received_bytes"` // mean of the nodes
 	Messages      float64                `json:"messages"`       // exchanges begun, mean of the nodes
 }
@@ -24,7 +25,7 @@
 	seconds := f.options.Duration.Seconds()
 	var results []RoleResult
 	for _, role := range []api.Role{api.RoleRouter, api.RoleStore, api.RoleSidecar} {
-		result := RoleResult{Role: role, ByPart: map[Part]time.Duration{}}
+		result := RoleResult{Role: role, ByPart: map[Part]time.Duration{}, SentFor: map[string]float64{}}
 		for i, node := range f.nodes {
 			if node.self.Role == role {
 				result.add(node.cost.since(before[i]), seconds)
@@ -43,6 +44,9 @@
 	for part, processor := range spent.Processor {
 		r.ByPart[part] += perSecond(processor)
 	}
+	for purpose, bytes := range spent.SentFor {
+		r.SentFor[purpose] += float64(bytes) / seconds
+	}
 	r.Sent += float64(spent.BytesSent) / seconds
 	r.SentMost = max(r.SentMost, float64(spent.BytesSent)/seconds)
 	r.Received += float64(spent.BytesReceived) / seconds
@@ -57,6 +61,10 @@
 	for part, processor := range r.ByPart {
 		mean.ByPart[part] = time.Duration(float64(processor) / nodes)
 	}
+	mean.SentFor = map[string]float64{}
+	for purpose, bytes := range r.SentFor {
+		mean.SentFor[purpose] = bytes / nodes
+	}
 	mean.Sent, mean.Received, mean.Messages = r.Sent/nodes, r.Received/nodes, r.Messages/nodes
 	return mean
 }
--- a/internal/scale/tablesync.go
+++ b/internal/scale/tablesync.go
@@ -93,7 +93,7 @@
 		return
 	}
 	h.fetching = true
-	h.fleet.exchange(h, peer.Address, nil, serveTable(h.revision()), func(answer []byte) {
+	h.fleet.exchange(h, "table", peer.Address, nil, serveTable(h.revision()), func(answer []byte) {
 		h.fetching = false
 		if answer != nil {
 			var delta api.TableDelta
--- a/internal/standin/machinelist/machinelist.go
+++ b/internal/standin/machinelist/machinelist.go
@@ -3,11 +3,14 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/internal/discovery"
 )
@@ -46,8 +49,19 @@
 	for _, worker := range s.shown() {
 		groups = append(groups, groupOf(worker))
 	}
+	body, err := json.Marshal(groups)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := fmt.Sprintf(`"%016x"`, xxhash.Sum64(body))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(groups)
+	_, _ = w.Write(body)
 }
 
 func (s *Server) shown() []api.Worker {
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -35,6 +35,7 @@
 	ZoneTicks      int // optional: ticks between exchanges of a representative with other zones
 	PublishTicks   int // optional: ticks between versions of the zone's summary
 	Gateways       int // optional: routers named to other zones
+	ObserveTicks   int // optional: ticks between an observer's questions
 
 	Fault Fault // planted in tests
 }
@@ -58,6 +59,7 @@
 	defaultZoneTicks      = 4
 	defaultPublishTicks   = 10
 	defaultGateways       = 8
+	defaultObserveTicks   = 2
 )
 
 func (s Settings) withDefaults() Settings {
@@ -67,6 +69,7 @@
 	setDefault(&s.ZoneTicks, defaultZoneTicks)
 	setDefault(&s.PublishTicks, defaultPublishTicks)
 	setDefault(&s.Gateways, defaultGateways)
+	setDefault(&s.ObserveTicks, defaultObserveTicks)
 	return s
 }
 
@@ -96,9 +99,11 @@
 	joined   bool                // a member has told this node of the others
 	rival    string              // address seen once under the own id
 
-	source   Contact // observer: whom it asks
-	cursor   Observe
-	location api.Location // of entries
+	source Contact // observer: whom it asks
+	// sourceIsSeed: the source was drawn without knowing a member.
+	sourceIsSeed bool
+	cursor       Observe
+	location     api.Location // of entries
 }
 
 type entry struct {
--- a/membership/observer.go
+++ b/membership/observer.go
@@ -9,10 +9,13 @@
 // observe asks the source for what has changed. An observer keeps to one source
 // while that answers and stays, so that only changes travel.
 func (m *Machine) observe() []Action {
-	if !m.keepsSource() {
+	if !m.keepsSource() || m.sourceIsSeed && len(m.candidates()) > 0 {
 		m.source, m.cursor = m.chooseSource(), Observe{}
+		// A seed is only the way in: observers that all keep to the few seeds
+		// of their settings would load these with the whole zone's answers.
+		m.sourceIsSeed = m.source.ID == ""
 	}
-	if m.source.Address == "" {
+	if m.source.Address == "" || !m.observesNow() {
 		return nil
 	}
 	cursor := m.cursor
@@ -20,6 +23,12 @@
 	return []Action{Send{Address: m.source.Address, Peer: m.source.ID, Purpose: PurposeObserve, Exchange: exchange}}
 }
 
+// observesNow spares every other tick once the source has answered: loads of
+// all the zone's members changed meanwhile, and they travel once.
+func (m *Machine) observesNow() bool {
+	return m.cursor.Source == "" || m.ticks%m.settings.ObserveTicks == 0
+}
+
 // keepsSource is false when the source leaves, or is of another zone although
 // the own one has become known.
 func (m *Machine) keepsSource() bool {
