--- a/admission/admission.go
+++ b/admission/admission.go
@@ -211,6 +211,11 @@
 // the same step, before the online request can wait for it.
 func (m *Machine) arriveOnline(now time.Time, request routing.Request, row *rowState) []Action {
 	endpoint, ok := m.online.Choose(request, m.candidates(now, request, row))
+	if !ok && len(request.Excluded) > 0 {
+		// All that stay have failed once; one of them beats no answer.
+		request.Excluded = nil
+		endpoint, ok = m.online.Choose(request, m.candidates(now, request, row))
+	}
 	if m.settings.Filling.Fault == FaultDelayOnline && row.batchUse > 0 {
 		ok = false
 	}
--- a/api/headers.go
+++ b/api/headers.go
@@ -19,12 +19,16 @@
 	HeaderPlace         = "Dykewing-Place"
 	HeaderWorker        = "Dykewing-Worker"
 	HeaderDeadline      = "Dykewing-Deadline-Ms" // remaining milliseconds, so that clocks need not agree
+	HeaderExcluded      = "Dykewing-Excluded"    // workers that earlier attempts failed at, comma-separated
 	HeaderAttempt       = "Dykewing-Attempt"     // 1 for the first
 	HeaderResume        = "Dykewing-Resume"      // "true": to an engine that ran a part of the request before
 	HeaderHops          = "Dykewing-Hops"        // routers passed so far
 	HeaderTableRevision = "Dykewing-Table-Revision"
 )
 
+// ExcludedSeparator parts the names in HeaderExcluded.
+const ExcludedSeparator = ","
+
 // Paths of the internal protocol, served by every role unless said otherwise.
 const (
 	PathInternal = "/internal/v1/"
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -37,6 +37,9 @@
 		Class:   api.ClassOnline,
 		Prefix:  engine.PromptPrefix(body),
 	}
+	if excluded := request.Header.Get(api.HeaderExcluded); excluded != "" {
+		routed.Excluded = strings.Split(excluded, api.ExcludedSeparator)
+	}
 	if routed.ID == "" {
 		r.refuse(w, api.NewError("read request", "", api.CodeBadRequest, api.OutcomeNotRun, "header %s is missing", api.HeaderRequestID))
 		return
@@ -46,6 +49,9 @@
 	path := strings.TrimPrefix(request.URL.RequestURI(), api.PathRequests)
 	response, dispatch, finish, failure := r.run(ctx, routed, path, body, request.Header)
 	if failure != nil {
+		if dispatch.Worker != "" {
+			w.Header().Set(api.HeaderWorker, string(dispatch.Worker))
+		}
 		r.refuse(w, failure)
 		return
 	}
--- a/internal/sidecar/homes.go
+++ b/internal/sidecar/homes.go
@@ -59,9 +59,23 @@
 }
 
 // chooseHome draws a place by weight and a home router in it; places without
-// one are left out.
+// one are left out. When all homes have failed, they are tried again.
 func (s *Sidecar) chooseHome(routed *routing.Request) (routing.Endpoint, *api.Error) {
 	const step = "choose router"
+	endpoint, ok := s.drawHome(routed)
+	if !ok && len(routed.Excluded) > 0 {
+		routed.Excluded = nil
+		endpoint, ok = s.drawHome(routed)
+	}
+	if ok {
+		return endpoint, nil
+	}
+	failure := api.NewError(step, "", api.CodeNoCapacity, api.OutcomeNotRun, "no router has a worker for %q", routed.Service)
+	failure.RetryAfter = time.Second
+	return routing.Endpoint{}, failure
+}
+
+func (s *Sidecar) drawHome(routed *routing.Request) (routing.Endpoint, bool) {
 	rows := s.table.Load().Service(routed.Service)
 	homes := s.homes.Load()
 	for len(rows) > 0 {
@@ -71,13 +85,11 @@
 		}
 		routed.Place = row.Place
 		if endpoint, ok := s.profile.Choose(*routed, homes.byRow[row.Key()]); ok {
-			return endpoint, nil
+			return endpoint, true
 		}
 		rows = without(rows, row)
 	}
-	failure := api.NewError(step, "", api.CodeNoCapacity, api.OutcomeNotRun, "no router has a worker for %q", routed.Service)
-	failure.RetryAfter = time.Second
-	return routing.Endpoint{}, failure
+	return routing.Endpoint{}, false
 }
 
 func without(rows []api.Row, left api.Row) []api.Row {
--- a/internal/sidecar/incoming.go
+++ b/internal/sidecar/incoming.go
@@ -29,6 +29,9 @@
 	uri      string
 	body     []byte
 	deadline time.Time
+	// failedWorkers are those that earlier attempts failed at; routed.Excluded
+	// are the homes that did.
+	failedWorkers []string
 }
 
 // modelPath tells whether the answer is of the model API, whose streams end
--- a/internal/sidecar/online.go
+++ b/internal/sidecar/online.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/dykewing/dykewing/api"
@@ -65,7 +66,7 @@
 	s.mutex.Unlock()
 	outcome := api.OutcomeNotRun
 	for number := 1; ; number++ {
-		answer, home, failure := s.attempt(ctx, request, number)
+		answer, tried, failure := s.attempt(ctx, request, number)
 		if failure == nil {
 			return answer, nil
 		}
@@ -79,10 +80,26 @@
 			return nil, &final
 		}
 		s.metrics.retries.Inc()
-		request.routed.Excluded = append(request.routed.Excluded, home)
+		request.exclude(tried)
 	}
 }
 
+// tried is where an attempt went.
+type tried struct {
+	home   string
+	worker string // empty when the home sent it to none
+}
+
+// exclude keeps later attempts from where this one failed: the worker when it
+// was sent to one, since the home may have others, else the home.
+func (q *onlineRequest) exclude(tried tried) {
+	if tried.worker != "" {
+		q.failedWorkers = append(q.failedWorkers, tried.worker)
+		return
+	}
+	q.routed.Excluded = append(q.routed.Excluded, tried.home)
+}
+
 // sleep waits and is false when ctx ends first.
 func sleep(ctx context.Context, pause time.Duration) bool {
 	if pause <= 0 {
@@ -108,23 +125,25 @@
 }
 
 // attempt sends the request to one home router; the answer is the back end's.
-func (s *Sidecar) attempt(ctx context.Context, request *onlineRequest, number int) (*answer, string, *api.Error) {
+func (s *Sidecar) attempt(ctx context.Context, request *onlineRequest, number int) (*answer, tried, *api.Error) {
 	const step = "send to router"
 	home, failure := s.chooseHome(&request.routed)
 	if failure != nil {
-		return nil, "", failure
+		return nil, tried{}, failure
 	}
+	at := tried{home: home.Name}
 	outgoing, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+home.Address+api.PathRequests+request.uri, bytes.NewReader(request.body))
 	if err != nil {
-		return nil, home.Name, api.NewError(step, home.Name, api.CodeInternal, api.OutcomeNotRun, "%w", err)
+		return nil, at, api.NewError(step, home.Name, api.CodeInternal, api.OutcomeNotRun, "%w", err)
 	}
 	outgoing.Header = outgoingHeader(request, number)
 	response, failure := transport.Send(s.online, outgoing, step, home.Name)
 	if failure != nil {
-		return nil, home.Name, failure
+		return nil, at, failure
 	}
+	at.worker = response.Header.Get(api.HeaderWorker)
 	answer, failure := s.begin(ctx, response, request, home.Name)
-	return answer, home.Name, failure
+	return answer, at, failure
 }
 
 // outgoingHeader is built anew, so that a caller sets no internal header.
@@ -144,6 +163,9 @@
 	header.Set(api.HeaderPlace, string(request.routed.Place))
 	header.Set(api.HeaderRepeatable, strconv.FormatBool(request.routed.Repeatable))
 	header.Set(api.HeaderAttempt, strconv.Itoa(number))
+	if len(request.failedWorkers) > 0 {
+		header.Set(api.HeaderExcluded, strings.Join(request.failedWorkers, api.ExcludedSeparator))
+	}
 	header.Set(api.HeaderDeadline, remainingMilliseconds(request.deadline))
 	return header
 }
