--- a/internal/router/batch.go
+++ b/internal/router/batch.go
@@ -139,9 +139,8 @@
 		now := time.Now()
 		for _, service := range snapshot.Services() {
 			for _, row := range snapshot.Service(service) {
-				if room := b.router.machine.Room(now, row.Key()); room > 0 {
-					rooms = append(rooms, jobs.ClaimWant{Service: row.Service, Place: row.Place, Room: room})
-				}
+				room := b.router.machine.Room(now, row.Key())
+				rooms = append(rooms, jobs.ClaimWant{Service: row.Service, Place: row.Place, Room: room})
 			}
 		}
 	})
--- a/jobs/dispatcher_events.go
+++ b/jobs/dispatcher_events.go
@@ -219,7 +219,7 @@
 	if tracked == nil || !tracked.active() {
 		return nil
 	}
-	waiting, found, err := d.state.untaken(tracked.job, renewed.Item.Item)
+	waiting, found, err := d.state.untaken(tracked.job, waitingItem{item: renewed.Item.Item})
 	d.fail(err)
 	if !found || tracked.streams[waiting.service] == nil {
 		return nil
--- a/jobs/read_items.go
+++ b/jobs/read_items.go
@@ -105,19 +105,31 @@
 	return taken
 }
 
-// untaken reads an item that has neither result nor standing start.
-func (s *State) untaken(job Job, item int) (waiting waitingItem, found bool, err error) {
+// untaken tells whether an item has neither result nor standing start, and
+// reads its line when the candidate comes without it.
+func (s *State) untaken(job Job, candidate waitingItem) (waiting waitingItem, found bool, err error) {
+	ref := ItemRef{Job: job.ID(), Item: candidate.item}
 	err = s.storage.View(func(r Reader) error {
-		if !job.holds(ItemRef{Job: job.ID(), Item: item}) || takenItems(r, job, item, item+1)[item] {
+		if !job.holds(ref) || isTaken(r, job, ref) {
 			return nil
 		}
-		raw := r.Get(numberedKey(keyLine, string(job.File), item))
+		found, waiting = true, candidate
+		if candidate.service != "" {
+			return nil
+		}
+		raw := r.Get(numberedKey(keyLine, string(job.File), ref.Item))
 		if raw == nil {
-			return fmt.Errorf("job %s: line %d of file %s is missing", job.ID(), item, job.File)
+			return fmt.Errorf("job %s: line %d of file %s is missing", job.ID(), ref.Item, job.File)
 		}
-		found = true
-		waiting, err = parseWaiting(item, raw)
+		waiting, err = parseWaiting(ref.Item, raw)
 		return err
 	})
 	return waiting, found && err == nil, err
 }
+
+func isTaken(r Reader, job Job, ref ItemRef) bool {
+	if r.Get(resultKey(ref)) != nil {
+		return true
+	}
+	return !job.Repeatable && takenItems(r, job, ref.Item, ref.Item+1)[ref.Item]
+}
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -19,7 +19,8 @@
 	RetryInterval time.Duration
 	// HoldTime is how long a granted item may wait for room here.
 	HoldTime time.Duration
-	// Lookahead: items that will end within it are replaced in advance.
+	// Lookahead: as many items are held in advance as will end within it, so
+	// that room is filled at once and a claim brings several.
 	Lookahead time.Duration
 	// MaximumUnsettledBytes bounds the results that are kept while no leader
 	// takes them; beyond it no new items are run.
@@ -37,8 +38,8 @@
 // DefaultRunnerSettings suit engines that answer in seconds.
 func DefaultRunnerSettings() RunnerSettings {
 	return RunnerSettings{
-		ClaimWait: 10 * time.Second, SettleInterval: 20 * time.Millisecond, RenewInterval: time.Second,
-		RetryInterval: 100 * time.Millisecond, HoldTime: time.Second, Lookahead: 20 * time.Millisecond,
+		ClaimWait: 10 * time.Second, SettleInterval: 50 * time.Millisecond, RenewInterval: time.Second,
+		RetryInterval: 100 * time.Millisecond, HoldTime: time.Second, Lookahead: 100 * time.Millisecond,
 		MaximumUnsettledBytes: 16 << 20,
 	}
 }
@@ -64,7 +65,7 @@
 	Waiting []api.ServiceBacklog
 }
 
-// Rooms tells how many batch requests of each row could start now; it replaces
+// Rooms tells how many batch requests of each row could start now, 0 for a full row; it replaces
 // what was known. The shell sends it at least several times a second and when
 // a batch request ends.
 type Rooms struct{ Rooms []ClaimWant }
--- a/jobs/runner_sends.go
+++ b/jobs/runner_sends.go
@@ -59,8 +59,8 @@
 	return false
 }
 
-// wants is the room of each row, with what will end within the lookahead, less
-// what is held for it.
+// wants is, for each row that holds less than half of it, the room and what will
+// end within the lookahead, less what is held.
 func (r *Runner) wants() []ClaimWant {
 	var wants []ClaimWant
 	for key := range r.rooms {
@@ -68,25 +68,26 @@
 	}
 	for _, key := range r.sortedRows() {
 		row := r.rows[key]
-		want := r.free(key) - len(row.held) + row.endingWithin(r.settings.Lookahead)
-		if want > 0 && r.free(key) >= 0 && r.has(key) {
-			wants = append(wants, ClaimWant{Service: key.Service, Place: key.Place, Room: want})
+		target := max(r.free(key), 0) + row.endingWithin(r.settings.Lookahead)
+		if target > 0 && 2*len(row.held) < target && r.inTable(key) {
+			wants = append(wants, ClaimWant{Service: key.Service, Place: key.Place, Room: target - len(row.held)})
 		}
 	}
 	return wants
 }
 
-func (r *Runner) has(key api.RowKey) bool {
+func (r *Runner) inTable(key api.RowKey) bool {
 	_, ok := r.rooms[key]
 	return ok
 }
 
-// endingWithin is how many of the runs end within the time, on average.
+// endingWithin is how many runs will end within the time, at the mean duration.
 func (row *runnerRow) endingWithin(lookahead time.Duration) int {
+	const most = 4 // times those that run now
 	if row.duration <= 0 {
 		return 0
 	}
-	return int(int64(row.running) * int64(min(lookahead, row.duration)) / int64(row.duration))
+	return min(int(int64(row.running)*int64(lookahead)/int64(row.duration)), most*row.running)
 }
 
 // settles reports what is in the outbox, when no report is out.
--- a/jobs/stream.go
+++ b/jobs/stream.go
@@ -67,14 +67,14 @@
 // grant that stands.
 func (s *stream) pop(state *State, now time.Time, taken func(ItemRef) bool) (waitingItem, bool, error) {
 	for s.ready(now) {
-		number, err := s.next(state, now)
+		candidate, err := s.next(state, now)
 		if err != nil {
 			return waitingItem{}, false, err
 		}
-		if number < 0 || taken(ItemRef{Job: s.tracked.job.ID(), Item: number}) {
+		if candidate.item < 0 || taken(ItemRef{Job: s.tracked.job.ID(), Item: candidate.item}) {
 			continue
 		}
-		item, found, err := state.untaken(s.tracked.job, number)
+		item, found, err := state.untaken(s.tracked.job, candidate)
 		if err != nil {
 			return waitingItem{}, false, err
 		}
@@ -89,19 +89,21 @@
 	return waitingItem{}, false, nil
 }
 
-// next gives the number of a candidate, or -1 when another try is needed.
-func (s *stream) next(state *State, now time.Time) (int, error) {
+// next gives a candidate, with its line when it is of the page, or the item -1
+// when another try is needed.
+func (s *stream) next(state *State, now time.Time) (waitingItem, error) {
 	if s.returnedReady(now) {
 		number := s.returned[0].item
 		s.returned = s.returned[1:]
-		return number, nil
+		return waitingItem{item: number}, nil
 	}
 	if len(s.page) == 0 {
-		return -1, s.fill(state)
+		return waitingItem{item: -1}, s.fill(state)
 	}
-	number := s.page[0].item
+	first := s.page[0]
+	s.page[0] = waitingItem{} // frees the line
 	s.page = s.page[1:]
-	return number, nil
+	return first, nil
 }
 
 // fill reads on until it finds items of the service or the file ends.
