--- a/admission/admission.go
+++ b/admission/admission.go
@@ -36,7 +36,12 @@
 
 // Workers replaces the workers that this router is home of. Requests in
 // flight at a worker that is left out are still counted until they finish.
-type Workers struct{ Workers []api.Worker }
+type Workers struct {
+	Workers []api.Worker
+	// Positions share the rows' batch allowances out among the homes; nil gives
+	// this router the whole of them.
+	Positions map[api.WorkerID]Position
+}
 
 // Rows replaces the table in force.
 type Rows struct{ Rows map[api.RowKey]api.Row }
@@ -143,7 +148,9 @@
 	batch    routing.Chooser
 	prefix   *routing.PrefixIndex
 	tail     tailEstimate
-	roomy    []routing.Endpoint // reused: endpoints with idle room
+	// positions are those of the last Workers.
+	positions map[api.WorkerID]Position
+	roomy     []routing.Endpoint // reused: endpoints with idle room
 }
 
 // NewMachine starts with no worker and no row.
@@ -168,9 +175,13 @@
 func (m *Machine) Step(now time.Time, message Message) []Action {
 	switch message := message.(type) {
 	case Workers:
-		return m.setWorkers(message.Workers)
+		m.positions = message.Positions
+		actions := m.setWorkers(message.Workers)
+		m.shareAllowances()
+		return actions
 	case Rows:
 		m.setRows(message.Rows)
+		m.shareAllowances()
 	case Load:
 		return m.report(now, message)
 	case Arrive:
@@ -225,8 +236,8 @@
 }
 
 func (m *Machine) arriveBatch(now time.Time, request routing.Request, row *rowState) []Action {
-	if row.batchUse >= row.row.BatchAllowance && m.settings.Filling.Fault != FaultIgnoreAllowance {
-		return m.refuse(request, api.CodeNoCapacity, m.settings.RetryAfter, "batch allowance %d of row %s is in use", row.row.BatchAllowance, row.key)
+	if row.batchUse >= row.allowance && m.settings.Filling.Fault != FaultIgnoreAllowance {
+		return m.refuse(request, api.CodeNoCapacity, m.settings.RetryAfter, "the part %d of row %s's batch allowance of %d is in use", row.allowance, row.key, row.row.BatchAllowance)
 	}
 	m.prefix.Match(now, request.Prefix)
 	endpoint, ok := m.batch.Choose(request, m.endpointsWithRoom(now, row))
--- /dev/null
+++ b/admission/allowance.go
@@ -0,0 +1,61 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/dykewing/dykewing/api"
+)
+
+// Position is where a worker stands among all workers of its row, at whatever
+// home, in the order of their ids. It gives the worker's part of the row's
+// batch allowance without a message between the homes: all who know the same
+// machine list and table agree, and the parts add up to the allowance.
+type Position struct {
+	Before int // slots of the workers before it
+	Slots  int
+	Total  int // slots of the row
+}
+
+// Positions finds the positions of all workers of the machine list. Leaving
+// workers have none.
+func Positions(workers []api.Worker) map[api.WorkerID]Position {
+	staying := slices.DeleteFunc(slices.Clone(workers), func(worker api.Worker) bool { return worker.Leaving })
+	slices.SortFunc(staying, func(a, b api.Worker) int { return cmp.Compare(a.ID, b.ID) })
+	totals := map[api.RowKey]int{}
+	positions := make(map[api.WorkerID]Position, len(staying))
+	for _, worker := range staying {
+		key := api.RowKey{Service: worker.Service, Place: worker.Place}
+		positions[worker.ID] = Position{Before: totals[key], Slots: worker.Slots}
+		totals[key] += worker.Slots
+	}
+	for _, worker := range staying {
+		position := positions[worker.ID]
+		position.Total = totals[api.RowKey{Service: worker.Service, Place: worker.Place}]
+		positions[worker.ID] = position
+	}
+	return positions
+}
+
+// Share is the worker's part of the allowance.
+func (p Position) Share(allowance int) int {
+	if p.Total == 0 {
+		return 0
+	}
+	return (p.Before+p.Slots)*allowance/p.Total - p.Before*allowance/p.Total
+}
+
+// shareAllowances adds the parts of the own workers up, by row. Without
+// positions the router has the whole allowance.
+func (m *Machine) shareAllowances() {
+	for _, row := range m.rows {
+		row.allowance = row.row.BatchAllowance
+		if m.positions == nil {
+			continue
+		}
+		row.allowance = 0
+		for _, worker := range row.workers {
+			row.allowance += m.positions[worker.worker.ID].Share(row.row.BatchAllowance)
+		}
+	}
+}
--- a/admission/room.go
+++ b/admission/room.go
@@ -115,7 +115,10 @@
 	for _, state := range row.workers {
 		total += m.room(now, state)
 	}
-	return min(total, max(row.row.BatchAllowance-row.batchUse, 0))
+	if m.settings.Filling.Fault == FaultIgnoreAllowance {
+		return total
+	}
+	return min(total, max(row.allowance-row.batchUse, 0))
 }
 
 func (m *Machine) endpointsWithRoom(now time.Time, row *rowState) []routing.Endpoint {
--- a/admission/worker.go
+++ b/admission/worker.go
@@ -20,6 +20,7 @@
 	present   []routing.Endpoint // reused: those that are not quarantined
 	inUse     int                // both classes
 	batchUse  int
+	allowance int // this router's part of the row's
 }
 
 // workerState is a worker with what this router sent to it.
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -106,3 +106,61 @@
 		}
 	}
 }
+
+// drainedRun plays a scenario, lets all end and gives what broke.
+func drainedRun(scenario Scenario, strategy Strategy, seed uint64, filling admission.Filling) []string {
+	f := newFleet(scenario, strategy, seed, admission.Settings{Reserve: admission.DefaultReserve, Filling: filling})
+	f.run([][]arrival{onlineTrace(scenario, scenario.Services[0], seed)}, drawHeaps(scenario, strategy, seed))
+	for _, backlog := range f.backlogs {
+		backlog.waiting, backlog.returned = nil, nil
+	}
+	f.simulation.Run(scenario.Duration)
+	for _, backlog := range f.backlogs {
+		backlog.returned = nil
+	}
+	f.simulation.Run(scenario.Duration)
+	f.checkDrained()
+	return f.violations
+}
+
+func TestOnlineNeverWaitsBehindBatch(t *testing.T) {
+	quiet := parseShort(t)
+	quiet.Events = nil
+	for seed := range uint64(8) {
+		for name, scenario := range map[string]Scenario{"with faults": parseShort(t), "quiet": quiet} {
+			if violations := drainedRun(scenario, StrategyOurs, seed, admission.Filling{}); len(violations) > 0 {
+				t.Fatalf("%s, seed %d: %v", name, seed, violations)
+			}
+		}
+	}
+}
+
+func TestPlantedFaultsBreakInvariants(t *testing.T) {
+	quiet := parseShort(t)
+	quiet.Events = nil
+	quiet.Services[0].Slots = 64 // more than the engine runs at once
+	quiet.Services[0].Places[0].BatchAllowance = 100
+	quiet.Engine.MaximumSequences = 8
+	ignored := quiet
+	ignored.Engine.IgnorePriority = true
+	cases := map[string]struct {
+		scenario Scenario
+		fault    admission.Fault
+		want     string
+	}{
+		"engine ignores priority": {ignored, admission.NoFault, "wait behind a lower priority"},
+		"priority inverted":       {quiet, admission.FaultInvertPriority, "has priority"},
+		"allowance ignored":       {parseShort(t), admission.FaultIgnoreAllowance, "batch requests of"},
+		"slot leaked":             {parseShort(t), admission.FaultLeakSlot, "not in flight"},
+		"suspended forgotten":     {parseShort(t), admission.FaultForgetSuspended, "after all ended"},
+		"online delayed":          {parseShort(t), admission.FaultDelayOnline, "refused"},
+	}
+	for name, test := range cases {
+		filling := admission.DefaultFilling()
+		filling.Fault = test.fault
+		violations := drainedRun(test.scenario, StrategyOurs, 1, filling)
+		if !strings.Contains(strings.Join(violations, "\n"), test.want) || len(violations) == 0 {
+			t.Errorf("%s was not seen: %v", name, violations)
+		}
+	}
+}
--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -9,7 +9,6 @@
 	"github.com/dykewing/dykewing/admission"
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/placement"
-	"github.com/dykewing/dykewing/routing"
 	"github.com/dykewing/dykewing/sim"
 )
 
@@ -29,6 +28,8 @@
 	names      []api.ServiceName // of backlogs, sorted
 	measure    *measure
 	serial     uint64
+	changed    bool     // the list or the table has changed
+	violations []string // of invariants; tests want none
 }
 
 // newFleet builds a deployment; nothing happens until it runs.
@@ -70,6 +71,7 @@
 	for _, router := range f.routers {
 		nodes = append(nodes, router.node)
 	}
+	positions := admission.Positions(f.listed)
 	homed := map[api.NodeID][]api.Worker{}
 	for _, worker := range f.listed {
 		if id, ok := placement.HomeOf(worker, nodes); ok {
@@ -77,7 +79,7 @@
 		}
 	}
 	for _, router := range f.routers {
-		router.step(admission.Workers{Workers: homed[router.node.ID]})
+		router.step(admission.Workers{Workers: homed[router.node.ID], Positions: positions})
 	}
 }
 
@@ -108,6 +110,7 @@
 	}
 	f.simulation.After(f.scenario.Warmup, f.beginMeasure)
 	f.simulation.Run(f.scenario.Duration)
+	f.checkPriorities()
 }
 
 // playOnline schedules one arrival at a time, so that the queue stays short.
@@ -138,6 +141,7 @@
 func (f *fleet) happen(event Event) {
 	id := api.WorkerID(fmt.Sprintf("%s-%s-%d", event.Service, event.Place, event.Worker))
 	f.simulation.Tracef("%s %s", event.Kind, id)
+	f.changed = true
 	switch event.Kind {
 	case EventWorkerDies:
 		f.engines[id].die()
@@ -176,10 +180,3 @@
 	f.rows = rows
 	f.publishRows()
 }
-
-// onlineProfile and batchProfile are those of the router role.
-func onlineProfile(location api.Location, random *rand.Rand) routing.Profile {
-	return routing.OnlineProfile(location, random)
-}
-
-func batchProfile(random *rand.Rand) routing.Profile { return routing.BatchProfile(random) }
--- a/internal/experiment/measure.go
+++ b/internal/experiment/measure.go
@@ -110,6 +110,9 @@
 }
 
 func (m *measure) itemDone(now time.Time, item *item) {
+	if now.After(m.until) {
+		return
+	}
 	m.itemsASec[int(now.Sub(sim.Epoch)/time.Second)]++
 	if m.counts(now) {
 		m.items[item.service]++
--- a/internal/experiment/router.go
+++ b/internal/experiment/router.go
@@ -30,8 +30,8 @@
 }
 
 func newRouter(f *fleet, node api.Node, settings admission.Settings) *router {
-	settings.Online = onlineProfile(node.Location, f.random)
-	settings.Batch = batchProfile(f.random)
+	settings.Online = routing.OnlineProfile(node.Location, f.random)
+	settings.Batch = routing.BatchProfile(f.random)
 	settings.RetryAfter = refusalRetryAfter
 	return &router{
 		fleet: f, node: node, machine: admission.NewMachine(settings),
@@ -61,11 +61,11 @@
 	for _, action := range r.machine.Step(r.fleet.simulation.Now(), message) {
 		switch action := action.(type) {
 		case admission.Preempt:
-			r.preempt(action)
+			r.onFlight(action.Request, r.preempt)
 		case admission.Suspend:
-			r.suspend(r.flights[action.Request])
+			r.onFlight(action.Request, r.suspend)
 		case admission.Resume:
-			r.resume(action)
+			r.onFlight(action.Request, func(flight *routerFlight) { r.submit(flight, action.Dispatch, true) })
 		default:
 			answer = action
 		}
@@ -73,6 +73,16 @@
 	return answer
 }
 
+// onFlight carries out an action about a request that is in flight.
+func (r *router) onFlight(id api.RequestID, carryOut func(*routerFlight)) {
+	flight, ok := r.flights[id]
+	if !ok {
+		r.fleet.violate("router %s acts on request %s, which is not in flight", r.node.ID, id)
+		return
+	}
+	carryOut(flight)
+}
+
 func (r *router) readLoads() {
 	now := r.fleet.simulation.Now()
 	for _, worker := range r.fleet.listed {
@@ -109,11 +119,16 @@
 
 // admit steps the machine and sends the request to its worker.
 func (r *router) admit(request routing.Request, work Work, item *item, attempt attempt) {
-	dispatch, ok := r.step(admission.Arrive{Request: request}).(admission.Dispatch)
+	answer := r.step(admission.Arrive{Request: request})
+	r.fleet.checkAnswered(r, request, answer)
+	dispatch, ok := answer.(admission.Dispatch)
 	if !ok {
 		attempt.onNotRun()
 		return
 	}
+	if request.Class == api.ClassBatch {
+		r.fleet.checkAllowance(api.RowKey{Service: request.Service, Place: request.Place})
+	}
 	flight := &routerFlight{request: request, engine: r.fleet.engines[dispatch.Worker], work: work, item: item, attempt: attempt}
 	r.flights[request.ID] = flight
 	r.submit(flight, dispatch, false)
@@ -195,15 +210,10 @@
 	r.stop(flight)
 }
 
-func (r *router) resume(resume admission.Resume) {
-	r.submit(r.flights[resume.Request], resume.Dispatch, true)
-}
-
 // preempt ends a batch item here and gives it back at once.
-func (r *router) preempt(preempt admission.Preempt) {
-	flight := r.flights[preempt.Request]
+func (r *router) preempt(flight *routerFlight) {
 	flight.done = true
-	delete(r.flights, preempt.Request)
+	delete(r.flights, flight.request.ID)
 	r.fleet.measure.preempted(r.fleet.simulation.Now())
 	r.stop(flight)
 	r.giveBack(flight.item)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -134,7 +134,7 @@
 func (r *Router) rehome() {
 	homed := r.homes.Mine(r.workers)
 	r.homed.Store(&homed)
-	r.admission.Tell(admission.Workers{Workers: homed})
+	r.admission.Tell(admission.Workers{Workers: homed, Positions: admission.Positions(r.workers)})
 }
 
 func (r *Router) setRows(snapshot *table.Snapshot) {
--- a/routing/filter.go
+++ b/routing/filter.go
@@ -9,7 +9,7 @@
 func (NotLeavingFilter) Name() string { return "not-leaving" }
 
 // Keep is true for endpoints that stay.
-func (NotLeavingFilter) Keep(_ Request, endpoint Endpoint) bool { return !endpoint.Leaving }
+func (NotLeavingFilter) Keep(_ *Request, endpoint *Endpoint) bool { return !endpoint.Leaving }
 
 // RowFilter keeps the endpoints of the request's service and place.
 type RowFilter struct{}
@@ -18,7 +18,7 @@
 func (RowFilter) Name() string { return "row" }
 
 // Keep compares service and, where one is chosen, place.
-func (RowFilter) Keep(request Request, endpoint Endpoint) bool {
+func (RowFilter) Keep(request *Request, endpoint *Endpoint) bool {
 	if endpoint.Key.Service != request.Service {
 		return false
 	}
@@ -32,6 +32,6 @@
 func (NotTriedFilter) Name() string { return "not-tried" }
 
 // Keep is true for endpoints that are not excluded.
-func (NotTriedFilter) Keep(request Request, endpoint Endpoint) bool {
+func (NotTriedFilter) Keep(request *Request, endpoint *Endpoint) bool {
 	return !slices.Contains(request.Excluded, endpoint.Name)
 }
--- a/routing/picker.go
+++ b/routing/picker.go
@@ -9,7 +9,7 @@
 func (BestPicker) Name() string { return "best" }
 
 // Pick draws among the endpoints that share the highest score.
-func (p BestPicker) Pick(_ Request, scored []Scored) Scored {
+func (p BestPicker) Pick(_ *Request, scored []Scored) Scored {
 	best, ties := 0, 1
 	for i := 1; i < len(scored); i++ {
 		switch {
@@ -33,7 +33,7 @@
 func (TwoChoicesPicker) Name() string { return "two-choices" }
 
 // Pick compares two drawn endpoints.
-func (p TwoChoicesPicker) Pick(_ Request, scored []Scored) Scored {
+func (p TwoChoicesPicker) Pick(_ *Request, scored []Scored) Scored {
 	first := scored[p.Random.IntN(len(scored))]
 	second := scored[p.Random.IntN(len(scored))]
 	if second.Score > first.Score {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -47,24 +47,24 @@
 // Filter leaves out endpoints that can't take the request.
 type Filter interface {
 	Name() string
-	Keep(request Request, endpoint Endpoint) bool
+	Keep(request *Request, endpoint *Endpoint) bool
 }
 
 // Scorer rates an endpoint within 0 (worst) to 1 (best).
 type Scorer interface {
 	Name() string
-	Score(request Request, endpoint Endpoint) float64
+	Score(request *Request, endpoint *Endpoint) float64
 }
 
 // Picker takes one of the scored endpoints; scored is never empty.
 type Picker interface {
 	Name() string
-	Pick(request Request, scored []Scored) Scored
+	Pick(request *Request, scored []Scored) Scored
 }
 
 // Scored is an endpoint with its weighted score.
 type Scored struct {
-	Endpoint Endpoint
+	Endpoint *Endpoint
 	Score    float64
 }
 
@@ -88,7 +88,7 @@
 	return chooser.Choose(request, endpoints)
 }
 
-func (p Profile) keeps(request Request, endpoint Endpoint) bool {
+func (p Profile) keeps(request *Request, endpoint *Endpoint) bool {
 	for _, filter := range p.Filters {
 		if !filter.Keep(request, endpoint) {
 			return false
@@ -97,7 +97,7 @@
 	return true
 }
 
-func (p Profile) score(request Request, endpoint Endpoint) float64 {
+func (p Profile) score(request *Request, endpoint *Endpoint) float64 {
 	total := 0.0
 	for _, weighted := range p.Scorers {
 		total += weighted.Weight * weighted.Scorer.Score(request, endpoint)
--- a/routing/scorer.go
+++ b/routing/scorer.go
@@ -14,7 +14,7 @@
 func (LoadScorer) Name() string { return "load" }
 
 // Score is 1 when idle and falls towards 0 as load passes the slots.
-func (LoadScorer) Score(request Request, endpoint Endpoint) float64 {
+func (LoadScorer) Score(request *Request, endpoint *Endpoint) float64 {
 	share := batchLoadShare
 	if request.Class == api.ClassBatch {
 		share = 1
@@ -33,7 +33,7 @@
 func (ZoneScorer) Name() string { return "zone" }
 
 // Score is 1 in the zone, 0.5 in the region, else 0.
-func (s ZoneScorer) Score(_ Request, endpoint Endpoint) float64 {
+func (s ZoneScorer) Score(_ *Request, endpoint *Endpoint) float64 {
 	switch {
 	case endpoint.Location == s.Self:
 		return 1
@@ -50,7 +50,7 @@
 func (PrefixScorer) Name() string { return "prefix" }
 
 // Score is the share of the prompt's blocks thought to be cached.
-func (PrefixScorer) Score(request Request, endpoint Endpoint) float64 {
+func (PrefixScorer) Score(request *Request, endpoint *Endpoint) float64 {
 	if len(request.Prefix) == 0 {
 		return 0
 	}
@@ -71,7 +71,7 @@
 func (FirstTokenScorer) Name() string { return "first-token" }
 
 // Score is 1 when nothing has to be computed and falls towards 0.
-func (FirstTokenScorer) Score(request Request, endpoint Endpoint) float64 {
+func (FirstTokenScorer) Score(request *Request, endpoint *Endpoint) float64 {
 	blocks := float64(endpoint.Pending + len(request.Prefix) - endpoint.Cached)
 	blocks += batchStartingBlocks * float64(endpoint.BatchStarting)
 	blocks += onlineRequestBlocks * float64(endpoint.Online)
