--- a/cmd/dykewingsim/main.go
+++ b/cmd/dykewingsim/main.go
@@ -14,8 +14,11 @@
 func main() {
 	application := kingpin.New("dykewingsim", "Stand-ins, load and experiments of dykewing.")
 	registerEngine(application)
+	registerScale(application)
 	registerKeyValue(application)
 	registerMachineList(application)
+	registerLoad(application)
+	registerPlatform(application)
 	registerRun(application)
 	kingpin.MustParse(application.Parse(os.Args[1:]))
 }
