--- a/internal/store/group.go
+++ b/internal/store/group.go
@@ -86,7 +86,7 @@
 		Group: id, Self: shared.database.identity,
 		Heartbeat: shared.settings.Heartbeat, ElectionTimeout: shared.settings.ElectionTimeout,
 		Random:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		TrailingEntries: uint64(shared.settings.SnapshotEntries),
+		TrailingEntries: shared.settings.SnapshotEntries,
 	}, restored.machine)
 	if err != nil {
 		return nil, fmt.Errorf("start replica of group %d: %w", id, err)
--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -30,6 +30,7 @@
 	s.handle("GET", "jobs", linearisable(serveJobs))
 	s.handle("GET", "jobs/{id}", linearisable(serveJob))
 	s.handle("GET", "jobs/{id}/results", linearisable(serveResults))
+	s.handle("GET", "files", linearisable(serveFiles))
 	s.handle("GET", "files/{id}", linearisable(serveFile))
 	s.handle("GET", "files/{id}/lines", linearisable(serveLines))
 }
--- a/placement/groups.go
+++ b/placement/groups.go
@@ -83,9 +83,9 @@
 	Group    api.GroupID
 	Self     replication.ReplicaID
 	Members  replication.Members
-	Stores   []Store                                 // live
+	Stores   []Store                                  // live
 	Lost     func(replica replication.ReplicaID) bool // gone for longer than is waited
-	Replicas int                                     // voters wanted
+	Replicas int                                      // voters wanted
 }
 
 // NextChange gives the next members of a group that has lost a replica, one step
