--- a/membership/view.go
+++ b/membership/view.go
@@ -42,7 +42,7 @@
 	}
 	for _, store := range zone.summary.Stores {
 		node := m.foreignNode(zone, store.Contact)
-		node.Summary = api.Summary{Sequence: uint64(zone.summary.Version), Groups: store.Groups}
+		node.Summary = api.Summary{Sequence: uint64(zone.summary.Version), Groups: store.Groups, Replica: store.Replica, DiskFull: store.DiskFull}
 		nodes = append(nodes, node)
 	}
 	return nodes
