Prove with three stores

Cause: groups of several replicas have landed. Change: the proof on real processes runs three stores.

--- a/internal/prove/failure_test.go
+++ b/internal/prove/failure_test.go
@@ -96,7 +96,7 @@
 	if testing.Short() {
 		t.Skip("runs real processes")
 	}
-	f := newFleet(t, 3, 1, 2)
+	f := newFleet(t, 3, 3, 2)
 	for _, fault := range faults() {
 		t.Run(fault.name, func(t *testing.T) {
 			f.t = t
@@ -122,7 +122,7 @@
 	if testing.Short() {
 		t.Skip("runs real processes")
 	}
-	f := newFleet(t, 2, 1, 1)
+	f := newFleet(t, 2, 3, 1)
 	submitted := f.submit("rebooking")
 	client := f.client(0)
 	f.await("some items to complete", func() bool {
