Count load that others sent and what was sent since a report

Cause: a home that has just taken a worker over knew nothing of the requests of its last home; sidecars chose by reports of a second ago. Change: a worker's report beyond the most that the home had in flight counts as load; sidecars count what they sent since a router's report.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -326,3 +326,51 @@
 		t.Fatal(o.problems)
 	}
 }
+
+func TestReportedLoadOfOthersTakesRoom(t *testing.T) {
+	cases := map[string]struct {
+		own, running, waiting int
+		want                  int // room for batch: seven of eight slots less what is in flight
+	}{
+		"idle":                          {0, 0, 0, 7},
+		"only own":                      {3, 3, 0, 4},
+		"an old report of less":         {3, 1, 0, 4},
+		"others after a change of home": {1, 4, 2, 1},
+		"full of others":                {0, 8, 5, 0},
+	}
+	for name, test := range cases {
+		o := newObserver(Filling{Quarantine: time.Second, SuspendQuantile: 1})
+		o.setRow(api.Row{Service: testService, Place: testPlace, BatchAllowance: 100})
+		o.setWorkers(testWorkers(1))
+		for range test.own {
+			o.arrive(api.ClassOnline, true)
+		}
+		o.step(Load{Worker: "worker-0", Running: test.running, Waiting: test.waiting})
+		if got := o.machine.Room(o.now, testKey); got != test.want {
+			t.Errorf("%s: room %d, want %d", name, got, test.want)
+		}
+	}
+}
+
+func TestPositionsShareTheAllowanceExactly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		workers := testWorkers(rapid.IntRange(1, 40).Draw(t, "workers"))
+		for i := range workers {
+			workers[i].Slots = rapid.IntRange(1, 64).Draw(t, "slots")
+			workers[i].Leaving = i > 0 && rapid.Bool().Draw(t, "leaving")
+		}
+		allowance := rapid.IntRange(0, 500).Draw(t, "allowance")
+		positions := Positions(workers)
+		sum := 0
+		for _, worker := range workers {
+			share := positions[worker.ID].Share(allowance)
+			if share < 0 || (worker.Leaving && share != 0) {
+				t.Fatalf("worker %s has a share of %d", worker.ID, share)
+			}
+			sum += share
+		}
+		if sum != allowance {
+			t.Fatalf("the shares add up to %d of %d", sum, allowance)
+		}
+	})
+}
--- a/admission/room.go
+++ b/admission/room.go
@@ -89,7 +89,7 @@
 	if state.worker.Leaving || state.leaving || now.Before(state.quarantined) {
 		return 0
 	}
-	free := int(float64(state.worker.Slots)*(1-m.settings.Reserve)) - state.online - len(state.batch) - len(state.suspended)
+	free := int(float64(state.worker.Slots)*(1-m.settings.Reserve)) - state.inFlight() - state.foreign
 	if free <= 0 {
 		return 0
 	}
--- a/admission/worker.go
+++ b/admission/worker.go
@@ -36,6 +36,9 @@
 	batch       []*flight // in the engine, oldest first
 	suspended   []*flight // oldest first
 	quarantined time.Time // no new request before
+	foreign     int       // requests in the engine that other routers sent
+	peak        int       // most that was in flight since the last report
+	lastPeak    int       // the same between the two reports before
 	lastBatch   time.Time // when a batch request was last sent
 }
 
@@ -112,11 +115,12 @@
 
 // refresh brings the worker's endpoint up to date.
 func (s *workerState) refresh() {
+	s.peak = max(s.peak, s.inFlight())
 	if !s.listed {
 		return
 	}
 	endpoint := &s.row.endpoints[s.index]
-	endpoint.Online, endpoint.Batch = s.online, len(s.batch)
+	endpoint.Online, endpoint.Batch = s.online+s.foreign, len(s.batch)
 	endpoint.Starting, endpoint.Pending = s.starting, s.pending
 	endpoint.Leaving = s.worker.Leaving || s.leaving
 }
@@ -137,10 +141,21 @@
 		return nil
 	}
 	state.leaving = load.Leaving
+	state.takeReport(load)
 	state.refresh()
 	return append(m.giveUp(state, m.overdue(now, state)), m.resume(state)...)
 }
 
+// takeReport finds what others have in flight at the worker, as after a change
+// of home: what the engine has beyond the most that this router had there of
+// late. The report is old, so that what is in flight now says nothing.
+func (s *workerState) takeReport(load Load) {
+	s.foreign = max(load.Running+load.Waiting-max(s.peak, s.lastPeak), 0)
+	s.lastPeak, s.peak = s.peak, s.inFlight()
+}
+
+func (s *workerState) inFlight() int { return s.online + len(s.batch) + len(s.suspended) }
+
 func (m *Machine) quarantine(now time.Time, worker api.WorkerID) []Action {
 	state, ok := m.workers[worker]
 	if !ok {
--- a/internal/experiment/sidecar.go
+++ b/internal/experiment/sidecar.go
@@ -76,7 +76,7 @@
 	}
 	router := s.fleet.byNode[api.NodeID(home.Name)]
 	delay := s.fleet.scenario.Network.ToCallers + s.fleet.latency(s.zone, router.node.Location.Zone)
-	s.noteSent(home, 1)
+	home.Sent.Add(1)
 	routed := request.routed
 	routed.ID = s.fleet.newID("attempt")
 	again := func() {
@@ -129,12 +129,3 @@
 	}
 	return endpoint, ok
 }
-
-// noteSent corrects the lagging view by what was sent since.
-func (s *sidecar) noteSent(home routing.Endpoint, count int) {
-	for i := range s.view {
-		if s.view[i].Name == home.Name && s.view[i].Key == home.Key {
-			s.view[i].Online += count
-		}
-	}
-}
--- a/internal/sidecar/homes.go
+++ b/internal/sidecar/homes.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/dykewing/dykewing/api"
@@ -20,28 +21,58 @@
 type homeIndex struct {
 	byRow   map[api.RowKey][]routing.Endpoint
 	routers []api.Node // not leaving
+	reports map[api.NodeID]homeReport
 }
 
-func newHomeIndex(nodes []api.Node) *homeIndex {
-	index := &homeIndex{byRow: map[api.RowKey][]routing.Endpoint{}}
+// homeReport is a router's load report with what was sent there since.
+type homeReport struct {
+	incarnation uint64
+	sequence    uint64
+	sent        map[api.RowKey]*atomic.Int64
+}
+
+// newHomeIndex goes on with the counts of what was sent for routers whose
+// report has not changed since the previous index.
+func newHomeIndex(nodes []api.Node, previous *homeIndex) *homeIndex {
+	index := &homeIndex{byRow: map[api.RowKey][]routing.Endpoint{}, reports: map[api.NodeID]homeReport{}}
 	for _, node := range nodes {
 		if node.Role == api.RoleRouter && !node.Leaving {
 			index.routers = append(index.routers, node)
 		}
+		report := reportOf(node, previous)
+		index.reports[node.ID] = report
 		for _, summary := range node.Summary.Services {
 			if summary.Workers == 0 || node.Leaving {
 				continue
 			}
-			index.byRow[summary.Key()] = append(index.byRow[summary.Key()], routing.Endpoint{
-				Name: string(node.ID), Address: node.Address, Key: summary.Key(), Location: node.Location,
-				Slots: summary.Slots, Online: summary.Online, Batch: summary.Batch,
-			})
+			endpoint := routing.HomeEndpoint(node, summary)
+			endpoint.Sent = report.counter(summary.Key())
+			index.byRow[summary.Key()] = append(index.byRow[summary.Key()], endpoint)
 		}
 	}
 	return index
 }
 
-func (s *Sidecar) setHomes(nodes []api.Node) { s.homes.Store(newHomeIndex(nodes)) }
+func reportOf(node api.Node, previous *homeIndex) homeReport {
+	if previous != nil {
+		known, ok := previous.reports[node.ID]
+		if ok && known.incarnation == node.Incarnation && known.sequence == node.Summary.Sequence {
+			return known
+		}
+	}
+	return homeReport{incarnation: node.Incarnation, sequence: node.Summary.Sequence, sent: map[api.RowKey]*atomic.Int64{}}
+}
+
+func (r homeReport) counter(key api.RowKey) *atomic.Int64 {
+	counter, ok := r.sent[key]
+	if !ok {
+		counter = new(atomic.Int64)
+		r.sent[key] = counter
+	}
+	return counter
+}
+
+func (s *Sidecar) setHomes(nodes []api.Node) { s.homes.Store(newHomeIndex(nodes, s.homes.Load())) }
 
 // homeProfile chooses a home router by the summaries, which are old: two
 // choices keep many sidecars from all taking the same. The endpoints given to
@@ -85,6 +116,7 @@
 		}
 		routed.Place = row.Place
 		if endpoint, ok := s.profile.Choose(*routed, homes.byRow[row.Key()]); ok {
+			endpoint.Sent.Add(1)
 			return endpoint, true
 		}
 		rows = without(rows, row)
--- a/routing/profiles.go
+++ b/routing/profiles.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sync/atomic"
 
 	"github.com/dykewing/dykewing/api"
 )
@@ -53,10 +54,12 @@
 	}
 }
 
-// HomeEndpoint is a home router as a candidate for one of its rows.
+// HomeEndpoint is a home router as a candidate for one of its rows, by its last
+// report; nothing has been sent there since.
 func HomeEndpoint(node api.Node, summary api.ServiceSummary) Endpoint {
 	return Endpoint{
 		Name: string(node.ID), Address: node.Address, Key: summary.Key(), Location: node.Location,
 		Slots: summary.Slots, Online: summary.Online, Batch: summary.Batch, Leaving: node.Leaving,
+		Sent: new(atomic.Int64),
 	}
 }
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -6,6 +6,7 @@
 
 import (
 	"math/rand/v2"
+	"sync/atomic"
 
 	"github.com/dykewing/dykewing/api"
 )
@@ -33,6 +34,9 @@
 	Batch    int
 	Starting int // online requests that have no first token yet, of Online
 	Leaving  bool
+	// Sent counts what was sent there since the report that the other figures
+	// come from, which it corrects for its age; nil where they are exact.
+	Sent *atomic.Int64
 	// Cached is how many leading blocks of the request's prompt are thought to
 	// be in the endpoint's prefix cache.
 	Cached int
--- a/routing/scorer.go
+++ b/routing/scorer.go
@@ -20,6 +20,9 @@
 		share = 1
 	}
 	load := float64(endpoint.Online) + share*float64(endpoint.Batch)
+	if endpoint.Sent != nil {
+		load += float64(endpoint.Sent.Load())
+	}
 	slots := float64(max(endpoint.Slots, 1))
 	return slots / (slots + load)
 }
