Keep one bad report or line from holding up batch items

Cause: a report that a store refuses for good would have been sent for ever; an item whose url can't be sent was returned as if there were no room.

--- a/cmd/dykewingctl/jobs.go
+++ b/cmd/dykewingctl/jobs.go
@@ -66,12 +66,13 @@
 	target     string
 }
 
-func registerJobs(application *kingpin.Application, s *session) {
+// registerJobs adds the subcommands; act makes a function kingpin's action.
+func registerJobs(application *kingpin.Application, s *session, act func(func() error) kingpin.Action) {
 	c := &jobCommands{session: s}
 	group := application.Command("jobs", "Batch jobs, through a sidecar.")
 	group.Flag("tenant", "Tenant whose jobs are meant.").Envar("DYKEWING_TENANT").StringVar(&c.tenant)
 
-	submit := group.Command("submit", "Upload a file of requests and submit a job over it.").Action(action(c.submit))
+	submit := group.Command("submit", "Upload a file of requests and submit a job over it.").Action(act(c.submit))
 	submit.Arg("file", "JSON lines, each with custom_id, method, url and body.").Required().ExistingFileVar(&c.file)
 	submit.Flag("endpoint", "Endpoint named in the job.").Default("/v1/chat/completions").StringVar(&c.endpoint)
 	submit.Flag("window", "Time in which the job must end.").Default("24h").StringVar(&c.window)
@@ -79,20 +80,20 @@
 	submit.Flag("repeatable", "Whether items may be sent again; as the table says when not given.").EnumVar(&c.repeatable, "true", "false")
 	submit.Flag("wait", "Wait until the job has ended.").BoolVar(&c.wait)
 
-	list := group.Command("list", "List jobs, the newest first.").Action(action(c.list))
+	list := group.Command("list", "List jobs, the newest first.").Action(act(c.list))
 	list.Flag("limit", "At most so many, up to 100.").Default("20").IntVar(&c.limit)
 	list.Flag("after", "Begin after this job.").StringVar(&c.after)
 
-	status := group.Command("status", "Show one job.").Action(action(c.status))
+	status := group.Command("status", "Show one job.").Action(act(c.status))
 	status.Arg("job", "Id of the job.").Required().StringVar(&c.id)
 	status.Flag("wait", "Wait until the job has ended.").BoolVar(&c.wait)
 
-	results := group.Command("results", "Write a job's results as JSON lines.").Action(action(c.results))
+	results := group.Command("results", "Write a job's results as JSON lines.").Action(act(c.results))
 	results.Arg("job", "Id of the job.").Required().StringVar(&c.id)
 	results.Flag("errors", "The items that failed, in place of those that completed.").BoolVar(&c.failures)
 	results.Flag("file", "Write to this file, in place of the standard output.").StringVar(&c.target)
 
-	cancel := group.Command("cancel", "Cancel a job: no more of its items start.").Action(action(c.cancel))
+	cancel := group.Command("cancel", "Cancel a job: no more of its items start.").Action(act(c.cancel))
 	cancel.Arg("job", "Id of the job.").Required().StringVar(&c.id)
 }
 
--- a/cmd/dykewingctl/main.go
+++ b/cmd/dykewingctl/main.go
@@ -41,7 +41,7 @@
 	application.Flag("output", "table or json.").Default(outputTable).EnumVar(&s.output, outputTable, outputJSON)
 	application.Flag("timeout", "How long to wait for an answer.").Default("10s").DurationVar(&s.timeout)
 	registerNodes(application, s)
-	registerJobs(application, s)
+	registerJobs(application, s, action)
 	registerTable(application, s)
 	kingpin.MustParse(application.Parse(os.Args[1:]))
 }
--- a/internal/router/batch.go
+++ b/internal/router/batch.go
@@ -212,7 +212,16 @@
 func (b *batch) settle(action jobs.SendSettle) {
 	var notice jobs.Notice
 	err := b.call("settle items", action.Leader, storeclient.SettlePath(action.Group), 0, action.Settle, &notice)
-	b.shell.Tell(jobs.SettleAnswered{Group: action.Group, Serial: action.Serial, Notice: notice, Failed: err != nil})
+	b.shell.Tell(jobs.SettleAnswered{Group: action.Group, Serial: action.Serial, Notice: notice, Failed: err != nil, Refused: refusedForGood(err)})
+}
+
+// refusedForGood tells whether a report would be refused again.
+func refusedForGood(err error) bool {
+	if err == nil {
+		return false
+	}
+	code := api.AsError("settle items", err).Code
+	return code == api.CodeTooLarge || code == api.CodeBadRequest
 }
 
 func (b *batch) renew(action jobs.SendRenew) {
--- a/internal/router/batchitem.go
+++ b/internal/router/batchitem.go
@@ -18,7 +18,9 @@
 )
 
 const (
-	maximumAnswerBytes = 16 << 20
+	// maximumAnswerBytes is what is kept of an answer. Escaped it may be six
+	// times as long, which a store still takes.
+	maximumAnswerBytes = 4 << 20
 	learnTimeout       = 5 * time.Second
 )
 
@@ -66,7 +68,7 @@
 	switch {
 	case failure.Code == api.CodePreempted, errors.Is(failure.Err, errItemStopped), errors.Is(failure.Err, errPreempted):
 		returned.Reason = jobs.ReturnPreempted
-	case failure.Outcome == api.OutcomeNotRun && failure.Code != api.CodeBadRequest:
+	case failure.Outcome == api.OutcomeNotRun && failure.Code != api.CodeBadRequest && failure.Code != api.CodeInternal:
 		returned.Reason = jobs.ReturnNoRoom
 	}
 	return returned
--- a/jobs/line.go
+++ b/jobs/line.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/url"
 	"strings"
 
 	"github.com/dykewing/dykewing/api"
@@ -34,6 +35,9 @@
 	if !strings.HasPrefix(line.URL, "/v1/") {
 		return Line{}, fmt.Errorf("read input line %q: url %q does not start with /v1/", line.CustomID, line.URL)
 	}
+	if _, err := url.ParseRequestURI(line.URL); err != nil {
+		return Line{}, fmt.Errorf("read input line %q: %w", line.CustomID, err)
+	}
 	if len(line.Body) == 0 {
 		return Line{}, fmt.Errorf("read input line %q: body is missing", line.CustomID)
 	}
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -114,6 +114,8 @@
 	Serial uint64
 	Notice Notice
 	Failed bool
+	// Refused: the leader will never take this report as it is.
+	Refused bool
 }
 
 // RenewAnswered answers SendRenew.
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -34,6 +34,7 @@
 	claimFrom time.Time // no claim before
 	outbox    []report
 	settle    uint64 // serial of the settle that is out; 0: none
+	single    bool   // reports go one by one: a leader refused some together
 	sent      int    // reports in it
 	settleAt  time.Time
 	renewing  bool
@@ -136,7 +137,7 @@
 		if group.leader != leader.Leader || group.term != leader.Term {
 			group.leader, group.term = leader.Leader, leader.Term
 			group.claim, group.settle = 0, 0
-			group.claimFrom, group.settleAt = now, now
+			group.claimFrom, group.settleAt = now, time.Time{}
 			group.renewing, group.renewAt = false, now
 		}
 		group.waiting = map[api.ServiceName]bool{}
--- a/jobs/runner_sends.go
+++ b/jobs/runner_sends.go
@@ -104,7 +104,11 @@
 	group.serial++
 	group.settle, group.sent = group.serial, 0
 	settle := Settle{Router: r.settings.Router}
-	for size := 0; group.sent < min(len(group.outbox), maximumSettleItems) && size < maximumSettleBytes; group.sent++ {
+	most := min(len(group.outbox), maximumSettleItems)
+	if group.single {
+		most = 1
+	}
+	for size := 0; group.sent < most && size < maximumSettleBytes; group.sent++ {
 		entry := group.outbox[group.sent]
 		size += entry.size
 		if entry.result != nil {
@@ -125,6 +129,10 @@
 	}
 	group.settle = 0
 	group.settleAt = time.Time{}
+	if answered.Refused {
+		r.refused(group)
+		return nil
+	}
 	if answered.Failed {
 		group.settleAt = now.Add(r.settings.RetryInterval)
 		return nil
@@ -136,6 +144,27 @@
 	return r.obey(now, group, answered.Notice)
 }
 
+// refused finds the report that a leader does not take, by sending them one by
+// one, and sends it without the answer, so that it does not hold up others.
+func (r *Runner) refused(group *runnerGroup) {
+	if group.sent > 1 {
+		group.single = true
+		return
+	}
+	group.single = false
+	first := &group.outbox[0]
+	if first.result == nil || first.result.Code == api.CodeTooLarge {
+		r.kept -= first.size
+		group.outbox = slices.Clone(group.outbox[1:]) // its grant ends by itself
+		return
+	}
+	stripped := *first.result
+	stripped.Body, stripped.Status = nil, 0
+	stripped.Code, stripped.Error = api.CodeTooLarge, "the answer was not kept"
+	r.kept -= first.size - len(stripped.Error)
+	first.result, first.size = &stripped, len(stripped.Error)
+}
+
 // renews lengthens all grants that are held of the group.
 func (r *Runner) renews(now time.Time, group *runnerGroup) []RunnerAction {
 	if group.renewing || now.Before(group.renewAt) {
