replication: halt on a contradiction, withstand garbled messages

Cause: the panic over a contradicted committed entry could not be reached, as what is committed was cut off before the comparison; and a panic in an actor would have gone on with the same machine. Answers that claim more than the log were believed. Change: a leader's append that differs in what is committed here halts the machine (Halted, ErrHalted, Status.Halted): a disk has lost what it promised. Answers beyond the log or of rounds not begun, and entries with falling terms, are dropped.

--- a/replication/actions.go
+++ b/replication/actions.go
@@ -67,6 +67,10 @@
 	Err   error
 }
 
+// Halted says that the machine has stopped for good, as to go on could serve what
+// is false. The replica is to be replaced like one that has lost its disk.
+type Halted struct{ Err error }
+
 // Inspected answers Inspect.
 type Inspected struct {
 	Token  uint64
@@ -76,6 +80,7 @@
 func (Apply) replicationAction()         {}
 func (Confirmed) replicationAction()     {}
 func (FetchSnapshot) replicationAction() {}
+func (Halted) replicationAction()        {}
 func (Inspected) replicationAction()     {}
 func (Persist) replicationAction()       {}
 func (Proposed) replicationAction()      {}
--- a/replication/append.go
+++ b/replication/append.go
@@ -171,6 +171,9 @@
 	if m.role == RoleLeader && w.Term == m.state.Term {
 		return // only a planted fault makes two leaders of a term
 	}
+	if m.contradicted(w) {
+		return
+	}
 	m.follow(w.From)
 	w = m.skipCommitted(w)
 	if !m.log.matches(w.Index, w.LogTerm) && !(m.planted.skipMatch && w.Index <= m.log.last()) {
@@ -229,10 +232,25 @@
 	return true
 }
 
-func (m *Machine) truncate(first uint64) {
-	if first <= m.committed {
-		panic(fmt.Sprintf("replication: a leader contradicts committed entry %d of %s", first, m.settings.Self))
+// contradicted halts the machine when the leader's log differs in what is
+// committed here: some disk has lost what it promised to hold.
+func (m *Machine) contradicted(w WireMessage) bool {
+	differs := m.differsCommitted(w.Index, w.LogTerm)
+	for _, entry := range w.Entries {
+		differs = differs || m.differsCommitted(entry.Index, entry.Term)
 	}
+	if differs {
+		m.halt(fmt.Errorf("%w, after entry %d of term %d, in term %d of %s", ErrContradiction, w.Index, w.LogTerm, w.Term, w.From))
+	}
+	return differs
+}
+
+func (m *Machine) differsCommitted(index, term uint64) bool {
+	own, known := m.log.term(index)
+	return known && index <= m.committed && own != term
+}
+
+func (m *Machine) truncate(first uint64) {
 	m.log.truncate(first)
 	m.members.truncate(first)
 	m.disk.forget(first)
@@ -263,7 +281,7 @@
 // receiveAppendAnswer learns how far a replica is.
 func (m *Machine) receiveAppendAnswer(w WireMessage) {
 	peer := m.peers[w.From]
-	if m.role != RoleLeader || peer == nil {
+	if m.role != RoleLeader || peer == nil || w.Match > m.log.last() || w.Round > m.confirmRound {
 		return
 	}
 	peer.active, peer.silent = true, false
--- a/replication/errors.go
+++ b/replication/errors.go
@@ -23,6 +23,11 @@
 	ErrInvalidMembers = errors.New("not an allowed change of one replica")
 	// ErrNotCaughtUp refuses to make a learner that lags a voter.
 	ErrNotCaughtUp = errors.New("the learner has not caught up")
+	// ErrHalted answers all at a machine that has halted.
+	ErrHalted = errors.New("this replica has halted")
+	// ErrContradiction halts a machine: a leader's log contradicts what is
+	// committed here, so a disk has lost acknowledged entries.
+	ErrContradiction = errors.New("the leader contradicts a committed entry")
 	// ErrInvalidSettings refuses to start a machine.
 	ErrInvalidSettings = errors.New("invalid settings of a replica")
 	// ErrCorruptLog refuses to start from a disk that contradicts itself.
--- a/replication/machine.go
+++ b/replication/machine.go
@@ -22,6 +22,7 @@
 	now      time.Time // of the present step
 	actions  []Action
 	planted  plantedFaults
+	halted   bool
 
 	state     HardState
 	log       entryLog
@@ -144,6 +145,10 @@
 }
 
 func (m *Machine) dispatch(message Message) {
+	if m.halted {
+		m.refuse(message)
+		return
+	}
 	switch message := message.(type) {
 	case Tick:
 		m.tick()
@@ -168,6 +173,29 @@
 	}
 }
 
+// halt stops the machine for good.
+func (m *Machine) halt(err error) {
+	m.becomeFollower(m.state.Term, "")
+	m.halted = true
+	m.emit(Halted{Err: err})
+}
+
+// refuse answers at a machine that has halted.
+func (m *Machine) refuse(message Message) {
+	switch message := message.(type) {
+	case Propose:
+		m.emit(Proposed{Token: message.Token, Err: ErrHalted})
+	case ProposeMembers:
+		m.emit(Proposed{Token: message.Token, Err: ErrHalted})
+	case Confirm:
+		m.emit(Confirmed{Token: message.Token, Err: ErrHalted})
+	case TransferLeadership:
+		m.emit(Transferred{Token: message.Token, Err: ErrHalted})
+	case Inspect:
+		m.emit(Inspected{Token: message.Token, Status: m.Status()})
+	}
+}
+
 // receive lets through what fits the present term.
 func (m *Machine) receive(w WireMessage) {
 	if w.Group != m.settings.Group || w.To != m.settings.Self || !wellFormed(w) {
@@ -185,10 +213,12 @@
 
 // wellFormed tells whether the entries of a message follow one another.
 func wellFormed(w WireMessage) bool {
+	term := w.LogTerm
 	for i, entry := range w.Entries {
-		if entry.Index != w.Index+uint64(i)+1 || entry.Term > w.Term {
+		if entry.Index != w.Index+uint64(i)+1 || entry.Term < term || entry.Term > w.Term {
 			return false
 		}
+		term = entry.Term
 	}
 	return true
 }
--- a/replication/machine_test.go
+++ b/replication/machine_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/dykewing/dykewing/sim"
 )
 
@@ -138,3 +140,73 @@
 		t.Fatalf("%d appends without an answer, %d refused", appends, refused)
 	}
 }
+
+func TestContradictionOfCommittedHalts(t *testing.T) {
+	entry := func(index, term uint64) Entry { return Entry{Index: index, Term: term} }
+	cases := map[string]struct {
+		append WireMessage
+		halts  bool
+	}{
+		"equal":                 {WireMessage{Index: 1, LogTerm: 1, Entries: []Entry{entry(2, 1), entry(3, 2)}}, false},
+		"uncommitted differs":   {WireMessage{Index: 2, LogTerm: 1, Entries: []Entry{entry(3, 2)}}, false},
+		"no claim":              {WireMessage{}, false},
+		"committed differs":     {WireMessage{Index: 1, LogTerm: 1, Entries: []Entry{entry(2, 2)}}, true},
+		"what precedes differs": {WireMessage{Index: 2, LogTerm: 2, Entries: []Entry{entry(3, 2)}}, true},
+	}
+	for name, test := range cases {
+		machine, _ := NewMachine(testSettings("a"), Restored{
+			HardState: HardState{Term: 1}, Entries: entriesOf(1, 1, 1), Applied: 2,
+			Snapshot: Snapshot{Members: Members{Voters: []ReplicaID{"a", "b"}}},
+		})
+		w := test.append
+		w.Type, w.From, w.To, w.Term = MessageAppend, "b", "a", 2
+		machine.Step(sim.Epoch, Received{Message: w})
+		if machine.Status().Halted != test.halts {
+			t.Errorf("%s: halted %v", name, !test.halts)
+		}
+		answer := machine.Step(sim.Epoch, Propose{Token: 1})[0].(Proposed)
+		if errors.Is(answer.Err, ErrHalted) != test.halts {
+			t.Errorf("%s: a proposal is answered %v", name, answer.Err)
+		}
+	}
+}
+
+// TestAnyMessageIsWithstood sends one replica whatever a peer could garble, and
+// checks what it must never do: take back a term, a vote or a commit.
+func TestAnyMessageIsWithstood(t *testing.T) {
+	ids := []ReplicaID{"a", "b", "c"}
+	types := []MessageType{MessagePreVote, MessagePreVoteAnswer, MessageVote, MessageVoteAnswer, MessageAppend, MessageAppendAnswer, MessageSnapshot, MessageSnapshotAnswer, MessageTimeoutNow}
+	rapid.Check(t, func(t *rapid.T) {
+		machine, _ := NewMachine(testSettings("a"), Restored{Snapshot: Snapshot{Members: Members{Voters: ids}}})
+		small := func(name string) uint64 { return rapid.Uint64Range(0, 6).Draw(t, name) }
+		now := sim.Epoch
+		for range 60 {
+			if machine.halted {
+				return
+			}
+			before, committed := machine.state, machine.committed
+			now = now.Add(time.Duration(small("wait")) * testHeartbeat)
+			w := WireMessage{
+				Type: rapid.SampledFrom(types).Draw(t, "type"), To: "a", From: rapid.SampledFrom(ids[1:]).Draw(t, "from"),
+				Term: small("term"), Index: small("index"), LogTerm: small("log term"), Commit: small("commit"),
+				Match: small("match"), Round: small("round"), Granted: rapid.Bool().Draw(t, "granted"), Transfer: rapid.Bool().Draw(t, "transfer"),
+			}
+			for i := range small("entries") {
+				w.Entries = append(w.Entries, Entry{Index: w.Index + 1 + i, Term: small("entry term"), Kind: EntryKind(small("kind") % 3), Data: []byte("{}")})
+			}
+			if rapid.Bool().Draw(t, "with snapshot") {
+				w.Snapshot = &Snapshot{Index: small("snapshot"), Term: small("snapshot term"), Members: Members{Voters: ids}}
+			}
+			message := rapid.SampledFrom([]Message{
+				Received{Message: w}, Tick{}, Propose{Token: 1}, Confirm{Token: 2}, TransferLeadership{Token: 3}, Inspect{},
+				Persisted{Sequence: machine.disk.issued}, Compact{Snapshot: Snapshot{Index: small("compact")}},
+				SnapshotFetched{Index: small("fetched"), Term: small("fetched term")},
+			}).Draw(t, "message")
+			machine.Step(now, message)
+			after := machine.state
+			if after.Term < before.Term || machine.committed < committed || after.Term == before.Term && before.Vote != "" && after.Vote != before.Vote {
+				t.Fatalf("%+v becomes %+v, committed %d becomes %d", before, after, committed, machine.committed)
+			}
+		}
+	})
+}
--- a/replication/status.go
+++ b/replication/status.go
@@ -12,6 +12,7 @@
 	Applied   uint64
 	Snapshot  uint64 // index of the newest snapshot
 	Members   Members
+	Halted    bool                   // has stopped for good
 	Progress  map[ReplicaID]Progress // only at the leader
 }
 
@@ -29,7 +30,7 @@
 		Role: m.role, Term: m.state.Term, Leader: m.leader,
 		First: m.log.offset + 1, Last: m.log.last(), Durable: m.disk.index,
 		Committed: m.committed, Applied: m.applied, Snapshot: m.snapshot.Index,
-		Members: m.members.current(),
+		Members: m.members.current(), Halted: m.halted,
 	}
 	if m.role != RoleLeader {
 		return status
