Count lost and doubled requests while each role is killed and stopped

Cause: nothing showed what a killed or stopped process costs. Change: a test over real processes; a leaving sidecar tells callers to close their connections first.

--- /dev/null
+++ b/internal/integration/load_test.go
@@ -0,0 +1,176 @@
+package integration
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/internal/standin/engine"
+)
+
+// kind is what a call is.
+type kind int
+
+const (
+	kindStream kind = iota // repeatable, streamed
+	kindWhole              // repeatable, one answer
+	kindPlain              // may not be repeated, no key
+	kindKeyed              // may not be repeated, with a key
+	kindCount
+)
+
+const (
+	answerTokens = 40
+	callTimeout  = 15 * time.Second
+	resendPause  = 30 * time.Millisecond
+	callers      = 12
+)
+
+// result is what a caller knows after a call.
+type result struct {
+	right   bool
+	outcome api.Outcome // of a refusal; unknown where the connection broke
+	unsent  bool        // no connection was made
+	detail  string
+}
+
+// call is one request with a marker that is its X-Request-Id.
+type call struct {
+	kind   kind
+	marker string
+	last   result
+}
+
+var httpClient = &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: callers}}
+
+func (c *call) messages() string { return fmt.Sprintf(`[{"role":"user","content":%q}]`, c.marker) }
+
+func (c *call) request(ctx context.Context, sidecar string) *http.Request {
+	path, body := "/v1/services/calendar/book", fmt.Sprintf(`{"slot":%q}`, c.marker)
+	if c.kind == kindStream || c.kind == kindWhole {
+		path = "/v1/chat/completions"
+		body = fmt.Sprintf(`{"model":"model","stream":%t,"max_tokens":%d,"messages":%s}`, c.kind == kindStream, answerTokens, c.messages())
+	}
+	request, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+sidecar+path, bytes.NewReader([]byte(body)))
+	request.GetBody = nil // the test counts each sending itself
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set(api.HeaderRequestID, c.marker)
+	if c.kind == kindKeyed {
+		// Not Idempotency-Key by Header.Set alone: net/http would resend.
+		request.Header.Set(api.HeaderIdempotencyKey, c.marker)
+	}
+	return request
+}
+
+// send sends the call once.
+func (c *call) send(ctx context.Context, sidecar string) result {
+	response, err := httpClient.Do(c.request(ctx, sidecar))
+	if err != nil {
+		return result{outcome: api.OutcomeUnknown, unsent: strings.Contains(err.Error(), "connection refused"), detail: err.Error()}
+	}
+	defer response.Body.Close()
+	raw, err := io.ReadAll(response.Body)
+	if err != nil {
+		return result{outcome: api.OutcomeUnknown, detail: err.Error() + ": " + string(raw[max(0, len(raw)-300):])}
+	}
+	if response.StatusCode != http.StatusOK {
+		var body api.ErrorBody
+		_ = json.Unmarshal(raw, &body)
+		return result{outcome: body.Outcome, detail: string(raw)}
+	}
+	if text := c.text(raw); text != c.want() {
+		return result{detail: fmt.Sprintf("answer %q", text)}
+	}
+	return result{right: true}
+}
+
+func (c *call) want() string {
+	if c.kind == kindPlain || c.kind == kindKeyed {
+		return fmt.Sprintf(`{"slot":%q}`, c.marker)
+	}
+	return strings.Join(engine.Tokens([]byte(c.messages()), answerTokens), "")
+}
+
+// text takes the answer's text out of any of the formats.
+func (c *call) text(raw []byte) string {
+	type choice struct {
+		Delta   struct{ Content string }
+		Message struct{ Content string }
+	}
+	var body struct {
+		Echo    string
+		Choices []choice
+	}
+	if c.kind != kindStream {
+		_ = json.Unmarshal(raw, &body)
+		if len(body.Choices) == 1 {
+			return body.Choices[0].Message.Content
+		}
+		return body.Echo
+	}
+	var text strings.Builder
+	for _, event := range strings.Split(string(raw), "\n\n") {
+		if json.Unmarshal([]byte(strings.TrimPrefix(event, "data: ")), &body) == nil && len(body.Choices) == 1 {
+			text.WriteString(body.Choices[0].Delta.Content)
+		}
+		body.Choices = nil
+	}
+	if !strings.HasSuffix(string(raw), "data: [DONE]\n\n") {
+		return "no last event: " + text.String()
+	}
+	return text.String()
+}
+
+// run sends until the call is settled: again after not run, and, where a resend
+// is safe, after the connection to a sidecar broke. cut tells how many times
+// that was.
+func (c *call) run(ctx context.Context, sidecars []string) (cut int) {
+	for turn := 0; ctx.Err() == nil; turn++ {
+		c.last = c.send(ctx, sidecars[turn%len(sidecars)])
+		switch {
+		case c.last.right:
+			return cut
+		case c.last.unsent || c.last.outcome == api.OutcomeNotRun:
+		case c.kind == kindKeyed && strings.Contains(c.last.detail, string(api.CodeAlreadySubmitted)):
+		case c.kind != kindPlain && c.last.outcome == api.OutcomeUnknown && !strings.Contains(c.last.detail, "dykewing_outcome"):
+			cut++
+		default:
+			return cut
+		}
+		time.Sleep(resendPause)
+	}
+	return cut
+}
+
+// runLoad has callers send calls of all kinds until stop is closed.
+func runLoad(ctx context.Context, name string, sidecars []string, stop <-chan struct{}) (calls []*call, cut int) {
+	var mutex sync.Mutex
+	var running sync.WaitGroup
+	for caller := range callers {
+		running.Go(func() {
+			own := append(sidecars[caller%len(sidecars):len(sidecars):len(sidecars)], sidecars[:caller%len(sidecars)]...)
+			for number := 0; ; number++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				c := &call{kind: kind((caller + number) % int(kindCount)), marker: fmt.Sprintf("%s-%d-%d", name, caller, number)}
+				cuts := c.run(ctx, own)
+				mutex.Lock()
+				calls = append(calls, c)
+				cut += cuts
+				mutex.Unlock()
+			}
+		})
+	}
+	running.Wait()
+	return calls, cut
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -31,6 +31,10 @@
 	idleTimeout        = 2 * time.Minute
 	maximumHeaderBytes = 64 << 10
 	maximumHeldBytes   = 256 << 20 // of request bodies
+	// closeGrace is how long a planned stop tells callers with each answer to
+	// close their connection, before idle ones are closed on them: a request
+	// that meets a closing connection could not be told from one that ran.
+	closeGrace = 500 * time.Millisecond
 )
 
 // Sidecar is the role's part of a process.
@@ -53,7 +57,8 @@
 	// api.RequestID.
 	unrecorded sync.Map
 	running    sync.Map
-	holder     string         // address at which this sidecar is asked about them
+	holder     string // address at which this sidecar is asked about them
+	leaving    atomic.Bool
 	recording  sync.WaitGroup // records in the background
 
 	mutex  sync.Mutex // guards policy
@@ -94,7 +99,7 @@
 // Run serves callers until ctx ends, then lets their requests finish.
 func (s *Sidecar) Run(ctx context.Context) error {
 	server := &http.Server{
-		Handler:           transport.Guard(s.routes(), s.reportPanic),
+		Handler:           transport.Guard(s.closing(s.routes()), s.reportPanic),
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maximumHeaderBytes,
 	}
 	failed := make(chan error, 1)
@@ -107,11 +112,23 @@
 	}
 	deadline, cancel := context.WithTimeout(context.Background(), s.node.Settings.Node.StopTimeout)
 	defer cancel()
+	s.leaving.Store(true)
+	sleep(deadline, closeGrace)
 	err := server.Shutdown(deadline)
 	s.awaitRecords(deadline)
 	return err
 }
 
+// closing tells callers to close their connections once the sidecar leaves.
+func (s *Sidecar) closing(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // awaitRecords lets records in the background be committed.
 func (s *Sidecar) awaitRecords(ctx context.Context) {
 	done := make(chan struct{})
