--- a/internal/sidecar/claim.go
+++ b/internal/sidecar/claim.go
@@ -89,6 +89,11 @@
 		Request: request.routed.ID, Holder: s.holder,
 	}
 	result, err := s.stores.Command(ctx, s.groupOf(request), jobs.Command{Claim: &claim})
+	if err == nil && result.Duplicate && result.Recorded == nil {
+		// The group took the command for one that it had applied before, but
+		// the request is new: this is no verdict.
+		err = api.NewError(step, "", api.CodeNoQuorum, api.OutcomeNotRun, "the group gave no verdict on the claim")
+	}
 	if err == nil {
 		return result, nil
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -34,7 +34,7 @@
 	// closeGrace is how long a planned stop tells callers with each answer to
 	// close their connection, before idle ones are closed on them: a request
 	// that meets a closing connection could not be told from one that ran.
-	closeGrace = 500 * time.Millisecond
+	closeGrace = time.Second
 )
 
 // Sidecar is the role's part of a process.
@@ -113,6 +113,9 @@
 	deadline, cancel := context.WithTimeout(context.Background(), s.node.Settings.Node.StopTimeout)
 	defer cancel()
 	s.leaving.Store(true)
+	// New connections are refused first, which is certainly not run; they are
+	// rare while callers hold theirs.
+	_ = s.listener.Close()
 	sleep(deadline, closeGrace)
 	err := server.Shutdown(deadline)
 	s.awaitRecords(deadline)
--- a/jobs/state_claims.go
+++ b/jobs/state_claims.go
@@ -49,7 +49,7 @@
 	key := claimKey(command.Tenant, command.Key)
 	var known storedClaim
 	if !c.get(key, &known) || known.Claim.Request != command.Request {
-		return failure(api.CodeNotFound, "no claim of key %q by request %s", command.Key, command.Request)
+		return failure(api.CodeNotFound, "no claim of key %q by request %s; it is of %q", command.Key, command.Request, known.Claim.Request)
 	}
 	if known.Record == nil && command.Outcome == api.OutcomeNotRun {
 		known.Free = true
