--- a/internal/store/files.go
+++ b/internal/store/files.go
@@ -15,6 +15,6 @@
 	if err != nil || limit <= 0 || limit > pageSize {
 		limit = pageSize
 	}
-	list, more, err := group.state.Files(api.TenantID(query.Get("tenant")), jobs.FileID(query.Get("after")), limit)
+	list, more, err := group.jobs.Files(api.TenantID(query.Get("tenant")), jobs.FileID(query.Get("after")), limit)
 	writeRead(w, "list files", storeclient.FilesPage{Files: list, More: more}, err)
 }
--- /dev/null
+++ b/internal/store/peers.go
@@ -0,0 +1,126 @@
+package store
+
+import (
+	"sync"
+	"time"
+
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/placement"
+	"github.com/dykewing/dykewing/replication"
+)
+
+// peers knows where replicas are reached and when they were last heard: from
+// the batches that they send, and from the view of nodes, which may be late
+// about other zones. The key-value service is not needed for it.
+type peers struct {
+	trust time.Duration // how long an address that a replica gave goes before the view's
+
+	mutex   sync.Mutex // guards all below
+	heardOf map[replication.ReplicaID]sighting
+	nodes   map[replication.ReplicaID]api.Node // of the last view
+	owners  map[replication.ReplicaID]api.NodeID
+	current map[api.NodeID]replication.ReplicaID // newest identity of a node's disk
+	avoided map[replication.ReplicaID]time.Time  // did not answer; until then no candidate
+}
+
+type sighting struct {
+	at      time.Time
+	address string
+}
+
+func newPeers(trust time.Duration) *peers {
+	return &peers{
+		trust: trust, heardOf: map[replication.ReplicaID]sighting{}, nodes: map[replication.ReplicaID]api.Node{},
+		owners: map[replication.ReplicaID]api.NodeID{}, current: map[api.NodeID]replication.ReplicaID{},
+		avoided: map[replication.ReplicaID]time.Time{},
+	}
+}
+
+// observe takes a view.
+func (p *peers) observe(view []api.Node) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	clear(p.nodes)
+	for _, node := range view {
+		replica := replication.ReplicaID(node.Summary.Replica)
+		if node.Role != api.RoleStore || replica == "" {
+			continue
+		}
+		p.nodes[replica] = node
+		p.owners[replica] = node.ID
+		p.current[node.ID] = replica
+	}
+}
+
+// heard notes a sign of life and the address that a replica gives of itself.
+func (p *peers) heard(now time.Time, replica replication.ReplicaID, address string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.heardOf[replica] = sighting{at: now, address: address}
+}
+
+// avoid takes a store that did not answer out of the candidates for a while.
+func (p *peers) avoid(replica replication.ReplicaID, until time.Time) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.avoided[replica] = until
+}
+
+func (p *peers) address(now time.Time, replica replication.ReplicaID) (string, bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	heard, known := p.heardOf[replica]
+	node, seen := p.nodes[replica]
+	if known && (!seen || now.Sub(heard.at) < p.trust) {
+		return heard.address, true
+	}
+	return node.Address, seen
+}
+
+// node gives the id of the node that holds the replica; empty when not known.
+func (p *peers) node(replica replication.ReplicaID) api.NodeID {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.nodes[replica].ID
+}
+
+// anyFull tells whether the disk of one of the replicas is full.
+func (p *peers) anyFull(replicas []replication.ReplicaID) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, replica := range replicas {
+		if p.nodes[replica].Summary.DiskFull {
+			return true
+		}
+	}
+	return false
+}
+
+// stores lists the known stores as candidates for replicas.
+func (p *peers) stores(now time.Time) []placement.Store {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	stores := make([]placement.Store, 0, len(p.nodes))
+	for replica, node := range p.nodes {
+		stores = append(stores, placement.Store{
+			Replica: replica, Location: node.Location, Groups: len(node.Summary.Groups),
+			Leaving: node.Leaving || node.Summary.DiskFull || now.Before(p.avoided[replica]),
+		})
+	}
+	return stores
+}
+
+// lost tells whether a replica was not heard for the given time, counted from
+// since at the earliest, or its machine came back with another disk.
+func (p *peers) lost(now time.Time, replica replication.ReplicaID, since time.Time, after time.Duration) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if owner, ok := p.owners[replica]; ok && p.current[owner] != replica {
+		return true
+	}
+	last := p.heardOf[replica].at
+	if last.Before(since) {
+		last = since
+	}
+	return now.Sub(last) > after
+}
