Forward requests to the right home of a zone

Cause: a sidecar knows only a few routers of another zone, and views lag when homes move. Change: a gateway chooses among all homes of its zone and sends on; a router refused for want of a worker sends on once; at most two routers a request. Workers of a zone without routers go to a zone first, so that partial views agree. Conclusion: the way across zones is there.

--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -8,6 +8,7 @@
 	preempted prometheus.Counter
 	broken    prometheus.Counter
 	resumed   prometheus.Counter
+	forwarded *prometheus.CounterVec
 	items     *prometheus.CounterVec
 	// batchMessages counts what batch work costs between router and stores.
 	batchMessages *prometheus.CounterVec
@@ -30,6 +31,9 @@
 		resumed: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "dykewing_router_resumed_total", Help: "Streams gone on with by request id.",
 		}),
+		forwarded: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "dykewing_router_forwarded_total", Help: "Requests sent on to another home of the zone, by outcome.",
+		}, []string{"outcome"}),
 		items: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "dykewing_router_batch_items_total", Help: "Batch items run, by outcome.",
 		}, []string{"outcome"}),
@@ -37,6 +41,6 @@
 			Name: "dykewing_router_batch_messages_total", Help: "Messages to stores about batch items, by step.",
 		}, []string{"step"}),
 	}
-	registry.MustRegister(m.admitted, m.refused, m.preempted, m.broken, m.resumed, m.items, m.batchMessages)
+	registry.MustRegister(m.admitted, m.refused, m.preempted, m.broken, m.resumed, m.forwarded, m.items, m.batchMessages)
 	return m
 }
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -44,9 +44,15 @@
 	}
 	ctx, cancel := r.withDeadline(request.Context(), request.Header.Get(api.HeaderDeadline))
 	defer cancel()
+	if r.forwarder.before(ctx, w, request, routed, body) {
+		return
+	}
 	path := strings.TrimPrefix(request.URL.RequestURI(), api.PathRequests)
 	response, dispatch, finish, failure := r.run(ctx, routed, path, body, request.Header)
 	if failure != nil {
+		if r.forwarder.after(ctx, w, request, routed, body, failure) {
+			return
+		}
 		r.refuse(w, failure)
 		return
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"net/url"
 	"sync"
 	"sync/atomic"
@@ -40,7 +39,7 @@
 	// batchBackend has connections of its own, so that batch holds none up.
 	batchBackend engine.Backend
 	bodies       *transport.BodyBudget
-	forward      *http.Client // online requests to other routers
+	forwarder    *forwarder // online requests to other routers
 	list         discovery.List
 
 	admission *shell.Shell[admission.Message, admission.Action]
@@ -62,7 +61,6 @@
 		backend:      &engine.HTTPBackend{Client: transport.NewClient(requestConnections), Control: common.Control},
 		batchBackend: &engine.HTTPBackend{Client: transport.NewClient(requestConnections), Control: common.Control},
 		bodies:       newBodyBudget(common.Settings.Sidecar.MaximumBodyBytes),
-		forward:      transport.NewClient(requestConnections),
 		flights:      map[api.RequestID]context.CancelCauseFunc{},
 		metrics:      newMetrics(common.Registry),
 	}
@@ -81,7 +79,9 @@
 	router.homes = placement.NewHomes(common.ID())
 	router.homes.SetNodes(common.Nodes())
 	router.homed.Store(&[]api.Worker{})
+	router.forwarder = newForwarder(router, transport.NewClient(requestConnections))
 	common.OnView(router.setNodes)
+	common.OnView(router.forwarder.setNodes)
 	common.OnTable(router.setRows)
 	common.SetSummary(router.summary)
 	common.Mux.HandleFunc("POST "+api.PathRequests+"/", router.serveRequest)
--- a/internal/sidecar/online.go
+++ b/internal/sidecar/online.go
@@ -119,6 +119,9 @@
 		return nil, home.Name, api.NewError(step, home.Name, api.CodeInternal, api.OutcomeNotRun, "%w", err)
 	}
 	outgoing.Header = outgoingHeader(request, number)
+	if home.Location != s.node.Settings.Node.Location() {
+		outgoing.Header.Set(api.HeaderHops, "0") // a gateway: it chooses the home
+	}
 	response, failure := transport.Send(s.online, outgoing, step, home.Name)
 	if failure != nil {
 		return nil, home.Name, failure
--- a/placement/homes.go
+++ b/placement/homes.go
@@ -14,7 +14,6 @@
 	member   bool         // the router itself can be a home
 	all      []router
 	inZone   map[api.Location][]api.NodeID
-	ids      []api.NodeID
 }
 
 type router struct {
@@ -31,13 +30,12 @@
 	if h.same(nodes) {
 		return false
 	}
-	h.all, h.ids, h.inZone, h.member = nil, nil, map[api.Location][]api.NodeID{}, false
+	h.all, h.inZone, h.member = nil, map[api.Location][]api.NodeID{}, false
 	for _, node := range nodes {
 		if !canBeHome(node) {
 			continue
 		}
 		h.all = append(h.all, router{id: node.ID, location: node.Location})
-		h.ids = append(h.ids, node.ID)
 		h.inZone[node.Location] = append(h.inZone[node.Location], node.ID)
 		if node.ID == h.self {
 			h.location, h.member = node.Location, true
@@ -69,14 +67,11 @@
 	}
 	var mine []api.Worker
 	for _, worker := range workers {
-		candidates := h.inZone[worker.Location]
-		switch {
-		case len(candidates) == 0:
-			candidates = h.ids
-		case worker.Location != h.location:
+		zone, ok := homeZone(worker, h.inZone)
+		if !ok || zone != h.location {
 			continue
 		}
-		if home, _ := Choose(string(worker.ID), candidates); home == h.self {
+		if home, _ := Choose(string(worker.ID), h.inZone[zone]); home == h.self {
 			mine = append(mine, worker)
 		}
 	}
--- a/placement/rendezvous.go
+++ b/placement/rendezvous.go
@@ -33,22 +33,41 @@
 }
 
 // HomeOf gives the router that alone admits work to the worker: chosen among
-// the routers of the worker's zone, or among all of them when its zone has none.
+// the routers of the worker's zone. A worker whose zone has none goes to a zone
+// first and to a router of it then: a node knows all zones but only its own
+// zone's routers in full, so that each router still tells rightly whether it is
+// the home itself.
 func HomeOf(worker api.Worker, routers []api.Node) (api.NodeID, bool) {
-	var inZone, anywhere []api.NodeID
+	inZone := map[api.Location][]api.NodeID{}
 	for _, router := range routers {
-		if router.Leaving || router.Role != api.RoleRouter {
-			continue
-		}
-		anywhere = append(anywhere, router.ID)
-		if router.Location == worker.Location {
-			inZone = append(inZone, router.ID)
+		if canBeHome(router) {
+			inZone[router.Location] = append(inZone[router.Location], router.ID)
 		}
 	}
-	if len(inZone) > 0 {
-		return Choose(string(worker.ID), inZone)
+	zone, ok := homeZone(worker, inZone)
+	if !ok {
+		return "", false
+	}
+	return Choose(string(worker.ID), inZone[zone])
+}
+
+// homeZone is the worker's own zone if it has routers, else the zone with the
+// highest score.
+func homeZone(worker api.Worker, inZone map[api.Location][]api.NodeID) (api.Location, bool) {
+	if len(inZone[worker.Location]) > 0 {
+		return worker.Location, true
+	}
+	var best api.Location
+	var bestName api.NodeID
+	var bestScore uint64
+	for location := range inZone {
+		name := api.NodeID(location.Region) + "/" + api.NodeID(location.Zone)
+		score := Score(string(worker.ID), name)
+		if bestName == "" || score > bestScore || (score == bestScore && name < bestName) {
+			best, bestName, bestScore = location, name, score
+		}
 	}
-	return Choose(string(worker.ID), anywhere)
+	return best, bestName != ""
 }
 
 // GroupOf gives the group that keeps a tenant's jobs and its claims of
