Planned stop by phases; takeover of homes; loads polled side by side

Cause: a planned stop waited three heartbeats and closed idle connections that sidecars might be writing to; a new home knew nothing of what the old one still ran; a slow worker held up the reports of all others. Change: the leaving mark is pushed to every member, confirmed, shown to observers, and connections end with an answer before the listener closes; a second signal ends the daemon without waiting for its role. placement.Takeover keeps slots free for inherited requests. Reports are asked for side by side, each worker at most once at a time.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync"
 
 	"github.com/sirupsen/logrus"
 
@@ -68,15 +67,20 @@
 	} else {
 		defer context.AfterFunc(ctx, stopNode)()
 	}
-	var running sync.WaitGroup
-	var roleError error
-	running.Go(func() {
+	defer context.AfterFunc(ctx, d.Node.BeginLeaving)()
+	ended := make(chan error, 1)
+	go func() {
 		defer stopNode()
-		roleError = d.run(roleContext)
-	})
+		ended <- d.run(roleContext)
+	}()
 	nodeError := d.Node.Run(nodeContext, kill)
 	stopRole()
-	running.Wait()
+	var roleError error
+	select {
+	case roleError = <-ended:
+	case <-kill.Done():
+		return node.ErrKilled
+	}
 	d.Node.System.Shutdown()
 	return errors.Join(roleError, nodeError)
 }
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -51,13 +51,22 @@
 	case membership.ViewChanged:
 		n.publishView()
 	case membership.Died:
-		n.Logger("membership").WithField("peer", action.Node).Warn("A peer is taken for dead.")
+		n.logDeath(action)
 	case membership.DuplicateID:
 		n.Logger("membership").WithField("peer", action.Address).
 			Errorf("Another process runs under the id %s; give each its own.", n.ID())
 	}
 }
 
+func (n *Node) logDeath(died membership.Died) {
+	entry := n.Logger("membership").WithField("peer", died.Node)
+	if died.Leaving {
+		entry.Info("A peer that was leaving is gone.")
+		return
+	}
+	entry.Warn("A peer is taken for dead.")
+}
+
 func (n *Node) publishView() {
 	nodes := n.machine.Nodes()
 	zones := n.machine.Zones()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -60,6 +59,8 @@
 	sends      sync.WaitGroup // heartbeats on their way
 	reportNow  chan struct{}  // asks for a report before the next interval
 	reached    atomic.Bool    // a peer has answered
+	lastWork   atomic.Int64   // when a request of the data path last came, in Unix nanoseconds
+	finished   sync.Once
 
 	unreachedLogged atomic.Bool
 	snapshot        atomic.Pointer[table.Snapshot]
@@ -68,6 +69,7 @@
 	mutex           sync.Mutex // guards the callbacks
 	onView          []func([]api.Node)
 	onTable         []func(*table.Snapshot)
+	onLeave         []func()
 	background      sync.WaitGroup
 	incarnation     uint64
 }
@@ -181,7 +183,7 @@
 func (n *Node) Run(ctx, kill context.Context) error {
 	n.membership = shell.Start(n.System, n.machine, n.executeMembership)
 	n.replica = shell.Start(n.System, table.NewReplica(), n.executeTable)
-	n.server = &http.Server{Handler: n.Mux, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maximumHeaderBytes}
+	n.server = &http.Server{Handler: n.drainable(n.Mux), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maximumHeaderBytes}
 	background, stopBackground := context.WithCancel(kill)
 	defer stopBackground()
 	n.background.Go(func() { n.heartbeat(background) })
@@ -191,6 +193,7 @@
 	n.Logger("node").Infof("Serving on %s.", n.Address())
 	select {
 	case err := <-failed:
+		n.end(stopBackground)
 		return fmt.Errorf("serve on %s: %w", n.Address(), err)
 	case <-ctx.Done():
 	case <-kill.Done():
@@ -198,36 +201,6 @@
 	return n.stop(kill, stopBackground)
 }
 
-func (n *Node) stop(kill context.Context, stopBackground func()) error {
-	n.leaving.Store(true)
-	n.Logger("node").Info("Leaving: finishing what runs.")
-	deadline, cancel := context.WithTimeout(kill, n.Settings.Node.StopTimeout)
-	defer cancel()
-	n.announce(deadline)
-	err := n.server.Shutdown(deadline)
-	if err != nil {
-		n.server.Close()
-	}
-	stopBackground()
-	n.background.Wait()
-	n.membership.Stop()
-	n.replica.Stop()
-	if err != nil && !errors.Is(err, context.Canceled) {
-		return fmt.Errorf("planned stop: %w", err)
-	}
-	return nil
-}
-
-// announce spreads the leaving mark for some heartbeats before connections
-// close, so that peers stop sending.
-func (n *Node) announce(ctx context.Context) {
-	const heartbeats = 3
-	select {
-	case <-time.After(heartbeats * n.Settings.Membership.Interval):
-	case <-ctx.Done():
-	}
-}
-
 func newActorSystem() *actor.ActorSystem {
 	silent := func(*actor.ActorSystem) *slog.Logger { return slog.New(slog.DiscardHandler) }
 	return actor.NewActorSystem(actor.WithLoggerFactory(silent))
--- a/internal/router/resume.go
+++ b/internal/router/resume.go
@@ -37,7 +37,7 @@
 }
 
 func (r *Router) workerByID(id api.WorkerID) (api.Worker, bool) {
-	for _, worker := range r.listed() {
+	for _, worker := range r.homing.listed() {
 		if worker.ID == id {
 			return worker, true
 		}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net/url"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -19,7 +18,6 @@
 	"github.com/dykewing/dykewing/internal/node"
 	"github.com/dykewing/dykewing/internal/shell"
 	"github.com/dykewing/dykewing/internal/transport"
-	"github.com/dykewing/dykewing/placement"
 	"github.com/dykewing/dykewing/routing"
 	"github.com/dykewing/dykewing/table"
 )
@@ -44,14 +42,10 @@
 
 	admission *shell.Shell[admission.Message, admission.Action]
 	machine   *admission.Machine
-	homed     atomic.Pointer[[]api.Worker] // those that this router is home of
-	mutex     sync.Mutex                   // guards flights
+	mutex     sync.Mutex // guards flights
 	flights   map[api.RequestID]context.CancelCauseFunc
 	metrics   *metrics
-
-	homesMutex sync.Mutex // guards homes and workers
-	homes      *placement.Homes
-	workers    []api.Worker // the machine list
+	homing    *homing
 }
 
 // New adds the role to a node.
@@ -76,11 +70,10 @@
 		RetryAfter: refusalRetryAfter, Reserve: common.Settings.Router.BatchReserve,
 	})
 	router.admission = shell.Start(common.System, router.machine, router.execute)
-	router.homes = placement.NewHomes(common.ID())
-	router.homes.SetNodes(common.Nodes())
-	router.homed.Store(&[]api.Worker{})
+	router.homing = newHoming(router)
+	router.homing.setNodes(common.Nodes())
 	router.forwarder = newForwarder(router, transport.NewClient(requestConnections))
-	common.OnView(router.setNodes)
+	common.OnView(router.homing.setNodes)
 	common.OnView(router.forwarder.setNodes)
 	common.OnTable(router.setRows)
 	common.SetSummary(router.summary)
@@ -97,47 +90,16 @@
 	var group sync.WaitGroup
 	if r.list != nil {
 		group.Go(func() {
-			discovery.Poll(ctx, r.list, r.node.Settings.MachineList.Interval, r.setWorkers, func(err error) {
+			discovery.Poll(ctx, r.list, r.node.Settings.MachineList.Interval, r.homing.setWorkers, func(err error) {
 				r.log.WithError(err).Warn("Machine list is not whole; the last known workers stay.")
 			})
 		})
 	}
-	group.Go(func() { r.pollLoads(ctx) })
+	group.Go(func() { r.homing.pollLoads(ctx) })
 	group.Go(func() { r.pullBatch(ctx) })
 	group.Wait()
 }
 
-func (r *Router) setWorkers(workers []api.Worker) {
-	r.homesMutex.Lock()
-	defer r.homesMutex.Unlock()
-	r.workers = workers
-	r.rehome()
-}
-
-// setNodes moves workers only when the routers changed: a view changes with
-// every load report.
-func (r *Router) setNodes(nodes []api.Node) {
-	r.homesMutex.Lock()
-	defer r.homesMutex.Unlock()
-	if r.homes.SetNodes(nodes) {
-		r.rehome()
-	}
-}
-
-// listed is the machine list; do not modify.
-func (r *Router) listed() []api.Worker {
-	r.homesMutex.Lock()
-	defer r.homesMutex.Unlock()
-	return r.workers
-}
-
-// rehome finds the workers that this router is home of.
-func (r *Router) rehome() {
-	homed := r.homes.Mine(r.workers)
-	r.homed.Store(&homed)
-	r.admission.Tell(admission.Workers{Workers: homed})
-}
-
 func (r *Router) setRows(snapshot *table.Snapshot) {
 	rows := map[api.RowKey]api.Row{}
 	for _, service := range snapshot.Services() {
@@ -154,32 +116,6 @@
 	return summary
 }
 
-func (r *Router) pollLoads(ctx context.Context) {
-	ticker := time.NewTicker(r.node.Settings.Router.LoadInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-		for _, worker := range *r.homed.Load() {
-			r.pollLoad(ctx, worker)
-		}
-	}
-}
-
-func (r *Router) pollLoad(ctx context.Context, worker api.Worker) {
-	ctx, cancel := context.WithTimeout(ctx, r.node.Settings.Router.LoadInterval)
-	defer cancel()
-	asked := time.Now()
-	load, err := r.backend.Load(ctx, worker.Address)
-	if err != nil {
-		return
-	}
-	r.admission.Tell(admission.Load{Worker: worker.ID, Running: load.Running, Waiting: load.Waiting, Leaving: load.Leaving, Asked: asked})
-}
-
 // execute carries out admission's actions that are not the answer to a step.
 func (r *Router) execute(action admission.Action) {
 	preempt, ok := action.(admission.Preempt)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -92,7 +92,7 @@
 // Run serves callers until ctx ends, then lets their requests finish.
 func (s *Sidecar) Run(ctx context.Context) error {
 	server := &http.Server{
-		Handler:           transport.Guard(s.routes(), s.reportPanic),
+		Handler:           transport.Guard(s.closing(s.routes()), s.reportPanic),
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maximumHeaderBytes,
 	}
 	failed := make(chan error, 1)
@@ -105,11 +105,33 @@
 	}
 	deadline, cancel := context.WithTimeout(context.Background(), s.node.Settings.Node.StopTimeout)
 	defer cancel()
+	s.lameDuck()
 	err := server.Shutdown(deadline)
 	s.awaitRecords(deadline)
 	return err
 }
 
+// lameDuckIntervals is how long callers are told to close their connections
+// before the listener closes, in heartbeat intervals.
+const lameDuckIntervals = 2
+
+// lameDuck lets callers' connections end with an answer: one that is closed
+// while idle may lose a request that is being written to it.
+func (s *Sidecar) lameDuck() {
+	s.node.BeginLeaving()
+	time.Sleep(lameDuckIntervals * s.node.Settings.Membership.Interval)
+}
+
+// closing asks callers to close their connections once the node leaves.
+func (s *Sidecar) closing(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.node.Leaving() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // awaitRecords lets records in the background be committed.
 func (s *Sidecar) awaitRecords(ctx context.Context) {
 	done := make(chan struct{})
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -77,7 +77,7 @@
 		next.Node.TableRevision != known.record.Node.TableRevision
 	var actions []Action
 	if next.Status == StatusDead && known.record.Status != StatusDead {
-		actions = append(actions, Died{Node: next.Node.ID})
+		actions = append(actions, Died{Node: next.Node.ID, Leaving: next.Node.Leaving})
 	}
 	m.set(now, next, urgent)
 	return actions, true
--- a/membership/messages.go
+++ b/membership/messages.go
@@ -166,6 +166,7 @@
 type Died struct {
 	Node     api.NodeID
 	Observed time.Duration // how long it was suspected here; 0 by rumour
+	Leaving  bool          // it had announced that it would go
 }
 
 // DuplicateID says that another process runs under this node's id.
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -66,7 +66,7 @@
 		record := e.record
 		record.Status = StatusDead
 		m.set(now, record, true)
-		return []Action{Died{Node: id, Observed: held}, ViewChanged{}}
+		return []Action{Died{Node: id, Observed: held, Leaving: record.Node.Leaving}, ViewChanged{}}
 	case StatusDead:
 		if held > retentionFactor*m.settings.SuspectTimeout {
 			delete(m.entries, id)
--- /dev/null
+++ b/placement/takeover_test.go
@@ -0,0 +1,44 @@
+package placement
+
+import (
+	"testing"
+
+	"github.com/dykewing/dykewing/api"
+)
+
+func TestTakeoverLeavesRoomForTheOldHome(t *testing.T) {
+	worker := api.Worker{ID: "w", Slots: 8}
+	takeover := NewTakeover()
+	if adopted := takeover.SetHomed([]api.Worker{worker}); len(adopted) != 1 {
+		t.Fatalf("adopted %v, want the worker", adopted)
+	}
+	steps := []struct {
+		running, own, slots int
+	}{
+		{running: 6, own: 0, slots: 2}, // all six are the old home's
+		{running: 7, own: 2, slots: 3}, // one of them has ended
+		{running: 9, own: 2, slots: 3}, // a late report makes it no more
+		{running: 3, own: 3, slots: 8}, // none is left
+		{running: 8, own: 0, slots: 8}, // what comes later is not inherited
+	}
+	if slots := takeover.Adjust(worker).Slots; slots != 1 {
+		t.Fatalf("%d slots before the first report, want 1", slots)
+	}
+	for i, step := range steps {
+		takeover.Report(worker.ID, step.running, step.own)
+		if slots := takeover.Adjust(worker).Slots; slots != step.slots {
+			t.Fatalf("step %d: %d slots, want %d", i, slots, step.slots)
+		}
+	}
+	if adopted := takeover.SetHomed([]api.Worker{worker}); len(adopted) != 0 {
+		t.Fatal("a worker that stayed was taken over again")
+	}
+	takeover.SetHomed(nil)
+	takeover.SetHomed([]api.Worker{worker})
+	for range unreportedLimit {
+		takeover.Failed(worker.ID)
+	}
+	if slots := takeover.Adjust(worker).Slots; slots != 8 {
+		t.Fatalf("%d slots of a worker that never reports, want all", slots)
+	}
+}
