--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -203,5 +203,8 @@
 
 func newActorSystem() *actor.ActorSystem {
 	silent := func(*actor.ActorSystem) *slog.Logger { return slog.New(slog.DiscardHandler) }
-	return actor.NewActorSystem(actor.WithLoggerFactory(silent))
+	// A message to an actor that has stopped starts a goroutine of the library
+	// that lives this long; nothing is logged at its end.
+	const deadLetterInterval = 10 * time.Millisecond
+	return actor.NewActorSystem(actor.WithLoggerFactory(silent), actor.WithDeadLetterThrottleInterval(deadLetterInterval))
 }
