--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -42,8 +42,7 @@
 
 	admission *shell.Shell[admission.Message, admission.Action]
 	machine   *admission.Machine
-	mutex     sync.Mutex // guards flights
-	flights   map[api.RequestID]context.CancelCauseFunc
+	flights   *flights
 	metrics   *metrics
 	homing    *homing
 }
@@ -55,7 +54,7 @@
 		backend:      &engine.HTTPBackend{Client: transport.NewClient(requestConnections), Control: common.Control},
 		batchBackend: &engine.HTTPBackend{Client: transport.NewClient(requestConnections), Control: common.Control},
 		bodies:       newBodyBudget(common.Settings.Sidecar.MaximumBodyBytes),
-		flights:      map[api.RequestID]context.CancelCauseFunc{},
+		flights:      newFlights(),
 		metrics:      newMetrics(common.Registry),
 	}
 	if address := common.Settings.MachineList.URL; address != "" {
@@ -115,18 +114,3 @@
 	_ = r.admission.Inspect(func() { summary.Services = r.machine.Summaries() })
 	return summary
 }
-
-// execute carries out admission's actions that are not the answer to a step.
-func (r *Router) execute(action admission.Action) {
-	preempt, ok := action.(admission.Preempt)
-	if !ok {
-		return
-	}
-	r.mutex.Lock()
-	cancel := r.flights[preempt.Request]
-	r.mutex.Unlock()
-	if cancel != nil {
-		r.metrics.preempted.Inc()
-		cancel(errPreempted)
-	}
-}
