A sidecar named among the peers is no member and no source

Cause: a router that asked a sidecar as a seed took it for a member, and the sidecar could then choose itself as its source and keep an empty view for ever. Change: an observer answers nothing but its name; an observer that gets no cursor asks another. Conclusion: mended; a test in package membership holds it.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -121,6 +121,7 @@
 	killed, kill := context.WithCancel(context.Background())
 	result := &process{Daemon: started, stop: stop, kill: kill, ended: make(chan error, 1)}
 	go func() { result.ended <- started.Run(ctx, killed) }()
+	t.Cleanup(kill) // before the stand-ins close, also when the test fails
 	return result
 }
 
@@ -237,6 +238,8 @@
 	var sent, failed atomic.Int64
 	var first atomic.Pointer[error]
 	done := make(chan struct{})
+	finish := sync.OnceFunc(func() { close(done) })
+	defer finish()
 	var callers sync.WaitGroup
 	for range 8 {
 		callers.Go(func() {
@@ -268,7 +271,7 @@
 		routers = append(routers, platform.start(t, api.RoleRouter, fmt.Sprintf("router-%d", 3+i), homeZone))
 		eventually(t, "the next home", func() bool { return offers(caller) >= 2 })
 	}
-	close(done)
+	finish()
 	callers.Wait()
 	stopAll(t, append(routers[3:], caller))
 	if failed.Load() > 0 {
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -159,6 +159,10 @@
 
 // receive answers a peer's exchange.
 func (m *Machine) receive(now time.Time, exchange Exchange) []Action {
+	if m.observer {
+		// It knows nothing at first hand: an asker must not take it for a member.
+		return []Action{Reply{Exchange: Exchange{From: m.self.ID, Location: m.self.Location}}}
+	}
 	actions := append(m.merge(now, exchange), m.mergeZones(now, exchange.Zones)...)
 	reply := m.exchange(exchange.From)
 	if exchange.Location != m.self.Location {
@@ -215,13 +219,11 @@
 // exchange is a heartbeat or its answer with what fits of the changes.
 func (m *Machine) exchange(to api.NodeID) Exchange {
 	exchange := Exchange{From: m.self.ID, Location: m.self.Location}
-	if !m.observer {
-		exchange.Updates = append(exchange.Updates, m.selfRecord())
-		if known, ok := m.entries[to]; ok && known.record.Status != StatusAlive {
-			exchange.Updates = append(exchange.Updates, wireRecord(known.record))
-		}
-		exchange.Updates = append(exchange.Updates, m.queue.take(to, m.entries, m.settings.MaximumBytes)...)
+	exchange.Updates = append(exchange.Updates, m.selfRecord())
+	if known, ok := m.entries[to]; ok && known.record.Status != StatusAlive {
+		exchange.Updates = append(exchange.Updates, wireRecord(known.record))
 	}
+	exchange.Updates = append(exchange.Updates, m.queue.take(to, m.entries, m.settings.MaximumBytes)...)
 	return exchange
 }
 
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -342,3 +343,32 @@
 	}
 	return offers
 }
+
+// TestSidecarUnderASeedsAddressMisleadsNobody: settings may name a sidecar
+// among the peers.
+func TestSidecarUnderASeedsAddressMisleadsNobody(t *testing.T) {
+	machineOf := func(role api.Role, id, seed string) *membership.Machine {
+		return membership.NewMachine(membership.Settings{
+			Self:  api.Node{ID: api.NodeID(id), Role: role, Address: id, Incarnation: 1},
+			Seeds: []string{seed}, Interval: time.Second, SuspectTimeout: time.Second,
+			Random: rand.New(rand.NewPCG(1, 1)),
+		})
+	}
+	sidecar := machineOf(api.RoleSidecar, "sidecar", "elsewhere")
+	for _, asker := range []*membership.Machine{machineOf(api.RoleRouter, "router", "sidecar"), machineOf(api.RoleSidecar, "other", "sidecar")} {
+		for _, action := range asker.Step(sim.Epoch, membership.Tick{}) {
+			sent, ok := action.(membership.Send)
+			if !ok {
+				continue
+			}
+			for _, answer := range sidecar.Step(sim.Epoch, membership.Incoming{Exchange: sent.Exchange}) {
+				if reply, ok := answer.(membership.Reply); ok {
+					asker.Step(sim.Epoch, membership.Answered{Sent: sent, Exchange: reply.Exchange})
+				}
+			}
+		}
+		if nodes := asker.Nodes(); len(nodes) != 1 {
+			t.Errorf("%s sees %v after asking a sidecar", asker.Self().ID, nodes)
+		}
+	}
+}
--- a/membership/observer.go
+++ b/membership/observer.go
@@ -66,7 +66,7 @@
 	// Seeds stay in the draw, so that an old view never shuts the node in.
 	for _, seed := range m.settings.Seeds {
 		known := slices.ContainsFunc(candidates, func(c Contact) bool { return c.Address == seed })
-		if !known && (len(candidates) == 0 || m.settings.Random.Float64() < strayShare) {
+		if !known && seed != m.self.Address && (len(candidates) == 0 || m.settings.Random.Float64() < strayShare) {
 			candidates = append(candidates, Contact{Address: seed})
 		}
 	}
@@ -95,7 +95,11 @@
 // observed takes the source's answer.
 func (m *Machine) observed(now time.Time, message Answered) []Action {
 	exchange := message.Exchange
-	if exchange.Cursor == nil || message.Sent.Address != m.source.Address {
+	if message.Sent.Address != m.source.Address {
+		return nil
+	}
+	if exchange.Cursor == nil {
+		m.source = Contact{} // another observer, under a seed's address
 		return nil
 	}
 	if exchange.Cursor.Reset {
