--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -31,6 +31,10 @@
 	idleTimeout        = 2 * time.Minute
 	maximumHeaderBytes = 64 << 10
 	maximumHeldBytes   = 256 << 20 // of request bodies
+	// closeGrace is how long a planned stop tells callers with each answer to
+	// close their connection, before idle ones are closed on them: a request
+	// that meets a closing connection could not be told from one that ran.
+	closeGrace = time.Second
 )
 
 // Sidecar is the role's part of a process.
@@ -53,7 +57,8 @@
 	// api.RequestID.
 	unrecorded sync.Map
 	running    sync.Map
-	holder     string         // address at which this sidecar is asked about them
+	holder     string // address at which this sidecar is asked about them
+	leaving    atomic.Bool
 	recording  sync.WaitGroup // records in the background
 
 	mutex  sync.Mutex // guards policy
@@ -107,27 +112,20 @@
 	}
 	deadline, cancel := context.WithTimeout(context.Background(), s.node.Settings.Node.StopTimeout)
 	defer cancel()
-	s.lameDuck()
+	s.leaving.Store(true)
+	// New connections are refused first, which is certainly not run; they are
+	// rare while callers hold theirs.
+	_ = s.listener.Close()
+	sleep(deadline, closeGrace)
 	err := server.Shutdown(deadline)
 	s.awaitRecords(deadline)
 	return err
 }
 
-// lameDuckIntervals is how long callers are told to close their connections
-// before the listener closes, in heartbeat intervals.
-const lameDuckIntervals = 2
-
-// lameDuck lets callers' connections end with an answer: one that is closed
-// while idle may lose a request that is being written to it.
-func (s *Sidecar) lameDuck() {
-	s.node.BeginLeaving()
-	time.Sleep(lameDuckIntervals * s.node.Settings.Membership.Interval)
-}
-
-// closing asks callers to close their connections once the node leaves.
+// closing tells callers to close their connections once the sidecar leaves.
 func (s *Sidecar) closing(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.node.Leaving() {
+		if s.leaving.Load() {
 			w.Header().Set("Connection", "close")
 		}
 		handler.ServeHTTP(w, r)
--- a/internal/store/group.go
+++ b/internal/store/group.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -19,255 +20,280 @@
 	"github.com/dykewing/dykewing/replication"
 )
 
-const (
-	ticksPerHeartbeat = 2
-	persistBacklog    = 4096
-)
+// ticksPerHeartbeat is how finely a replica's machine sees time pass.
+const ticksPerHeartbeat = 2
 
-// group runs one replica: its log, its applied state and, while it leads, its
-// dispatcher.
-type group struct {
-	id       api.GroupID
+// parts are what the groups of one store share.
+type parts struct {
 	settings config.Store
+	database *database
+	writer   *writer
+	sender   *sender
+	peers    *peers
+	metrics  *metrics
 	log      *logrus.Entry
-	disk     *disk
-	shell    *shell.Shell[replication.Message, replication.Action]
-	persists chan replication.Persist
-	done     chan struct{}
+}
+
+// group runs one replica: its log, its applied state and, while it leads, its
+// dispatcher. Methods called by the machine's actor say so; the others may be
+// called from anywhere.
+type group struct {
+	parts
+	id     api.GroupID
+	origin replication.Members
+	state  *state
+	shell  *shell.Shell[replication.Message, replication.Action]
+	ctx    context.Context // until the group stops
+	cancel context.CancelFunc
+	halted atomic.Bool // a write failed: nothing is taken in or sent
+	// pendingVotes counts terms and votes that are not on disk yet.
+	pendingVotes atomic.Int64
+	// installed is the generation of the state in force on disk.
+	installed atomic.Uint64
+	snapshots snapshotTransfers
+	compacted uint64 // only for maintain, like dropped
+	dropped   uint64 // one more than the generation before which none is left
 
 	mutex     sync.Mutex // guards all below
-	state     *jobs.State
-	leading   *dispatch.Leadership // nil unless leading
+	jobs      *jobs.State
+	leading   *dispatch.Leadership // nil unless leading and applied up to its own term
+	ledSince  time.Time            // when leading was set
 	services  []api.ServiceName    // of the table in force; nil before the first
-	term      uint64
+	role      replication.RoleChanged
+	draining  bool // before a planned stop: nothing new is taken
 	token     uint64
-	proposals map[uint64]chan jobs.Result // by token, until the index is known
-	waiting   map[uint64]proposal         // by log index
+	proposals map[uint64]chan answer // by token, until the index is known
+	waiting   map[uint64]proposal    // by log index
+	reads     readRounds
 }
 
-type proposal struct {
-	term   uint64
-	answer chan jobs.Result
-}
-
-func startGroup(system *actor.ActorSystem, id api.GroupID, folder string, settings config.Store, log *logrus.Entry) (*group, error) {
-	disk, err := openDisk(folder)
+func newGroup(system *actor.ActorSystem, shared parts, id api.GroupID) (*group, error) {
+	restored, err := shared.database.restore(id)
 	if err != nil {
 		return nil, err
 	}
-	restored, err := disk.restore()
-	if err != nil {
-		return nil, errors.Join(err, disk.close())
+	shared.log = shared.log.WithField("group", id)
+	g := &group{
+		parts: shared, id: id, origin: restored.origin,
+		state:     newState(shared.database, id, restored.applied),
+		proposals: map[uint64]chan answer{}, waiting: map[uint64]proposal{},
 	}
-	machine, err := replication.NewMachine(replication.Settings{
-		Group: id, Self: disk.identity, Heartbeat: settings.Heartbeat, ElectionTimeout: settings.ElectionTimeout,
-		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-	}, restored)
-	if err != nil {
-		return nil, errors.Join(err, disk.close())
+	g.installed.Store(restored.applied.Generation)
+	if g.jobs, err = jobs.OpenState(g.state); err != nil {
+		return nil, fmt.Errorf("open applied state of group %d: %w", id, err)
 	}
-	state, err := disk.openState(folder)
+	machine, err := replication.NewMachine(replication.Settings{
+		Group: id, Self: shared.database.identity,
+		Heartbeat: shared.settings.Heartbeat, ElectionTimeout: shared.settings.ElectionTimeout,
+		Random:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		TrailingEntries: shared.settings.SnapshotEntries,
+	}, restored.machine)
 	if err != nil {
-		return nil, errors.Join(err, disk.close())
+		return nil, fmt.Errorf("start replica of group %d: %w", id, err)
 	}
-	g := &group{
-		id: id, settings: settings, log: log, disk: disk,
-		persists: make(chan replication.Persist, persistBacklog), done: make(chan struct{}),
-		state: state, proposals: map[uint64]chan jobs.Result{}, waiting: map[uint64]proposal{},
-	}
-	g.shell = shell.Start(system, machine, g.execute)
-	go g.persistLoop()
+	g.ctx, g.cancel = context.WithCancel(context.Background())
+	g.shell = shell.Start(system, &stepper{group: g, machine: machine}, g.execute)
 	return g, nil
 }
 
-func (g *group) run(ctx context.Context) {
-	ticker := time.NewTicker(g.settings.Heartbeat / ticksPerHeartbeat)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			g.shell.Tell(replication.Tick{})
-		case <-ctx.Done():
-			g.stop()
-			return
-		}
-	}
-}
-
+// stop ends fetches and the actor, after the messages that wait.
 func (g *group) stop() {
+	g.cancel()
 	g.mutex.Lock()
-	if g.leading != nil {
-		g.leading.Stop()
-		g.leading = nil
-	}
+	g.endLeading()
 	g.mutex.Unlock()
 	g.shell.Stop()
-	close(g.persists)
-	<-g.done
-	if err := g.disk.close(); err != nil {
-		g.log.WithError(err).Error("The data file did not close.")
-	}
 }
 
-// persistLoop writes with one sync all that waits.
-func (g *group) persistLoop() {
-	defer close(g.done)
-	for persist := range g.persists {
-		batch := []replication.Persist{persist}
-		for len(g.persists) > 0 {
-			batch = append(batch, <-g.persists)
-		}
-		if err := g.disk.write(batch); err != nil {
-			g.log.WithError(err).Error("The log could not be written; the replica stops acknowledging.")
-			continue
-		}
-		g.acknowledge(batch)
+// tell steps the machine, unless a write has failed.
+func (g *group) tell(message replication.Message) {
+	if !g.halted.Load() {
+		g.shell.Tell(message)
 	}
 }
 
-func (g *group) acknowledge(batch []replication.Persist) {
-	g.shell.Tell(replication.Persisted{Sequence: batch[len(batch)-1].Sequence})
+// halt stops all acknowledgements: what is proposed ends with an unknown
+// outcome, what is read with an error, and the other replicas elect a leader.
+func (g *group) halt(cause error) {
+	g.halted.Store(true)
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.endLeading()
+	g.role = replication.RoleChanged{Term: g.role.Term}
+	failure := api.NewError("write log", "", api.CodeNoQuorum, api.OutcomeUnknown, "%w", cause)
+	g.failProposals(failure)
+	g.failReads(failure)
+}
+
+// resume goes on after a write succeeded at last; the machine may have kept its
+// role meanwhile, so it is asked.
+func (g *group) resume() {
+	g.halted.Store(false)
+	g.shell.Tell(replication.Inspect{})
 }
 
-// execute carries out the replica's actions.
+// stopOn ends this store's acknowledgements over a state that can't be read.
+func (g *group) stopOn(err error) { go g.writer.failed(err) }
+
+// execute carries out one action of the machine, in its actor; it never blocks.
 func (g *group) execute(action replication.Action) {
 	switch action := action.(type) {
 	case replication.Persist:
-		g.persists <- action
-	case replication.Proposed:
-		g.proposed(action)
+		g.persist(action)
+	case replication.Send:
+		g.send(action.Message, g.pendingVotes.Load() > 0)
+	case heldSend:
+		g.send(action.Message, true)
 	case replication.Apply:
 		g.apply(action.Entries)
+	case replication.Proposed:
+		g.proposed(action)
+	case replication.Confirmed:
+		g.confirmed(action)
 	case replication.RoleChanged:
 		g.roleChanged(action)
+	case replication.FetchSnapshot:
+		g.fetchSnapshot(action)
+	case replication.Inspected:
+		status := action.Status
+		g.roleChanged(replication.RoleChanged{Leading: status.Role == replication.RoleLeader, Term: status.Term, Leader: status.Leader})
 	}
 }
 
-func (g *group) proposed(answer replication.Proposed) {
+// apply hands committed entries to the applied state.
+func (g *group) apply(entries []replication.Entry) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	channel := g.proposals[answer.Token]
-	delete(g.proposals, answer.Token)
-	if answer.Err != nil {
-		channel <- jobs.Result{Code: api.CodeNotLeader, Message: answer.Err.Error()}
-		return
-	}
-	g.waiting[answer.Index] = proposal{term: answer.Term, answer: channel}
-}
-
-func (g *group) apply(entries []replication.Entry) {
-	commands, results := make([]jobs.Entry, 0, len(entries)), make([]jobs.Result, len(entries))
-	for i, entry := range entries {
-		command := jobs.Entry{Index: entry.Index}
-		if entry.Kind == replication.EntryCommand {
-			if err := json.Unmarshal(entry.Data, &command.Command); err != nil {
-				results[i] = jobs.Result{Code: api.CodeInternal, Message: err.Error()}
-			}
+	at := g.state.position()
+	for _, entry := range entries {
+		if entry.Index <= at.Index {
+			continue // applied before a restart
 		}
-		commands = append(commands, command)
+		result := g.applyOne(entry, &at)
+		g.state.advance(at)
+		g.resolve(entry, result)
 	}
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	applied, err := g.state.Apply(commands...)
-	if err != nil {
-		g.log.WithError(err).Error("Committed entries could not be applied; the replica stops answering.")
-		return
+	g.metrics.applied.Add(float64(len(entries)))
+	g.lead(at)
+	g.releaseReads(at.Index)
+	if g.state.wantsFlush() {
+		g.writer.add(task{group: g, flush: true})
 	}
-	for i, entry := range entries {
-		if results[i].Code == "" {
-			results[i] = applied[i]
-		}
-		g.answer(entry, results[i])
-		if g.leading != nil {
-			g.leading.Applied(commands[i].Command, results[i])
+}
+
+func (g *group) applyOne(entry replication.Entry, at *position) jobs.Result {
+	at.Index, at.Term = entry.Index, entry.Term
+	switch entry.Kind {
+	case replication.EntryMembers:
+		var members replication.Members
+		if err := json.Unmarshal(entry.Data, &members); err != nil {
+			g.log.WithError(err).Error("An entry with members can't be decoded.")
+			return jobs.Result{Code: api.CodeInternal, Message: err.Error()}
 		}
+		at.Members, at.MembersIndex = members, entry.Index
+	case replication.EntryCommand:
+		return g.applyCommand(entry)
 	}
+	return jobs.Result{}
 }
 
-// answer gives a proposal its result once its entry is applied.
-func (g *group) answer(entry replication.Entry, result jobs.Result) {
-	waiting, ok := g.waiting[entry.Index]
-	delete(g.waiting, entry.Index)
-	if !ok {
-		return
+func (g *group) applyCommand(entry replication.Entry) jobs.Result {
+	var command jobs.Command
+	if err := json.Unmarshal(entry.Data, &command); err != nil {
+		return jobs.Result{Code: api.CodeInternal, Message: err.Error()}
 	}
-	if waiting.term != entry.Term {
-		result = jobs.Result{Code: api.CodeNotLeader, Message: "another leader's entry took the place"}
+	results, err := g.jobs.Apply(jobs.Entry{Index: entry.Index, Command: command})
+	if err != nil {
+		g.stopOn(fmt.Errorf("apply entry %d of group %d: %w", entry.Index, g.id, err))
+		return jobs.Result{Code: api.CodeInternal, Message: err.Error()}
+	}
+	if g.leading != nil {
+		g.leading.Applied(command, results[0])
 	}
-	waiting.answer <- result
+	return results[0]
 }
 
+// roleChanged is told by the machine. A new leader serves only once it has
+// applied an entry of its own term, since until then it may not know of all
+// that is committed.
 func (g *group) roleChanged(change replication.RoleChanged) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.term = change.Term
-	if g.leading != nil {
-		g.leading.Stop()
-		g.leading = nil
-	}
-	if !change.Leading {
-		return
-	}
-	settings := jobs.DefaultDispatcherSettings()
-	settings.Term, settings.Lifetime, settings.Retention = change.Term, g.settings.GrantLifetime, g.settings.Retention
-	leading, err := dispatch.Start(g.state, settings, g.propose, g.log)
-	if err != nil {
-		g.log.WithError(err).Error("The waiting items could not be read; none is handed out.")
+	lost := g.role.Leading && (!change.Leading || change.Term != g.role.Term)
+	g.role = change
+	g.metrics.roleChanges.Inc()
+	if g.halted.Load() {
 		return
 	}
-	g.leading = leading
-	if g.services != nil {
-		leading.SetServices(g.services)
+	if lost || !change.Leading {
+		g.endLeading()
+		g.failProposals(g.notLeader("commit command", api.OutcomeUnknown))
+		g.failReads(g.notLeader("read group", api.OutcomeNotRun))
 	}
+	g.lead(g.state.position())
+}
+
+// notLeader is the answer of a replica that can't serve; the mutex is held.
+func (g *group) notLeader(step string, outcome api.Outcome) *api.Error {
+	failure := api.NewError(step, "", api.CodeNotLeader, outcome, "this replica does not lead group %d", g.id)
+	failure.Leader = g.peers.node(g.role.Leader)
+	failure.RetryAfter = g.settings.ElectionTimeout
+	return failure
 }
 
-// setServices tells the dispatcher which services the table has.
-func (g *group) setServices(services []api.ServiceName) {
+// members are those of the applied state.
+func (g *group) members() position { return g.state.position() }
+
+func (g *group) leads() bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.services = services
-	if g.leading != nil {
-		g.leading.SetServices(services)
-	}
+	return g.leading != nil
 }
 
-// leadership gives the dispatcher while this replica leads.
-func (g *group) leadership(step string) (*dispatch.Leadership, *api.Error) {
+// leadingSince tells when this replica began to lead.
+func (g *group) leadingSince() time.Time {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if g.leading == nil {
-		return nil, api.NewError(step, "", api.CodeNotLeader, api.OutcomeNotRun, "this replica does not lead group %d", g.id)
-	}
-	return g.leading, nil
+	return g.ledSince
 }
 
-// propose commits a command and gives its result.
-func (g *group) propose(ctx context.Context, command jobs.Command) (jobs.Result, *api.Error) {
-	const step = "commit command"
-	command.Time = time.Now().UTC()
-	data, err := json.Marshal(command)
-	if err != nil {
-		return jobs.Result{}, api.NewError(step, "", api.CodeInternal, api.OutcomeNotRun, "%w", err)
+// maintain writes applied state that is only in memory, drops replaced states
+// and compacts the log, unless a snapshot is being streamed: the log after it
+// will be needed.
+func (g *group) maintain() {
+	if g.halted.Load() {
+		return
 	}
-	answer := make(chan jobs.Result, 1)
+	if g.state.dirty() {
+		g.writer.add(task{group: g, flush: true})
+	}
+	if err := g.dropOldStates(g.installed.Load()); err != nil {
+		g.log.WithError(err).Warn("A replaced state could not be removed yet.")
+	}
+	onDisk := g.state.onDisk()
+	if g.snapshots.serving.Load() > 0 || onDisk < g.compacted+uint64(g.settings.SnapshotEntries) {
+		return
+	}
+	g.compacted = onDisk
+	g.tell(replication.Compact{Snapshot: replication.Snapshot{Index: onDisk}})
+}
+
+// handOver ends what is proposed and then gives leadership away, before a
+// planned stop; it is called again until this replica no longer leads.
+func (g *group) handOver() {
 	g.mutex.Lock()
-	g.token++
-	token := g.token
-	g.proposals[token] = answer
-	g.mutex.Unlock()
-	g.shell.Tell(replication.Propose{Token: token, Data: data})
-	select {
-	case result := <-answer:
-		return result, nil
-	case <-ctx.Done():
-		return jobs.Result{}, api.NewError(step, "", api.CodeNoQuorum, api.OutcomeUnknown, "%w", ctx.Err())
+	defer g.mutex.Unlock()
+	g.draining = true
+	if g.leading == nil || len(g.proposals)+len(g.waiting) > 0 {
+		return
 	}
+	g.shell.Tell(replication.TransferLeadership{})
 }
 
 func (g *group) summary() api.GroupSummary {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	summary := api.GroupSummary{Group: g.id, Term: g.term, Leading: g.leading != nil}
+	summary := api.GroupSummary{Group: g.id, Term: g.role.Term, Leading: g.leading != nil}
 	if g.leading != nil {
 		summary.Waiting = g.leading.Backlog()
 	}
--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -18,22 +18,35 @@
 type groupHandler func(w http.ResponseWriter, r *http.Request, group *group)
 
 func (s *Store) routes() {
-	s.handle("POST", "commands", serveCommand)
+	s.route("POST "+pathMessages, s.serveMessages)
+	s.route("GET "+pathIdentity, s.serveIdentity)
+	s.handle("GET", "origin", serveOrigin)
+	s.handle("GET", "status", serveStatus)
+	s.handle("GET", "snapshot", serveSnapshot)
+	s.handle("POST", "commands", s.serveCommand)
 	s.handle("POST", "claims", serveClaims)
 	s.handle("POST", "settle", serveSettle)
 	s.handle("POST", "renewals", serveRenew)
-	s.handle("GET", "jobs", serveJobs)
-	s.handle("GET", "jobs/{id}", serveJob)
-	s.handle("GET", "jobs/{id}/results", serveResults)
-	s.handle("GET", "files", serveFiles)
-	s.handle("GET", "files/{id}", serveFile)
-	s.handle("GET", "files/{id}/lines", serveLines)
+	s.handle("GET", "jobs", linearisable(serveJobs))
+	s.handle("GET", "jobs/{id}", linearisable(serveJob))
+	s.handle("GET", "jobs/{id}/results", linearisable(serveResults))
+	s.handle("GET", "files", linearisable(serveFiles))
+	s.handle("GET", "files/{id}", linearisable(serveFile))
+	s.handle("GET", "files/{id}/lines", linearisable(serveLines))
+}
+
+// route adds a path, behind the hook of tests.
+func (s *Store) route(pattern string, handler http.HandlerFunc) {
+	if wrap := s.shared.database.hooks.wrap; wrap != nil {
+		handler = wrap(handler)
+	}
+	s.node.Mux.HandleFunc(pattern, handler)
 }
 
 func (s *Store) handle(method, rest string, handler groupHandler) {
-	s.node.Mux.HandleFunc(method+" "+api.PathGroups+"{group}/"+rest, func(w http.ResponseWriter, r *http.Request) {
+	s.route(method+" "+api.PathGroups+"{group}/"+rest, func(w http.ResponseWriter, r *http.Request) {
 		id, err := strconv.ParseUint(r.PathValue("group"), 10, 32)
-		group, ok := s.groups[api.GroupID(id)]
+		group, ok := s.group(api.GroupID(id))
 		if err != nil || !ok {
 			transport.WriteError(w, notFound("group", r.PathValue("group")))
 			return
@@ -46,12 +59,27 @@
 	return api.NewError("find "+what, "", api.CodeNotFound, api.OutcomeNotRun, "no %s %s", what, id)
 }
 
-func serveCommand(w http.ResponseWriter, r *http.Request, group *group) {
+// linearisable lets a read go on once this replica has proved that it leads.
+func linearisable(handler groupHandler) groupHandler {
+	return func(w http.ResponseWriter, r *http.Request, group *group) {
+		if failure := group.confirm(r.Context()); failure != nil {
+			transport.WriteError(w, failure)
+			return
+		}
+		handler(w, r, group)
+	}
+}
+
+func (s *Store) serveCommand(w http.ResponseWriter, r *http.Request, group *group) {
 	var command jobs.Command
 	if failure := transport.ReadJSON(w, r, "read command", maximumCommandBytes, &command); failure != nil {
 		transport.WriteError(w, failure)
 		return
 	}
+	if failure := s.admit(group, command); failure != nil {
+		transport.WriteError(w, failure)
+		return
+	}
 	result, failure := group.propose(r.Context(), command)
 	if failure != nil {
 		transport.WriteError(w, failure)
@@ -120,12 +148,12 @@
 	if err != nil || limit <= 0 || limit > pageSize {
 		limit = pageSize
 	}
-	list, more, err := group.state.Jobs(api.TenantID(query.Get("tenant")), jobs.JobID(query.Get("after")), limit)
+	list, more, err := group.jobs.Jobs(api.TenantID(query.Get("tenant")), jobs.JobID(query.Get("after")), limit)
 	writeRead(w, "list jobs", storeclient.JobsPage{Jobs: list, More: more}, err)
 }
 
 func serveJob(w http.ResponseWriter, r *http.Request, group *group) {
-	job, found, err := group.state.Job(jobs.JobID(r.PathValue("id")))
+	job, found, err := group.jobs.Job(jobs.JobID(r.PathValue("id")))
 	if err == nil && !found {
 		err = notFound("batch", r.PathValue("id"))
 	}
@@ -134,12 +162,12 @@
 
 func serveResults(w http.ResponseWriter, r *http.Request, group *group) {
 	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
-	results, next, err := group.state.Results(jobs.JobID(r.PathValue("id")), max(from, 0), pageSize)
+	results, next, err := group.jobs.Results(jobs.JobID(r.PathValue("id")), max(from, 0), pageSize)
 	writeRead(w, "read results", storeclient.ResultsPage{Results: results, Next: next}, err)
 }
 
 func serveFile(w http.ResponseWriter, r *http.Request, group *group) {
-	file, found, err := group.state.File(jobs.FileID(r.PathValue("id")))
+	file, found, err := group.jobs.File(jobs.FileID(r.PathValue("id")))
 	if err == nil && !found {
 		err = notFound("file", r.PathValue("id"))
 	}
@@ -148,7 +176,7 @@
 
 func serveLines(w http.ResponseWriter, r *http.Request, group *group) {
 	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
-	lines, next, err := group.state.Lines(jobs.FileID(r.PathValue("id")), max(from, 0), pageSize)
+	lines, next, err := group.jobs.Lines(jobs.FileID(r.PathValue("id")), max(from, 0), pageSize)
 	writeRead(w, "read lines", storeclient.LinesPage{Lines: lines, Next: next}, err)
 }
 
--- a/membership/zones.go
+++ b/membership/zones.go
@@ -142,7 +142,10 @@
 		}
 	}
 	if node.Role == api.RoleStore {
-		store := StoreContact{Contact: Contact{ID: node.ID, Role: node.Role, Address: node.Address}}
+		store := StoreContact{
+			Contact: Contact{ID: node.ID, Role: node.Role, Address: node.Address},
+			Replica: node.Summary.Replica, DiskFull: node.Summary.DiskFull,
+		}
 		for _, group := range node.Summary.Groups {
 			if group.Leading {
 				store.Groups = append(store.Groups, group)
@@ -171,6 +174,9 @@
 		return true
 	}
 	for i := range old.Stores {
+		if old.Stores[i].Replica != next.Stores[i].Replica || old.Stores[i].DiskFull != next.Stores[i].DiskFull {
+			return true
+		}
 		if !reflect.DeepEqual(leaderships(old.Stores[i]), leaderships(next.Stores[i])) {
 			return true
 		}
