--- a/internal/hollow/membership.go
+++ b/internal/hollow/membership.go
@@ -16,7 +16,7 @@
 
 // HeaderBytes is what HTTP/1.1 adds to one exchange, both ways together, as
 // TestHeartbeatOnTheWire of package node counts it; TCP and IP are not in it.
-const HeaderBytes = 272
+const HeaderBytes = 240
 
 // MembershipOptions size a Membership.
 type MembershipOptions struct {
@@ -32,6 +32,7 @@
 	SuspectTimeout  time.Duration
 	SummaryInterval time.Duration // between changes of a node's load; 0 is none
 	MeasureEvery    int           // every how many exchanges are encoded to count bytes; 0 is none
+	Refuse          bool          // machines outlive their processes and refuse connections for them
 	Fault           membership.Fault
 }
 
@@ -235,6 +236,10 @@
 	member.waiting[token] = send
 	member.Traffic.Exchanges++
 	f.measure(member, token, send.Exchange, HeaderBytes)
+	if target := f.byName[send.Address]; f.options.Refuse && target != nil && !target.Process.Up() {
+		member.Process.After(2*f.latency(member.Process.Name(), send.Address), func() { f.refuse(member, token) })
+		return
+	}
 	f.Network.Send(member.Process.Name(), send.Address, request{token: token, exchange: send.Exchange})
 	member.Process.After(f.options.Interval, func() {
 		if _, open := member.waiting[token]; open {
@@ -244,6 +249,14 @@
 	})
 }
 
+// refuse answers an exchange as the machine of a process that is gone does.
+func (f *Membership) refuse(member *Member, token uint64) {
+	if send, open := member.waiting[token]; open {
+		delete(member.waiting, token)
+		f.step(member, membership.Unreachable{Sent: send, Refused: true})
+	}
+}
+
 func (f *Membership) deliver(member *Member, from string, message any) {
 	switch message := message.(type) {
 	case request:
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"syscall"
 	"time"
 
 	"github.com/dykewing/dykewing/membership"
@@ -72,6 +74,7 @@
 	zones := n.machine.Zones()
 	n.view.Store(&nodes)
 	n.zones.Store(&zones)
+	n.settled.Store(n.machine.Settled())
 	n.mutex.Lock()
 	callbacks := n.onView
 	n.mutex.Unlock()
@@ -88,7 +91,7 @@
 	answer, err := postExchange(ctx, n.gossip, send)
 	if err != nil {
 		n.noteUnreachable(send, err)
-		n.membership.Tell(membership.Unreachable{Sent: send})
+		n.membership.Tell(membership.Unreachable{Sent: send, Refused: errors.Is(err, syscall.ECONNREFUSED)})
 		return
 	}
 	n.reached.Store(true)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,6 +66,7 @@
 	snapshot        atomic.Pointer[table.Snapshot]
 	tableMetrics    *tableMetrics
 	leaving         atomic.Bool
+	settled         atomic.Bool
 	summary         func() api.Summary
 	mutex           sync.Mutex // guards the callbacks
 	onView          []func([]api.Node)
@@ -103,6 +104,7 @@
 	})
 	node.view.Store(&[]api.Node{node.self()})
 	node.zones.Store(&[]membership.ZoneSummary{})
+	node.settled.Store(node.machine.Settled())
 	node.OnTable(func(*table.Snapshot) { node.ReportNow() })
 	node.routes()
 	return node, nil
@@ -133,6 +135,10 @@
 // Zones are the summaries of the known zones.
 func (n *Node) Zones() []membership.ZoneSummary { return *n.zones.Load() }
 
+// Settled is false while a starting node knows of no member that it has joined:
+// it must not act on what it alone knows.
+func (n *Node) Settled() bool { return n.settled.Load() }
+
 // Table is the table in force; nil before the first.
 func (n *Node) Table() *table.Snapshot { return n.snapshot.Load() }
 
--- a/internal/router/homing.go
+++ b/internal/router/homing.go
@@ -52,11 +52,11 @@
 }
 
 // setNodes moves workers only when the routers changed: a view changes with
-// every load report.
+// every load report. A router that has not joined yet is home of nothing.
 func (h *homing) setNodes(nodes []api.Node) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	if h.homes.SetNodes(nodes) {
+	if h.router.node.Settled() && h.homes.SetNodes(nodes) {
 		h.rehome()
 	}
 }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -16,6 +16,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/dykewing/dykewing/api"
@@ -111,6 +112,7 @@
 	since   time.Time // when the status began
 	stamp   uint64
 	changed time.Time // when the record last changed
+	refused bool      // a suspect whose process does not listen
 }
 
 // NewMachine starts with a view that holds only the node itself. A sidecar is
@@ -135,7 +137,7 @@
 	case Answered:
 		return m.answered(now, message)
 	case Unreachable:
-		return m.unreachable(now, message.Sent)
+		return m.unreachable(now, message)
 	case SelfChanged:
 		return m.changeSelf(now, message)
 	case Stopped:
@@ -152,6 +154,9 @@
 		return m.observe()
 	}
 	actions := m.expire(now)
+	if m.ticks == settleTicks {
+		actions = append(actions, ViewChanged{})
+	}
 	actions = append(actions, m.probeNext()...)
 	actions = append(actions, m.synchronise()...)
 	return append(actions, m.representZone(now)...)
@@ -206,6 +211,18 @@
 	return actions
 }
 
+// settleTicks is after how many ticks without an answer a node takes itself for
+// the first of its zone.
+const settleTicks = 10
+
+// Settled tells whether the view is more than the node itself, or the node has
+// waited long enough to be the first. Before, it must not act on what it alone
+// knows: it would take itself for home of every worker.
+func (m *Machine) Settled() bool {
+	others := slices.ContainsFunc(m.settings.Seeds, func(seed string) bool { return seed != m.self.Address })
+	return m.joined || !others || m.ticks >= settleTicks
+}
+
 // introduce makes a node that has just joined known to all members at once, so
 // that the workers it becomes home of have two homes only briefly.
 func (m *Machine) introduce(exchange Exchange) []Action {
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -91,7 +91,7 @@
 		m.entries[record.Node.ID] = known
 	}
 	if record.Status != known.record.Status {
-		known.since = now
+		known.since, known.refused = now, false
 	}
 	m.stamp++
 	known.record, known.stamp, known.changed = record, m.stamp, now
--- a/membership/messages.go
+++ b/membership/messages.go
@@ -109,8 +109,12 @@
 	Exchange Exchange
 }
 
-// Unreachable says that a Send had no answer within the probe timeout.
-type Unreachable struct{ Sent Send }
+// Unreachable says that a Send had no answer within the probe timeout. Refused
+// says that the peer's machine answered that no process listens there.
+type Unreachable struct {
+	Sent    Send
+	Refused bool
+}
 
 // SelfChanged replaces what the node says of itself: summary, table revision,
 // leaving. The machine keeps the incarnation.
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -14,6 +14,10 @@
 // indirectTicks is how long the peers that were asked have to reach the target.
 const indirectTicks = 2
 
+// refusedTicks is how long a node whose connections are refused is suspected: a
+// restart within that time is not a death.
+const refusedTicks = 3
+
 // indirectCheck is a probe that failed and that others repeat.
 type indirectCheck struct {
 	deadline    time.Time
@@ -60,13 +64,19 @@
 	held := now.Sub(e.since)
 	switch e.record.Status {
 	case StatusSuspect:
-		if held <= m.suspicionTimeout() {
+		timeout := m.suspicionTimeout()
+		if e.refused {
+			// Its machine says that the process is gone: no probe was lost.
+			timeout = min(timeout, refusedTicks*m.settings.Interval)
+		}
+		if held <= timeout {
 			return nil
 		}
 		record := e.record
 		record.Status = StatusDead
 		m.set(now, record, true)
-		return []Action{Died{Node: id, Observed: held, Leaving: record.Node.Leaving}, ViewChanged{}}
+		actions := []Action{Died{Node: id, Observed: held, Leaving: record.Node.Leaving}, ViewChanged{}}
+		return append(actions, m.push(m.settings.IndirectProbes)...)
 	case StatusDead:
 		if held > retentionFactor*m.settings.SuspectTimeout {
 			delete(m.entries, id)
@@ -97,19 +107,28 @@
 }
 
 // unreachable takes the failure of a Send.
-func (m *Machine) unreachable(now time.Time, sent Send) []Action {
+func (m *Machine) unreachable(now time.Time, message Unreachable) []Action {
+	sent := message.Sent
 	if m.observer {
 		m.source = Contact{}
 		return nil
 	}
 	delete(m.leaving, sent.Peer)
 	e, ok := m.entries[sent.Peer]
+	if ok && message.Refused && e.record.Status == StatusSuspect {
+		e.refused = true
+	}
 	if !ok || e.record.Status != StatusAlive {
 		return nil
 	}
 	if sent.Purpose != PurposeProbe && sent.Purpose != PurposePush {
 		return nil
 	}
+	if message.Refused {
+		actions := m.suspect(now, sent.Peer, e.record.Node.Incarnation)
+		e.refused = true
+		return actions
+	}
 	helpers := m.randomMembers(m.settings.IndirectProbes, sent.Peer)
 	if len(helpers) == 0 || m.settings.Fault == FaultSkipIndirect {
 		return m.suspect(now, sent.Peer, e.record.Node.Incarnation)
