--- a/membership/messages.go
+++ b/membership/messages.go
@@ -109,8 +109,12 @@
 	Exchange Exchange
 }
 
-// Unreachable says that a Send had no answer within the probe timeout.
-type Unreachable struct{ Sent Send }
+// Unreachable says that a Send had no answer within the probe timeout. Refused
+// says that the peer's machine answered that no process listens there.
+type Unreachable struct {
+	Sent    Send
+	Refused bool
+}
 
 // SelfChanged replaces what the node says of itself: summary, table revision,
 // leaving. The machine keeps the incarnation.
@@ -168,6 +172,7 @@
 type Died struct {
 	Node     api.NodeID
 	Observed time.Duration // how long it was suspected here; 0 by rumour
+	Leaving  bool          // it had announced that it would go
 }
 
 // DuplicateID says that another process runs under this node's id.
