--- a/admission/admission.go
+++ b/admission/admission.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/quota"
 	"github.com/dykewing/dykewing/routing"
 )
 
@@ -20,6 +21,9 @@
 	RetryAfter time.Duration
 	// Reserve is the share of a worker's slots that batch leaves free, 0 to 1.
 	Reserve float64
+	// Ceilings holds this router's shares of the rows' ceilings; nil bounds each
+	// router by itself.
+	Ceilings *quota.Holder
 	// Filling says how batch takes idle room; zero is DefaultFilling.
 	Filling Filling
 }
@@ -140,6 +144,9 @@
 		m.setWorkers(message.Workers)
 	case Rows:
 		m.setRows(message.Rows)
+		m.setCeilings(now, message.Rows)
+	case Ceiling:
+		return m.stepCeilings(now, message)
 	case Load:
 		m.report(message)
 	case Arrive:
@@ -160,16 +167,17 @@
 	if !ok || !row.inTable {
 		return m.refuse(request, api.CodeUnknownService, 0, "no row %s in the table", key)
 	}
-	if ceiling := row.row.CeilingConcurrency; ceiling > 0 && row.inUse >= ceiling {
-		return m.refuse(request, api.CodeCeiling, m.settings.RetryAfter, "row %s has %d requests in flight", key, row.inUse)
-	}
 	if _, running := m.flights[request.ID]; running {
 		return m.refuse(request, api.CodeNoCapacity, m.settings.RetryAfter, "request %s is still in flight here", request.ID)
 	}
+	preempted, refusal := m.checkCeiling(now, request, row)
+	if refusal != nil {
+		return refusal
+	}
 	if request.Class == api.ClassBatch {
 		return m.arriveBatch(now, request, row)
 	}
-	return m.arriveOnline(now, request, row)
+	return append(preempted, m.arriveOnline(now, request, row)...)
 }
 
 // arriveOnline sends at once where a worker is left. Batch is preempted in
@@ -205,6 +213,7 @@
 	}
 	m.flights[request.ID] = flight
 	row.inUse++
+	m.takeCeiling(now, row)
 	worker.add(flight, m.settings.Filling)
 	return Dispatch{
 		Request: request.ID, Worker: worker.worker.ID, Address: worker.worker.Address,
@@ -228,6 +237,7 @@
 	}
 	delete(m.flights, request)
 	flight.row.inUse--
+	m.releaseCeiling(flight.row)
 	if m.settings.Filling.Fault != FaultLeakSlot || flight.class == api.ClassOnline {
 		flight.worker.drop(flight)
 	}
--- /dev/null
+++ b/admission/ceiling.go
@@ -0,0 +1,115 @@
+package admission
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/quota"
+	"github.com/dykewing/dykewing/routing"
+)
+
+// Ceiling steps the holder of shares: ticks and the owners' answers.
+type Ceiling struct{ Message quota.HolderMessage }
+
+func (Ceiling) admissionMessage() {}
+
+// ReportShares sends a report of the holder to the owner of its group.
+type ReportShares struct{ quota.SendReport }
+
+func (ReportShares) admissionAction() {}
+
+func (m *Machine) setCeilings(now time.Time, rows map[api.RowKey]api.Row) {
+	if m.settings.Ceilings == nil {
+		return
+	}
+	ceilings := map[api.RowKey]quota.Ceiling{}
+	for key, row := range rows {
+		if ceiling := quota.CeilingOf(row); ceiling.Bounded() {
+			ceilings[key] = ceiling
+		}
+	}
+	m.settings.Ceilings.Step(now, quota.Ceilings{Rows: ceilings})
+}
+
+func (m *Machine) stepCeilings(now time.Time, message Ceiling) []Action {
+	if m.settings.Ceilings == nil {
+		return nil
+	}
+	var actions []Action
+	for _, action := range m.settings.Ceilings.Step(now, message.Message) {
+		if report, ok := action.(quota.SendReport); ok {
+			actions = append(actions, ReportShares{SendReport: report})
+		}
+	}
+	return actions
+}
+
+// checkCeiling refuses a request that the row's ceiling does not let through. An
+// online request takes the permit of a batch request of the row, if there is one.
+func (m *Machine) checkCeiling(now time.Time, request routing.Request, row *rowState) (preempted, refusal []Action) {
+	if m.settings.Ceilings == nil {
+		return nil, m.checkAlone(request, row)
+	}
+	ok, retryAfter := m.settings.Ceilings.Check(now, row.key, request.Class)
+	if !ok && request.Class == api.ClassOnline && m.settings.Ceilings.ShareInUse(now, row.key) {
+		preempted = m.preemptRow(row)
+		if len(preempted) > 0 {
+			ok, retryAfter = m.settings.Ceilings.Check(now, row.key, request.Class)
+		}
+	}
+	if ok {
+		return preempted, nil
+	}
+	refusal = m.refuse(request, api.CodeCeiling, retryAfter, "the share of the ceiling of row %s is in use", row.key)
+	return nil, append(preempted, refusal...)
+}
+
+// checkAlone bounds this router by itself.
+func (m *Machine) checkAlone(request routing.Request, row *rowState) []Action {
+	if ceiling := row.row.CeilingConcurrency; ceiling > 0 && row.inUse >= ceiling {
+		return m.refuse(request, api.CodeCeiling, m.settings.RetryAfter, "row %s has %d requests in flight", row.key, row.inUse)
+	}
+	return nil
+}
+
+// preemptRow cancels the batch request of the row that was sent last.
+func (m *Machine) preemptRow(row *rowState) []Action {
+	if row.batchUse == 0 {
+		return nil
+	}
+	var youngest *flight
+	for _, flight := range m.flights {
+		if flight.row != row || flight.class != api.ClassBatch {
+			continue
+		}
+		if youngest == nil || cmp.Or(flight.dispatched.Compare(youngest.dispatched), cmp.Compare(flight.request, youngest.request)) > 0 {
+			youngest = flight
+		}
+	}
+	if youngest == nil {
+		return nil
+	}
+	m.finish(youngest.request)
+	return []Action{Preempt{Request: youngest.request, Worker: youngest.worker.worker.ID}}
+}
+
+func (m *Machine) takeCeiling(now time.Time, row *rowState) {
+	if m.settings.Ceilings != nil {
+		m.settings.Ceilings.Take(now, row.key)
+	}
+}
+
+func (m *Machine) releaseCeiling(row *rowState) {
+	if m.settings.Ceilings != nil {
+		m.settings.Ceilings.Release(row.key)
+	}
+}
+
+// ceilingRoom is how many more batch requests the row's ceiling lets through.
+func (m *Machine) ceilingRoom(now time.Time, row *rowState, room int) int {
+	if m.settings.Ceilings == nil {
+		return room
+	}
+	return min(room, m.settings.Ceilings.Room(now, row.key))
+}
--- a/admission/room.go
+++ b/admission/room.go
@@ -100,7 +100,7 @@
 	for _, state := range row.workers {
 		total += m.room(now, state)
 	}
-	return min(total, max(row.row.BatchAllowance-row.batchUse, 0))
+	return m.ceilingRoom(now, row, min(total, max(row.row.BatchAllowance-row.batchUse, 0)))
 }
 
 func (m *Machine) endpointsWithRoom(now time.Time, row *rowState) []routing.Endpoint {
--- a/internal/kv/etcd.go
+++ b/internal/kv/etcd.go
@@ -25,12 +25,18 @@
 // NewEtcd reaches the given base URLs in order of preference. Every attempt,
 // also a repeated one, counts against requestsPerSecond.
 func NewEtcd(endpoints []string, timeout time.Duration, requestsPerSecond float64) *Etcd {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connectionsPerHost}}
+	return NewEtcdWithClient(endpoints, timeout, requestsPerSecond, client)
+}
+
+// NewEtcdWithClient is NewEtcd over a client of the caller's.
+func NewEtcdWithClient(endpoints []string, timeout time.Duration, requestsPerSecond float64, client *http.Client) *Etcd {
 	burst := max(int(requestsPerSecond), 1)
 	return &Etcd{
 		endpoints: endpoints,
 		timeout:   timeout,
 		limiter:   rate.NewLimiter(rate.Limit(requestsPerSecond), burst),
-		client:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connectionsPerHost}},
+		client:    client,
 	}
 }
 
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -9,6 +9,8 @@
 	broken    prometheus.Counter
 	resumed   prometheus.Counter
 	items     *prometheus.CounterVec
+	// shareReports counts the answered reports of shares.
+	shareReports prometheus.Counter
 	// batchMessages counts what batch work costs between router and stores.
 	batchMessages *prometheus.CounterVec
 }
@@ -33,10 +35,13 @@
 		items: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "dykewing_router_batch_items_total", Help: "Batch items run, by outcome.",
 		}, []string{"outcome"}),
+		shareReports: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "dykewing_router_share_reports_total", Help: "Reports of shares of ceilings that were answered.",
+		}),
 		batchMessages: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "dykewing_router_batch_messages_total", Help: "Messages to stores about batch items, by step.",
 		}, []string{"step"}),
 	}
-	registry.MustRegister(m.admitted, m.refused, m.preempted, m.broken, m.resumed, m.items, m.batchMessages)
+	registry.MustRegister(m.admitted, m.refused, m.preempted, m.broken, m.resumed, m.items, m.batchMessages, m.shareReports)
 	return m
 }
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -64,7 +64,9 @@
 	if err != nil || milliseconds <= 0 {
 		return context.WithTimeout(ctx, r.node.Settings.Router.EngineTimeout)
 	}
-	return context.WithTimeout(ctx, time.Duration(milliseconds)*time.Millisecond)
+	// No request outlives the engine timeout: ceilings count on that.
+	remainingTime := time.Duration(milliseconds) * time.Millisecond
+	return context.WithTimeout(ctx, min(remainingTime, r.node.Settings.Router.EngineTimeout))
 }
 
 // run admits a request and sends it to its worker. On success finish must be
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -76,6 +76,7 @@
 	router.machine = admission.NewMachine(admission.Settings{
 		Online: routing.OnlineProfile(common.Settings.Node.Location(), newRandom()), Batch: routing.BatchProfile(newRandom()),
 		RetryAfter: refusalRetryAfter, Reserve: common.Settings.Router.BatchReserve,
+		Ceilings: newHolder(common),
 	})
 	router.admission = shell.Start(common.System, router.machine, router.execute)
 	router.homes = placement.NewHomes(common.ID())
@@ -104,6 +105,7 @@
 	}
 	group.Go(func() { r.pollLoads(ctx) })
 	group.Go(func() { r.pullBatch(ctx) })
+	group.Go(func() { r.reportShares(ctx) })
 	group.Wait()
 }
 
@@ -182,10 +184,15 @@
 
 // execute carries out admission's actions that are not the answer to a step.
 func (r *Router) execute(action admission.Action) {
-	preempt, ok := action.(admission.Preempt)
-	if !ok {
-		return
+	switch action := action.(type) {
+	case admission.Preempt:
+		r.preempt(action)
+	case admission.ReportShares:
+		go r.sendShares(action.SendReport)
 	}
+}
+
+func (r *Router) preempt(preempt admission.Preempt) {
 	r.mutex.Lock()
 	cancel := r.flights[preempt.Request]
 	r.mutex.Unlock()
--- a/internal/standin/keyvalue/faults.go
+++ b/internal/standin/keyvalue/faults.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -127,6 +128,8 @@
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request) bool {
 	faults, limited := s.arrive(r.URL.Path)
 	if faults.Hang {
+		// The server notices that a client has gone only once the body is read.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 		return true
 	}
--- a/internal/storeclient/paths.go
+++ b/internal/storeclient/paths.go
@@ -24,6 +24,9 @@
 // SettlePath takes a jobs.Settle and answers a jobs.Notice.
 func SettlePath(group api.GroupID) string { return groupPath(group, "settle") }
 
+// SharesPath takes a quota.Report and answers a quota.Grant.
+func SharesPath(group api.GroupID) string { return groupPath(group, "shares") }
+
 // JobPath reads a jobs.Job.
 func JobPath(group api.GroupID, job string) string { return groupPath(group, "jobs/"+job) }
 
--- a/jobs/command.go
+++ b/jobs/command.go
@@ -41,6 +41,7 @@
 	Claim      *ClaimRequest    `json:"claim,omitempty"`
 	Record     *RecordRequest   `json:"record,omitempty"`
 	Expire     *ExpireRetention `json:"expire,omitempty"`
+	Holder     *HolderChange    `json:"holder,omitempty"`
 }
 
 // CreateFile opens a file for AppendFile.
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -132,6 +132,8 @@
 		return c.record(*command.Record)
 	case command.Expire != nil:
 		return c.expireRetention(*command.Expire)
+	case command.Holder != nil:
+		return c.changeHolder(*command.Holder)
 	}
 	return failure(api.CodeBadRequest, "command has no known part")
 }
--- a/jobs/storage.go
+++ b/jobs/storage.go
@@ -48,6 +48,7 @@
 	keyTenant    = 't' // tenant, newest first, job: empty
 	keyRetention = 'e' // end time, kind, id: empty
 	keyUpload    = 'u' // begin time, file: empty, while the file is not sealed
+	keyHolder    = 'h' // router: empty, while it may hold shares of ceilings
 	keyGarbage   = 'g' // prefix whose keys are to be deleted: empty
 )
 
--- a/placement/rendezvous.go
+++ b/placement/rendezvous.go
@@ -56,3 +56,9 @@
 func GroupOf(tenant api.TenantID, groups int) api.GroupID {
 	return api.GroupID(xxhash.Sum64String(string(tenant)) % uint64(groups))
 }
+
+// GroupOfRow gives the group whose leader grants the shares of a row's
+// ceilings. groups must be positive.
+func GroupOfRow(key api.RowKey, groups int) api.GroupID {
+	return api.GroupID(xxhash.Sum64String("ceiling\x00"+key.String()) % uint64(groups))
+}
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -1,8 +1,6 @@
 package quota
 
 import (
-	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -10,6 +8,9 @@
 	"github.com/dykewing/dykewing/api"
 )
 
+// batchReserve: batch leaves one part in so many of a share free.
+const batchReserve = 8
+
 // HolderMessage is what a Holder is stepped with.
 type HolderMessage interface{ holderMessage() }
 
@@ -96,25 +97,43 @@
 	return &Holder{settings: settings, rows: map[api.RowKey]*holding{}, groups: map[api.GroupID]*reporting{}}
 }
 
-// Acquire admits one request of the row, or says when to come back. An admitted
-// request is ended by Release. It answers at once; a row without a ceiling is
-// always admitted.
+// Acquire admits one request of the row, or says when to come back: Check and
+// Take in one.
 func (h *Holder) Acquire(now time.Time, key api.RowKey) (bool, time.Duration) {
+	ok, retryAfter := h.Check(now, key, api.ClassOnline)
+	if ok {
+		h.Take(now, key)
+	}
+	return ok, retryAfter
+}
+
+// Check tells at once whether a request of the row may be admitted now, or when
+// to come back; the need is reported to the owner either way. Batch leaves a
+// part of the share free, so that online requests find it. A row without a
+// ceiling always may.
+func (h *Holder) Check(now time.Time, key api.RowKey, class api.Class) (bool, time.Duration) {
 	row := h.row(key)
 	row.arrived++
 	row.demand = now
-	if row.ceiling.Bounded() && !row.admits(now) {
-		row.denied++
-		row.peak = max(row.peak, row.inUse+row.denied)
-		h.askSoon(key, row, now)
-		return false, h.retryAfter(row)
+	if !row.ceiling.Bounded() || row.admits(now, class) {
+		return true, 0
 	}
+	row.denied++
+	row.peak = max(row.peak, row.inUse+row.denied)
+	h.askSoon(key, row, now)
+	return false, h.retryAfter(row)
+}
+
+// Take admits a request that was checked in the same step. It is ended by
+// Release.
+func (h *Holder) Take(now time.Time, key api.RowKey) {
+	row := h.row(key)
 	if row.ceiling.Rate > 0 {
+		row.expire(now)
 		row.take()
 	}
 	row.inUse++
 	row.peak = max(row.peak, row.inUse)
-	return true, 0
 }
 
 // Release ends an admitted request.
@@ -126,20 +145,29 @@
 // InUse counts the row's requests that run.
 func (h *Holder) InUse(key api.RowKey) int { return h.row(key).inUse }
 
-// Room is how many more requests of the row would be admitted now.
+// Room is how many more batch requests of the row would be admitted now. To
+// ask is to need one: batch work is only looked for where there is room.
 func (h *Holder) Room(now time.Time, key api.RowKey) int {
-	row := h.row(key)
-	room := math.MaxInt
-	if row.ceiling.Concurrency > 0 {
-		room = max(row.shareAt(now)-row.inUse, 0)
+	row, ok := h.rows[key]
+	if !ok || !row.ceiling.Bounded() {
+		return math.MaxInt
 	}
-	if row.ceiling.Rate > 0 {
-		row.expire(now)
-		room = min(room, row.left())
+	room := max(row.room(now, api.ClassBatch), 0)
+	if room == 0 {
+		row.demand = now
+		row.peak = max(row.peak, row.inUse+1)
+		row.arrived = max(row.arrived, 1)
 	}
 	return room
 }
 
+// ShareInUse tells whether the row's share of the concurrency is what keeps the
+// next online request out.
+func (h *Holder) ShareInUse(now time.Time, key api.RowKey) bool {
+	row := h.row(key)
+	return row.ceiling.Concurrency > 0 && row.inUse > 0 && row.inUse >= row.shareAt(now)
+}
+
 func (h *Holder) row(key api.RowKey) *holding {
 	row, ok := h.rows[key]
 	if !ok {
@@ -166,15 +194,29 @@
 	return wait
 }
 
-func (r *holding) admits(now time.Time) bool {
-	if r.ceiling.Concurrency > 0 && r.inUse >= r.shareAt(now) {
-		return false
+func (r *holding) admits(now time.Time, class api.Class) bool { return r.room(now, class) > 0 }
+
+// room is how many more requests the share and the tokens allow.
+func (r *holding) room(now time.Time, class api.Class) int {
+	room := math.MaxInt
+	if r.ceiling.Concurrency > 0 {
+		share := r.shareAt(now)
+		room = share - reserve(share, class) - r.inUse
 	}
-	if r.ceiling.Rate <= 0 {
-		return true
+	if r.ceiling.Rate > 0 {
+		r.expire(now)
+		left := r.left()
+		room = min(room, left-reserve(left, class))
 	}
-	r.expire(now)
-	return r.left() > 0
+	return room
+}
+
+// reserve is the part that batch leaves free.
+func reserve(share int, class api.Class) int {
+	if class != api.ClassBatch || share <= 1 {
+		return 0
+	}
+	return max(share/batchReserve, 1)
 }
 
 func (r *holding) shareAt(now time.Time) int {
@@ -243,140 +285,3 @@
 	}
 	return group
 }
-
-// report makes the reports that are due, by group.
-func (h *Holder) report(now time.Time) []HolderAction {
-	h.forgetSent(now)
-	due := map[api.GroupID][]api.RowKey{}
-	for key, row := range h.rows {
-		id := h.settings.GroupOf(key)
-		if row.ceiling.Bounded() && !h.group(id).next.After(now) {
-			due[id] = append(due[id], key)
-		}
-	}
-	var actions []HolderAction
-	for _, id := range slices.Sorted(maps.Keys(due)) {
-		slices.SortFunc(due[id], func(a, b api.RowKey) int { return cmp.Compare(a.String(), b.String()) })
-		actions = append(actions, h.reportGroup(now, id, due[id])...)
-	}
-	return actions
-}
-
-// reportGroup reports the rows in use; the last report of a group is empty.
-func (h *Holder) reportGroup(now time.Time, id api.GroupID, keys []api.RowKey) []HolderAction {
-	group := h.group(id)
-	report := Report{
-		Router: h.settings.Router, Instance: h.settings.Instance,
-		Ended: h.oldestOpen() - 1, Epoch: group.epoch,
-	}
-	for _, key := range keys {
-		row := h.rows[key]
-		entry := h.rowReport(now, key, row)
-		if entry.empty() && row.asked <= report.Ended {
-			continue
-		}
-		row.asked = h.sequence + 1
-		report.Rows = append(report.Rows, entry)
-	}
-	if len(report.Rows) == 0 && !group.reported {
-		return nil
-	}
-	group.next, group.reported = now.Add(h.settings.Interval), len(report.Rows) > 0
-	h.sequence++
-	report.Sequence = h.sequence
-	h.sent = append(h.sent, sentReport{sequence: h.sequence, at: now})
-	return []HolderAction{SendReport{Group: id, Report: report}}
-}
-
-func (h *Holder) forgetSent(now time.Time) {
-	if h.settings.Fault == FaultExpireFromReceipt {
-		return
-	}
-	h.sent = slices.DeleteFunc(h.sent, func(s sentReport) bool { return now.Sub(s.at) >= h.settings.Lifetime })
-}
-
-// empty rows need no report: nothing runs, none is wanted, nothing is held.
-func (r RowReport) empty() bool { return r.Want == 0 && r.InUse == 0 && r.Tokens == 0 && r.Epoch == 0 }
-
-func (h *Holder) rowReport(now time.Time, key api.RowKey, row *holding) RowReport {
-	row.expire(now)
-	report := RowReport{Key: key, InUse: row.inUse, Ended: h.ended(now, row)}
-	if row.shareAt(now) > 0 {
-		report.Epoch = row.epoch
-	}
-	if row.ceiling.Concurrency > 0 {
-		report.Want = row.peak
-		if !row.demand.IsZero() && now.Sub(row.demand) < h.settings.IdleAfter {
-			report.Want = max(row.peak, 1)
-		}
-	}
-	if row.ceiling.Rate > 0 {
-		const intervalsAhead = 2
-		report.Tokens = max(intervalsAhead*row.arrived-row.left(), 0)
-	}
-	row.peak, row.denied, row.arrived = row.inUse, 0, 0
-	return report
-}
-
-// ended is the newest sequence whose grant can allow nothing more: replaced,
-// expired, or sent so long ago that its answer would come expired.
-func (h *Holder) ended(now time.Time, row *holding) uint64 {
-	ended := row.applied
-	if row.applied > 0 && now.Before(row.expires) {
-		return ended - 1
-	}
-	return max(ended, h.oldestOpen()-1)
-}
-
-// oldestOpen is the oldest sequence whose answer would still be applied.
-func (h *Holder) oldestOpen() uint64 {
-	if len(h.sent) > 0 {
-		return h.sent[0].sequence
-	}
-	return h.sequence + 1
-}
-
-// apply takes shares that are newer than those applied. A share ends one
-// Lifetime after its report was sent, however late the answer comes.
-func (h *Holder) apply(now time.Time, id api.GroupID, grant Grant) {
-	group := h.group(id)
-	if grant.Epoch < group.epoch {
-		return
-	}
-	group.epoch = grant.Epoch
-	sentAt, ok := h.sentAt(grant.Sequence)
-	if !ok || grant.Instance != h.settings.Instance {
-		return
-	}
-	if h.settings.Fault == FaultExpireFromReceipt {
-		sentAt = now
-	}
-	expires := sentAt.Add(h.settings.Lifetime)
-	if !now.Before(expires) {
-		return
-	}
-	for _, share := range grant.Shares {
-		row, ok := h.rows[share.Key]
-		if !ok || grant.Sequence <= row.applied {
-			continue
-		}
-		if share.Concurrency < row.shareAt(now) {
-			// What this router gives up is waited for elsewhere.
-			group.next = time.Time{}
-		}
-		row.applied, row.epoch = grant.Sequence, grant.Epoch
-		row.share, row.expires = share.Concurrency, expires
-		if share.Tokens > 0 {
-			row.tokens = append(row.tokens, tokens{count: share.Tokens, expires: expires})
-		}
-	}
-}
-
-func (h *Holder) sentAt(sequence uint64) (time.Time, bool) {
-	for _, sent := range h.sent {
-		if sent.sequence == sequence {
-			return sent.at, true
-		}
-	}
-	return time.Time{}, false
-}
