--- a/admission/ceiling.go
+++ b/admission/ceiling.go
@@ -90,7 +90,7 @@
 	if youngest == nil {
 		return nil
 	}
-	m.finish(youngest.request)
+	m.finish(youngest)
 	return []Action{Preempt{Request: youngest.request, Worker: youngest.worker.worker.ID}}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -46,8 +46,7 @@
 	admission *shell.Shell[admission.Message, admission.Action]
 	machine   *admission.Machine
 	homed     atomic.Pointer[[]api.Worker] // those that this router is home of
-	mutex     sync.Mutex                   // guards flights
-	flights   map[api.RequestID]context.CancelCauseFunc
+	flights   *flights
 	metrics   *metrics
 
 	homesMutex sync.Mutex // guards homes and workers
@@ -63,7 +62,7 @@
 		batchBackend: &engine.HTTPBackend{Client: transport.NewClient(requestConnections), Control: common.Control},
 		bodies:       newBodyBudget(common.Settings.Sidecar.MaximumBodyBytes),
 		forward:      transport.NewClient(requestConnections),
-		flights:      map[api.RequestID]context.CancelCauseFunc{},
+		flights:      newFlights(),
 		metrics:      newMetrics(common.Registry),
 	}
 	if address := common.Settings.MachineList.URL; address != "" {
@@ -137,7 +136,7 @@
 func (r *Router) rehome() {
 	homed := r.homes.Mine(r.workers)
 	r.homed.Store(&homed)
-	r.admission.Tell(admission.Workers{Workers: homed})
+	r.admission.Tell(admission.Workers{Workers: homed, Positions: admission.Positions(r.workers)})
 }
 
 func (r *Router) setRows(snapshot *table.Snapshot) {
@@ -180,8 +179,10 @@
 		return
 	}
 	r.admission.Tell(admission.Load{Worker: worker.ID, Running: load.Running, Waiting: load.Waiting, Leaving: load.Leaving, Asked: asked})
+	r.pollCache(ctx, worker)
 }
 
+<<<<<<< HEAD
 // execute carries out admission's actions that are not the answer to a step.
 func (r *Router) execute(action admission.Action) {
 	switch action := action.(type) {
@@ -199,5 +200,18 @@
 	if cancel != nil {
 		r.metrics.preempted.Inc()
 		cancel(errPreempted)
+=======
+// pollCache reads what has changed in the worker's prefix cache. Applications
+// have none, and an engine that publishes nothing is left alone.
+func (r *Router) pollCache(ctx context.Context, worker api.Worker) {
+	var after uint64
+	if r.admission.Inspect(func() { after = r.machine.CacheSequence(worker.ID) }) != nil {
+		return
+	}
+	events, err := r.backend.CacheEvents(ctx, worker.Address, after)
+	if err != nil || len(events) == 0 {
+		return
+>>>>>>> main
 	}
+	r.admission.Tell(admission.CacheEvents{Worker: worker.ID, Events: events})
 }
