--- a/internal/router/flight.go
+++ b/internal/router/flight.go
@@ -124,6 +124,8 @@
 		if flight, ok := r.flights.get(action.Request); ok {
 			flight.resume(action.Dispatch)
 		}
+	case admission.ReportShares:
+		go r.sendShares(action.SendReport)
 	}
 }
 
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -46,10 +46,6 @@
 			Name: "dykewing_router_batch_messages_total", Help: "Messages to stores about batch items, by step.",
 		}, []string{"step"}),
 	}
-<<<<<<< HEAD
-	registry.MustRegister(m.admitted, m.refused, m.preempted, m.broken, m.resumed, m.items, m.batchMessages, m.shareReports)
-=======
-	registry.MustRegister(m.admitted, m.refused, m.preempted, m.suspended, m.broken, m.resumed, m.items, m.batchMessages)
->>>>>>> main
+	registry.MustRegister(m.admitted, m.refused, m.preempted, m.suspended, m.broken, m.resumed, m.items, m.batchMessages, m.shareReports)
 	return m
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -182,25 +182,6 @@
 	r.pollCache(ctx, worker)
 }
 
-<<<<<<< HEAD
-// execute carries out admission's actions that are not the answer to a step.
-func (r *Router) execute(action admission.Action) {
-	switch action := action.(type) {
-	case admission.Preempt:
-		r.preempt(action)
-	case admission.ReportShares:
-		go r.sendShares(action.SendReport)
-	}
-}
-
-func (r *Router) preempt(preempt admission.Preempt) {
-	r.mutex.Lock()
-	cancel := r.flights[preempt.Request]
-	r.mutex.Unlock()
-	if cancel != nil {
-		r.metrics.preempted.Inc()
-		cancel(errPreempted)
-=======
 // pollCache reads what has changed in the worker's prefix cache. Applications
 // have none, and an engine that publishes nothing is left alone.
 func (r *Router) pollCache(ctx context.Context, worker api.Worker) {
@@ -211,7 +192,6 @@
 	events, err := r.backend.CacheEvents(ctx, worker.Address, after)
 	if err != nil || len(events) == 0 {
 		return
->>>>>>> main
 	}
 	r.admission.Tell(admission.CacheEvents{Worker: worker.ID, Events: events})
 }
--- a/internal/store/group.go
+++ b/internal/store/group.go
@@ -43,6 +43,8 @@
 	token     uint64
 	proposals map[uint64]chan jobs.Result // by token, until the index is known
 	waiting   map[uint64]proposal         // by log index
+	confirms  map[uint64]chan replication.Confirmed
+	shares    *shareOwner
 }
 
 type proposal struct {
@@ -74,6 +76,7 @@
 		id: id, settings: settings, log: log, disk: disk,
 		persists: make(chan replication.Persist, persistBacklog), done: make(chan struct{}),
 		state: state, proposals: map[uint64]chan jobs.Result{}, waiting: map[uint64]proposal{},
+		confirms: map[uint64]chan replication.Confirmed{}, shares: newShareOwner(),
 	}
 	g.shell = shell.Start(system, machine, g.execute)
 	go g.persistLoop()
@@ -140,6 +143,8 @@
 		g.apply(action.Entries)
 	case replication.RoleChanged:
 		g.roleChanged(action)
+	case replication.Confirmed:
+		g.confirmed(action)
 	}
 }
 
--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -22,6 +22,7 @@
 	s.handle("POST", "claims", serveClaims)
 	s.handle("POST", "settle", serveSettle)
 	s.handle("POST", "renewals", serveRenew)
+	s.handle("POST", "shares", serveShares)
 	s.handle("GET", "jobs", serveJobs)
 	s.handle("GET", "jobs/{id}", serveJob)
 	s.handle("GET", "jobs/{id}/results", serveResults)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -42,6 +42,7 @@
 		store.groups[id] = group
 	}
 	common.SetSummary(store.summary)
+	common.OnTable(store.setCeilings)
 	common.OnTable(func(snapshot *table.Snapshot) {
 		for _, group := range store.groups {
 			group.setServices(snapshot.Services())
