Check concurrent edits with porcupine over real nodes and a failing service

Three routers, a stand-in that loses requests and answers and applies late; outage, compaction and a stuck watch; a value that is no row. A conflict reported as accepted is caught by the same check.

--- /dev/null
+++ b/internal/node/edit_test.go
@@ -0,0 +1,254 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/sirupsen/logrus"
+
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/config"
+	"github.com/dykewing/dykewing/internal/standin/keyvalue"
+	"github.com/dykewing/dykewing/internal/transport"
+)
+
+// startRouters runs nodes of the router role against one stand-in.
+func startRouters(t *testing.T, service *keyvalue.Server, count int) []*Node {
+	t.Helper()
+	server := httptest.NewServer(service)
+	t.Cleanup(server.Close)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	t.Cleanup(func() { cancel(); running.Wait() })
+	var nodes []*Node
+	for i := range count {
+		settings := config.Default()
+		settings.Node.ID, settings.Node.Address = fmt.Sprintf("router-%d", i), "127.0.0.1:0"
+		settings.Membership = config.Membership{Interval: 50 * time.Millisecond, SuspectTimeout: time.Second}
+		settings.KeyValueService.Endpoints = []string{server.URL}
+		settings.KeyValueService.RequestsPerSecond = 1000
+		settings.KeyValueService.Timeout = time.Second
+		settings.KeyValueService.Watchers = 1
+		for _, peer := range nodes {
+			settings.Peers = append(settings.Peers, peer.Address())
+		}
+		node, err := New(api.RoleRouter, settings, log)
+		if err != nil {
+			t.Fatal(err)
+		}
+		nodes = append(nodes, node)
+		running.Go(func() { _ = node.Run(ctx, ctx) })
+	}
+	return nodes
+}
+
+// eventually waits for a condition that must come about, however slowly.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(time.Minute); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("%s did not come about", what)
+}
+
+func post(t *testing.T, node *Node, edit api.TableEdit) (api.EditResult, error) {
+	t.Helper()
+	var result api.EditResult
+	err := transport.Call(context.Background(), node.Control, "edit", node.Address(), api.PathEdits, edit, &result)
+	return result, err
+}
+
+// rowValue is the state of the register that an edit compares and swaps.
+type rowValue struct {
+	revision int64
+	weight   float64
+}
+
+type editInput struct {
+	expect int64
+	weight float64
+}
+
+// anyRevision is that of an edit whose outcome stayed unknown and which did
+// take effect.
+const anyRevision = -1
+
+// registerModel: an accepted edit swaps a row that is as it expects; a conflict
+// or refusal changes nothing, and a conflict shows the row as it stands; an
+// unknown edit did either.
+func registerModel() porcupine.Model {
+	model := porcupine.NondeterministicModel{
+		Init: func() []any { return []any{rowValue{}} },
+		Step: func(state, input, output any) []any {
+			row, edit, result := state.(rowValue), input.(editInput), output.(api.EditResult)
+			switch result.Outcome {
+			case api.EditAccepted:
+				expected := edit.expect == 0 || row.revision == anyRevision || edit.expect == row.revision
+				if expected && result.Revision > row.revision {
+					return []any{rowValue{revision: result.Revision, weight: edit.weight}}
+				}
+			case api.EditConflict:
+				if row.stands(result.Standing) {
+					return []any{row}
+				}
+			case api.EditRefused:
+				return []any{row}
+			case api.EditUnknown:
+				return []any{row, rowValue{revision: anyRevision, weight: edit.weight}}
+			}
+			return nil
+		},
+	}
+	return model.ToModel()
+}
+
+func (r rowValue) stands(standing *api.VersionedRow) bool {
+	if standing == nil {
+		return r.revision == 0
+	}
+	return standing.Row.Weight == r.weight && (r.revision == anyRevision || standing.Revision == r.revision)
+}
+
+// TestConcurrentEditsAreLinearisable races operators through three routers
+// against a service that loses requests and answers and lets changes take
+// effect late.
+func TestConcurrentEditsAreLinearisable(t *testing.T) {
+	service := keyvalue.NewServer()
+	service.Seed(7)
+	service.SetFaults(keyvalue.Faults{LoseAnswers: 0.15, LoseRequests: 0.1, LateEffects: 0.1, LateMilliseconds: 60})
+	nodes := startRouters(t, service, 3)
+	key := api.RowKey{Service: "model", Place: "east"}
+	var mutex sync.Mutex
+	var history []porcupine.Operation
+	counts := map[api.EditOutcome]int{}
+	begin := time.Now()
+	var clients sync.WaitGroup
+	for client := range 4 {
+		random := rand.New(rand.NewPCG(uint64(client), 1))
+		clients.Go(func() {
+			known := int64(0)
+			for number := range 10 {
+				time.Sleep(time.Duration(random.IntN(30)) * time.Millisecond)
+				weight := float64(client*100 + number)
+				edit := api.TableEdit{ID: fmt.Sprintf("%d-%d", client, number), Key: key, Create: true, Change: api.RowChange{Weight: &weight}}
+				if random.IntN(2) == 0 {
+					edit.ExpectRevision = known
+				}
+				since := int64(1)
+				if snapshot := nodes[0].Table(); snapshot != nil {
+					since = max(snapshot.Revision(), 1)
+				}
+				called := time.Since(begin)
+				result, err := post(t, nodes[random.IntN(len(nodes))], edit)
+				for resend := 0; resend < 3 && (err != nil || result.Outcome == api.EditUnknown); resend++ {
+					edit.Since = since
+					result, err = post(t, nodes[random.IntN(len(nodes))], edit)
+				}
+				if result.Standing != nil {
+					known = result.Standing.Revision
+				}
+				mutex.Lock()
+				counts[result.Outcome]++
+				history = append(history, porcupine.Operation{
+					ClientId: client, Input: editInput{expect: edit.ExpectRevision, weight: weight},
+					Call: int64(called), Output: result, Return: int64(time.Since(begin)),
+				})
+				mutex.Unlock()
+			}
+		})
+	}
+	clients.Wait()
+	t.Logf("outcomes: %v", counts)
+	if counts[api.EditAccepted] == 0 || counts[api.EditConflict] == 0 {
+		t.Error("the run proves little: accepted and conflicting edits are needed")
+	}
+	if result := porcupine.CheckOperationsTimeout(registerModel(), history, 20*time.Second); result != porcupine.Ok {
+		t.Fatalf("the history of %d edits is not linearisable: %v", len(history), result)
+	}
+	// The check can fail: an accepted edit that never took effect is caught.
+	for i, operation := range history {
+		if operation.Output.(api.EditResult).Outcome == api.EditConflict {
+			history[i].Output = api.EditResult{Outcome: api.EditAccepted, Revision: 1 << 40}
+			break
+		}
+	}
+	if result := porcupine.CheckOperationsTimeout(registerModel(), history, 20*time.Second); result == porcupine.Ok {
+		t.Error("a conflict that was reported as accepted was not caught")
+	}
+}
+
+// TestTableLastsThroughAnOutage: nodes keep the table, a new one takes it from
+// peers, a compaction meanwhile is no harm, and what was changed comes through.
+func TestTableLastsThroughAnOutage(t *testing.T) {
+	service := keyvalue.NewServer()
+	nodes := startRouters(t, service, 3)
+	key := api.RowKey{Service: "model", Place: "east"}
+	set := func(id string, weight float64) int64 {
+		result, err := post(t, nodes[0], api.TableEdit{ID: id, Key: key, Create: true, Change: api.RowChange{Weight: &weight}})
+		if err != nil || result.Outcome != api.EditAccepted {
+			t.Fatalf("%+v, %v", result, err)
+		}
+		return result.Revision
+	}
+	inForce := func(revision int64, weight float64) func() bool {
+		return func() bool {
+			for _, node := range nodes {
+				if node.Table() == nil || node.Table().Revision() < revision {
+					return false
+				}
+				if row, ok := node.Table().Row(key); !ok || row.Weight != weight {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	first := set("first", 1)
+	eventually(t, "the first edit in force", inForce(first, 1))
+	service.SetFaults(keyvalue.Faults{Outage: true})
+	weight := 2.0
+	if result, err := post(t, nodes[1], api.TableEdit{ID: "lost", Key: key, Change: api.RowChange{Weight: &weight}}); err != nil || result.Outcome == api.EditAccepted {
+		t.Errorf("an edit during the outage: %+v, %v", result, err)
+	}
+	if !inForce(first, 1)() {
+		t.Error("the table changed during the outage")
+	}
+	service.Compact()
+	service.SetFaults(keyvalue.Faults{StuckWatches: true})
+	second := set("second", 3)
+	service.SetFaults(keyvalue.Faults{})
+	eventually(t, "the second edit in force", inForce(second, 3))
+}
+
+// TestUnreadableRowIsLeftOut: the row in force stays.
+func TestUnreadableRowIsLeftOut(t *testing.T) {
+	service := keyvalue.NewServer()
+	nodes := startRouters(t, service, 2)
+	key := api.RowKey{Service: "model", Place: "east"}
+	weight := 1.0
+	result, err := post(t, nodes[0], api.TableEdit{ID: "good", Key: key, Create: true, Change: api.RowChange{Weight: &weight}})
+	if err != nil || result.Outcome != api.EditAccepted {
+		t.Fatalf("%+v, %v", result, err)
+	}
+	service.Put("/dykewing/table/model/east", []byte(`{"row":{"service":"model","place":"east","weight":-5}}`))
+	bad := service.Stats().Revision
+	eventually(t, "the bad value passed by", func() bool {
+		return nodes[0].Table() != nil && nodes[0].Table().Revision() >= bad && nodes[1].Table() != nil && nodes[1].Table().Revision() >= bad
+	})
+	for _, node := range nodes {
+		if row, ok := node.Table().Row(key); !ok || row.Weight != 1 {
+			t.Errorf("row %+v, %v is in force at %s, want weight 1", row, ok, node.ID())
+		}
+	}
+}
--- a/internal/standin/keyvalue/keyvalue.go
+++ b/internal/standin/keyvalue/keyvalue.go
@@ -223,3 +223,9 @@
 	defer s.mutex.Unlock()
 	s.compacted, s.history = s.revision, nil
 }
+
+// Put writes a key as another client of the service would.
+func (s *Server) Put(key string, value []byte) {
+	put := kv.WirePut{Key: []byte(key), Value: value}
+	s.transact(kv.WireTxn{Success: []kv.WireOperation{{Put: &put}}})
+}
