--- a/internal/store/quota.go
+++ b/internal/store/quota.go
@@ -37,8 +37,8 @@
 	return &shareOwner{owner: quota.NewOwner(quota.DefaultSettings()), answers: map[uint64]chan quota.Answer{}}
 }
 
-// setCeilings gives the owners of all groups the ceilings of the table.
-func (s *Store) setCeilings(snapshot *table.Snapshot) {
+// ceilingsOf gives the rows that have a ceiling.
+func ceilingsOf(snapshot *table.Snapshot) map[api.RowKey]quota.Ceiling {
 	ceilings := map[api.RowKey]quota.Ceiling{}
 	for _, service := range snapshot.Services() {
 		for _, row := range snapshot.Service(service) {
@@ -47,9 +47,22 @@
 			}
 		}
 	}
-	for _, group := range s.groups {
-		group.shares.step(quota.Bounds{Rows: ceilings})
-	}
+	return ceilings
+}
+
+// ledTerm is the term in which this replica leads; false when it does not.
+func (g *group) ledTerm() (uint64, bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.role.Term, g.leading != nil
+}
+
+// holders are the routers registered in the applied state.
+func (g *group) holders() ([]api.NodeID, error) {
+	g.mutex.Lock()
+	state := g.jobs
+	g.mutex.Unlock()
+	return state.Holders()
 }
 
 // serveShares answers a router's report with its shares of the ceilings.
--- a/membership/messages.go
+++ b/membership/messages.go
@@ -33,7 +33,9 @@
 // StoreContact is a store with the groups that it leads.
 type StoreContact struct {
 	Contact
-	Groups []api.GroupSummary `json:"groups,omitempty"`
+	Groups   []api.GroupSummary `json:"groups,omitempty"`
+	Replica  string             `json:"replica,omitempty"` // identity of its disk
+	DiskFull bool               `json:"disk_full,omitempty"`
 }
 
 // ZoneSummary is what other zones know of a zone. The higher Version stands.
