--- a/jobs/storage.go
+++ b/jobs/storage.go
@@ -49,6 +49,7 @@
 	keyFiles     = 'w' // tenant, newest first, file: empty
 	keyRetention = 'e' // end time, kind, id: empty
 	keyUpload    = 'u' // begin time, file: empty, while the file is not sealed
+	keyHolder    = 'h' // router: empty, while it may hold shares of ceilings
 	keyGarbage   = 'g' // prefix whose keys are to be deleted: empty
 )
 
