--- a/placement/rendezvous.go
+++ b/placement/rendezvous.go
@@ -75,3 +75,9 @@
 func GroupOf(tenant api.TenantID, groups int) api.GroupID {
 	return api.GroupID(xxhash.Sum64String(string(tenant)) % uint64(groups))
 }
+
+// GroupOfRow gives the group whose leader grants the shares of a row's
+// ceilings. groups must be positive.
+func GroupOfRow(key api.RowKey, groups int) api.GroupID {
+	return api.GroupID(xxhash.Sum64String("ceiling\x00"+key.String()) % uint64(groups))
+}
