Leave a worker alone that breaks off before its answers begin

It failed at once, so that it always looked idle and drew nearly all requests; the retries passed their budget (0.2 a request). Ruled out: refused connections, which are quarantined already.

Change: admission counts answers in a row that broke off before they began; after two the worker gets nothing for the quarantine (1 s), after that one more suffices until an answer begins.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -76,17 +76,12 @@
 	Events []routing.CacheEvent
 }
 
-// Unreachable says that a worker could not be connected to. It gets no
-// new request for Filling.Quarantine.
-type Unreachable struct{ Worker api.WorkerID }
-
 func (Workers) admissionMessage()     {}
 func (Rows) admissionMessage()        {}
 func (Load) admissionMessage()        {}
 func (Arrive) admissionMessage()      {}
 func (FirstToken) admissionMessage()  {}
 func (Finished) admissionMessage()    {}
-func (Unreachable) admissionMessage() {}
 func (CacheEvents) admissionMessage() {}
 
 // Action is what a Machine asks for.
@@ -203,6 +198,8 @@
 		}
 	case Unreachable:
 		return m.quarantine(now, message.Worker)
+	case Broken:
+		return m.broke(now, message.Worker)
 	}
 	return nil
 }
@@ -284,6 +281,7 @@
 		return nil
 	}
 	flight.starting = false
+	flight.worker.broken = 0
 	flight.worker.started(flight)
 	return m.resume(flight.worker)
 }
--- a/admission/worker.go
+++ b/admission/worker.go
@@ -36,6 +36,7 @@
 	batch       []*flight // in the engine, oldest first
 	suspended   []*flight // oldest first
 	quarantined time.Time // no new request before
+	broken      int       // answers in a row that broke off before they began
 	foreign     int       // requests in the engine that other routers sent
 	peak        int       // most that was in flight since the last report
 	lastPeak    int       // the same between the two reports before
@@ -156,15 +157,6 @@
 
 func (s *workerState) inFlight() int { return s.online + len(s.batch) + len(s.suspended) }
 
-func (m *Machine) quarantine(now time.Time, worker api.WorkerID) []Action {
-	state, ok := m.workers[worker]
-	if !ok {
-		return nil
-	}
-	state.quarantined = now.Add(m.settings.Filling.Quarantine)
-	return m.giveUp(state, state.suspended)
-}
-
 // candidates gives the row's endpoints as the online request sees them,
 // without those that are quarantined; but when all are, it gives all: a try is
 // better than a refusal.
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -108,8 +108,8 @@
 	})
 	if err != nil {
 		failure := *api.AsError("send to worker", err)
-		if transport.NeverConnected(err) && ctx.Err() == nil {
-			r.admission.Tell(admission.Unreachable{Worker: dispatch.Worker})
+		if ctx.Err() == nil {
+			r.blame(dispatch.Worker, err)
 		}
 		if errors.Is(context.Cause(ctx), errPreempted) {
 			failure.Code = api.CodePreempted
@@ -120,6 +120,15 @@
 	return response, nil
 }
 
+// blame tells admission of a worker that gave no answer.
+func (r *Router) blame(worker api.WorkerID, err error) {
+	if transport.NeverConnected(err) {
+		r.admission.Tell(admission.Unreachable{Worker: worker})
+		return
+	}
+	r.admission.Tell(admission.Broken{Worker: worker})
+}
+
 // backendOf keeps the connections of the classes apart.
 func (r *Router) backendOf(class api.Class) engine.Backend {
 	if class == api.ClassBatch {
