Observers ask for loads each third interval; offers are urgent

Change: two of three questions ask for urgent changes only. Conclusion: the leaving mark still comes within an interval; bytes are measured next.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -45,6 +45,8 @@
 	list     *machinelist.Server
 	listURL  string
 	peers    []string
+	workers  []api.Worker
+	servers  []*httptest.Server
 }
 
 func newPlatform(t *testing.T, rows ...api.Row) *platform {
@@ -72,18 +74,19 @@
 func (p *platform) engines(t *testing.T, zone string, count int) []*engine.Engine {
 	t.Helper()
 	var engines []*engine.Engine
-	var workers []api.Worker
+	p.workers = nil
 	for i := range count {
 		stub := engine.New(engine.DefaultSettings())
 		server := httptest.NewServer(stub)
 		t.Cleanup(server.Close)
 		engines = append(engines, stub)
-		workers = append(workers, api.Worker{
+		p.servers = append(p.servers, server)
+		p.workers = append(p.workers, api.Worker{
 			ID: api.WorkerID(fmt.Sprintf("worker-%d", i)), Address: server.Listener.Addr().String(),
 			Service: service, Place: place, Location: api.Location{Region: "r", Zone: api.ZoneName(zone)}, Slots: 8,
 		})
 	}
-	p.list.Set(workers)
+	p.list.Set(p.workers)
 	return engines
 }
 
@@ -212,6 +215,48 @@
 	}
 }
 
+// TestLeavingAndDeadWorkersGetNothingNew: one worker leaves by the machine
+// list, another dies while the list still calls it live.
+func TestLeavingAndDeadWorkersGetNothingNew(t *testing.T) {
+	platform := newPlatform(t, row())
+	engines := platform.engines(t, homeZone, 3)
+	router := platform.start(t, api.RoleRouter, "router-0", homeZone)
+	caller := platform.start(t, api.RoleSidecar, "caller", homeZone)
+	defer stopAll(t, []*process{router, caller})
+	eventually(t, "a home", func() bool { return caller.Node.Table() != nil && offers(caller) == 1 })
+	platform.list.Set([]api.Worker{leavingWorker(platform.workers[0]), platform.workers[1], platform.workers[2]})
+	eventually(t, "two workers offered", func() bool { return workersOffered(caller) == 2 })
+	before := engines[0].Served()
+	platform.servers[1].CloseClientConnections()
+	platform.servers[1].Close()
+	client := &http.Client{}
+	defer client.CloseIdleConnections()
+	for i := range 30 {
+		if err := ask(client, caller.Sidecar.Address()); err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+	}
+	if served := engines[0].Served() - before; served > 0 {
+		t.Errorf("the leaving worker got %d new requests", served)
+	}
+}
+
+func leavingWorker(worker api.Worker) api.Worker {
+	worker.Leaving = true
+	return worker
+}
+
+// workersOffered counts the workers of the row that a node knows of.
+func workersOffered(process *process) int {
+	count := 0
+	for _, other := range process.Node.Nodes() {
+		for _, summary := range other.Summary.Services {
+			count += summary.Workers
+		}
+	}
+	return count
+}
+
 func stopAll(t *testing.T, processes []*process) {
 	for i := len(processes) - 1; i >= 0; i-- {
 		processes[i].stop()
--- a/internal/hollow/membership_test.go
+++ b/internal/hollow/membership_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/membership"
 	"github.com/dykewing/dykewing/sim"
 )
@@ -118,29 +119,38 @@
 	}
 }
 
-// BenchmarkFleet measures 670 nodes in 15 zones once settled.
+// BenchmarkFleet measures 670 nodes in 15 zones once settled, without sidecars
+// and with as many of them.
 func BenchmarkFleet(b *testing.B) {
-	for b.Loop() {
-		options := DefaultMembershipOptions()
-		options.MeasureEvery = 0
-		before := heap()
-		fleet := NewMembership(options)
-		fleet.Simulation.Run(settle)
-		count := float64(len(fleet.Members))
-		b.ReportMetric(float64(heap()-before)/count/1024, "KiB/node")
-		began := time.Now()
-		fleet.Simulation.Run(measured)
-		b.ReportMetric(time.Since(began).Seconds()/count/measured.Seconds()*100, "step-core-%/node")
-		fleet.options.MeasureEvery = 1
-		fleet.ResetTraffic()
-		began = time.Now()
-		fleet.Simulation.Run(measured)
-		b.ReportMetric(time.Since(began).Seconds()/count/measured.Seconds()*100, "with-encode-core-%/node")
-		reportTraffic(b, fleet)
-		reportAges(b, fleet)
+	for _, sidecars := range []int{0, 670} {
+		b.Run(fmt.Sprintf("sidecars=%d", sidecars), func(b *testing.B) {
+			for b.Loop() {
+				measureFleet(b, sidecars)
+			}
+		})
 	}
 }
 
+func measureFleet(b *testing.B, sidecars int) {
+	options := DefaultMembershipOptions()
+	options.MeasureEvery, options.Sidecars = 0, sidecars
+	before := heap()
+	fleet := NewMembership(options)
+	fleet.Simulation.Run(settle)
+	count := float64(len(fleet.Members))
+	b.ReportMetric(float64(heap()-before)/count/1024, "KiB/node")
+	began := time.Now()
+	fleet.Simulation.Run(measured)
+	b.ReportMetric(time.Since(began).Seconds()/count/measured.Seconds()*100, "step-core-%/node")
+	fleet.options.MeasureEvery = 1
+	fleet.ResetTraffic()
+	began = time.Now()
+	fleet.Simulation.Run(measured)
+	b.ReportMetric(time.Since(began).Seconds()/count/measured.Seconds()*100, "with-encode-core-%/node")
+	reportTraffic(b, fleet)
+	reportAges(b, fleet)
+}
+
 func heap() uint64 {
 	runtime.GC()
 	var stats runtime.MemStats
@@ -149,14 +159,17 @@
 }
 
 func reportTraffic(b *testing.B, fleet *Membership) {
-	sum, most, exchanges := 0.0, 0.0, 0
+	sum, most, exchanges, count := 0.0, 0.0, 0, 0.0
 	for _, member := range fleet.Members {
+		if member.Node.Role == api.RoleSidecar {
+			continue
+		}
+		count++
 		bytes := fleet.BytesPerSecond(member, measured)
 		sum += bytes
 		most = max(most, bytes)
 		exchanges += member.Traffic.Exchanges + member.Traffic.Answered
 	}
-	count := float64(len(fleet.Members))
 	b.ReportMetric(sum/count, "B/s/node")
 	b.ReportMetric(most, "B/s/busiest")
 	b.ReportMetric(float64(exchanges)/count/measured.Seconds(), "exchanges/s/node")
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -89,6 +89,7 @@
 	zones    map[api.Location]*zoneEntry
 	queue    *updateQueue
 	stamp    uint64 // grows with each change, for observers' cursors
+	urgent   uint64 // stamp of the node's own last urgent change
 	ticks    int
 	lastTick time.Time
 
@@ -110,7 +111,8 @@
 type entry struct {
 	record  Record
 	since   time.Time // when the status began
-	stamp   uint64
+	stamp   uint64    // of the last change
+	urgent  uint64    // of the last change that was more than a load
 	changed time.Time // when the record last changed
 	refused bool      // a suspect whose process does not listen
 }
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -74,7 +74,8 @@
 	urgent := next.Status != known.record.Status ||
 		next.Node.Incarnation != known.record.Node.Incarnation ||
 		next.Node.Leaving != known.record.Node.Leaving ||
-		next.Node.TableRevision != known.record.Node.TableRevision
+		next.Node.TableRevision != known.record.Node.TableRevision ||
+		!sameOffers(next.Node.Summary.Services, known.record.Node.Summary.Services)
 	var actions []Action
 	if next.Status == StatusDead && known.record.Status != StatusDead {
 		actions = append(actions, Died{Node: next.Node.ID, Leaving: next.Node.Leaving})
@@ -95,6 +96,9 @@
 	}
 	m.stamp++
 	known.record, known.stamp, known.changed = record, m.stamp, now
+	if urgent {
+		known.urgent = m.stamp
+	}
 	m.queue.put(record.Node.ID, urgent)
 	if record.Status == StatusDead {
 		delete(m.leaving, record.Node.ID)
@@ -177,11 +181,15 @@
 	if !leaves && !newRevision && message.Leaving == m.self.Leaving && reflect.DeepEqual(summary, m.self.Summary) {
 		return nil
 	}
+	newOffers := !sameOffers(summary.Services, m.self.Summary.Services)
 	summary.Sequence++
 	m.self.Leaving = message.Leaving
 	m.self.TableRevision = max(message.TableRevision, m.self.TableRevision)
 	m.self.Summary = summary
 	m.stamp++
+	if leaves || newRevision || newOffers {
+		m.urgent = m.stamp
+	}
 	actions := []Action{ViewChanged{}}
 	switch {
 	case m.observer:
@@ -194,10 +202,20 @@
 	case newRevision:
 		actions = append(actions, m.push(m.settings.IndirectProbes)...)
 		actions = append(actions, m.publishNow(now)...)
+	case newOffers:
+		actions = append(actions, m.push(m.settings.IndirectProbes)...)
 	}
 	return actions
 }
 
+// sameOffers tells whether two loads are of the same rows with workers, the
+// rows in the same order.
+func sameOffers(a, b []api.ServiceSummary) bool {
+	return slices.EqualFunc(a, b, func(a, b api.ServiceSummary) bool {
+		return a.Key() == b.Key() && (a.Workers > 0) == (b.Workers > 0)
+	})
+}
+
 // stop tells some members that the node is gone.
 func (m *Machine) stop() []Action {
 	if m.observer {
--- a/membership/messages.go
+++ b/membership/messages.go
@@ -85,6 +85,9 @@
 	Source api.NodeID `json:"source,omitempty"`
 	Life   uint64     `json:"life,omitempty"`
 	After  uint64     `json:"after,omitempty"`
+	// Brief asks for urgent changes only: of status, leaving mark and table
+	// revision. The cursor stays.
+	Brief bool `json:"brief,omitempty"`
 }
 
 // Cursor is where an observer's next question goes on.
--- a/membership/observer.go
+++ b/membership/observer.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// loadTicks is how often, in ticks, an observer asks for loads too: they are
+// most of the bytes, while a leaving mark must come within one interval.
+const loadTicks = 3
+
 // observe asks the source for what has changed. An observer keeps to one source
 // while that answers and stays, so that only changes travel.
 func (m *Machine) observe() []Action {
@@ -19,6 +23,7 @@
 		return nil
 	}
 	cursor := m.cursor
+	cursor.Brief = cursor.Source != "" && m.ticks%loadTicks != 0
 	exchange := Exchange{From: m.self.ID, Location: m.self.Location, Observe: &cursor}
 	return []Action{Send{Address: m.source.Address, Peer: m.source.ID, Purpose: PurposeObserve, Exchange: exchange}}
 }
@@ -87,11 +92,30 @@
 	if !known {
 		after = 0
 	}
+	if known && observe.Brief {
+		reply.Updates = m.urgentRecords(after)
+		reply.Cursor = &Cursor{Life: life, Stamp: after}
+		return
+	}
 	reply.Updates = m.records(after)
 	reply.Zones = m.zonesWhere(func(zone *zoneEntry) bool { return zone.stamp > after })
 	reply.Cursor = &Cursor{Life: life, Stamp: m.stamp, Reset: !known}
 }
 
+// urgentRecords gives what changed after the stamp in more than its load.
+func (m *Machine) urgentRecords(after uint64) []Record {
+	var records []Record
+	if m.urgent > after {
+		records = append(records, m.selfRecord())
+	}
+	for _, id := range sortedKeys(m.entries) {
+		if e := m.entries[id]; e.urgent > after {
+			records = append(records, wireRecord(e.record))
+		}
+	}
+	return records
+}
+
 // observed takes the source's answer.
 func (m *Machine) observed(now time.Time, message Answered) []Action {
 	exchange := message.Exchange
