--- a/internal/store/cluster_test.go
+++ b/internal/store/cluster_test.go
@@ -130,7 +130,9 @@
 
 func (m *testMachine) hooks() hooks {
 	h := m.cluster.hooks
-	h.synced = m.keep
+	if !h.skipCopy {
+		h.synced = m.keep
+	}
 	h.cut = m.cut.Load
 	h.wrap = m.wrap
 	return h
--- a/internal/store/database_test.go
+++ b/internal/store/database_test.go
@@ -46,7 +46,7 @@
 	return folder, raw[:used]
 }
 
-func writeTestEntries(t *testing.T, database *database, first, count uint64) {
+func writeTestEntries(t testing.TB, database *database, first, count uint64) {
 	t.Helper()
 	persist := replication.Persist{HardState: &replication.HardState{Term: 1}}
 	for index := first; index < first+count; index++ {
--- a/internal/store/hooks.go
+++ b/internal/store/hooks.go
@@ -12,6 +12,7 @@
 	skipVerify bool                  // fault: serve without reading the file at start
 	identity   replication.ReplicaID // fault: a new disk takes this identity
 	syncEach   bool                  // no group commit, to measure against
+	skipCopy   bool                  // of tests' disks, for benchmarks
 	synced     func()                // after each sync, before what depends on it
 	writeError func() error          // before each write
 	cut        func() bool           // while true no message leaves
--- /dev/null
+++ b/placement/groups_test.go
@@ -0,0 +1,136 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/replication"
+)
+
+func testStores(count, zones int) []Store {
+	var stores []Store
+	for i := range count {
+		stores = append(stores, Store{
+			Replica:  replication.ReplicaID(fmt.Sprintf("replica-%d", i)),
+			Location: api.Location{Zone: api.ZoneName(fmt.Sprintf("zone-%d", i%zones))},
+		})
+	}
+	return stores
+}
+
+func TestFirstMembersTakeDifferentZones(t *testing.T) {
+	stores := testStores(9, 3)
+	for group := range api.GroupID(50) {
+		members, ok := FirstMembers(group, stores, 3)
+		if !ok {
+			t.Fatal("nine stores are not enough for three replicas")
+		}
+		zones := map[api.ZoneName]bool{}
+		for _, store := range stores {
+			if slices.Contains(members.Voters, store.Replica) {
+				zones[store.Location.Zone] = true
+			}
+		}
+		if len(zones) != 3 {
+			t.Fatalf("group %d has its replicas %v in %d zones", group, members.Voters, len(zones))
+		}
+	}
+	if _, ok := FirstMembers(0, stores[:2], 3); ok {
+		t.Fatal("two stores gave three replicas")
+	}
+}
+
+type nextChange func(GroupView) (replication.Members, bool)
+
+// replaceAll follows the changes until there is none and gives the first broken
+// invariant: one replica a step, never fewer voters or fewer healthy ones than
+// before, and in the end as many healthy voters as wanted or as there are.
+func replaceAll(next nextChange, view GroupView, lost map[replication.ReplicaID]bool) error {
+	view.Lost = func(replica replication.ReplicaID) bool { return lost[replica] }
+	healthy := func(members replication.Members) int {
+		return len(filter(members.Voters, func(id replication.ReplicaID) bool { return !lost[id] }))
+	}
+	floor := min(len(view.Members.Voters), view.Replicas)
+	for range 40 {
+		members, ok := next(view)
+		if !ok {
+			spare := len(takesReplica(view.Stores, view.Members.Voters))
+			if healthy(view.Members) < view.Replicas && spare > 0 {
+				return fmt.Errorf("it stopped at %v with %d spare stores", view.Members, spare)
+			}
+			return nil
+		}
+		if len(members.Voters) < floor {
+			return fmt.Errorf("%v has fewer than %d voters", members, floor)
+		}
+		if healthy(members) < min(healthy(view.Members), view.Replicas) {
+			return fmt.Errorf("%v has fewer healthy voters than %v", members, view.Members)
+		}
+		if difference := changedReplicas(view.Members, members); difference != 1 {
+			return fmt.Errorf("from %v to %v %d replicas changed", view.Members, members, difference)
+		}
+		view.Members = members
+	}
+	return fmt.Errorf("no end in sight at %v", view.Members)
+}
+
+func changedReplicas(from, to replication.Members) int {
+	role := func(members replication.Members, id replication.ReplicaID) int {
+		switch {
+		case slices.Contains(members.Voters, id):
+			return 2
+		case slices.Contains(members.Learners, id):
+			return 1
+		}
+		return 0
+	}
+	all := slices.Concat(from.Voters, from.Learners, to.Voters, to.Learners)
+	slices.Sort(all)
+	count := 0
+	for _, id := range slices.Compact(all) {
+		if role(from, id) != role(to, id) {
+			count++
+		}
+	}
+	return count
+}
+
+func TestReplacementNeverThinsTheGroup(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		replicas := rapid.SampledFrom([]int{1, 3, 5}).Draw(t, "replicas")
+		stores := testStores(rapid.IntRange(replicas, replicas+4).Draw(t, "stores"), 3)
+		members, _ := FirstMembers(0, stores, replicas)
+		lost := map[replication.ReplicaID]bool{}
+		for _, voter := range members.Voters[1:] {
+			if len(lost) < replicas/2 && rapid.Bool().Draw(t, "lost") {
+				lost[voter] = true
+			}
+		}
+		live := slices.DeleteFunc(slices.Clone(stores), func(store Store) bool { return lost[store.Replica] })
+		view := GroupView{Self: members.Voters[0], Members: members, Stores: live, Replicas: replicas}
+		if err := replaceAll(NextChange, view, lost); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// A replacement that first removes the lost replica must be caught.
+func TestRemovingFirstIsCaught(t *testing.T) {
+	removeFirst := func(view GroupView) (replication.Members, bool) {
+		if lost := filter(view.Members.Voters, view.Lost); len(lost) > 0 {
+			return view.without(lost[0]), true
+		}
+		return NextChange(view)
+	}
+	stores := testStores(4, 3)
+	members, _ := FirstMembers(0, stores, 3)
+	lost := map[replication.ReplicaID]bool{members.Voters[1]: true}
+	view := GroupView{Self: members.Voters[0], Members: members, Stores: stores, Replicas: 3}
+	if replaceAll(removeFirst, view, lost) == nil {
+		t.Fatal("the check can't fail")
+	}
+}
