Bound how long a stopping router waits for its reports

Cause: when the stores stopped too, a router waited the whole stop timeout of 10 minutes for a leader to take its last batch reports; found by the fleet tests on three stores, one of which hung. Change: items that run still have the stop timeout, reports 5 s after the last of them, none when every store leaves. Conclusion: an unreported repeatable item runs again, another ends as unknown.

--- a/internal/router/batch.go
+++ b/internal/router/batch.go
@@ -23,6 +23,7 @@
 	batchTickIdle     = 50 * time.Millisecond  // otherwise
 	storeCallTimeout  = 10 * time.Second       // without the wait of a claim
 	stopPollInterval  = 20 * time.Millisecond  // while a planned stop waits
+	reportTimeout     = 5 * time.Second        // of a planned stop, once nothing runs
 	leadersOfViewLate = 100 * time.Millisecond // a view is told at most this often
 )
 
@@ -97,19 +98,39 @@
 	}
 }
 
-// awaitReports lets what runs end and be reported, within the stop timeout.
+// awaitReports lets what runs end, within the stop timeout, and be reported,
+// within a shorter one: the stores may be stopping too.
 func (b *batch) awaitReports() {
 	deadline := time.Now().Add(b.router.node.Settings.Node.StopTimeout)
+	reported := time.Now().Add(reportTimeout)
 	for idle := false; !idle && time.Now().Before(deadline); {
 		b.shell.Tell(jobs.Leaders{Groups: leaders(b.router.node.Nodes())})
 		b.shell.Tell(jobs.RunnerTick{})
-		if b.shell.Inspect(func() { idle = b.runner.Idle() }) != nil {
+		running := false
+		if b.shell.Inspect(func() { idle, running = b.runner.Idle(), b.runner.Running() }) != nil {
+			return
+		}
+		if running {
+			reported = time.Now().Add(reportTimeout)
+		}
+		if !running && (time.Now().After(reported) || !storeStays(b.router.node.Nodes())) {
+			b.router.log.Warn("No store took the last batch reports; their items run again or end as unknown.")
 			return
 		}
 		time.Sleep(stopPollInterval)
 	}
 }
 
+// storeStays tells whether a store is there that is not stopping itself.
+func storeStays(nodes []api.Node) bool {
+	for _, node := range nodes {
+		if node.Role == api.RoleStore && !node.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // leaders finds each group's leader in a view: the one with the highest term.
 func leaders(nodes []api.Node) []jobs.GroupLeader {
 	found := map[api.GroupID]jobs.GroupLeader{}
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -128,6 +128,16 @@
 	return len(r.runs) == 0
 }
 
+// Running tells whether a worker may be at work on an item.
+func (r *Runner) Running() bool {
+	for _, held := range r.runs {
+		if held.state == runLaunching || held.state == runRunning {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *Runner) setLeaders(now time.Time, leaders []GroupLeader) {
 	for _, leader := range leaders {
 		group := r.group(leader.Group)
