--- a/internal/store/group.go
+++ b/internal/store/group.go
@@ -65,6 +65,7 @@
 	proposals map[uint64]chan answer // by token, until the index is known
 	waiting   map[uint64]proposal    // by log index
 	reads     readRounds
+	shares    *shareOwner // guards itself
 }
 
 func newGroup(system *actor.ActorSystem, shared parts, id api.GroupID) (*group, error) {
@@ -76,7 +77,7 @@
 	g := &group{
 		parts: shared, id: id, origin: restored.origin,
 		state:     newState(shared.database, id, restored.applied),
-		proposals: map[uint64]chan answer{}, waiting: map[uint64]proposal{},
+		proposals: map[uint64]chan answer{}, waiting: map[uint64]proposal{}, shares: newShareOwner(),
 	}
 	g.installed.Store(restored.applied.Generation)
 	if g.jobs, err = jobs.OpenState(g.state); err != nil {
--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -27,6 +27,7 @@
 	s.handle("POST", "claims", serveClaims)
 	s.handle("POST", "settle", serveSettle)
 	s.handle("POST", "renewals", serveRenew)
+	s.handle("POST", "shares", serveShares)
 	s.handle("GET", "jobs", linearisable(serveJobs))
 	s.handle("GET", "jobs/{id}", linearisable(serveJob))
 	s.handle("GET", "jobs/{id}/results", linearisable(serveResults))
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -16,6 +16,7 @@
 
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/internal/node"
+	"github.com/dykewing/dykewing/quota"
 	"github.com/dykewing/dykewing/replication"
 	"github.com/dykewing/dykewing/table"
 )
@@ -131,14 +132,17 @@
 	}
 	if snapshot := s.node.Table(); snapshot != nil {
 		group.setServices(snapshot.Services())
+		group.shares.step(quota.Bounds{Rows: ceilingsOf(snapshot)})
 	}
 	s.groups[id] = group
 	return nil
 }
 
 func (s *Store) tableChanged(snapshot *table.Snapshot) {
+	ceilings := ceilingsOf(snapshot)
 	for _, group := range s.list() {
 		group.setServices(snapshot.Services())
+		group.shares.step(quota.Bounds{Rows: ceilings})
 	}
 }
 
--- a/quota/owner_row.go
+++ b/quota/owner_row.go
@@ -116,7 +116,8 @@
 		return 0
 	}
 	if wanted > ceiling {
-		return max(ceiling*want/wanted, min(want, 1))
+		// Rounded up, so that nothing is left over; what is free bounds it.
+		return (ceiling*want + wanted - 1) / wanted
 	}
 	return want + (ceiling-wanted)/max(wanting, 1)
 }
