--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -61,12 +61,12 @@
 	reached    atomic.Bool    // a peer has answered
 	lastWork   atomic.Int64   // when a request of the data path last came, in Unix nanoseconds
 	finished   sync.Once
+	settled    atomic.Bool // see Settled
 
 	unreachedLogged atomic.Bool
 	snapshot        atomic.Pointer[table.Snapshot]
 	tableMetrics    *tableMetrics
 	leaving         atomic.Bool
-	settled         atomic.Bool
 	summary         func() api.Summary
 	mutex           sync.Mutex // guards the callbacks
 	onView          []func([]api.Node)
@@ -195,9 +195,10 @@
 func (n *Node) Run(ctx, kill context.Context) error {
 	n.membership = shell.Start(n.System, n.machine, n.executeMembership)
 	n.replica = shell.Start(n.System, table.NewReplica(), n.executeTable)
-	n.server = &http.Server{Handler: n.drainable(n.Mux), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maximumHeaderBytes}
+	n.server = &http.Server{Handler: n.Mux, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maximumHeaderBytes}
 	background, stopBackground := context.WithCancel(kill)
 	defer stopBackground()
+	n.server.Handler = n.drainable(n.server.Handler)
 	n.background.Go(func() { n.heartbeat(background) })
 	n.background.Go(func() { n.watchTable(background) })
 	failed := make(chan error, 1)
