--- a/membership/observer.go
+++ b/membership/observer.go
@@ -40,9 +40,6 @@
 	if m.source.Address == "" {
 		return false
 	}
-	if m.sourceIsSeed && len(m.candidates()) > 0 {
-		return false // all have the same few seeds: they are asked once
-	}
 	if e, ok := m.entries[m.source.ID]; ok && e.record.Node.Leaving {
 		return len(m.candidates()) == 0
 	}
@@ -84,9 +81,7 @@
 	if len(candidates) == 0 {
 		return Contact{}
 	}
-	chosen := candidates[m.settings.Random.IntN(len(candidates))]
-	m.sourceIsSeed = chosen.ID == ""
-	return chosen
+	return candidates[m.settings.Random.IntN(len(candidates))]
 }
 
 // answerObserve adds what changed after the cursor.
