--- a/cmd/dykewingsim/scale.go
+++ b/cmd/dykewingsim/scale.go
@@ -81,29 +81,29 @@
 	return nil
 }
 
+// runs gives the sizes in order; slopes are fitted against the first one.
 func (f *scaleFlags) runs() ([]scale.Options, error) {
+	var sizes []scale.Size
+	for text := range strings.SplitSeq(f.nodes, ",") {
+		if f.nodes == "" {
+			break
+		}
+		nodes, err := strconv.Atoi(text)
+		if err != nil || nodes < 1 {
+			return nil, fmt.Errorf("read --nodes: %q is not a number of nodes", text)
+		}
+		sizes = append(sizes, f.size.WithNodes(nodes))
+	}
+	sizes = append(sizes, f.size)
 	var runs []scale.Options
-	add := func(options scale.Options, size scale.Size) {
+	for _, size := range sizes {
+		options := f.options
 		options.Size = size
 		runs = append(runs, options)
 	}
-	if f.nodes != "" {
-		for _, text := range strings.Split(f.nodes, ",") {
-			nodes, err := strconv.Atoi(text)
-			if err != nil || nodes < 1 {
-				return nil, fmt.Errorf("read --nodes: %q is not a number of nodes", text)
-			}
-			add(f.options, f.size.WithNodes(nodes))
-		}
-	}
 	if f.sweep {
-		smallest := f.size
-		if len(runs) > 0 {
-			smallest = runs[0].Size
-		}
-		runs = append(runs, scale.Sweep(f.options, smallest)...)
+		runs = append(runs, scale.Sweep(f.options, sizes[0])...)
 	}
-	add(f.options, f.size)
 	return runs, nil
 }
 
--- a/internal/scale/run_test.go
+++ b/internal/scale/run_test.go
@@ -98,3 +98,29 @@
 		t.Errorf("workers are in %d zones", len(counts))
 	}
 }
+
+// TestSlopesAreFittedForEachSweptSize holds that a sweep gives a line for each
+// size that it varies, and none where another size varies too.
+func TestSlopesAreFittedForEachSweptSize(t *testing.T) {
+	base := DefaultOptions(smallOptions().Size)
+	var results []Result
+	for _, options := range append([]Options{base}, Sweep(base, base.Size)...) {
+		role := RoleResult{Role: api.RoleRouter, Sent: 100 + 3*float64(options.Size.Workers) + 5*float64(options.Jobs)}
+		results = append(results, Result{Size: options.Size, Jobs: options.Jobs, Items: options.ItemsOfJob, Roles: []RoleResult{role}})
+	}
+	perUnit := map[string]float64{}
+	for _, slope := range slopes(results) {
+		if slope.What == "router sent bytes/s" {
+			perUnit[slope.Of] = slope.PerUnit
+		}
+	}
+	want := map[string]float64{"workers": 3, "services": 0, "tenants": 0, "jobs": 5, "items of a job": 0}
+	for size, expected := range want {
+		if got, ok := perUnit[size]; !ok || got < expected-0.001 || got > expected+0.001 {
+			t.Errorf("slope over %s is %v (%v), want %v", size, got, ok, expected)
+		}
+	}
+	if len(perUnit) != len(want) {
+		t.Errorf("slopes over %v", perUnit)
+	}
+}
