--- a/admission/admission.go
+++ b/admission/admission.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/quota"
 	"github.com/dykewing/dykewing/routing"
 )
 
@@ -20,6 +21,9 @@
 	RetryAfter time.Duration
 	// Reserve is the share of a worker's slots that batch leaves free, 0 to 1.
 	Reserve float64
+	// Ceilings holds this router's shares of the rows' ceilings; nil bounds each
+	// router by itself.
+	Ceilings *quota.Holder
 	// Prefix bounds what is known of workers' prefix caches; zero is
 	// routing.DefaultPrefixSettings.
 	Prefix routing.PrefixSettings
@@ -181,7 +185,10 @@
 		return actions
 	case Rows:
 		m.setRows(message.Rows)
+		m.setCeilings(now, message.Rows)
 		m.shareAllowances()
+	case Ceiling:
+		return m.stepCeilings(now, message)
 	case Load:
 		return m.report(now, message)
 	case Arrive:
@@ -206,16 +213,17 @@
 	if !ok || !row.inTable {
 		return m.refuse(request, api.CodeUnknownService, 0, "no row %s in the table", key)
 	}
-	if ceiling := row.row.CeilingConcurrency; ceiling > 0 && row.inUse >= ceiling {
-		return m.refuse(request, api.CodeCeiling, m.settings.RetryAfter, "row %s has %d requests in flight", key, row.inUse)
-	}
 	if _, running := m.flights[request.ID]; running {
 		return m.refuse(request, api.CodeNoCapacity, m.settings.RetryAfter, "request %s is still in flight here", request.ID)
 	}
+	preempted, refusal := m.checkCeiling(now, request, row)
+	if refusal != nil {
+		return refusal
+	}
 	if request.Class == api.ClassBatch {
 		return m.arriveBatch(now, request, row)
 	}
-	return m.arriveOnline(now, request, row)
+	return append(preempted, m.arriveOnline(now, request, row)...)
 }
 
 // arriveOnline sends at once where a worker is left. Batch is preempted in
@@ -261,6 +269,7 @@
 	m.prefix.Sent(now, worker.worker.ID, request.Prefix)
 	m.flights[request.ID] = flight
 	row.inUse++
+	m.takeCeiling(now, row)
 	worker.add(flight)
 	return flight.dispatch()
 }
@@ -292,6 +301,7 @@
 func (m *Machine) finish(flight *flight) {
 	delete(m.flights, flight.request)
 	flight.row.inUse--
+	m.releaseCeiling(flight.row)
 	if m.settings.Filling.Fault != FaultLeakSlot || flight.class == api.ClassOnline {
 		flight.worker.drop(flight)
 	}
--- a/admission/room.go
+++ b/admission/room.go
@@ -118,7 +118,7 @@
 	if m.settings.Filling.Fault == FaultIgnoreAllowance {
 		return total
 	}
-	return min(total, max(row.allowance-row.batchUse, 0))
+	return m.ceilingRoom(now, row, min(total, max(row.allowance-row.batchUse, 0)))
 }
 
 func (m *Machine) endpointsWithRoom(now time.Time, row *rowState) []routing.Endpoint {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -75,6 +75,7 @@
 	router.machine = admission.NewMachine(admission.Settings{
 		Online: routing.OnlineProfile(common.Settings.Node.Location(), newRandom()), Batch: routing.BatchProfile(newRandom()),
 		RetryAfter: refusalRetryAfter, Reserve: common.Settings.Router.BatchReserve,
+		Ceilings: newHolder(common),
 	})
 	router.admission = shell.Start(common.System, router.machine, router.execute)
 	router.homes = placement.NewHomes(common.ID())
@@ -103,6 +104,7 @@
 	}
 	group.Go(func() { r.pollLoads(ctx) })
 	group.Go(func() { r.pullBatch(ctx) })
+	group.Go(func() { r.reportShares(ctx) })
 	group.Wait()
 }
 
--- a/internal/store/hooks.go
+++ b/internal/store/hooks.go
@@ -9,8 +9,10 @@
 // hooks are planted faults and observations of tests; the zero value is none.
 type hooks struct {
 	skipSync   bool                  // fault: acknowledge without a sync
+	skipVerify bool                  // fault: serve without reading the file at start
 	identity   replication.ReplicaID // fault: a new disk takes this identity
 	syncEach   bool                  // no group commit, to measure against
+	skipCopy   bool                  // of tests' disks, for benchmarks
 	synced     func()                // after each sync, before what depends on it
 	writeError func() error          // before each write
 	cut        func() bool           // while true no message leaves
