--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"syscall"
 	"time"
 
 	"github.com/dykewing/dykewing/membership"
@@ -51,18 +53,28 @@
 	case membership.ViewChanged:
 		n.publishView()
 	case membership.Died:
-		n.Logger("membership").WithField("peer", action.Node).Warn("A peer is taken for dead.")
+		n.logDeath(action)
 	case membership.DuplicateID:
 		n.Logger("membership").WithField("peer", action.Address).
 			Errorf("Another process runs under the id %s; give each its own.", n.ID())
 	}
 }
 
+func (n *Node) logDeath(died membership.Died) {
+	entry := n.Logger("membership").WithField("peer", died.Node)
+	if died.Leaving {
+		entry.Info("A peer that was leaving is gone.")
+		return
+	}
+	entry.Warn("A peer is taken for dead.")
+}
+
 func (n *Node) publishView() {
 	nodes := n.machine.Nodes()
 	zones := n.machine.Zones()
 	n.view.Store(&nodes)
 	n.zones.Store(&zones)
+	n.settled.Store(n.machine.Settled())
 	n.mutex.Lock()
 	callbacks := n.onView
 	n.mutex.Unlock()
@@ -79,7 +91,7 @@
 	answer, err := postExchange(ctx, n.gossip, send)
 	if err != nil {
 		n.noteUnreachable(send, err)
-		n.membership.Tell(membership.Unreachable{Sent: send})
+		n.membership.Tell(membership.Unreachable{Sent: send, Refused: errors.Is(err, syscall.ECONNREFUSED)})
 		return
 	}
 	n.reached.Store(true)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -60,6 +59,9 @@
 	sends      sync.WaitGroup // heartbeats on their way
 	reportNow  chan struct{}  // asks for a report before the next interval
 	reached    atomic.Bool    // a peer has answered
+	lastWork   atomic.Int64   // when a request of the data path last came, in Unix nanoseconds
+	finished   sync.Once
+	settled    atomic.Bool // see Settled
 
 	unreachedLogged atomic.Bool
 	snapshot        atomic.Pointer[table.Snapshot]
@@ -69,6 +71,7 @@
 	mutex           sync.Mutex // guards the callbacks
 	onView          []func([]api.Node)
 	onTable         []func(*table.Snapshot)
+	onLeave         []func()
 	background      sync.WaitGroup
 	incarnation     uint64
 }
@@ -101,6 +104,7 @@
 	})
 	node.view.Store(&[]api.Node{node.self()})
 	node.zones.Store(&[]membership.ZoneSummary{})
+	node.settled.Store(node.machine.Settled())
 	node.OnTable(func(*table.Snapshot) { node.ReportNow() })
 	node.routes()
 	return node, nil
@@ -131,6 +135,10 @@
 // Zones are the summaries of the known zones.
 func (n *Node) Zones() []membership.ZoneSummary { return *n.zones.Load() }
 
+// Settled is false while a starting node knows of no member that it has joined:
+// it must not act on what it alone knows.
+func (n *Node) Settled() bool { return n.settled.Load() }
+
 // Table is the table in force; nil before the first.
 func (n *Node) Table() *table.Snapshot { return n.snapshot.Load() }
 
@@ -190,6 +198,7 @@
 	n.server = &http.Server{Handler: n.Mux, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maximumHeaderBytes}
 	background, stopBackground := context.WithCancel(kill)
 	defer stopBackground()
+	n.server.Handler = n.drainable(n.server.Handler)
 	n.background.Go(func() { n.heartbeat(background) })
 	n.background.Go(func() { n.watchTable(background) })
 	failed := make(chan error, 1)
@@ -197,6 +206,7 @@
 	n.Logger("node").Infof("Serving on %s.", n.Address())
 	select {
 	case err := <-failed:
+		n.end(stopBackground)
 		return fmt.Errorf("serve on %s: %w", n.Address(), err)
 	case <-ctx.Done():
 	case <-kill.Done():
@@ -204,37 +214,10 @@
 	return n.stop(kill, stopBackground)
 }
 
-func (n *Node) stop(kill context.Context, stopBackground func()) error {
-	n.leaving.Store(true)
-	n.Logger("node").Info("Leaving: finishing what runs.")
-	deadline, cancel := context.WithTimeout(kill, n.Settings.Node.StopTimeout)
-	defer cancel()
-	n.announce(deadline)
-	err := n.server.Shutdown(deadline)
-	if err != nil {
-		n.server.Close()
-	}
-	stopBackground()
-	n.background.Wait()
-	n.membership.Stop()
-	n.replica.Stop()
-	if err != nil && !errors.Is(err, context.Canceled) {
-		return fmt.Errorf("planned stop: %w", err)
-	}
-	return nil
-}
-
-// announce spreads the leaving mark for some heartbeats before connections
-// close, so that peers stop sending.
-func (n *Node) announce(ctx context.Context) {
-	const heartbeats = 3
-	select {
-	case <-time.After(heartbeats * n.Settings.Membership.Interval):
-	case <-ctx.Done():
-	}
-}
-
 func newActorSystem() *actor.ActorSystem {
 	silent := func(*actor.ActorSystem) *slog.Logger { return slog.New(slog.DiscardHandler) }
-	return actor.NewActorSystem(actor.WithLoggerFactory(silent))
+	// A message to an actor that has stopped starts a goroutine of the library
+	// that lives this long; nothing is logged at its end.
+	const deadLetterInterval = 10 * time.Millisecond
+	return actor.NewActorSystem(actor.WithLoggerFactory(silent), actor.WithDeadLetterThrottleInterval(deadLetterInterval))
 }
