--- a/internal/sidecar/homes.go
+++ b/internal/sidecar/homes.go
@@ -77,10 +77,10 @@
 // homeProfile chooses a home router by the summaries, which are old: two
 // choices keep many sidecars from all taking the same. The endpoints given to
 // it are of one row and stay.
-func homeProfile(self api.Location, random *rand.Rand) routing.Profile {
+func homeProfile(self api.Location, random *rand.Rand, avoided *avoidance) routing.Profile {
 	return routing.Profile{
 		Name:    "home",
-		Filters: []routing.Filter{routing.NotTriedFilter{}},
+		Filters: []routing.Filter{routing.NotTriedFilter{}, avoided},
 		Scorers: []routing.WeightedScorer{
 			{Scorer: routing.LoadScorer{}, Weight: 2},
 			{Scorer: routing.ZoneScorer{Self: self}, Weight: 0.25},
@@ -90,13 +90,16 @@
 }
 
 // chooseHome draws a place by weight and a home router in it; places without
-// one are left out. When all homes have failed, they are tried again.
+// one are left out. When all homes have failed or are avoided, all are tried
+// again.
 func (s *Sidecar) chooseHome(routed *routing.Request) (routing.Endpoint, *api.Error) {
 	const step = "choose router"
-	endpoint, ok := s.drawHome(routed)
-	if !ok && len(routed.Excluded) > 0 {
+	endpoint, ok := s.drawHome(routed, s.profile)
+	if !ok {
+		everyHome := s.profile
+		everyHome.Filters = nil
 		routed.Excluded = nil
-		endpoint, ok = s.drawHome(routed)
+		endpoint, ok = s.drawHome(routed, everyHome)
 	}
 	if ok {
 		return endpoint, nil
@@ -106,7 +109,7 @@
 	return routing.Endpoint{}, failure
 }
 
-func (s *Sidecar) drawHome(routed *routing.Request) (routing.Endpoint, bool) {
+func (s *Sidecar) drawHome(routed *routing.Request, profile routing.Profile) (routing.Endpoint, bool) {
 	rows := s.table.Load().Service(routed.Service)
 	homes := s.homes.Load()
 	for len(rows) > 0 {
@@ -115,7 +118,7 @@
 			break
 		}
 		routed.Place = row.Place
-		if endpoint, ok := s.profile.Choose(*routed, homes.byRow[row.Key()]); ok {
+		if endpoint, ok := profile.Choose(*routed, homes.byRow[row.Key()]); ok {
 			endpoint.Sent.Add(1)
 			return endpoint, true
 		}
--- a/internal/sidecar/online.go
+++ b/internal/sidecar/online.go
@@ -142,6 +142,7 @@
 	}
 	response, failure := transport.Send(s.online, outgoing, step, home.Name)
 	if failure != nil {
+		s.avoided.note(home.Name, failure)
 		return nil, at, failure
 	}
 	at.worker = response.Header.Get(api.HeaderWorker)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -50,6 +50,7 @@
 	homes    atomic.Pointer[homeIndex]
 	random   *rand.Rand      // of globalSource: safe side by side
 	profile  routing.Profile // likewise
+	avoided  *avoidance
 
 	table atomic.Pointer[table.Snapshot]
 
@@ -83,8 +84,9 @@
 		bodies:  &transport.BodyBudget{Total: maximumHeldBytes, Each: common.Settings.Sidecar.MaximumBodyBytes, Timeout: bodyTimeout},
 		random:  random,
 		policy:  retry.NewPolicy(retry.DefaultSettings(), random),
-		profile: homeProfile(common.Settings.Node.Location(), random),
+		avoided: &avoidance{},
 	}
+	sidecar.profile = homeProfile(common.Settings.Node.Location(), random, sidecar.avoided)
 	sidecar.holder = common.Address()
 	sidecar.setHomes(common.Nodes())
 	common.OnView(sidecar.setHomes)
