Account shares in sums; shorter reports; no gap when a ceiling is new

Holders report each 600 ms, each 300 ms while they want more. A ceiling that is new in the table is not in force at a router before its first share, at most two lifetimes.

--- a/internal/node/table.go
+++ b/internal/node/table.go
@@ -65,9 +65,10 @@
 }
 
 func (n *Node) followPeers(ctx context.Context) {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	interval := min(maximumPeerInterval, n.Settings.Membership.Interval)
 	for n.pause(ctx, interval) {
-		n.fetchFromPeer(ctx)
+		n.fetchFromPeer(ctx, random)
 	}
 }
 
@@ -82,12 +83,12 @@
 }
 
 // fetchFromPeer asks a peer with a newer revision for what is newer there.
-func (n *Node) fetchFromPeer(ctx context.Context) {
+func (n *Node) fetchFromPeer(ctx context.Context, random *rand.Rand) {
 	own := int64(-1)
 	if snapshot := n.Table(); snapshot != nil {
 		own = snapshot.Revision()
 	}
-	peer, ok := choosePeer(n.Nodes(), n.ID(), n.Settings.Node.Location(), own)
+	peer, ok := table.ChoosePeer(n.Nodes(), n.ID(), n.Settings.Node.Location(), own, random)
 	if !ok {
 		return
 	}
@@ -102,36 +103,3 @@
 	n.tableMetrics.fetches.Inc()
 	n.replica.Tell(table.Received{Delta: delta})
 }
-
-// choosePeer draws one of the nearest peers with a newer revision, so that the
-// few that have it first are not asked by all.
-func choosePeer(nodes []api.Node, self api.NodeID, location api.Location, own int64) (api.Node, bool) {
-	var nearest []api.Node
-	best := -1
-	for _, node := range nodes {
-		if node.ID == self || node.TableRevision <= max(own, 0) {
-			continue
-		}
-		nearness := nearnessOf(node.Location, location)
-		if nearness > best {
-			nearest, best = nearest[:0], nearness
-		}
-		if nearness == best {
-			nearest = append(nearest, node)
-		}
-	}
-	if len(nearest) == 0 {
-		return api.Node{}, false
-	}
-	return nearest[rand.IntN(len(nearest))], true
-}
-
-func nearnessOf(a, b api.Location) int {
-	switch {
-	case a == b:
-		return 2
-	case a.Region == b.Region:
-		return 1
-	}
-	return 0
-}
--- a/internal/scale/claims_test.go
+++ b/internal/scale/claims_test.go
@@ -59,8 +59,8 @@
 		grant := quota.Grant{Epoch: 7, Instance: report.Instance, Sequence: report.Sequence}
 		for model := range rows {
 			key := api.RowKey{Service: size.Service(model), Place: size.Place(0)}
-			report.Rows = append(report.Rows, quota.RowReport{Key: key, Want: 28, InUse: 20, Ended: 99_990, Epoch: 7})
-			grant.Shares = append(grant.Shares, quota.Share{Key: key, Concurrency: 28})
+			report.Rows = append(report.Rows, quota.RowReport{Key: quota.Key(key), Want: 28, InUse: 20, Ended: 99_990, Epoch: 7})
+			grant.Shares = append(grant.Shares, quota.Share{Concurrency: 28})
 		}
 		b.Run(fmt.Sprintf("rows=%d", rows), func(b *testing.B) {
 			for b.Loop() {
--- a/internal/store/quota.go
+++ b/internal/store/quota.go
@@ -72,6 +72,10 @@
 		transport.WriteError(w, failure)
 		return
 	}
+	if err := report.Validate(); err != nil {
+		transport.WriteError(w, api.NewError("read report of shares", "", api.CodeBadRequest, api.OutcomeNotRun, "%w", err))
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), shareTimeout)
 	defer cancel()
 	grant, failure := group.grantShares(ctx, report)
--- /dev/null
+++ b/quota/benchmark_test.go
@@ -0,0 +1,68 @@
+package quota
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/sim"
+)
+
+// BenchmarkReportAndGrant is one report of a router that is home of workers of
+// 15 rows with ceilings, its grant by an owner that knows 670 holders, and the
+// bytes of both.
+func BenchmarkReportAndGrant(b *testing.B) {
+	const routers, rows = 670, 15
+	now := sim.Epoch
+	ceilings := map[api.RowKey]Ceiling{}
+	for i := range rows {
+		ceilings[api.RowKey{Service: api.ServiceName(fmt.Sprintf("model-%d", i)), Place: "region-east-1"}] = Ceiling{Concurrency: 4000, Rate: 3000}
+	}
+	owner := NewOwner(DefaultSettings())
+	owner.Step(now, Bounds{Rows: ceilings})
+	owner.Step(now, Led{Epoch: 1})
+	now = now.Add(5 * time.Second)
+	holders := make([]*Holder, routers)
+	token, size := uint64(0), 0
+	exchange := func(index int) {
+		holder := holders[index]
+		for key := range ceilings {
+			holder.Acquire(now, key)
+		}
+		for _, action := range holder.Step(now, Tick{}) {
+			report := action.(SendReport).Report
+			token++
+			owner.Step(now, Reported{Token: token, Report: report})
+			owner.Step(now, Registered{Epoch: 1, Router: report.Router})
+			for _, action := range owner.Step(now, ConfirmedLeader{Token: token, Epoch: 1}) {
+				if answer, ok := action.(Answer); ok {
+					holder.Step(now, Granted{Grant: answer.Grant})
+					sent, _ := json.Marshal(report)
+					back, _ := json.Marshal(answer.Grant)
+					size = len(sent) + len(back)
+				}
+			}
+		}
+	}
+	for i := range holders {
+		holders[i] = NewHolder(HolderSettings{
+			Settings: DefaultSettings(), Router: api.NodeID(fmt.Sprintf("router-%d", i)), Instance: 1,
+			GroupOf: func(api.RowKey) api.GroupID { return 0 },
+		})
+		holders[i].Step(now, Ceilings{Rows: ceilings})
+	}
+	for round := range 3 {
+		now = sim.Epoch.Add(time.Duration(5+round) * time.Second)
+		for i := range holders {
+			exchange(i)
+		}
+	}
+	b.ResetTimer()
+	for i := range b.N {
+		now = now.Add(time.Millisecond)
+		exchange(i % routers)
+	}
+	b.ReportMetric(float64(size), "bytes/exchange")
+}
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -11,6 +11,9 @@
 // batchReserve: batch leaves one part in so many of a share free.
 const batchReserve = 8
 
+// graceLifetimes bounds how long a new ceiling waits for its first share.
+const graceLifetimes = 2
+
 // HolderMessage is what a Holder is stepped with.
 type HolderMessage interface{ holderMessage() }
 
@@ -58,6 +61,7 @@
 	groups   map[api.GroupID]*reporting
 	sequence uint64
 	sent     []sentReport // of the last Lifetime, oldest first
+	started  bool         // ceilings were set before
 }
 
 type reporting struct {
@@ -69,11 +73,15 @@
 type sentReport struct {
 	sequence uint64
 	at       time.Time
+	keys     []api.RowKey // the report's rows
 }
 
 // holding is what the holder knows of one row.
 type holding struct {
 	ceiling Ceiling
+	// grace: a ceiling that is new in the table is not in force here before the
+	// first share has come or this time has passed.
+	grace   time.Time
 	inUse   int
 	peak    int       // highest need since the last report
 	denied  int       // refusals since the last report
@@ -199,6 +207,9 @@
 // room is how many more requests the share and the tokens allow.
 func (r *holding) room(now time.Time, class api.Class) int {
 	room := math.MaxInt
+	if r.applied == 0 && now.Before(r.grace) {
+		return room
+	}
 	if r.ceiling.Concurrency > 0 {
 		share := r.shareAt(now)
 		room = share - reserve(share, class) - r.inUse
@@ -263,8 +274,14 @@
 func (h *Holder) setCeilings(now time.Time, rows map[api.RowKey]Ceiling) {
 	h.forgetSent(now)
 	for key, ceiling := range rows {
-		h.row(key).ceiling = ceiling
+		row := h.row(key)
+		if h.started && !row.ceiling.Bounded() {
+			row.grace = now.Add(graceLifetimes * h.settings.Lifetime)
+			row.demand = now
+		}
+		row.ceiling = ceiling
 	}
+	h.started = true
 	for key, row := range h.rows {
 		if _, ok := rows[key]; ok {
 			continue
--- a/quota/holder_report.go
+++ b/quota/holder_report.go
@@ -34,22 +34,28 @@
 		Router: h.settings.Router, Instance: h.settings.Instance,
 		Ended: h.oldestOpen() - 1, Epoch: group.epoch,
 	}
+	var reported []api.RowKey
+	interval := h.settings.Interval
 	for _, key := range keys {
 		row := h.rows[key]
+		if row.denied > 0 || (row.ceiling.Concurrency > 0 && row.peak > row.shareAt(now)) {
+			interval = h.settings.ShortInterval
+		}
 		entry := h.rowReport(now, key, row)
 		if entry.empty() && row.asked <= report.Ended {
 			continue
 		}
 		row.asked = h.sequence + 1
 		report.Rows = append(report.Rows, entry)
+		reported = append(reported, key)
 	}
 	if len(report.Rows) == 0 && !group.reported {
 		return nil
 	}
-	group.next, group.reported = now.Add(h.settings.Interval), len(report.Rows) > 0
+	group.next, group.reported = now.Add(interval), len(report.Rows) > 0
 	h.sequence++
 	report.Sequence = h.sequence
-	h.sent = append(h.sent, sentReport{sequence: h.sequence, at: now})
+	h.sent = append(h.sent, sentReport{sequence: h.sequence, at: now, keys: reported})
 	return []HolderAction{SendReport{Group: id, Report: report}}
 }
 
@@ -65,7 +71,7 @@
 
 func (h *Holder) rowReport(now time.Time, key api.RowKey, row *holding) RowReport {
 	row.expire(now)
-	report := RowReport{Key: key, InUse: row.inUse, Ended: h.ended(now, row)}
+	report := RowReport{Key: Key(key), InUse: row.inUse, Ended: h.ended(now, row)}
 	if row.shareAt(now) > 0 {
 		report.Epoch = row.epoch
 	}
@@ -109,10 +115,11 @@
 		return
 	}
 	group.epoch = grant.Epoch
-	sentAt, ok := h.sentAt(grant.Sequence)
-	if !ok || grant.Instance != h.settings.Instance {
+	sent, ok := h.sentReport(grant.Sequence)
+	if !ok || grant.Instance != h.settings.Instance || len(grant.Shares) != len(sent.keys) {
 		return
 	}
+	sentAt := sent.at
 	if h.settings.Fault == FaultExpireFromReceipt {
 		sentAt = now
 	}
@@ -120,9 +127,9 @@
 	if !now.Before(expires) {
 		return
 	}
-	for _, share := range grant.Shares {
-		row, ok := h.rows[share.Key]
-		if !ok || grant.Sequence <= row.applied {
+	for i, share := range grant.Shares {
+		row, ok := h.rows[sent.keys[i]]
+		if !ok || share.Unknown || grant.Sequence <= row.applied {
 			continue
 		}
 		if share.Concurrency < row.shareAt(now) {
@@ -137,11 +144,11 @@
 	}
 }
 
-func (h *Holder) sentAt(sequence uint64) (time.Time, bool) {
+func (h *Holder) sentReport(sequence uint64) (sentReport, bool) {
 	for _, sent := range h.sent {
 		if sent.sequence == sequence {
-			return sent.at, true
+			return sent, true
 		}
 	}
-	return time.Time{}, false
+	return sentReport{}, false
 }
--- /dev/null
+++ b/quota/holder_test.go
@@ -0,0 +1,98 @@
+package quota
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/sim"
+)
+
+func testHolder(now time.Time, rows map[api.RowKey]Ceiling) *Holder {
+	holder := NewHolder(HolderSettings{
+		Settings: DefaultSettings(), Router: "router", Instance: 1,
+		GroupOf: func(api.RowKey) api.GroupID { return 0 },
+	})
+	holder.Step(now, Ceilings{Rows: rows})
+	return holder
+}
+
+func TestRowsWithoutCeilingAreNeverRefused(t *testing.T) {
+	holder := testHolder(sim.Epoch, nil)
+	for range 1000 {
+		if ok, _ := holder.Acquire(sim.Epoch, rowKey); !ok {
+			t.Fatal("refused")
+		}
+	}
+	if actions := holder.Step(sim.Epoch, Tick{}); len(actions) > 0 {
+		t.Errorf("reported %+v", actions)
+	}
+}
+
+// TestStartedRouterHasNoShare: without an owner a ceiling closes; one that is
+// new in the table closes only after the grace.
+func TestStartedRouterHasNoShare(t *testing.T) {
+	ceilings := map[api.RowKey]Ceiling{rowKey: {Concurrency: 5}}
+	if ok, retryAfter := testHolder(sim.Epoch, ceilings).Acquire(sim.Epoch, rowKey); ok || retryAfter <= 0 {
+		t.Errorf("admitted %v, come back after %v", ok, retryAfter)
+	}
+	holder := testHolder(sim.Epoch, nil)
+	holder.Step(sim.Epoch, Ceilings{Rows: ceilings})
+	if ok, _ := holder.Acquire(sim.Epoch, rowKey); !ok {
+		t.Error("a ceiling that is new in the table was in force before its first share")
+	}
+	if ok, _ := holder.Acquire(sim.Epoch.Add(time.Minute), rowKey); ok {
+		t.Error("a ceiling without a share was never in force")
+	}
+}
+
+func TestBatchLeavesRoomInTheShare(t *testing.T) {
+	now := sim.Epoch
+	holder := testHolder(now, map[api.RowKey]Ceiling{rowKey: {Concurrency: 8}})
+	holder.Acquire(now, rowKey)
+	report := holder.Step(now, Tick{})[0].(SendReport).Report
+	holder.Step(now, Granted{Grant: Grant{Epoch: 1, Instance: 1, Sequence: report.Sequence, Shares: []Share{{Concurrency: 8}}}})
+	admitted := 0
+	for ok := true; ok; admitted++ {
+		if ok, _ = holder.Check(now, rowKey, api.ClassBatch); ok {
+			holder.Take(now, rowKey)
+		}
+	}
+	if ok, _ := holder.Acquire(now, rowKey); !ok || admitted-1 != 7 {
+		t.Errorf("batch took %d of 8, online admitted %v", admitted-1, ok)
+	}
+}
+
+func FuzzReportAndGrant(f *testing.F) {
+	f.Add([]byte(`{"router":"r","instance":1,"sequence":1,"epoch":1,"rows":[{"k":"model/east","w":3,"u":2,"d":9}]}`),
+		[]byte(`{"epoch":1,"instance":1,"sequence":1,"shares":[{"c":5}]}`))
+	f.Add([]byte(`{"rows":[{"k":"no-place"}]}`), []byte(`{"shares":[{},{"t":-1}]}`))
+	f.Fuzz(func(t *testing.T, reportBody, grantBody []byte) {
+		now := sim.Epoch
+		owner := NewOwner(DefaultSettings())
+		owner.Step(now, Bounds{Rows: map[api.RowKey]Ceiling{rowKey: {Concurrency: 10, Rate: 10}}})
+		owner.Step(now, Led{Epoch: 1})
+		now = now.Add(time.Minute)
+		var report Report
+		if json.Unmarshal(reportBody, &report) == nil && report.Validate() == nil {
+			owner.Step(now, Registered{Epoch: 1, Router: report.Router})
+			owner.Step(now, Reported{Token: 1, Report: report})
+			for _, action := range owner.Step(now, ConfirmedLeader{Token: 1, Epoch: 1}) {
+				for _, share := range action.(Answer).Grant.Shares {
+					if share.Concurrency < 0 || share.Concurrency > 10 || share.Tokens < 0 {
+						t.Fatalf("granted %+v for %s", share, reportBody)
+					}
+				}
+			}
+		}
+		var grant Grant
+		if json.Unmarshal(grantBody, &grant) == nil {
+			holder := testHolder(now, map[api.RowKey]Ceiling{rowKey: {Concurrency: 10, Rate: 10}})
+			holder.Acquire(now, rowKey)
+			holder.Step(now, Tick{})
+			holder.Step(now, Granted{Grant: grant})
+			holder.Acquire(now, rowKey)
+		}
+	})
+}
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -81,6 +81,7 @@
 	until    time.Time // silent holders' requests count until then
 	bounds   map[api.RowKey]Ceiling
 	holders  map[api.NodeID]*holderState
+	silent   int // holders that were not heard
 	rows     map[api.RowKey]*rowState
 	pending  []Reported // wait for their confirmation, oldest first
 }
@@ -135,6 +136,7 @@
 	for _, router := range led.Holders {
 		o.holders[router] = &holderState{last: now}
 	}
+	o.silent = len(o.holders)
 	return actions
 }
 
@@ -198,11 +200,8 @@
 		return grant
 	}
 	for _, row := range report.Rows {
-		ceiling := o.bounds[row.Key]
-		if !ceiling.Bounded() {
-			continue
-		}
-		share := Share{Key: row.Key}
+		ceiling := o.bounds[api.RowKey(row.Key)]
+		share := Share{Unknown: !ceiling.Bounded()}
 		if ceiling.Concurrency > 0 {
 			share.Concurrency = o.concurrency(now, report, row, ceiling.Concurrency)
 		}
@@ -227,8 +226,9 @@
 	o.hear(now, holder, report)
 	reported := map[api.RowKey]RowReport{}
 	for _, row := range report.Rows {
-		reported[row.Key] = row
-		o.row(now, row.Key).share(report.Router)
+		key := api.RowKey(row.Key)
+		reported[key] = row
+		o.row(now, key).share(report.Router)
 	}
 	for key, row := range o.rows {
 		share, ok := row.shares[report.Router]
@@ -243,8 +243,9 @@
 		if o.settings.Fault == FaultForgetInUse {
 			share.inUse = 0
 		}
+		row.account(now, share, o.settings)
 		if !ok && len(share.grants) == 0 {
-			delete(row.shares, report.Router)
+			row.remove(report.Router)
 		}
 	}
 	return true
@@ -257,7 +258,7 @@
 		return
 	}
 	for _, row := range o.rows {
-		delete(row.shares, router)
+		row.remove(router)
 	}
 }
 
@@ -273,8 +274,9 @@
 		}
 	}
 	holder.heard = true
+	o.silent--
 	for _, row := range report.Rows {
-		o.row(now, row.Key).accounted += row.InUse
+		o.row(now, api.RowKey(row.Key)).accounted += row.InUse
 	}
 }
 
@@ -296,8 +298,11 @@
 
 // Forget drops a holder whose removal was committed.
 func (o *Owner) Forget(router api.NodeID) {
+	if holder, ok := o.holders[router]; ok && !holder.heard {
+		o.silent--
+	}
 	delete(o.holders, router)
 	for _, row := range o.rows {
-		delete(row.shares, router)
+		row.remove(router)
 	}
 }
--- a/quota/owner_row.go
+++ b/quota/owner_row.go
@@ -13,6 +13,8 @@
 	// heard: while others are silent it bounds what may be granted.
 	accounted int
 	shares    map[api.NodeID]*holderShare
+	sum       need // of the shares, as last counted
+	counted   time.Time
 	tokens    float64 // of the rate, up to one burst
 	filled    time.Time
 }
@@ -23,6 +25,23 @@
 	want   int
 	grants []grantRecord // oldest first, until the holder says that they ended
 	last   time.Time
+	need   need // as counted in the row's sum
+}
+
+// need is what shares hold and want. A sum that is old is too high, never too
+// low: what is held only falls with time.
+type need struct {
+	held    int
+	wanted  int
+	wanting int // shares that want anything
+}
+
+func (n need) plus(other need) need {
+	return need{held: n.held + other.held, wanted: n.wanted + other.wanted, wanting: n.wanting + other.wanting}
+}
+
+func (n need) minus(other need) need {
+	return need{held: n.held - other.held, wanted: n.wanted - other.wanted, wanting: n.wanting - other.wanting}
 }
 
 type grantRecord struct {
@@ -38,10 +57,8 @@
 	if o.settings.Fault == FaultForgetHolders || !now.Before(o.until) {
 		return ceiling
 	}
-	for _, holder := range o.holders {
-		if !holder.heard {
-			return min(row.accounted, ceiling)
-		}
+	if o.silent > 0 {
+		return min(row.accounted, ceiling)
 	}
 	return ceiling
 }
@@ -86,26 +103,46 @@
 	return held
 }
 
+// account counts the share anew in the row's sum.
+func (r *rowState) account(now time.Time, share *holderShare, settings Settings) {
+	next := need{held: share.held(now, settings)}
+	if share.want > 0 && now.Sub(share.last) < settings.Lifetime {
+		next.wanted, next.wanting = share.want, 1
+	}
+	r.sum = r.sum.minus(share.need).plus(next)
+	share.need = next
+}
+
+func (r *rowState) remove(router api.NodeID) {
+	if share, ok := r.shares[router]; ok {
+		r.sum = r.sum.minus(share.need)
+		delete(r.shares, router)
+	}
+}
+
+// recount counts all shares anew once a Lifetime, for those that fell silent.
+func (r *rowState) recount(now time.Time, settings Settings) {
+	if now.Sub(r.counted) < settings.Lifetime {
+		return
+	}
+	r.counted = now
+	for _, share := range r.shares {
+		r.account(now, share, settings)
+	}
+}
+
 // concurrency gives the holder's share: its part of the ceiling by demand, as
 // far as it is free.
 func (o *Owner) concurrency(now time.Time, report Report, row RowReport, ceiling int) int {
-	state := o.row(now, row.Key)
-	others, wanted, wanting := 0, 0, 0
-	for router, share := range state.shares {
-		if router != report.Router {
-			others += share.held(now, o.settings)
-		}
-		if now.Sub(share.last) < o.settings.Lifetime {
-			wanted += share.want
-			wanting += min(share.want, 1)
-		}
-	}
-	free := max(o.capacity(now, state, ceiling)-others, 0)
-	granted := min(part(ceiling, row.Want, wanted, wanting), free)
+	state := o.row(now, api.RowKey(row.Key))
+	state.recount(now, o.settings)
 	own := state.share(report.Router)
+	free := max(o.capacity(now, state, ceiling)-(state.sum.held-own.need.held), 0)
+	granted := min(part(ceiling, row.Want, state.sum.wanted, state.sum.wanting), free)
 	own.grants = append(own.grants, grantRecord{
 		sequence: report.Sequence, concurrency: granted, expires: now.Add(o.settings.Lifetime + o.settings.Margin),
 	})
+	state.account(now, own, o.settings)
 	return granted
 }
 
@@ -125,7 +162,7 @@
 // tokens takes admissions from the row's bucket, which holds one second's worth
 // and starts empty.
 func (o *Owner) tokens(now time.Time, report RowReport, rate float64) int {
-	row := o.row(now, report.Key)
+	row := o.row(now, api.RowKey(report.Key))
 	row.tokens = min(row.tokens+rate*now.Sub(row.filled).Seconds(), max(rate, 1))
 	row.filled = now
 	granted := min(report.Tokens, int(row.tokens))
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -13,6 +13,8 @@
 package quota
 
 import (
+	"fmt"
+	"strings"
 	"time"
 
 	"github.com/dykewing/dykewing/api"
@@ -24,8 +26,10 @@
 	Lifetime time.Duration
 	// Margin is what an owner waits beyond Lifetime: the drift of clock rates.
 	Margin time.Duration
-	// Interval is the time between a holder's reports.
-	Interval time.Duration
+	// Interval is the time between a holder's reports, and ShortInterval that
+	// while requests are refused or more is wanted than held.
+	Interval      time.Duration
+	ShortInterval time.Duration
 	// IdleAfter is how long after its last request a row at a holder still asks
 	// for a share of one, so that rare requests find one.
 	IdleAfter time.Duration
@@ -40,7 +44,8 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Lifetime: 3 * time.Second, Margin: 300 * time.Millisecond,
-		Interval: 400 * time.Millisecond, IdleAfter: time.Minute, MaximumRun: 10 * time.Minute,
+		Interval: 600 * time.Millisecond, ShortInterval: 300 * time.Millisecond,
+		IdleAfter: time.Minute, MaximumRun: 10 * time.Minute,
 	}
 }
 
@@ -71,6 +76,23 @@
 // Bounded is true when either bound is set.
 func (c Ceiling) Bounded() bool { return c.Concurrency > 0 || c.Rate > 0 }
 
+// Key is a row's key that is service/place in JSON: these messages are the most
+// frequent ones that name rows.
+type Key api.RowKey
+
+// MarshalText gives service/place.
+func (k Key) MarshalText() ([]byte, error) { return []byte(api.RowKey(k).String()), nil }
+
+// UnmarshalText reads service/place.
+func (k *Key) UnmarshalText(text []byte) error {
+	service, place, ok := strings.Cut(string(text), "/")
+	if !ok {
+		return fmt.Errorf("row %q is not service/place", text)
+	}
+	*k = Key{Service: api.ServiceName(service), Place: api.PlaceName(place)}
+	return nil
+}
+
 // Report is what a holder tells the owner of a group about all rows of the
 // group that have a ceiling. A row that is not in it has nothing in use.
 type Report struct {
@@ -88,17 +110,18 @@
 
 // RowReport is a holder's need of one row.
 type RowReport struct {
-	Key    api.RowKey `json:"key"`
-	Want   int        `json:"want,omitempty"`   // requests at once that it could use
-	InUse  int        `json:"in_use,omitempty"` // requests that run now
-	Tokens int        `json:"tokens,omitempty"` // admissions wanted under the rate
+	Key    Key `json:"k"`
+	Want   int `json:"w,omitempty"` // requests at once that it could use
+	InUse  int `json:"u,omitempty"` // requests that run now
+	Tokens int `json:"t,omitempty"` // admissions wanted under the rate
 	// Ended: as in the report, with those that a newer grant has replaced.
-	Ended uint64 `json:"ended,omitempty"`
+	Ended uint64 `json:"d,omitempty"`
 	// Epoch of the share that is valid now; 0 is none.
-	Epoch uint64 `json:"epoch,omitempty"`
+	Epoch uint64 `json:"e,omitempty"`
 }
 
-// Grant answers a Report.
+// Grant answers a Report. Shares are those of the report's rows, in the same
+// order; without any, all that the holder has stays as it is.
 type Grant struct {
 	Epoch    uint64  `json:"epoch"`    // the owner's term
 	Instance uint64  `json:"instance"` // of the report
@@ -108,7 +131,31 @@
 
 // Share is a part of a row's ceiling, granted to one router until it expires.
 type Share struct {
-	Key         api.RowKey `json:"key"`
-	Concurrency int        `json:"concurrency,omitempty"`
-	Tokens      int        `json:"tokens,omitempty"` // admissions added under the rate
+	Concurrency int `json:"c,omitempty"`
+	Tokens      int `json:"t,omitempty"` // admissions added under the rate
+	// Unknown: the owner's table has no ceiling for the row (yet); nothing is
+	// granted and nothing is taken away.
+	Unknown bool `json:"n,omitempty"`
+}
+
+// maximumRows bounds a report.
+const maximumRows = 10_000
+
+// Validate refuses a report that no holder makes; owners are stepped only with
+// valid ones.
+func (r Report) Validate() error {
+	if r.Router == "" || len(r.Rows) > maximumRows {
+		return fmt.Errorf("report of router %q with %d rows", r.Router, len(r.Rows))
+	}
+	seen := make(map[Key]bool, len(r.Rows))
+	for _, row := range r.Rows {
+		if seen[row.Key] {
+			return fmt.Errorf("row %s stands twice", api.RowKey(row.Key))
+		}
+		seen[row.Key] = true
+		if min(row.Want, row.InUse, row.Tokens) < 0 || max(row.Want, row.InUse, row.Tokens) > api.MaximumSlots {
+			return fmt.Errorf("row %s: a number is out of range", api.RowKey(row.Key))
+		}
+	}
+	return nil
 }
--- a/quota/simulation_test.go
+++ b/quota/simulation_test.go
@@ -53,7 +53,7 @@
 
 func testSettings(fault Fault) Settings {
 	return Settings{
-		Lifetime: time.Second, Margin: 50 * time.Millisecond, Interval: 200 * time.Millisecond,
+		Lifetime: time.Second, Margin: 50 * time.Millisecond, Interval: 250 * time.Millisecond, ShortInterval: 150 * time.Millisecond,
 		IdleAfter: time.Second, MaximumRun: 4 * time.Second, Fault: fault,
 	}
 }
--- /dev/null
+++ b/table/peer.go
@@ -0,0 +1,42 @@
+package table
+
+import (
+	"math/rand/v2"
+
+	"github.com/dykewing/dykewing/api"
+)
+
+// ChoosePeer draws one of the nearest nodes that has a newer table in force
+// than own: the same zone goes before the same region, and that before the
+// rest. Drawing keeps the few that have a revision first from being asked by
+// all. False when there is none.
+func ChoosePeer(nodes []api.Node, self api.NodeID, location api.Location, own int64, random *rand.Rand) (api.Node, bool) {
+	var nearest []api.Node
+	best := -1
+	for _, node := range nodes {
+		if node.ID == self || node.TableRevision <= max(own, 0) {
+			continue
+		}
+		nearness := nearnessOf(node.Location, location)
+		if nearness > best {
+			nearest, best = nearest[:0], nearness
+		}
+		if nearness == best {
+			nearest = append(nearest, node)
+		}
+	}
+	if len(nearest) == 0 {
+		return api.Node{}, false
+	}
+	return nearest[random.IntN(len(nearest))], true
+}
+
+func nearnessOf(a, b api.Location) int {
+	switch {
+	case a == b:
+		return 2
+	case a.Region == b.Region:
+		return 1
+	}
+	return 0
+}
