--- a/internal/node/edit_test.go
+++ b/internal/node/edit_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -20,7 +21,7 @@
 )
 
 // startRouters runs nodes of the router role against one stand-in.
-func startRouters(t *testing.T, service *keyvalue.Server, count int) []*Node {
+func startRouters(t *testing.T, service *keyvalue.Server, count int, known ...*Node) []*Node {
 	t.Helper()
 	server := httptest.NewServer(service)
 	t.Cleanup(server.Close)
@@ -32,13 +33,13 @@
 	var nodes []*Node
 	for i := range count {
 		settings := config.Default()
-		settings.Node.ID, settings.Node.Address = fmt.Sprintf("router-%d", i), "127.0.0.1:0"
+		settings.Node.ID, settings.Node.Address = fmt.Sprintf("router-%d", len(known)+i), "127.0.0.1:0"
 		settings.Membership = config.Membership{Interval: 50 * time.Millisecond, SuspectTimeout: time.Second}
 		settings.KeyValueService.Endpoints = []string{server.URL}
 		settings.KeyValueService.RequestsPerSecond = 1000
 		settings.KeyValueService.Timeout = time.Second
 		settings.KeyValueService.Watchers = 1
-		for _, peer := range nodes {
+		for _, peer := range append(slices.Clone(known), nodes...) {
 			settings.Peers = append(settings.Peers, peer.Address())
 		}
 		node, err := New(api.RoleRouter, settings, log)
@@ -231,6 +232,29 @@
 	eventually(t, "the second edit in force", inForce(second, 3))
 }
 
+// TestNodeThatStartsInAnOutage takes the table from a peer.
+func TestNodeThatStartsInAnOutage(t *testing.T) {
+	service := keyvalue.NewServer()
+	nodes := startRouters(t, service, 2)
+	weight := 1.0
+	key := api.RowKey{Service: "model", Place: "east"}
+	result, err := post(t, nodes[0], api.TableEdit{ID: "only", Key: key, Create: true, Change: api.RowChange{Weight: &weight}})
+	if err != nil || result.Outcome != api.EditAccepted {
+		t.Fatalf("%+v, %v", result, err)
+	}
+	eventually(t, "the edit in force", func() bool {
+		return nodes[0].Table() != nil && nodes[0].Table().Revision() >= result.Revision
+	})
+	service.SetFaults(keyvalue.Faults{Outage: true})
+	late := startRouters(t, service, 1, nodes...)[0]
+	eventually(t, "the table from a peer", func() bool {
+		return late.Table() != nil && late.Table().Revision() >= result.Revision
+	})
+	if row, ok := late.Table().Row(key); !ok || row.Weight != weight {
+		t.Errorf("got %+v, %v", row, ok)
+	}
+}
+
 // TestUnreadableRowIsLeftOut: the row in force stays.
 func TestUnreadableRowIsLeftOut(t *testing.T) {
 	service := keyvalue.NewServer()
