--- a/internal/store/group.go
+++ b/internal/store/group.go
@@ -154,6 +154,8 @@
 		g.roleChanged(action)
 	case replication.FetchSnapshot:
 		g.fetchSnapshot(action)
+	case replication.Halted:
+		g.log.WithError(action.Err).Error("The replica has halted for good; it is to be replaced as after a lost disk.")
 	case replication.Inspected:
 		status := action.Status
 		g.roleChanged(replication.RoleChanged{Leading: status.Role == replication.RoleLeader, Term: status.Term, Leader: status.Leader})
--- a/internal/store/proposals.go
+++ b/internal/store/proposals.go
@@ -103,7 +103,7 @@
 func (g *group) refused(cause error) *api.Error {
 	const step = "commit command"
 	switch {
-	case errors.Is(cause, replication.ErrNotLeader), errors.Is(cause, replication.ErrTransferring):
+	case errors.Is(cause, replication.ErrNotLeader), errors.Is(cause, replication.ErrTransferring), errors.Is(cause, replication.ErrHalted):
 		return g.notLeader(step, api.OutcomeNotRun)
 	case errors.Is(cause, replication.ErrOverloaded):
 		failure := api.NewError(step, "", api.CodeNoCapacity, api.OutcomeNotRun, "%w", cause)
