--- a/membership/membership.go
+++ b/membership/membership.go
@@ -16,6 +16,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/dykewing/dykewing/api"
@@ -88,6 +89,7 @@
 	zones    map[api.Location]*zoneEntry
 	queue    *updateQueue
 	stamp    uint64 // grows with each change, for observers' cursors
+	urgent   uint64 // stamp of the node's own last urgent change
 	ticks    int
 	lastTick time.Time
 
@@ -109,8 +111,10 @@
 type entry struct {
 	record  Record
 	since   time.Time // when the status began
-	stamp   uint64
+	stamp   uint64    // of the last change
+	urgent  uint64    // of the last change that was more than a load
 	changed time.Time // when the record last changed
+	refused bool      // a suspect whose process does not listen
 }
 
 // NewMachine starts with a view that holds only the node itself. A sidecar is
@@ -135,7 +139,7 @@
 	case Answered:
 		return m.answered(now, message)
 	case Unreachable:
-		return m.unreachable(now, message.Sent)
+		return m.unreachable(now, message)
 	case SelfChanged:
 		return m.changeSelf(now, message)
 	case Stopped:
@@ -152,6 +156,9 @@
 		return m.observe()
 	}
 	actions := m.expire(now)
+	if m.ticks == settleTicks {
+		actions = append(actions, ViewChanged{})
+	}
 	actions = append(actions, m.probeNext()...)
 	actions = append(actions, m.synchronise()...)
 	return append(actions, m.representZone(now)...)
@@ -159,6 +166,10 @@
 
 // receive answers a peer's exchange.
 func (m *Machine) receive(now time.Time, exchange Exchange) []Action {
+	if m.observer {
+		// It knows nothing at first hand: an asker must not take it for a member.
+		return []Action{Reply{Exchange: Exchange{From: m.self.ID, Location: m.self.Location}}}
+	}
 	actions := append(m.merge(now, exchange), m.mergeZones(now, exchange.Zones)...)
 	reply := m.exchange(exchange.From)
 	if exchange.Location != m.self.Location {
@@ -202,6 +213,18 @@
 	return actions
 }
 
+// settleTicks is after how many ticks without an answer a node takes itself for
+// the first of its zone.
+const settleTicks = 10
+
+// Settled tells whether the view is more than the node itself, or the node has
+// waited long enough to be the first. Before, it must not act on what it alone
+// knows: it would take itself for home of every worker.
+func (m *Machine) Settled() bool {
+	others := slices.ContainsFunc(m.settings.Seeds, func(seed string) bool { return seed != m.self.Address })
+	return m.joined || !others || m.ticks >= settleTicks
+}
+
 // introduce makes a node that has just joined known to all members at once, so
 // that the workers it becomes home of have two homes only briefly.
 func (m *Machine) introduce(exchange Exchange) []Action {
@@ -215,13 +238,11 @@
 // exchange is a heartbeat or its answer with what fits of the changes.
 func (m *Machine) exchange(to api.NodeID) Exchange {
 	exchange := Exchange{From: m.self.ID, Location: m.self.Location}
-	if !m.observer {
-		exchange.Updates = append(exchange.Updates, m.selfRecord())
-		if known, ok := m.entries[to]; ok && known.record.Status != StatusAlive {
-			exchange.Updates = append(exchange.Updates, wireRecord(known.record))
-		}
-		exchange.Updates = append(exchange.Updates, m.queue.take(to, m.entries, m.settings.MaximumBytes)...)
+	exchange.Updates = append(exchange.Updates, m.selfRecord())
+	if known, ok := m.entries[to]; ok && known.record.Status != StatusAlive {
+		exchange.Updates = append(exchange.Updates, wireRecord(known.record))
 	}
+	exchange.Updates = append(exchange.Updates, m.queue.take(to, m.entries, m.settings.MaximumBytes)...)
 	return exchange
 }
 
