Send no batch while a home's online requests wait in a burst

Cause: of the late requests' extra time 7 to 11 ms were the running step, which is long when it computes prompts of batch. Change: batch starts at a home only while the online requests without a first token number at most router.batch_start_pressure (0.2) of the row's workers there; a start each 10 ms.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -339,7 +339,7 @@
 		"full of others":                {0, 8, 5, 0},
 	}
 	for name, test := range cases {
-		o := newObserver(Filling{Quarantine: time.Second, SuspendQuantile: 1})
+		o := newObserver(FillFreeSlots())
 		o.setRow(api.Row{Service: testService, Place: testPlace, BatchAllowance: 100})
 		o.setWorkers(testWorkers(1))
 		for range test.own {
@@ -374,3 +374,42 @@
 		}
 	})
 }
+
+func TestBatchStartsWaitForABurst(t *testing.T) {
+	cases := map[string]struct {
+		pressure float64
+		burst    int // online requests without a first token
+		want     bool
+	}{
+		"calm":                       {0.2, 0, true},
+		"one of ten":                 {0.2, 1, true},
+		"at the bound":               {0.2, 2, true},
+		"over the bound":             {0.2, 3, false},
+		"none may wait":              {0, 1, false},
+		"no bound":                   {unbounded, 9, true},
+		"more than one for a worker": {1.5, 16, false},
+	}
+	for name, test := range cases {
+		filling := DefaultFilling()
+		filling.StartPressure = test.pressure
+		o := newObserver(filling)
+		o.setRow(api.Row{Service: testService, Place: testPlace, BatchAllowance: 100})
+		o.setWorkers(testWorkers(10))
+		for range test.burst {
+			o.arrive(api.ClassOnline, true)
+		}
+		before := o.machine.Room(o.now, testKey) > 0
+		o.arrive(api.ClassBatch, true)
+		if admitted := o.count("", api.ClassBatch) == 1; before != test.want || admitted != test.want {
+			t.Errorf("%s: room %v, admitted %v, want %v", name, before, admitted, test.want)
+		}
+		for id, class := range o.classes {
+			if class == api.ClassOnline {
+				o.step(FirstToken{Request: id})
+			}
+		}
+		if o.machine.Room(o.now, testKey) == 0 {
+			t.Errorf("%s: no room after the burst", name)
+		}
+	}
+}
--- a/admission/room.go
+++ b/admission/room.go
@@ -20,6 +20,10 @@
 	// StartQuiet sends no batch request to a worker at which an online request
 	// has no first token yet.
 	StartQuiet bool
+	// StartPressure bounds the online requests without a first token while which
+	// batch requests are sent, as a share of the row's workers here: in a burst
+	// no more prompts of batch come between. 1000 and more is no bound.
+	StartPressure float64
 	// Quarantine is how long a worker that could not be reached gets nothing.
 	Quarantine time.Duration
 	// SuspendQuantile bounds the online requests for which batch is suspended:
@@ -52,23 +56,29 @@
 func DefaultFilling() Filling {
 	return Filling{
 		Preempt: true, LowerPriority: true,
-		StartInterval: defaultStartInterval, StartQuiet: true, Quarantine: defaultQuarantine,
+		StartInterval: defaultStartInterval, StartQuiet: true,
+		StartPressure: DefaultStartPressure, Quarantine: defaultQuarantine,
 		SuspendQuantile: defaultSuspendQuantile, SuspendLimit: defaultSuspendLimit,
 	}
 }
 
+// DefaultStartPressure weighs the online tail and batch (docs/design/admission.md).
+const DefaultStartPressure = 0.2
+
 // FillFreeSlots treats batch like online wherever a slot is free; it is there
 // to compare with.
 func FillFreeSlots() Filling {
-	return Filling{Quarantine: defaultQuarantine, SuspendQuantile: 1}
+	return Filling{Quarantine: defaultQuarantine, SuspendQuantile: 1, StartPressure: unbounded}
 }
 
 const (
-	defaultStartInterval = 20 * time.Millisecond
+	defaultStartInterval = 10 * time.Millisecond
 	defaultQuarantine    = time.Second
 
 	defaultSuspendQuantile = 0.95
 	defaultSuspendLimit    = 2 * time.Second
+
+	unbounded = 1000
 )
 
 // priority is the engine's priority of a request: batch has 0, online more.
@@ -105,12 +115,25 @@
 	return free
 }
 
+// pressed tells whether so many online requests wait for their first token that
+// no batch request is sent.
+func (m *Machine) pressed(row *rowState) bool {
+	starting := 0
+	for _, state := range row.workers {
+		starting += state.starting
+	}
+	return float64(starting) > m.settings.Filling.StartPressure*float64(len(row.workers))
+}
+
 // Room tells how many batch requests of the row could start now.
 func (m *Machine) Room(now time.Time, key api.RowKey) int {
 	row, ok := m.rows[key]
 	if !ok || !row.inTable {
 		return 0
 	}
+	if m.pressed(row) {
+		return 0
+	}
 	total := 0
 	for _, state := range row.workers {
 		total += m.room(now, state)
@@ -123,6 +146,9 @@
 
 func (m *Machine) endpointsWithRoom(now time.Time, row *rowState) []routing.Endpoint {
 	m.roomy = m.roomy[:0]
+	if m.pressed(row) {
+		return nil
+	}
 	for i, state := range row.workers {
 		if m.room(now, state) > 0 {
 			m.roomy = append(m.roomy, row.endpoints[i])
--- a/config/config.go
+++ b/config/config.go
@@ -71,10 +71,13 @@
 
 // Router is for the role that is home of workers.
 type Router struct {
-	BatchReserve  float64       `koanf:"batch_reserve" validate:"min=0,max=1"` // share of slots that batch leaves free
-	ClaimWait     time.Duration `koanf:"claim_wait" validate:"min=10ms,max=1m"`
-	LoadInterval  time.Duration `koanf:"load_interval" validate:"min=10ms,max=1m"`
-	EngineTimeout time.Duration `koanf:"engine_timeout" validate:"min=100ms,max=24h"`
+	BatchReserve float64 `koanf:"batch_reserve" validate:"min=0,max=1"` // share of slots that batch leaves free
+	// BatchStartPressure is the share of a row's workers up to which online
+	// requests may wait for their first token while batch is still sent.
+	BatchStartPressure float64       `koanf:"batch_start_pressure" validate:"min=0,max=1000"`
+	ClaimWait          time.Duration `koanf:"claim_wait" validate:"min=10ms,max=1m"`
+	LoadInterval       time.Duration `koanf:"load_interval" validate:"min=10ms,max=1m"`
+	EngineTimeout      time.Duration `koanf:"engine_timeout" validate:"min=100ms,max=24h"`
 }
 
 // Store is for the role with a small disk.
@@ -115,7 +118,7 @@
 			DefaultDeadline: 2 * time.Minute, MaximumBodyBytes: 8 << 20, MaximumFileBytes: 1 << 30,
 		},
 		Router: Router{
-			BatchReserve: 0.05, ClaimWait: 10 * time.Second,
+			BatchReserve: 0.05, BatchStartPressure: 0.2, ClaimWait: 10 * time.Second,
 			LoadInterval: 250 * time.Millisecond, EngineTimeout: 10 * time.Minute,
 		},
 		Store: Store{
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -15,6 +15,7 @@
 
 	"github.com/dykewing/dykewing/admission"
 	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/config"
 	"github.com/dykewing/dykewing/internal/discovery"
 	"github.com/dykewing/dykewing/internal/engine"
 	"github.com/dykewing/dykewing/internal/node"
@@ -75,6 +76,7 @@
 	router.machine = admission.NewMachine(admission.Settings{
 		Online: routing.OnlineProfile(common.Settings.Node.Location(), newRandom()), Batch: routing.BatchProfile(newRandom()),
 		RetryAfter: refusalRetryAfter, Reserve: common.Settings.Router.BatchReserve,
+		Filling: filling(common.Settings.Router),
 	})
 	router.admission = shell.Start(common.System, router.machine, router.execute)
 	router.homes = placement.NewHomes(common.ID())
@@ -88,6 +90,12 @@
 	return router, nil
 }
 
+func filling(settings config.Router) admission.Filling {
+	filling := admission.DefaultFilling()
+	filling.StartPressure = settings.BatchStartPressure
+	return filling
+}
+
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 // Run polls the machine list and workers' loads and pulls batch items until
