Cancel for a ceiling only batch that may be repeated

Cause: a full ceiling preempted the youngest batch request of the row even if it may not be repeated, whose outcome is then unknown. Change: such requests are passed over, as in every other preemption; a test holds it. Conclusion: an online request whose row's ceiling is full of such batch is refused as not run.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -413,3 +413,17 @@
 		}
 	}
 }
+
+func TestCeilingPreemptsOnlyWhatMayBeRepeated(t *testing.T) {
+	o := newObserver(FillFreeSlots())
+	o.arrive(api.ClassBatch, true)
+	o.arrive(api.ClassBatch, false)
+	row := o.machine.rows[testKey]
+	actions := o.machine.preemptRow(row)
+	if len(actions) != 1 || actions[0].(Preempt).Request != "r1" {
+		t.Fatalf("actions %v, want the preemption of r1", actions)
+	}
+	if actions := o.machine.preemptRow(row); len(actions) != 0 {
+		t.Fatalf("the request that may not be repeated was preempted: %v", actions)
+	}
+}
--- a/admission/ceiling.go
+++ b/admission/ceiling.go
@@ -73,14 +73,15 @@
 	return nil
 }
 
-// preemptRow cancels the batch request of the row that was sent last.
+// preemptRow cancels the batch request of the row that was sent last, of those
+// that may be repeated: the outcome of another would be lost.
 func (m *Machine) preemptRow(row *rowState) []Action {
 	if row.batchUse == 0 {
 		return nil
 	}
 	var youngest *flight
 	for _, flight := range m.flights {
-		if flight.row != row || flight.class != api.ClassBatch {
+		if flight.row != row || flight.class != api.ClassBatch || !flight.repeatable {
 			continue
 		}
 		if youngest == nil || cmp.Or(flight.dispatched.Compare(youngest.dispatched), cmp.Compare(flight.request, youngest.request)) > 0 {
