--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -339,7 +339,7 @@
 		"full of others":                {0, 8, 5, 0},
 	}
 	for name, test := range cases {
-		o := newObserver(Filling{Quarantine: time.Second, SuspendQuantile: 1})
+		o := newObserver(FillFreeSlots())
 		o.setRow(api.Row{Service: testService, Place: testPlace, BatchAllowance: 100})
 		o.setWorkers(testWorkers(1))
 		for range test.own {
@@ -374,3 +374,56 @@
 		}
 	})
 }
+
+func TestBatchStartsWaitForABurst(t *testing.T) {
+	cases := map[string]struct {
+		pressure float64
+		burst    int // online requests without a first token
+		want     bool
+	}{
+		"calm":                       {0.2, 0, true},
+		"one of ten":                 {0.2, 1, true},
+		"at the bound":               {0.2, 2, true},
+		"over the bound":             {0.2, 3, false},
+		"none may wait":              {0, 1, false},
+		"no bound":                   {unbounded, 9, true},
+		"more than one for a worker": {1.5, 16, false},
+	}
+	for name, test := range cases {
+		filling := DefaultFilling()
+		filling.StartPressure = test.pressure
+		o := newObserver(filling)
+		o.setRow(api.Row{Service: testService, Place: testPlace, BatchAllowance: 100})
+		o.setWorkers(testWorkers(10))
+		for range test.burst {
+			o.arrive(api.ClassOnline, true)
+		}
+		before := o.machine.Room(o.now, testKey) > 0
+		o.arrive(api.ClassBatch, true)
+		if admitted := o.count("", api.ClassBatch) == 1; before != test.want || admitted != test.want {
+			t.Errorf("%s: room %v, admitted %v, want %v", name, before, admitted, test.want)
+		}
+		for id, class := range o.classes {
+			if class == api.ClassOnline {
+				o.step(FirstToken{Request: id})
+			}
+		}
+		if o.machine.Room(o.now, testKey) == 0 {
+			t.Errorf("%s: no room after the burst", name)
+		}
+	}
+}
+
+func TestCeilingPreemptsOnlyWhatMayBeRepeated(t *testing.T) {
+	o := newObserver(FillFreeSlots())
+	o.arrive(api.ClassBatch, true)
+	o.arrive(api.ClassBatch, false)
+	row := o.machine.rows[testKey]
+	actions := o.machine.preemptRow(row)
+	if len(actions) != 1 || actions[0].(Preempt).Request != "r1" {
+		t.Fatalf("actions %v, want the preemption of r1", actions)
+	}
+	if actions := o.machine.preemptRow(row); len(actions) != 0 {
+		t.Fatalf("the request that may not be repeated was preempted: %v", actions)
+	}
+}
