Observers draw anew; a killed node announces nothing

Cause: observers that drew their member just after a start of all sat on the few that were known. A node that is killed still announced itself. Change: a new draw every 300 ticks, loads every fourth; a planned stop waits three intervals for observers, who ask every other one.

--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -15,7 +15,7 @@
 // The phases of a planned stop, in heartbeat intervals.
 const (
 	announceIntervals = 3  // at most, until every live member has confirmed
-	observeIntervals  = 2  // until observers, who ask once an interval, have seen it
+	observeIntervals  = 3  // until observers, who ask every other interval, have seen it
 	quietIntervals    = 1  // without new work before connections close
 	drainIntervals    = 15 // at most, for the two phases above
 	drainPoll         = 10 * time.Millisecond
@@ -81,7 +81,7 @@
 	n.BeginLeaving()
 	deadline, cancel := context.WithTimeout(kill, n.Settings.Node.StopTimeout)
 	defer cancel()
-	if n.Role != api.RoleSidecar {
+	if n.Role != api.RoleSidecar && kill.Err() == nil {
 		n.awaitAnnounced(deadline)
 		n.awaitQuiet(deadline)
 	}
--- a/membership/observer.go
+++ b/membership/observer.go
@@ -8,12 +8,17 @@
 
 // loadTicks is how often, in ticks, an observer asks for loads too: they are
 // most of the bytes, while a leaving mark must come within one interval.
-const loadTicks = 3
+const loadTicks = 4
+
+// sourceTicks is for how many ticks an observer keeps to a source. Most draw
+// theirs soon after a start, when few members are known; a new draw spreads them,
+// at the price of one whole answer.
+const sourceTicks = 300
 
 // observe asks the source for what has changed. An observer keeps to one source
 // while that answers and stays, so that only changes travel.
 func (m *Machine) observe() []Action {
-	if !m.keepsSource() || m.sourceIsSeed && len(m.candidates()) > 0 {
+	if (m.ticks+m.phase())%sourceTicks == 0 || !m.keepsSource() || m.sourceIsSeed && len(m.candidates()) > 0 {
 		m.source, m.cursor = m.chooseSource(), Observe{}
 		// A seed is only the way in: observers that all keep to the few seeds
 		// of their settings would load these with the whole zone's answers.
