--- a/internal/hollow/membership_test.go
+++ b/internal/hollow/membership_test.go
@@ -119,24 +119,27 @@
 	}
 }
 
-// BenchmarkFleet measures 670 nodes in 15 zones once settled, without sidecars
-// and with as many of them.
+// BenchmarkFleet measures 670 nodes in 15 zones some time after a start of all,
+// without sidecars and with as many of them.
 func BenchmarkFleet(b *testing.B) {
-	for _, sidecars := range []int{0, 670} {
-		b.Run(fmt.Sprintf("sidecars=%d", sidecars), func(b *testing.B) {
+	for _, size := range []struct {
+		sidecars int
+		after    time.Duration
+	}{{0, settle}, {670, settle}, {670, 400 * time.Second}} {
+		b.Run(fmt.Sprintf("sidecars=%d/after=%v", size.sidecars, size.after), func(b *testing.B) {
 			for b.Loop() {
-				measureFleet(b, sidecars)
+				measureFleet(b, size.sidecars, size.after)
 			}
 		})
 	}
 }
 
-func measureFleet(b *testing.B, sidecars int) {
+func measureFleet(b *testing.B, sidecars int, after time.Duration) {
 	options := DefaultMembershipOptions()
 	options.MeasureEvery, options.Sidecars = 0, sidecars
 	before := heap()
 	fleet := NewMembership(options)
-	fleet.Simulation.Run(settle)
+	fleet.Simulation.Run(after)
 	count := float64(len(fleet.Members))
 	b.ReportMetric(float64(heap()-before)/count/1024, "KiB/node")
 	began := time.Now()
