--- a/internal/dev/fleet.go
+++ b/internal/dev/fleet.go
@@ -41,15 +41,17 @@
 // Options of a Fleet.
 type Options struct {
 	CallersAddress string // where callers connect; port 0 is ephemeral
-	Routers        int
-	Stores         int
-	WorkersPerRow  int
-	Log            *logrus.Logger
+	// Engine sets the stand-in workers.
+	Engine        engine.Settings
+	Routers       int
+	Stores        int
+	WorkersPerRow int
+	Log           *logrus.Logger
 }
 
 // DefaultOptions are the smallest fleet that has every role.
 func DefaultOptions(log *logrus.Logger) Options {
-	return Options{CallersAddress: loopback, Routers: 2, Stores: 3, WorkersPerRow: 2, Log: log}
+	return Options{CallersAddress: loopback, Routers: 2, Stores: 3, WorkersPerRow: 2, Engine: engine.DefaultSettings(), Log: log}
 }
 
 // Fleet is a running development fleet.
@@ -142,7 +144,7 @@
 func (f *Fleet) startWorkers(row api.Row) error {
 	for i := range f.options.WorkersPerRow {
 		id := api.WorkerID(fmt.Sprintf("%s-%s-%d", row.Service, row.Place, i))
-		stub := engine.New(engine.DefaultSettings())
+		stub := engine.New(f.options.Engine)
 		address, err := f.serve(stub)
 		if err != nil {
 			return err
@@ -150,7 +152,7 @@
 		f.engines[id] = stub
 		f.workers = append(f.workers, api.Worker{
 			ID: id, Address: address, Service: row.Service, Place: row.Place,
-			Location: api.Location{Region: "local", Zone: "local"}, Slots: engine.DefaultSettings().Slots,
+			Location: api.Location{Region: "local", Zone: "local"}, Slots: f.options.Engine.Slots,
 		})
 	}
 	return nil
