--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -46,9 +46,15 @@
 	}
 	ctx, cancel := r.withDeadline(request.Context(), request.Header.Get(api.HeaderDeadline))
 	defer cancel()
+	if r.forwarder.before(ctx, w, request, routed, body) {
+		return
+	}
 	path := strings.TrimPrefix(request.URL.RequestURI(), api.PathRequests)
 	response, dispatch, finish, failure := r.run(ctx, routed, path, body, request.Header)
 	if failure != nil {
+		if r.forwarder.after(ctx, w, request, routed, body, failure) {
+			return
+		}
 		if dispatch.Worker != "" {
 			w.Header().Set(api.HeaderWorker, string(dispatch.Worker))
 		}
--- a/membership/messages.go
+++ b/membership/messages.go
@@ -85,6 +85,9 @@
 	Source api.NodeID `json:"source,omitempty"`
 	Life   uint64     `json:"life,omitempty"`
 	After  uint64     `json:"after,omitempty"`
+	// Brief asks for urgent changes only: of status, leaving mark and table
+	// revision. The cursor stays.
+	Brief bool `json:"brief,omitempty"`
 }
 
 // Cursor is where an observer's next question goes on.
@@ -109,8 +112,12 @@
 	Exchange Exchange
 }
 
-// Unreachable says that a Send had no answer within the probe timeout.
-type Unreachable struct{ Sent Send }
+// Unreachable says that a Send had no answer within the probe timeout. Refused
+// says that the peer's machine answered that no process listens there.
+type Unreachable struct {
+	Sent    Send
+	Refused bool
+}
 
 // SelfChanged replaces what the node says of itself: summary, table revision,
 // leaving. The machine keeps the incarnation.
@@ -168,6 +175,7 @@
 type Died struct {
 	Node     api.NodeID
 	Observed time.Duration // how long it was suspected here; 0 by rumour
+	Leaving  bool          // it had announced that it would go
 }
 
 // DuplicateID says that another process runs under this node's id.
