Compact the log by bytes too; publish members at once

Cause: the log was compacted by entries alone, and a part of a file makes an entry of 1 MB: the machine could hold gigabytes. Members that changed were published up to 10 s late. Change: 32 MB of applied commands compact the log too, 64 trailing entries stay; a change of members wakes the publishing loop; tests create files side by side.

--- a/internal/store/bootstrap.go
+++ b/internal/store/bootstrap.go
@@ -54,6 +54,7 @@
 		}
 		select {
 		case <-time.After(interval):
+		case <-s.changed:
 		case <-ctx.Done():
 			return
 		}
--- a/internal/store/cluster_test.go
+++ b/internal/store/cluster_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/config"
 	"github.com/dykewing/dykewing/internal/logging"
@@ -280,25 +282,32 @@
 	return err
 }
 
+// createAll commits files, a few at a time.
 func (c *cluster) createAll(from, count int) {
 	c.t.Helper()
+	var creating errgroup.Group
+	creating.SetLimit(8)
 	for number := from; number < from+count; number++ {
-		c.eventually(func(ctx context.Context) error { return c.create(ctx, number) })
+		creating.Go(func() error {
+			return c.persevere(func(ctx context.Context) error { return c.create(ctx, number) })
+		})
 	}
+	c.require(creating.Wait())
 }
 
-// eventually goes on while the group looks for a leader.
 func (c *cluster) eventually(call func(context.Context) error) {
 	c.t.Helper()
+	c.require(c.persevere(call))
+}
+
+// persevere goes on while the group looks for a leader.
+func (c *cluster) persevere(call func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(context.Background(), generousWait)
 	defer cancel()
 	for {
 		err := call(ctx)
-		if err == nil {
-			return
-		}
-		if ctx.Err() != nil || api.AsError("", err).Code != api.CodeNoQuorum {
-			c.t.Fatal(err)
+		if err == nil || ctx.Err() != nil || api.AsError("", err).Code != api.CodeNoQuorum {
+			return err
 		}
 	}
 }
--- a/internal/store/group.go
+++ b/internal/store/group.go
@@ -20,8 +20,16 @@
 	"github.com/dykewing/dykewing/replication"
 )
 
-// ticksPerHeartbeat is how finely a replica's machine sees time pass.
-const ticksPerHeartbeat = 2
+const (
+	// ticksPerHeartbeat is how finely a replica's machine sees time pass.
+	ticksPerHeartbeat = 2
+	// compactedBytes of applied commands compact the log, however few they are:
+	// the machine holds the log in memory.
+	compactedBytes = 32 << 20
+	// trailingEntries are kept in memory for replicas that lag a little; parts
+	// of files make entries of hundreds of kilobytes.
+	trailingEntries = 64
+)
 
 // parts are what the groups of one store share.
 type parts struct {
@@ -51,6 +59,8 @@
 	// installed is the generation of the state in force on disk.
 	installed atomic.Uint64
 	snapshots snapshotTransfers
+	// logBytes is what was applied since the log was last compacted.
+	logBytes  atomic.Int64
 	compacted uint64 // only for maintain, like dropped
 	dropped   uint64 // one more than the generation before which none is left
 
@@ -87,7 +97,7 @@
 		Group: id, Self: shared.database.identity,
 		Heartbeat: shared.settings.Heartbeat, ElectionTimeout: shared.settings.ElectionTimeout,
 		Random:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		TrailingEntries: shared.settings.SnapshotEntries,
+		TrailingEntries: trailingEntries,
 	}, restored.machine)
 	if err != nil {
 		return nil, fmt.Errorf("start replica of group %d: %w", id, err)
@@ -170,6 +180,7 @@
 		if entry.Index <= at.Index {
 			continue // applied before a restart
 		}
+		g.logBytes.Add(int64(len(entry.Data)))
 		result := g.applyOne(entry, &at)
 		g.state.advance(at)
 		g.resolve(entry, result)
@@ -272,10 +283,12 @@
 		g.log.WithError(err).Warn("A replaced state could not be removed yet.")
 	}
 	onDisk := g.state.onDisk()
-	if g.snapshots.serving.Load() > 0 || onDisk < g.compacted+uint64(g.settings.SnapshotEntries) {
+	full := onDisk >= g.compacted+uint64(g.settings.SnapshotEntries) || g.logBytes.Load() >= compactedBytes
+	if !full || onDisk == g.compacted || g.snapshots.serving.Load() > 0 {
 		return
 	}
 	g.compacted = onDisk
+	g.logBytes.Store(0)
 	g.tell(replication.Compact{Snapshot: replication.Snapshot{Index: onDisk}})
 }
 
--- a/internal/store/members.go
+++ b/internal/store/members.go
@@ -56,6 +56,10 @@
 		return
 	}
 	group.log.WithField("voters", change.Voters).WithField("learners", change.Learners).Info("The group's members changed.")
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
 }
 
 // lost tells whether a replica is given up: not heard for too long, while this
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -35,7 +35,8 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	background sync.WaitGroup
-	failure    chan error // a write failed for good
+	failure    chan error    // a write failed for good
+	changed    chan struct{} // members changed here: they are to be published
 
 	mutex   sync.Mutex // guards all below
 	groups  map[api.GroupID]*group
@@ -59,7 +60,7 @@
 		return nil, err
 	}
 	s := &Store{
-		node: common, log: common.Logger("store"), failure: make(chan error, 1),
+		node: common, log: common.Logger("store"), failure: make(chan error, 1), changed: make(chan struct{}, 1),
 		groups: map[api.GroupID]*group{}, joining: map[api.GroupID]bool{},
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
