--- a/internal/sidecar/homes.go
+++ b/internal/sidecar/homes.go
@@ -72,7 +72,10 @@
 	return counter
 }
 
-func (s *Sidecar) setHomes(nodes []api.Node) { s.homes.Store(newHomeIndex(nodes, s.homes.Load())) }
+func (s *Sidecar) setHomes(nodes []api.Node) {
+	s.avoided.forget(nodes)
+	s.homes.Store(newHomeIndex(nodes, s.homes.Load()))
+}
 
 // homeProfile chooses a home router by the summaries, which are old: two
 // choices keep many sidecars from all taking the same. The endpoints given to
