Read pages and owned objects of files and batches in one place

Cause: the lists and look-ups of files and batches stood twice in the sidecar. Change: page.go holds both as generic functions; behaviour is the same.

--- a/internal/sidecar/batches.go
+++ b/internal/sidecar/batches.go
@@ -13,7 +13,6 @@
 	"github.com/dykewing/dykewing/internal/storeclient"
 	"github.com/dykewing/dykewing/internal/transport"
 	"github.com/dykewing/dykewing/jobs"
-	"github.com/dykewing/dykewing/placement"
 )
 
 const (
@@ -166,43 +165,19 @@
 }
 
 func (s *Sidecar) listBatches(w http.ResponseWriter, r *http.Request) {
-	limit, failure := pageLimit(r)
-	if failure != nil {
-		s.refuse(w, failure)
-		return
-	}
-	tenant := tenantOf(r)
-	group := placement.GroupOf(tenant, s.node.Settings.Store.Groups)
 	var found storeclient.JobsPage
-	path := storeclient.JobsPath(group, tenant, r.URL.Query().Get("after"), limit)
-	if err := s.stores.Read(r.Context(), group, path, &found); err != nil {
-		s.refuse(w, api.AsError("list batches", err))
+	if failure := s.readPage(r, "list batches", storeclient.JobsPath, &found); failure != nil {
+		s.refuse(w, failure)
 		return
 	}
-	answer := page[batchObject]{Object: "list", Data: []batchObject{}, HasMore: found.More}
-	for _, job := range found.Jobs {
-		answer.Data = append(answer.Data, batchObjectOf(job))
-	}
-	if last := len(answer.Data) - 1; last >= 0 {
-		answer.FirstID, answer.LastID = answer.Data[0].ID, answer.Data[last].ID
-	}
-	transport.WriteJSON(w, http.StatusOK, answer)
+	identify := func(batch batchObject) string { return batch.ID }
+	transport.WriteJSON(w, http.StatusOK, newPage(found.Jobs, batchObjectOf, identify, found.More))
 }
 
 // batch reads a job that the caller's tenant owns.
 func (s *Sidecar) batch(r *http.Request, id string) (jobs.Job, api.GroupID, *api.Error) {
-	group, failure := groupOf(id)
-	if failure != nil {
-		return jobs.Job{}, 0, failure
-	}
-	var job jobs.Job
-	if err := s.stores.Read(r.Context(), group, storeclient.JobPath(group, id), &job); err != nil {
-		return jobs.Job{}, 0, api.AsError("read batch", err)
-	}
-	if job.Tenant != tenantOf(r) {
-		return jobs.Job{}, 0, noObject(id)
-	}
-	return job, group, nil
+	tenant := func(job jobs.Job) api.TenantID { return job.Tenant }
+	return readOwned(s, r, "read batch", id, storeclient.JobPath, tenant)
 }
 
 func (s *Sidecar) getBatch(w http.ResponseWriter, r *http.Request) {
--- a/internal/sidecar/files.go
+++ b/internal/sidecar/files.go
@@ -51,28 +51,6 @@
 	}
 }
 
-// page is a list in the OpenAI API's shape.
-type page[T any] struct {
-	Object  string `json:"object"`
-	Data    []T    `json:"data"`
-	FirstID string `json:"first_id,omitempty"`
-	LastID  string `json:"last_id,omitempty"`
-	HasMore bool   `json:"has_more"`
-}
-
-// pageLimit reads how many objects a list is to have.
-func pageLimit(r *http.Request) (int, *api.Error) {
-	text := r.URL.Query().Get("limit")
-	if text == "" {
-		return defaultPage, nil
-	}
-	limit, err := strconv.Atoi(text)
-	if err != nil || limit < 1 || limit > maximumPage {
-		return 0, api.NewError("read limit", "", api.CodeBadRequest, api.OutcomeNotRun, "limit %q is not within 1 to %d", text, maximumPage)
-	}
-	return limit, nil
-}
-
 // newID makes an id that names its group.
 func newID(prefix string, group api.GroupID) string {
 	return fmt.Sprintf("%sg%d-%s", prefix, group, uuid.NewString())
@@ -156,43 +134,19 @@
 }
 
 func (s *Sidecar) listFiles(w http.ResponseWriter, r *http.Request) {
-	limit, failure := pageLimit(r)
-	if failure != nil {
-		s.refuse(w, failure)
-		return
-	}
-	tenant := tenantOf(r)
-	group := placement.GroupOf(tenant, s.node.Settings.Store.Groups)
 	var found storeclient.FilesPage
-	path := storeclient.FilesPath(group, tenant, r.URL.Query().Get("after"), limit)
-	if err := s.stores.Read(r.Context(), group, path, &found); err != nil {
-		s.refuse(w, api.AsError("list files", err))
+	if failure := s.readPage(r, "list files", storeclient.FilesPath, &found); failure != nil {
+		s.refuse(w, failure)
 		return
 	}
-	answer := page[fileObject]{Object: "list", Data: []fileObject{}, HasMore: found.More}
-	for _, file := range found.Files {
-		answer.Data = append(answer.Data, fileObjectOf(file))
-	}
-	if last := len(answer.Data) - 1; last >= 0 {
-		answer.FirstID, answer.LastID = answer.Data[0].ID, answer.Data[last].ID
-	}
-	transport.WriteJSON(w, http.StatusOK, answer)
+	identify := func(file fileObject) string { return file.ID }
+	transport.WriteJSON(w, http.StatusOK, newPage(found.Files, fileObjectOf, identify, found.More))
 }
 
 // file reads a file that the caller's tenant owns.
 func (s *Sidecar) file(r *http.Request, id string) (jobs.File, api.GroupID, *api.Error) {
-	group, failure := groupOf(id)
-	if failure != nil {
-		return jobs.File{}, 0, failure
-	}
-	var file jobs.File
-	if err := s.stores.Read(r.Context(), group, storeclient.FilePath(group, id), &file); err != nil {
-		return jobs.File{}, 0, api.AsError("read file", err)
-	}
-	if file.Tenant != tenantOf(r) {
-		return jobs.File{}, 0, noObject(id)
-	}
-	return file, group, nil
+	tenant := func(file jobs.File) api.TenantID { return file.Tenant }
+	return readOwned(s, r, "read file", id, storeclient.FilePath, tenant)
 }
 
 func (s *Sidecar) getFile(w http.ResponseWriter, r *http.Request) {
