Serve the leader's calls by one typed handler

Cause: claims, reports and renewals stood thrice with the same steps. Change: atLeader reads, finds the leadership, calls and answers; behaviour is the same but that the step named in a refused body is the call's own.

--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -1,10 +1,12 @@
 package store
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 
 	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/internal/dispatch"
 	"github.com/dykewing/dykewing/internal/storeclient"
 	"github.com/dykewing/dykewing/internal/transport"
 	"github.com/dykewing/dykewing/jobs"
@@ -24,9 +26,9 @@
 	s.handle("GET", "status", serveStatus)
 	s.handle("GET", "snapshot", serveSnapshot)
 	s.handle("POST", "commands", s.serveCommand)
-	s.handle("POST", "claims", serveClaims)
-	s.handle("POST", "settle", serveSettle)
-	s.handle("POST", "renewals", serveRenew)
+	s.handle("POST", "claims", atLeader("claim items", (*dispatch.Leadership).Claim))
+	s.handle("POST", "settle", atLeader("settle items", (*dispatch.Leadership).Settle))
+	s.handle("POST", "renewals", atLeader("renew grants", renew))
 	s.handle("POST", "shares", serveShares)
 	s.handle("GET", "jobs", linearisable(serveJobs))
 	s.handle("GET", "jobs/{id}", linearisable(serveJob))
@@ -89,56 +91,30 @@
 	transport.WriteJSON(w, http.StatusOK, result)
 }
 
-func serveClaims(w http.ResponseWriter, r *http.Request, group *group) {
-	var claim jobs.ClaimItems
-	if failure := transport.ReadJSON(w, r, "read claim", maximumCommandBytes, &claim); failure != nil {
-		transport.WriteError(w, failure)
-		return
-	}
-	leading, failure := group.leadership("claim items")
-	if failure != nil {
-		transport.WriteError(w, failure)
-		return
-	}
-	grant, failure := leading.Claim(r.Context(), claim)
-	if failure != nil {
-		transport.WriteError(w, failure)
-		return
-	}
-	transport.WriteJSON(w, http.StatusOK, grant)
-}
-
-func serveSettle(w http.ResponseWriter, r *http.Request, group *group) {
-	var settle jobs.Settle
-	if failure := transport.ReadJSON(w, r, "read results", maximumCommandBytes, &settle); failure != nil {
-		transport.WriteError(w, failure)
-		return
-	}
-	leading, failure := group.leadership("settle items")
-	if failure != nil {
-		transport.WriteError(w, failure)
-		return
-	}
-	notice, failure := leading.Settle(r.Context(), settle)
-	if failure != nil {
-		transport.WriteError(w, failure)
-		return
+// atLeader serves a typed call that only the group's leader answers.
+func atLeader[Request, Answer any](step string, call func(*dispatch.Leadership, context.Context, Request) (Answer, *api.Error)) groupHandler {
+	return func(w http.ResponseWriter, r *http.Request, group *group) {
+		var request Request
+		if failure := transport.ReadJSON(w, r, step, maximumCommandBytes, &request); failure != nil {
+			transport.WriteError(w, failure)
+			return
+		}
+		leading, failure := group.leadership(step)
+		if failure != nil {
+			transport.WriteError(w, failure)
+			return
+		}
+		answer, failure := call(leading, r.Context(), request)
+		if failure != nil {
+			transport.WriteError(w, failure)
+			return
+		}
+		transport.WriteJSON(w, http.StatusOK, answer)
 	}
-	transport.WriteJSON(w, http.StatusOK, notice)
 }
 
-func serveRenew(w http.ResponseWriter, r *http.Request, group *group) {
-	var renew jobs.Renew
-	if failure := transport.ReadJSON(w, r, "read renewal", maximumCommandBytes, &renew); failure != nil {
-		transport.WriteError(w, failure)
-		return
-	}
-	leading, failure := group.leadership("renew grants")
-	if failure != nil {
-		transport.WriteError(w, failure)
-		return
-	}
-	transport.WriteJSON(w, http.StatusOK, leading.Renew(renew))
+func renew(leading *dispatch.Leadership, _ context.Context, request jobs.Renew) (jobs.Notice, *api.Error) {
+	return leading.Renew(request), nil
 }
 
 // Reads answer from the applied state and run beside it.
