--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,6 +67,7 @@
 	snapshot        atomic.Pointer[table.Snapshot]
 	tableMetrics    *tableMetrics
 	leaving         atomic.Bool
+	panics          prometheus.Counter
 	summary         func() api.Summary
 	mutex           sync.Mutex // guards the callbacks
 	onView          []func([]api.Node)
@@ -90,6 +91,10 @@
 		gossip: transport.NewClient(gossipConnections), reportNow: make(chan struct{}, 1),
 		summary: func() api.Summary { return api.Summary{} },
 	}
+	node.panics = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "dykewing_node_panics_total", Help: "Panics of handlers of the internal protocol.",
+	})
+	node.Registry.MustRegister(node.panics)
 	node.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	node.tableMetrics = newTableMetrics(node.Registry)
 	if len(settings.KeyValueService.Endpoints) > 0 {
@@ -173,6 +178,11 @@
 	n.Mux.HandleFunc("GET "+api.PathNodes, n.serveNodes)
 }
 
+func (n *Node) reportPanic(cause any, stack []byte) {
+	n.panics.Inc()
+	n.Logger("node").WithField("stack", string(stack)).Errorf("A handler panicked: %v.", cause)
+}
+
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if n.Leaving() {
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
@@ -195,7 +205,7 @@
 func (n *Node) Run(ctx, kill context.Context) error {
 	n.membership = shell.Start(n.System, n.machine, n.executeMembership)
 	n.replica = shell.Start(n.System, table.NewReplica(), n.executeTable)
-	n.server = &http.Server{Handler: n.Mux, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maximumHeaderBytes}
+	n.server = &http.Server{Handler: transport.Guard(n.Mux, n.reportPanic), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maximumHeaderBytes}
 	background, stopBackground := context.WithCancel(kill)
 	defer stopBackground()
 	n.server.Handler = n.drainable(n.server.Handler)
--- a/internal/sidecar/online.go
+++ b/internal/sidecar/online.go
@@ -142,6 +142,7 @@
 	}
 	response, failure := transport.Send(s.online, outgoing, step, home.Name)
 	if failure != nil {
+		s.avoided.note(home.Name, failure)
 		return nil, at, failure
 	}
 	at.worker = response.Header.Get(api.HeaderWorker)
@@ -164,8 +165,9 @@
 	header.Set(api.HeaderTenant, string(request.routed.Tenant))
 	header.Set(api.HeaderService, string(request.routed.Service))
 	header.Set(api.HeaderPlace, string(request.routed.Place))
-	header.Set(api.HeaderRepeatable, strconv.FormatBool(request.routed.Repeatable))
-	header.Set(api.HeaderAttempt, strconv.Itoa(number))
+	if number > 1 {
+		header.Set(api.HeaderAttempt, strconv.Itoa(number))
+	}
 	if len(request.failedWorkers) > 0 {
 		header.Set(api.HeaderExcluded, strings.Join(request.failedWorkers, api.ExcludedSeparator))
 	}
