Measure the added latency at half load too

Cause: the goal is set at half load; 1000 requests a second is far under it. Change: the benchmark has a second rate, 15,000 a second, and turns that are not counted in which connections are made.

--- a/internal/dev/latency_test.go
+++ b/internal/dev/latency_test.go
@@ -19,9 +19,11 @@
 )
 
 const (
-	pacedCallers  = 16
-	pacedInterval = 16 * time.Millisecond // of one caller: 1000 requests a second in all
+	pacedCallers  = 16                    // 1000 requests a second in all
+	halfCallers   = 240                   // 15,000 a second: half of what BenchmarkRequests reaches through both
+	pacedInterval = 16 * time.Millisecond // of one caller
 	pacedSeconds  = 2
+	warmUpTurns   = 2 // not counted: connections are made in them
 )
 
 // pathFleet serves an application whose answer takes no time, so that
@@ -65,17 +67,24 @@
 	return err
 }
 
-// BenchmarkAddedLatency paces requests at 1000 a second directly to the
-// stand-in and through sidecar and router, in turns within one run.
+// BenchmarkAddedLatency paces requests directly to the stand-in and through
+// sidecar and router, in turns within one run, at a light and at half load.
 func BenchmarkAddedLatency(b *testing.B) {
 	through, direct := pathFleet(b)
-	client := transport.NewClient(pacedCallers)
+	for _, callers := range []int{pacedCallers, halfCallers} {
+		rate := callers * int(time.Second) / int(pacedInterval)
+		b.Run(fmt.Sprintf("rate=%d", rate), func(b *testing.B) { compare(b, through, direct, callers) })
+	}
+}
+
+func compare(b *testing.B, through, direct string, callers int) {
+	client := transport.NewClient(callers)
 	times := map[string]*hdrhistogram.Histogram{}
-	for _, base := range []string{direct, through, direct, through} {
-		if times[base] == nil {
+	for turn, base := range []string{direct, through, direct, through, direct, through} {
+		if turn <= warmUpTurns+1 {
 			times[base] = hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
 		}
-		pace(b, client, base, times[base])
+		pace(b, client, base, callers, times[base])
 	}
 	for quantile, name := range map[float64]string{50: "p50", 99: "p99"} {
 		without, with := times[direct].ValueAtQuantile(quantile), times[through].ValueAtQuantile(quantile)
@@ -85,13 +94,13 @@
 	}
 }
 
-func pace(b *testing.B, client *http.Client, base string, times *hdrhistogram.Histogram) {
+func pace(b *testing.B, client *http.Client, base string, callers int, times *hdrhistogram.Histogram) {
 	b.Helper()
 	var mutex sync.Mutex
 	var running sync.WaitGroup
-	for caller := range pacedCallers {
+	for caller := range callers {
 		running.Go(func() {
-			time.Sleep(time.Duration(caller) * pacedInterval / pacedCallers)
+			time.Sleep(time.Duration(caller) * pacedInterval / time.Duration(callers))
 			ticker := time.NewTicker(pacedInterval)
 			defer ticker.Stop()
 			for range pacedSeconds * int(time.Second/pacedInterval) {
