Print where operators reach the development fleet

Cause: dev printed only the callers' URL, so that dykewingctl could not be tried. Change: it prints a dykewingctl line with a router's and the sidecar's address.

--- a/cmd/dykewing/main.go
+++ b/cmd/dykewing/main.go
@@ -136,7 +136,9 @@
 	if *flags.exercise {
 		return dev.Exercise(ctx, fleet, os.Stdout)
 	}
-	fmt.Printf("Base URL for callers: %s\nStop with Ctrl-C.\n", fleet.URL())
+	fmt.Printf("Base URL for callers: %s\n", fleet.URL())
+	fmt.Printf("For operators: dykewingctl --node %s --sidecar %s\n", fleet.NodeAddress(), fleet.CallersAddress())
+	fmt.Println("Stop with Ctrl-C.")
 	<-ctx.Done()
 	return nil
 }
--- a/internal/dev/fleet.go
+++ b/internal/dev/fleet.go
@@ -259,6 +259,12 @@
 	return workers == len(f.workers) && len(leaders) == config.Default().Store.Groups
 }
 
+// NodeAddress is the internal address of a router, for operators' tools.
+func (f *Fleet) NodeAddress() string { return f.daemons[0].Node.Address() }
+
+// CallersAddress is where callers connect.
+func (f *Fleet) CallersAddress() string { return f.sidecar.Sidecar.Address() }
+
 // URL is the base URL that callers use.
 func (f *Fleet) URL() string { return "http://" + f.sidecar.Sidecar.Address() + "/v1" }
 
