--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -110,7 +110,6 @@
 	node.view.Store(&[]api.Node{node.self()})
 	node.zones.Store(&[]membership.ZoneSummary{})
 	node.settled.Store(node.machine.Settled())
-	node.OnTable(func(*table.Snapshot) { node.ReportNow() })
 	node.routes()
 	return node, nil
 }
@@ -160,7 +159,8 @@
 	n.onView = append(n.onView, callback)
 }
 
-// OnTable is called, in order, with each table in force; it must not block.
+// OnTable is called, in order, with each table before Table shows it; it must
+// not block.
 func (n *Node) OnTable(callback func(*table.Snapshot)) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
--- a/internal/node/table.go
+++ b/internal/node/table.go
@@ -27,16 +27,19 @@
 	}
 }
 
+// putInForce hands the snapshot to the node's parts before it shows and reports
+// the revision: a revision that others see in force is one that admission has.
 func (n *Node) putInForce(snapshot *table.Snapshot) {
-	n.snapshot.Store(snapshot)
-	n.tableMetrics.revision.Set(float64(snapshot.Revision()))
-	n.tableMetrics.rows.Set(float64(snapshot.Live()))
 	n.mutex.Lock()
 	callbacks := n.onTable
 	n.mutex.Unlock()
 	for _, callback := range callbacks {
 		callback(snapshot)
 	}
+	n.snapshot.Store(snapshot)
+	n.tableMetrics.revision.Set(float64(snapshot.Revision()))
+	n.tableMetrics.rows.Set(float64(snapshot.Live()))
+	n.ReportNow()
 }
 
 // serveTable answers what is newer than ?after=revision, or the whole table.
