Find stores by registration; followers know each other; pass over a refused leader

After two disks had been replaced, the followers left knew no address of each other (5.6 s without a leader); frontends saw no replicas of other zones, went on asking a store that the view still called leader, and after a start of all processes knew no store for 8 s. Change: the leader tells its followers each other's addresses every 500 ms; frontends watch the stores' registrations; a store that refused is passed over for 300 ms; any store may be asked.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -12,9 +12,9 @@
 
 // Pool is a worker.Pool that may be used from anywhere.
 type Pool struct {
-	mutex  sync.Mutex // guards all below
-	pool   *worker.Pool
-	random *rand.Rand
+	mutex   sync.Mutex // guards all below
+	pool    *worker.Pool
+	random  *rand.Rand
 	changed func()
 }
 
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -95,10 +95,15 @@
 	running.Wait()
 }
 
-// view takes the state of a prefix and then its changes.
-type view interface {
-	whole(result kv.RangeResult)
-	changes(batch kv.Batch)
+// View takes the state of a prefix and then its changes, in order.
+type View interface {
+	Whole(result kv.RangeResult)
+	Changes(batch kv.Batch)
+}
+
+// Also keeps another prefix's view current; before Run.
+func (c *Catalog) Also(what, prefix string, view View) {
+	c.followers = append(c.followers, &follower{what: what, prefix: prefix, view: view})
 }
 
 // follower reads a prefix and watches it. Invariant: whenever one follower has
@@ -107,7 +112,7 @@
 type follower struct {
 	what    string
 	prefix  string
-	view    view
+	view    View
 	failing bool
 	delay   time.Duration
 
@@ -164,13 +169,13 @@
 			f.keepMissed()
 			return err
 		}
-		f.view.whole(result)
+		f.view.Whole(result)
 		*revision = result.Revision
 	}
 	c.contact(f)
 	return c.service.Watch(ctx, f.prefix, *revision, func(batch kv.Batch) {
 		c.contact(f)
-		f.view.changes(batch)
+		f.view.Changes(batch)
 		*revision = max(*revision, batch.Revision)
 	})
 }
@@ -245,13 +250,15 @@
 
 type configurationView struct{ catalog *Catalog }
 
-func (v *configurationView) whole(result kv.RangeResult) {
+// Whole takes the configuration if it is there.
+func (v *configurationView) Whole(result kv.RangeResult) {
 	for _, pair := range result.Pairs {
 		v.take(pair)
 	}
 }
 
-func (v *configurationView) changes(batch kv.Batch) {
+// Changes takes newer configurations.
+func (v *configurationView) Changes(batch kv.Batch) {
 	for _, event := range batch.Events {
 		if !event.Deleted {
 			v.take(event.Pair)
@@ -270,8 +277,8 @@
 	revisions map[string]int64 // of the keys that are there
 }
 
-// whole brings the list to a state that was read; what is not in it is gone.
-func (v *workerView) whole(result kv.RangeResult) {
+// Whole brings the list to a state that was read; what is not in it is gone.
+func (v *workerView) Whole(result kv.RangeResult) {
 	var changes []Change
 	found := map[string]bool{}
 	for _, pair := range result.Pairs {
@@ -286,7 +293,8 @@
 	v.tell(changes)
 }
 
-func (v *workerView) changes(batch kv.Batch) {
+// Changes takes workers that came, changed or went.
+func (v *workerView) Changes(batch kv.Batch) {
 	var changes []Change
 	for _, event := range batch.Events {
 		if event.Deleted {
--- a/internal/catalog/peers.go
+++ b/internal/catalog/peers.go
@@ -67,4 +67,3 @@
 	}
 	_ = c.Adopt(answer.Raw, address)
 }
-
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -15,6 +15,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/config"
 	"github.com/dykewing/dykewing/internal/backend"
 	"github.com/dykewing/dykewing/internal/catalog"
@@ -77,10 +78,12 @@
 		node: common, settings: settings, log: common.Logger("frontend"), protocol: protocol, port: port,
 		caller: backend.NewCaller(protocol), metrics: newMetrics(common.Registry),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		stores: &storeclient.Client{HTTP: newStoreClient(), Nodes: common.Nodes},
 	}
+	registered := &storeclient.Registered{}
+	f.stores = &storeclient.Client{HTTP: newStoreClient(), Nodes: func() []api.Node { return registered.With(common.Nodes()) }}
 	f.pool = backend.NewPool(worker.DefaultSettings(common.Settings.Node.Zone), nil)
 	f.catalog = catalog.New(source, common.KeyValue, common.Logger("catalog"), f.pool)
+	f.catalog.Also("stores", common.Settings.KeyValueService.Prefix+storeclient.PrefixStores, registered)
 	common.Mux.HandleFunc("GET "+catalog.PathConfiguration, f.catalog.ServeConfiguration)
 	if err := f.listen(); err != nil {
 		f.closeListeners()
--- a/internal/store/bootstrap.go
+++ b/internal/store/bootstrap.go
@@ -11,25 +11,21 @@
 
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/internal/kv"
+	"github.com/dykewing/dykewing/internal/storeclient"
 	"github.com/dykewing/dykewing/placement"
 	"github.com/dykewing/dykewing/replication"
 )
 
 // Keys under the service's prefix.
 const (
-	prefixStores       = "stores/"
+	prefixStores       = storeclient.PrefixStores
 	prefixGroups       = "groups/"
 	bootstrapInterval  = time.Second
 	publishingInterval = 10 * time.Second // once all groups are formed
 )
 
 // storeRecord registers a disk, so that groups can be formed of it.
-type storeRecord struct {
-	Replica  replication.ReplicaID `json:"replica"`
-	Node     api.NodeID            `json:"node"`
-	Address  string                `json:"address"`
-	Location api.Location          `json:"location"`
-}
+type storeRecord = storeclient.StoreRecord
 
 // groupRecord fixes a group's first members. Members is what the group itself
 // has committed since; it is only told here, never decided.
--- a/internal/store/messages.go
+++ b/internal/store/messages.go
@@ -20,6 +20,7 @@
 		return
 	}
 	s.shared.peers.heard(time.Now(), batch.From, batch.Address)
+	s.shared.peers.told(batch.Members)
 	for _, message := range batch.Messages {
 		s.receive(message, batch.Address)
 	}
--- a/internal/store/peers.go
+++ b/internal/store/peers.go
@@ -17,6 +17,7 @@
 
 	mutex   sync.Mutex // guards all below
 	heardOf map[replication.ReplicaID]sighting
+	toldOf  map[replication.ReplicaID]string   // addresses that other replicas gave
 	nodes   map[replication.ReplicaID]api.Node // of the last view
 	owners  map[replication.ReplicaID]api.NodeID
 	current map[api.NodeID]replication.ReplicaID // newest identity of a node's disk
@@ -34,7 +35,7 @@
 
 func newPeers(trust time.Duration) *peers {
 	return &peers{
-		trust: trust, heardOf: map[replication.ReplicaID]sighting{}, nodes: map[replication.ReplicaID]api.Node{},
+		trust: trust, heardOf: map[replication.ReplicaID]sighting{}, toldOf: map[replication.ReplicaID]string{}, nodes: map[replication.ReplicaID]api.Node{},
 		owners: map[replication.ReplicaID]api.NodeID{}, current: map[api.NodeID]replication.ReplicaID{},
 		avoided: map[replication.ReplicaID]time.Time{}, answered: map[replication.ReplicaID]api.Node{},
 		replaced: map[replication.ReplicaID]bool{},
@@ -131,6 +132,28 @@
 	p.heardOf[replica] = sighting{at: now, address: address}
 }
 
+// heardAddresses lists the replicas that were heard lately, but one.
+func (p *peers) heardAddresses(now time.Time, but replication.ReplicaID) map[replication.ReplicaID]string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	addresses := map[replication.ReplicaID]string{}
+	for replica, heard := range p.heardOf {
+		if replica != but && now.Sub(heard.at) < p.trust {
+			addresses[replica] = heard.address
+		}
+	}
+	return addresses
+}
+
+// told takes addresses that another replica knows.
+func (p *peers) told(addresses map[replication.ReplicaID]string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for replica, address := range addresses {
+		p.toldOf[replica] = address
+	}
+}
+
 // avoid takes a store that did not answer out of the candidates for a while.
 func (p *peers) avoid(replica replication.ReplicaID, until time.Time) {
 	p.mutex.Lock()
@@ -146,6 +169,9 @@
 	if known && (!seen || now.Sub(heard.at) < p.trust) {
 		return heard.address, true
 	}
+	if address, told := p.toldOf[replica]; told && !seen {
+		return address, true
+	}
 	return node.Address, seen
 }
 
--- a/internal/store/peers_test.go
+++ b/internal/store/peers_test.go
@@ -71,3 +71,23 @@
 		t.Errorf("address %q, %t", address, ok)
 	}
 }
+
+// Followers hear only from their leader: when it is lost with its disk, they must
+// know each other's addresses without a view (5.6 s without a leader on the bench,
+// trouble-2 of sbandel-dykewing).
+func TestFollowersLearnEachOthersAddressesFromTheLeader(t *testing.T) {
+	leader, follower := newPeers(time.Minute), newPeers(time.Minute)
+	now := time.Now()
+	leader.heard(now, "one", "10.0.0.1:1")
+	leader.heard(now, "two", "10.0.0.2:1")
+	leader.heard(now.Add(-time.Hour), "gone", "10.0.0.3:1")
+	follower.told(leader.heardAddresses(now, "one"))
+	if address, ok := follower.address(now, "two"); !ok || address != "10.0.0.2:1" {
+		t.Errorf("address of the other follower: %q, %t", address, ok)
+	}
+	for _, unknown := range []replication.ReplicaID{"one", "gone"} {
+		if _, ok := follower.address(now, unknown); ok {
+			t.Errorf("an address of %s was told", unknown)
+		}
+	}
+}
--- a/internal/store/sender.go
+++ b/internal/store/sender.go
@@ -28,8 +28,14 @@
 	From     replication.ReplicaID     `json:"from"`
 	Address  string                    `json:"address"` // where From is reached
 	Messages []replication.WireMessage `json:"messages"`
+	// Members are other replicas of the sender's groups with their addresses, now
+	// and then: followers that lose their leader have to reach each other.
+	Members map[replication.ReplicaID]string `json:"members,omitempty"`
 }
 
+// tellInterval is the time between two lists of members to one replica.
+const tellInterval = 500 * time.Millisecond
+
 // sender sends messages to other replicas, in order for each, as many in one
 // body as wait. What can't be sent is dropped: replication sends it again.
 type sender struct {
@@ -51,6 +57,7 @@
 	messages []replication.WireMessage
 	bytes    int
 	wake     chan struct{}
+	told     time.Time // when members' addresses last went, only for the sending goroutine
 }
 
 func newSender(self replication.ReplicaID, address string, peers *peers, metrics *metrics) *sender {
@@ -122,12 +129,12 @@
 			return
 		}
 		for batch := s.take(queue); len(batch) > 0; batch = s.take(queue) {
-			s.post(to, batch)
+			s.post(to, queue, batch)
 		}
 	}
 }
 
-func (s *sender) post(to replication.ReplicaID, batch []replication.WireMessage) {
+func (s *sender) post(to replication.ReplicaID, queue *sendQueue, batch []replication.WireMessage) {
 	address, ok := s.peers.address(time.Now(), to)
 	if !ok {
 		s.metrics.dropped.Add(float64(len(batch)))
@@ -136,6 +143,10 @@
 	ctx, cancel := context.WithTimeout(s.ctx, sendTimeout)
 	defer cancel()
 	body := messageBatch{From: s.self, Address: s.address, Messages: batch}
+	if now := time.Now(); now.Sub(queue.told) > tellInterval {
+		queue.told = now
+		body.Members = s.peers.heardAddresses(now, to)
+	}
 	if err := transport.Call(ctx, s.client, "send log messages", address, pathMessages, body, nil); err != nil {
 		s.metrics.dropped.Add(float64(len(batch)))
 		return
--- a/internal/storeclient/client.go
+++ b/internal/storeclient/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,7 +14,7 @@
 
 const (
 	// retryInterval is the pause before a group's leader is looked for again.
-	retryInterval = 50 * time.Millisecond
+	retryInterval = 20 * time.Millisecond
 	// patience bounds the search for a leader that can commit; an election takes
 	// less by far, so that after it the caller is told to come back.
 	patience   = 10 * time.Second
@@ -26,11 +27,22 @@
 	HTTP  *http.Client
 	Nodes func() []api.Node // the live view
 
-	mutex sync.Mutex
-	hints map[api.GroupID]api.NodeID // leaders that replicas named
-	turn  int                        // which replica is asked when no leader is known
+	mutex   sync.Mutex
+	hints   map[api.GroupID]api.NodeID // leaders that replicas named
+	turn    int                        // which store is asked when no leader is known
+	refused map[refusalKey]time.Time   // when a store last said that it does not lead
 }
 
+// refusalKey names a store and a group that it did not lead.
+type refusalKey struct {
+	group api.GroupID
+	node  api.NodeID
+}
+
+// refusalLife is how long a store that does not lead is passed over: a view of
+// nodes goes on naming the last leader for seconds.
+const refusalLife = 300 * time.Millisecond
+
 // Command commits a command and gives its result; a refused one is an error.
 func (c *Client) Command(ctx context.Context, group api.GroupID, command jobs.Command) (jobs.Result, error) {
 	var result jobs.Result
@@ -99,39 +111,33 @@
 }
 
 // target is the store to ask: the leader that a replica named, the one that says
-// it leads, or else any that holds a replica, in turn.
+// it leads, or else any store, in turn. One that just refused is passed over.
 func (c *Client) target(group api.GroupID) (api.Node, bool) {
 	nodes := c.Nodes()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	now := time.Now()
+	usable := func(node api.Node) bool {
+		return now.Sub(c.refused[refusalKey{group, node.ID}]) > refusalLife
+	}
 	if hint, ok := c.hints[group]; ok {
 		for _, node := range nodes {
-			if node.ID == hint {
+			if node.ID == hint && usable(node) {
 				return node, true
 			}
 		}
 	}
-	if leader, ok := Leader(nodes, group); ok {
+	if leader, ok := Leader(nodes, group); ok && usable(leader) {
 		return leader, true
 	}
-	holders := holdersOf(nodes, group)
-	if len(holders) == 0 {
+	stores := slices.DeleteFunc(slices.Clone(nodes), func(node api.Node) bool {
+		return node.Role != api.RoleStore || !usable(node)
+	})
+	if len(stores) == 0 {
 		return api.Node{}, false
 	}
 	c.turn++
-	return holders[c.turn%len(holders)], true
-}
-
-func holdersOf(nodes []api.Node, group api.GroupID) []api.Node {
-	var holders []api.Node
-	for _, node := range nodes {
-		for _, summary := range node.Summary.Groups {
-			if summary.Group == group {
-				holders = append(holders, node)
-			}
-		}
-	}
-	return holders
+	return stores[c.turn%len(stores)], true
 }
 
 // learn takes the leader that a refusal names, and tells whether it is worth
@@ -139,14 +145,18 @@
 func (c *Client) learn(group api.GroupID, asked api.NodeID, refusal *api.Error) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if c.hints == nil {
+		c.hints, c.refused = map[api.GroupID]api.NodeID{}, map[refusalKey]time.Time{}
+	}
+	c.refused[refusalKey{group, asked}] = time.Now()
 	if refusal.Leader == "" || refusal.Leader == asked {
 		delete(c.hints, group)
 		return false
 	}
-	if c.hints == nil {
-		c.hints = map[api.GroupID]api.NodeID{}
-	}
 	known := c.hints[group] == refusal.Leader
+	if !known {
+		delete(c.refused, refusalKey{group, refusal.Leader})
+	}
 	c.hints[group] = refusal.Leader
 	return !known
 }
--- /dev/null
+++ b/internal/storeclient/registered.go
@@ -0,0 +1,93 @@
+package storeclient
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"sync"
+
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/internal/kv"
+	"github.com/dykewing/dykewing/replication"
+)
+
+// PrefixStores is where stores register, under the service's prefix.
+const PrefixStores = "stores/"
+
+// StoreRecord registers a disk with the machine that holds it.
+type StoreRecord struct {
+	Replica  replication.ReplicaID `json:"replica"`
+	Node     api.NodeID            `json:"node"`
+	Address  string                `json:"address"`
+	Location api.Location          `json:"location"`
+}
+
+// Registered knows the stores that are registered with a key-value service; it
+// is a catalog.View. A machine with several disks in turn has the newest one's
+// registration.
+type Registered struct {
+	mutex   sync.Mutex // guards records
+	records map[string]registration
+}
+
+type registration struct {
+	record   StoreRecord
+	revision int64
+}
+
+// Whole takes all registrations.
+func (r *Registered) Whole(result kv.RangeResult) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.records = map[string]registration{}
+	for _, pair := range result.Pairs {
+		r.put(pair)
+	}
+}
+
+// Changes takes registrations that came or went.
+func (r *Registered) Changes(batch kv.Batch) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, event := range batch.Events {
+		if event.Deleted {
+			delete(r.records, event.Pair.Key)
+		} else {
+			r.put(event.Pair)
+		}
+	}
+}
+
+// put takes a registration; what can't be read is left out, since the stores
+// are also known by the view of nodes. The mutex is held.
+func (r *Registered) put(pair kv.Pair) {
+	var record StoreRecord
+	if err := json.Unmarshal(pair.Value, &record); err != nil || r.records == nil {
+		return
+	}
+	r.records[pair.Key] = registration{record: record, revision: pair.Revision}
+}
+
+// With adds to a view of nodes the registered stores that it does not show.
+func (r *Registered) With(nodes []api.Node) []api.Node {
+	r.mutex.Lock()
+	newest := map[api.NodeID]registration{}
+	for _, each := range r.records {
+		if known, ok := newest[each.record.Node]; !ok || each.revision > known.revision {
+			newest[each.record.Node] = each
+		}
+	}
+	r.mutex.Unlock()
+	for _, node := range nodes {
+		delete(newest, node.ID)
+	}
+	added := make([]api.Node, 0, len(newest))
+	for _, each := range newest {
+		added = append(added, api.Node{
+			ID: each.record.Node, Role: api.RoleStore, Address: each.record.Address, Location: each.record.Location,
+			Summary: api.Summary{Replica: string(each.record.Replica)},
+		})
+	}
+	slices.SortFunc(added, func(a, b api.Node) int { return cmp.Compare(a.ID, b.ID) })
+	return slices.Concat(nodes, added)
+}
