--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -31,6 +31,8 @@
 	maximumHeaderBytes = 64 << 10
 	// endMargin is kept of the stop timeout for what ends after the requests.
 	endMargin = 500 * time.Millisecond
+	// takingShare of the stop timeout is the most during which requests are taken.
+	takingShare = 0.5
 	// forgetMargin is waited beyond the time after which callers have forgotten
 	// an address.
 	forgetMargin = 300 * time.Millisecond
@@ -163,11 +165,19 @@
 	return failure
 }
 
+// forgetTime is how long requests are still taken during a planned stop: until
+// callers have forgotten the address, but so that those that run can finish.
+// Callers that hold it longer are refused the connection and try another.
+func (f *Frontend) forgetTime() time.Duration {
+	longest := time.Duration(f.settings.ForgetFactor*float64(f.settings.AddressLifetime)) + forgetMargin
+	return min(longest, time.Duration(takingShare*float64(f.node.Settings.Node.StopTimeout)))
+}
+
 // drain is the planned stop.
 func (f *Frontend) drain() {
 	began := time.Now()
 	deadline := began.Add(f.node.Settings.Node.StopTimeout - endMargin)
-	forgotten := time.Duration(f.settings.ForgetFactor*float64(f.settings.AddressLifetime)) + forgetMargin
+	forgotten := f.forgetTime()
 	f.log.WithField("event", "stop_begun").WithField("forget_ms", forgotten.Milliseconds()).Info("Leaving: callers are told other addresses.")
 	time.Sleep(forgotten)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
