--- a/config/config.go
+++ b/config/config.go
@@ -167,7 +167,7 @@
 		},
 		Platform: Platform{Timeout: time.Second},
 		Batch: Batch{
-			Fill: 0.85, ReportInterval: 250 * time.Millisecond, Silence: 3 * time.Second, Retention: 24 * time.Hour,
+			Fill: 0.95, ReportInterval: 250 * time.Millisecond, Silence: 3 * time.Second, Retention: 24 * time.Hour,
 		},
 	}
 }
--- a/internal/batchrun/leader.go
+++ b/internal/batchrun/leader.go
@@ -41,6 +41,9 @@
 	last     string    // id of the last whole event
 	avoid    string    // the worker that it was lost at
 	cancel   context.CancelFunc
+	worker   string    // where it runs
+	since    time.Time // when it was sent there
+	yielding bool      // it was told to give way
 }
 
 // Leader runs the open jobs of one group while this process leads it.
@@ -59,13 +62,21 @@
 	waiting []*item    // the most urgent first
 	running map[*item]bool
 	ended   map[jobs.JobID]bool
+	runTime time.Duration // of a whole item, lately
 }
 
+// What is assumed of an item's run.
+const (
+	firstRunTime = 4 * time.Second // before one has ended
+	runTimeShare = 0.1             // of a new one in the average
+	urgentFactor = 2.0             // of the average, until results are due
+)
+
 func newLeader(service *Service, group api.GroupID, state *jobs.State, propose dispatch.Propose) *Leader {
 	l := &Leader{
 		service: service, group: group, state: state, propose: propose, log: service.log.WithField("group", group),
 		wake: make(chan struct{}, 1), results: make(chan jobs.InlineResult, maximumGathered),
-		running: map[*item]bool{}, ended: map[jobs.JobID]bool{},
+		runTime: firstRunTime, running: map[*item]bool{}, ended: map[jobs.JobID]bool{},
 	}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	return l
@@ -146,6 +157,32 @@
 	l.log.WithFields(logrus.Fields{"event": "job_stopped", "request": id, "items_stopped": stopped}).Info("A job was ended; its items stop.")
 }
 
+// giveWay stops up to count items at a worker where others wait: those whose
+// results are due last. They go on elsewhere after their last event.
+func (l *Leader) giveWay(workerID string, count int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	now := time.Now()
+	var there []*item
+	for i := range l.running {
+		if i.worker == workerID && !i.yielding && !l.urgent(now, i) {
+			there = append(there, i)
+		}
+	}
+	slices.SortFunc(there, func(a, b *item) int {
+		return cmp.Or(b.job.Due().Compare(a.job.Due()), b.since.Compare(a.since))
+	})
+	for _, i := range there[:min(count, len(there))] {
+		i.yielding = true
+		i.cancel()
+		l.service.metrics.yielded.Inc()
+		l.log.WithFields(logrus.Fields{
+			"event": "item_gives_way", "request": i.job.ID, "index": i.index, "worker": workerID, "waiting": count,
+			"left_ms": time.Until(i.job.Due()).Milliseconds(),
+		}).Info("An item gives way to requests that wait.")
+	}
+}
+
 func (l *Leader) wakeUp() {
 	select {
 	case l.wake <- struct{}{}:
@@ -189,7 +226,7 @@
 	full := map[string]bool{}
 	kept := l.waiting[:0]
 	for _, i := range l.waiting {
-		if l.ctx.Err() != nil || now.Before(i.notUntil) || !l.try(i, full) {
+		if l.ctx.Err() != nil || now.Before(i.notUntil) || !l.try(now, i, full) {
 			kept = append(kept, i)
 		}
 	}
@@ -200,7 +237,7 @@
 }
 
 // try begins one item; false when it has to wait. The mutex is held.
-func (l *Leader) try(i *item, full map[string]bool) bool {
+func (l *Leader) try(now time.Time, i *item, full map[string]bool) bool {
 	if i.path == "" && !l.describe(i) {
 		return false
 	}
@@ -219,10 +256,11 @@
 	if !matched.Allows(i.service) {
 		i.service = matched.Shares[0].Service
 	}
-	if full[i.service] {
+	urgent := l.urgent(now, i)
+	if full[i.service] && !urgent {
 		return false
 	}
-	query := worker.Query{Service: i.service, Parts: i.parts, Tokens: i.tokens, Limit: l.service.settings.Fill}
+	query := worker.Query{Service: i.service, Parts: i.parts, Tokens: i.tokens, Limit: l.service.settings.Fill, Reserve: !urgent}
 	if i.avoid != "" {
 		query.Excluded = []string{i.avoid}
 	}
@@ -233,12 +271,18 @@
 		return false
 	}
 	ctx, cancel := context.WithCancel(l.ctx)
-	i.cancel = cancel
+	i.cancel, i.worker, i.since = cancel, ticket.Worker.ID, now
 	l.running[i] = true
 	go l.run(ctx, i, matched.MaxAttempts, ticket)
 	return true
 }
 
+// urgent tells whether an item has to run now to be in time. It then takes room
+// that is otherwise kept for bursts of online requests, and keeps it.
+func (l *Leader) urgent(now time.Time, i *item) bool {
+	return i.job.RunTarget > 0 && i.job.Due().Sub(now) < time.Duration(urgentFactor*float64(l.runTime))
+}
+
 // describe reads from the state what a choice of worker needs.
 func (l *Leader) describe(i *item) bool {
 	stored, found, err := l.state.InlineItem(i.job.ID, i.index)
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -105,6 +105,17 @@
 		return
 	}
 	s.pool.Report(w.ID, worker.Load{Running: report.Running, Waiting: report.Waiting})
+	if report.Waiting > 0 {
+		s.giveWay(w.ID, report.Waiting)
+	}
+}
+
+func (s *Service) giveWay(workerID string, count int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for leader := range s.leaders {
+		leader.giveWay(workerID, count)
+	}
 }
 
 // Lead begins to run a group's open jobs; it is a store.StartInlineRunner.
@@ -142,6 +153,7 @@
 	attempts *prometheus.CounterVec // by verdict
 	waiting  prometheus.Gauge
 	running  prometheus.Gauge
+	yielded  prometheus.Counter
 	seconds  prometheus.Histogram // of a whole item, from its submission
 }
 
@@ -155,11 +167,14 @@
 		}, []string{"verdict"}),
 		waiting: prometheus.NewGauge(prometheus.GaugeOpts{Name: "dykewing_batch_items_waiting", Help: "Items that wait for a worker."}),
 		running: prometheus.NewGauge(prometheus.GaugeOpts{Name: "dykewing_batch_items_running", Help: "Items at a worker."}),
+		yielded: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "dykewing_batch_items_yielded_total", Help: "Items stopped because requests waited at their worker.",
+		}),
 		seconds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "dykewing_batch_item_seconds", Help: "Time from a job's submission to an item's result.",
 			Buckets: prometheus.ExponentialBuckets(0.25, 2, 12),
 		}),
 	}
-	registry.MustRegister(m.items, m.attempts, m.waiting, m.running, m.seconds)
+	registry.MustRegister(m.items, m.attempts, m.waiting, m.running, m.yielded, m.seconds)
 	return m
 }
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -53,8 +53,15 @@
 type Pool struct {
 	settings Settings
 	entries  map[string]*entry
-	services map[string][]*entry // sorted by id
-	capacity map[string]int      // tokens of an engine's memory, by service
+	services map[string]*service
+	capacity map[string]int // tokens of an engine's memory, by service
+}
+
+// service is the workers of one service.
+type service struct {
+	workers []*entry // sorted by id
+	others  float64  // sum of the workers' others
+	peak    peak     // of others
 }
 
 // entry is one worker with what this process knows of it.
@@ -76,7 +83,7 @@
 // NewPool gives an empty pool.
 func NewPool(settings Settings) *Pool {
 	return &Pool{
-		settings: settings, entries: map[string]*entry{}, services: map[string][]*entry{}, capacity: map[string]int{},
+		settings: settings, entries: map[string]*entry{}, services: map[string]*service{}, capacity: map[string]int{},
 	}
 }
 
@@ -85,22 +92,23 @@
 
 // Put adds a worker or replaces what is listed of it.
 func (p *Pool) Put(now time.Time, w Worker) {
-	known, ok := p.entries[w.ID]
-	if ok && known.Service == w.Service {
-		known.Worker = w
+	if listed, ok := p.entries[w.ID]; ok && listed.Service == w.Service {
+		listed.Worker = w
 		if w.Slots > 0 {
-			known.slots = w.Slots
+			listed.slots = w.Slots
 		}
 		return
 	}
-	if ok {
-		p.Remove(w.ID)
-	}
+	p.Remove(w.ID)
 	added := &entry{Worker: w, slots: max(w.Slots, 1), parts: newPartSet(), startedAt: now}
 	p.entries[w.ID] = added
-	list := append(p.services[w.Service], added)
-	slices.SortFunc(list, func(a, b *entry) int { return cmp.Compare(a.ID, b.ID) })
-	p.services[w.Service] = list
+	known, ok := p.services[w.Service]
+	if !ok {
+		known = &service{}
+		p.services[w.Service] = known
+	}
+	known.workers = append(known.workers, added)
+	slices.SortFunc(known.workers, func(a, b *entry) int { return cmp.Compare(a.ID, b.ID) })
 }
 
 // Remove forgets a worker that is gone. Requests there may still end.
@@ -110,7 +118,9 @@
 		return
 	}
 	delete(p.entries, id)
-	p.services[known.Service] = slices.DeleteFunc(p.services[known.Service], func(e *entry) bool { return e.ID == id })
+	of := p.services[known.Service]
+	of.others -= known.others
+	of.workers = slices.DeleteFunc(of.workers, func(e *entry) bool { return e.ID == id })
 }
 
 // Get finds a worker.
@@ -134,13 +144,21 @@
 
 // Workers lists a service's workers, sorted by id.
 func (p *Pool) Workers(service string) []Worker {
-	list := make([]Worker, 0, len(p.services[service]))
-	for _, e := range p.services[service] {
+	listed := p.listed(service)
+	list := make([]Worker, 0, len(listed))
+	for _, e := range listed {
 		list = append(list, e.Worker)
 	}
 	return list
 }
 
+func (p *Pool) listed(name string) []*entry {
+	if known, ok := p.services[name]; ok {
+		return known.workers
+	}
+	return nil
+}
+
 // Begin notes a request sent to a worker, with the tokens of prompt to be read.
 func (p *Pool) Begin(id string, tokens int) {
 	if e, ok := p.entries[id]; ok {
@@ -174,8 +192,7 @@
 	if load.Slots > 0 {
 		e.slots = load.Slots
 	}
-	e.others = float64(max(load.Running+load.Waiting-e.own, 0))
-	e.reported = now
+	p.setOthers(now, e, float64(max(load.Running+load.Waiting-e.own, 0)))
 	e.sentSince = 0
 	e.failures = 0
 	e.downUntil = time.Time{}
@@ -189,6 +206,14 @@
 	}
 }
 
+// setOthers notes what others have at a worker, and in all of its service.
+func (p *Pool) setOthers(now time.Time, e *entry, others float64) {
+	of := p.services[e.Service]
+	of.others += others - e.others
+	of.peak.add(now, of.others)
+	e.others, e.reported = others, now
+}
+
 // maximumBackoff bounds how DownFor grows with failures in a row.
 const maximumBackoff = 4
 
@@ -196,8 +221,7 @@
 func (p *Pool) Full(now time.Time, id string) {
 	if e, ok := p.entries[id]; ok {
 		e.fullUntil = now.Add(fullPause)
-		e.others = max(e.others, float64(e.slots-e.own))
-		e.reported = now
+		p.setOthers(now, e, max(e.others, float64(e.slots-e.own)))
 	}
 }
 
