Stores know each other by their registrations from the start

Change: stores watch registrations; a removed member's registration goes; groups are formed from registrations that answer.

--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -48,6 +48,9 @@
 	return s
 }
 
+// Catalog is what the service watches.
+func (s *Service) Catalog() *catalog.Catalog { return s.catalog }
+
 // Run watches until ctx ends.
 func (s *Service) Run(ctx context.Context, peers catalog.Peers) {
 	var running sync.WaitGroup
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/dykewing/dykewing/internal/router"
 	"github.com/dykewing/dykewing/internal/sidecar"
 	"github.com/dykewing/dykewing/internal/store"
+	"github.com/dykewing/dykewing/internal/storeclient"
 )
 
 // Daemon is one process's role, ready to run.
@@ -87,7 +88,9 @@
 		return part.Run, nil
 	}
 	runner := batchrun.New(common, platform.Protocol, platform.Source)
-	part, err := store.New(common, store.WithInlineRunner(runner.Lead))
+	registered := &storeclient.Registered{}
+	runner.Catalog().Also("stores", common.Settings.KeyValueService.Prefix+storeclient.PrefixStores, registered)
+	part, err := store.New(common, store.WithInlineRunner(runner.Lead), store.WithRegistered(registered))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/store/bootstrap.go
+++ b/internal/store/bootstrap.go
@@ -20,7 +20,7 @@
 const (
 	prefixStores       = storeclient.PrefixStores
 	prefixGroups       = "groups/"
-	bootstrapInterval  = time.Second
+	bootstrapInterval  = 500 * time.Millisecond
 	publishingInterval = 10 * time.Second // once all groups are formed
 )
 
@@ -164,6 +164,7 @@
 	if err != nil {
 		return nil, err
 	}
+	s.shared.peers.register(records)
 	known := s.shared.peers.stores(time.Now())
 	var stores []placement.Store
 	for _, record := range records {
--- a/internal/store/members.go
+++ b/internal/store/members.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/dykewing/dykewing/internal/kv"
 	"github.com/dykewing/dykewing/internal/transport"
 	"github.com/dykewing/dykewing/placement"
 	"github.com/dykewing/dykewing/replication"
@@ -33,6 +34,7 @@
 			return
 		}
 		s.shared.peers.observe(s.node.Nodes())
+		s.learnRegistered()
 		if s.node.Leaving() {
 			continue
 		}
@@ -43,6 +45,13 @@
 	}
 }
 
+// learnRegistered takes what registrations tell of machines that no view shows.
+func (s *Store) learnRegistered() {
+	if s.registrations != nil {
+		s.shared.peers.register(s.registrations.Records())
+	}
+}
+
 // askSilent asks members that were not heard lately, at the address where they
 // were last, for their identity: a machine that came back with an empty disk is
 // known at once and not only when the view of nodes shows it.
@@ -65,7 +74,6 @@
 func (s *Store) askSuccessor(ctx context.Context, member replication.ReplicaID) {
 	address, ok := s.shared.peers.address(time.Now(), member)
 	if !ok {
-		s.readRegistered(ctx)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, membersInterval)
@@ -80,20 +88,6 @@
 	}
 }
 
-// readRegistered learns from the key-value service where stores are whose
-// machines no view has shown yet, as after a start of the whole fleet.
-func (s *Store) readRegistered(ctx context.Context) {
-	if s.node.KeyValue == nil || time.Since(s.registeredRead) < s.node.Settings.Membership.Interval {
-		return
-	}
-	s.registeredRead = time.Now()
-	records, err := s.readStores(ctx)
-	if err != nil {
-		return
-	}
-	s.shared.peers.register(records)
-}
-
 func (s *Store) lookAfter(ctx context.Context, group *group) {
 	if !group.leads() {
 		return
@@ -114,12 +108,31 @@
 		return
 	}
 	group.log.WithField("voters", change.Voters).WithField("learners", change.Learners).Info("The group's members changed.")
+	s.unregisterRemoved(ctx, at.Members, change)
 	select {
 	case s.changed <- struct{}{}:
 	default:
 	}
 }
 
+// unregisterRemoved removes the registrations of members that a change left out.
+// What the service refuses stays: a registration without a disk behind it only
+// costs a question.
+func (s *Store) unregisterRemoved(ctx context.Context, before, after replication.Members) {
+	if s.registrations == nil {
+		return
+	}
+	for _, member := range before.Voters {
+		key, revision, registered := s.registrations.Key(member)
+		if slices.Contains(after.Voters, member) || !registered {
+			continue
+		}
+		if _, err := s.node.KeyValue.Swap(ctx, kv.Swap{Key: key, Expected: revision, Delete: true}); err != nil {
+			s.log.WithError(err).Debug("A registration could not be removed.")
+		}
+	}
+}
+
 // lost tells whether a replica is given up: not heard for too long, while this
 // store led, which all members answer. This store itself never is.
 func (s *Store) lost(replica replication.ReplicaID, since time.Time) bool {
--- a/internal/store/peers.go
+++ b/internal/store/peers.go
@@ -97,20 +97,26 @@
 	return true
 }
 
-// register takes registrations, the oldest first, of machines that the view does
-// not show: a later one of the same machine replaces an earlier one.
+// register takes registrations, the oldest first: a later one of the same machine
+// replaces an earlier one. A disk that the view shows and that is not registered
+// yet is newer than all of them.
 func (p *peers) register(records []storeRecord) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	newest := map[api.NodeID]storeRecord{}
+	registered := map[replication.ReplicaID]bool{}
 	for _, record := range records {
 		p.owners[record.Replica] = record.Node
 		newest[record.Node] = record
+		registered[record.Replica] = true
 	}
 	for id, record := range newest {
-		if _, shown := p.nodes[p.current[id]]; shown {
+		current := p.current[id]
+		if _, shown := p.nodes[current]; current == record.Replica && shown || shown && !registered[current] {
 			continue
 		}
+		delete(p.nodes, current)
+		p.replaced[current] = true
 		p.answered[record.Replica] = api.Node{
 			ID: id, Role: api.RoleStore, Address: record.Address, Location: record.Location,
 			Summary: api.Summary{Replica: string(record.Replica)},
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -16,6 +16,7 @@
 
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/internal/node"
+	"github.com/dykewing/dykewing/internal/storeclient"
 	"github.com/dykewing/dykewing/quota"
 	"github.com/dykewing/dykewing/replication"
 	"github.com/dykewing/dykewing/table"
@@ -26,13 +27,13 @@
 
 // Store is the role's part of a process.
 type Store struct {
-	node           *node.Node
-	log            *logrus.Entry
-	shared         parts
-	space          *space
-	inline         StartInlineRunner // nil: inline jobs are kept, not run
-	registeredRead time.Time         // only for lookAfterMembers
-	registered     bool              // only for the loop that meets other stores
+	node          *node.Node
+	log           *logrus.Entry
+	shared        parts
+	space         *space
+	inline        StartInlineRunner       // nil: inline jobs are kept, not run
+	registrations *storeclient.Registered // nil: only views tell of other stores
+	registered    bool                    // only for the loop that meets other stores
 
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -54,6 +55,12 @@
 	return func(s *Store) { s.inline = start }
 }
 
+// WithRegistered lets the store know of others by their registrations, before a
+// view of nodes shows them.
+func WithRegistered(registered *storeclient.Registered) Option {
+	return func(s *Store) { s.registrations = registered }
+}
+
 // New opens the data folder and adds the role to a node.
 func New(common *node.Node, options ...Option) (*Store, error) {
 	return newStore(common, hooks{}, options...)
--- a/internal/storeclient/registered.go
+++ b/internal/storeclient/registered.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
 	"slices"
 	"sync"
 
@@ -68,6 +69,31 @@
 	r.records[pair.Key] = registration{record: record, revision: pair.Revision}
 }
 
+// Records lists all registrations, the oldest first.
+func (r *Registered) Records() []StoreRecord {
+	r.mutex.Lock()
+	all := slices.Collect(maps.Values(r.records))
+	r.mutex.Unlock()
+	slices.SortFunc(all, func(a, b registration) int { return cmp.Compare(a.revision, b.revision) })
+	records := make([]StoreRecord, 0, len(all))
+	for _, each := range all {
+		records = append(records, each.record)
+	}
+	return records
+}
+
+// Key gives a registration's key with its revision; false when there is none.
+func (r *Registered) Key(replica replication.ReplicaID) (key string, revision int64, ok bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for key, each := range r.records {
+		if each.record.Replica == replica {
+			return key, each.revision, true
+		}
+	}
+	return "", 0, false
+}
+
 // With adds to a view of nodes the registered stores that it does not show.
 func (r *Registered) With(nodes []api.Node) []api.Node {
 	r.mutex.Lock()
