Keep partial texts of running items; pass over silent stores

Change: the leader lets the group keep what items have given every second, and the next one goes on after it; a store that does not answer in 250 ms is passed over (commands have no second effect).

--- a/internal/batchrun/leader.go
+++ b/internal/batchrun/leader.go
@@ -34,12 +34,14 @@
 	parts    []worker.Part
 	tokens   int
 	service  string
-	failures int       // answers that say that its run failed
-	sends    int       // in all
-	notUntil time.Time // it waits before it is sent again
-	text     []byte    // of whole events so far
-	last     string    // id of the last whole event
-	avoid    string    // the worker that it was lost at
+	failures int        // answers that say that its run failed
+	sends    int        // in all
+	notUntil time.Time  // it waits before it is sent again
+	received sync.Mutex // guards text, last and kept while the item runs
+	text     []byte     // of whole events so far
+	last     string     // id of the last whole event
+	kept     int        // bytes of text that other leaders know of
+	avoid    string     // the worker that it was lost at
 	cancel   context.CancelFunc
 	worker   string    // where it runs
 	since    time.Time // when it was sent there
@@ -105,6 +107,7 @@
 func (l *Leader) start() {
 	go l.dispatchLoop()
 	go l.commitLoop()
+	go l.keepLoop()
 	go l.expireLoop()
 }
 
@@ -290,6 +293,11 @@
 		return false
 	}
 	request := l.service.caller.Protocol.ReadRequest(headerOf(stored))
+	partial, err := l.state.InlinePartial(i.job.ID, i.index)
+	if err != nil {
+		return false
+	}
+	i.text, i.last, i.kept = []byte(partial.Text), partial.Last, len(partial.Text)
 	i.path, i.host, i.parts, i.tokens = stored.Path, i.job.Host, request.Parts, request.PromptTokens
 	return true
 }
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -66,7 +66,6 @@
 		l.list(i, jobs.InlineCompleted, string(i.text))
 	case verdictFailed:
 		i.failures++
-		i.text, i.last = nil, ""
 	case verdictPointless:
 		i.failures = maximumFailures
 	}
@@ -165,6 +164,9 @@
 
 // take keeps an event: its data lines join the text, separated by line feeds.
 func (i *item) take(event []byte) {
+	i.received.Lock()
+	defer i.received.Unlock()
+	first := i.last == ""
 	for line := range bytes.Lines(event) {
 		line = bytes.TrimRight(line, "\r\n")
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
@@ -175,9 +177,10 @@
 		if !ok {
 			continue
 		}
-		if len(i.text) > 0 {
+		if !first {
 			i.text = append(i.text, '\n')
 		}
+		first = false
 		i.text = append(i.text, bytes.TrimPrefix(data, []byte(" "))...)
 	}
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -82,7 +82,7 @@
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	registered := &storeclient.Registered{}
-	f.stores = &storeclient.Client{HTTP: newStoreClient(), Nodes: func() []api.Node { return registered.With(common.Nodes()) }}
+	f.stores = &storeclient.Client{HTTP: newStoreClient(), AttemptTimeout: storeAttempt, Nodes: func() []api.Node { return registered.With(common.Nodes()) }}
 	f.pool = backend.NewPool(worker.DefaultSettings(common.Settings.Node.Zone), nil)
 	f.catalog = catalog.New(source, common.KeyValue, common.Logger("catalog"), f.pool)
 	f.catalog.Also("stores", common.Settings.KeyValueService.Prefix+storeclient.PrefixStores, registered)
@@ -100,6 +100,9 @@
 	storeDialTimeout  = 300 * time.Millisecond
 	storeIdleLifetime = 30 * time.Second
 	storeSilence      = 1200 * time.Millisecond
+	// storeAttempt is over the time of a commit by far and under that of an
+	// election with it.
+	storeAttempt = 250 * time.Millisecond
 )
 
 func newStoreClient() *http.Client {
--- a/internal/storeclient/client.go
+++ b/internal/storeclient/client.go
@@ -24,8 +24,11 @@
 // Client reaches the leaders of groups. Commands are idempotent, so a command
 // whose answer was lost is sent again until ctx or the client's patience ends.
 type Client struct {
-	HTTP  *http.Client
-	Nodes func() []api.Node // the live view
+	HTTP *http.Client
+	// AttemptTimeout is how long a store may take to answer before another is
+	// asked; it doubles with each silent one. 0: defaultAttemptTimeout.
+	AttemptTimeout time.Duration
+	Nodes          func() []api.Node // the live view
 
 	mutex   sync.Mutex
 	hints   map[api.GroupID]api.NodeID // leaders that replicas named
@@ -46,7 +49,7 @@
 // Command commits a command and gives its result; a refused one is an error.
 func (c *Client) Command(ctx context.Context, group api.GroupID, command jobs.Command) (jobs.Result, error) {
 	var result jobs.Result
-	err := c.retry(ctx, "commit command", group, func(address string) error {
+	err := c.retry(ctx, "commit command", group, func(ctx context.Context, address string) error {
 		result = jobs.Result{}
 		return transport.Call(ctx, c.HTTP, "commit command", address, CommandsPath(group), command, &result)
 	})
@@ -61,7 +64,7 @@
 
 // Read gets one of the group's paths from its leader.
 func (c *Client) Read(ctx context.Context, group api.GroupID, path string, answer any) error {
-	return c.retry(ctx, "read group", group, func(address string) error {
+	return c.retry(ctx, "read group", group, func(ctx context.Context, address string) error {
 		return transport.Get(ctx, c.HTTP, "read group", address, path, answer)
 	})
 }
@@ -69,17 +72,25 @@
 // retry calls the leader until it answers with something else than a change of
 // leader or a broken connection. Once an attempt's outcome is unknown, no later
 // refusal makes it known.
-func (c *Client) retry(ctx context.Context, step string, group api.GroupID, call func(address string) error) error {
+func (c *Client) retry(ctx context.Context, step string, group api.GroupID, call func(ctx context.Context, address string) error) error {
 	last := api.NewError(step, "", api.CodeNoQuorum, api.OutcomeNotRun, "group %d has no known leader", group)
 	unknown := false
 	deadline := time.Now().Add(patience)
+	limit := c.attemptTimeout()
 	for {
 		if target, ok := c.target(group); ok {
-			err := call(target.Address)
+			attempt, cancel := context.WithTimeout(ctx, limit)
+			err := call(attempt, target.Address)
+			silent := attempt.Err() != nil && ctx.Err() == nil
+			cancel()
 			if err == nil {
 				return nil
 			}
 			last = api.AsError(step, err)
+			if silent {
+				last.Code = api.CodeUpstream
+				limit *= 2
+			}
 			unknown = unknown || last.Outcome == api.OutcomeUnknown
 			if unknown {
 				last.Outcome = api.OutcomeUnknown
@@ -102,6 +113,16 @@
 	}
 }
 
+// defaultAttemptTimeout suits calls that may wait for a slow disk.
+const defaultAttemptTimeout = 5 * time.Second
+
+func (c *Client) attemptTimeout() time.Duration {
+	if c.AttemptTimeout > 0 {
+		return c.AttemptTimeout
+	}
+	return defaultAttemptTimeout
+}
+
 // givenUp tells the caller when to come back.
 func givenUp(last *api.Error) *api.Error {
 	failure := *last
--- a/jobs/command.go
+++ b/jobs/command.go
@@ -45,6 +45,7 @@
 
 	SubmitInline   *SubmitInline   `json:"submit_inline,omitempty"`
 	CompleteInline *CompleteInline `json:"complete_inline,omitempty"`
+	KeepInline     *KeepInline     `json:"keep_inline,omitempty"`
 	EndInline      *EndInline      `json:"end_inline,omitempty"`
 	ExpireInline   *ExpireInline   `json:"expire_inline,omitempty"`
 }
--- a/jobs/inline.go
+++ b/jobs/inline.go
@@ -33,6 +33,28 @@
 	Results []InlineResult `json:"results"`
 }
 
+// KeepInline keeps what items that run have given so far, so that another leader
+// goes on after it.
+type KeepInline struct {
+	Parts []InlinePart `json:"parts"`
+}
+
+// InlinePart is a further part of an item's text. It is taken only if the text
+// kept so far has the length Offset.
+type InlinePart struct {
+	Job    JobID  `json:"job"`
+	Index  int    `json:"index"`
+	Offset int    `json:"offset"`
+	Text   string `json:"text"`
+	Last   string `json:"last"` // id of the last event in it
+}
+
+// InlinePartial is what is kept of an item that is not listed.
+type InlinePartial struct {
+	Text string `json:"text"`
+	Last string `json:"last"`
+}
+
 // EndInline ends a job: nothing more of it is listed.
 type EndInline struct {
 	Job JobID `json:"job"`
@@ -141,12 +163,39 @@
 		return false
 	}
 	c.Put(listed, []byte{1})
+	c.Delete(inlineKey(keyInlinePartial, job.ID, result.Index))
 	c.put(inlineKey(keyInlineResult, job.ID, job.Listed), result)
 	job.Listed++
 	c.put(inlineJobKey(job.ID), job)
 	return true
 }
 
+func (c *change) keepInline(command KeepInline) Result {
+	var result Result
+	for _, part := range command.Parts {
+		if c.keepPart(part) {
+			result.Accepted++
+		}
+	}
+	return result
+}
+
+// keepPart adds to an item's text what follows it, and nothing else.
+func (c *change) keepPart(part InlinePart) bool {
+	job, ok := c.inlineJob(part.Job)
+	if !ok || !job.Open() || part.Index < 0 || part.Index >= job.Total || c.Get(inlineKey(keyInlineListed, job.ID, part.Index)) != nil {
+		return false
+	}
+	key := inlineKey(keyInlinePartial, job.ID, part.Index)
+	var kept InlinePartial
+	c.get(key, &kept)
+	if len(kept.Text) != part.Offset {
+		return false
+	}
+	c.put(key, InlinePartial{Text: kept.Text + part.Text, Last: part.Last})
+	return true
+}
+
 func (c *change) endInline(command EndInline) Result {
 	job, ok := c.inlineJob(command.Job)
 	if !ok {
@@ -198,6 +247,7 @@
 		c.Delete(inlineKey(keyInlineItem, id, index))
 		c.Delete(inlineKey(keyInlineResult, id, index))
 		c.Delete(inlineKey(keyInlineListed, id, index))
+		c.Delete(inlineKey(keyInlinePartial, id, index))
 	}
 	c.Delete(inlineJobKey(id))
 }
--- a/jobs/read_inline.go
+++ b/jobs/read_inline.go
@@ -27,6 +27,15 @@
 	return item, found, err
 }
 
+// InlinePartial gives what is kept of an item that is not listed.
+func (s *State) InlinePartial(id JobID, index int) (partial InlinePartial, err error) {
+	err = s.storage.View(func(r Reader) error {
+		_, err := get(r, inlineKey(keyInlinePartial, id, index), &partial)
+		return err
+	})
+	return partial, err
+}
+
 // InlineItemByID finds an item of a job by its ID.
 func (s *State) InlineItemByID(id JobID, itemID string) (item InlineItem, found bool, err error) {
 	err = s.storage.View(func(r Reader) error {
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -138,6 +138,8 @@
 		return c.submitInline(*command.SubmitInline)
 	case command.CompleteInline != nil:
 		return c.completeInline(*command.CompleteInline)
+	case command.KeepInline != nil:
+		return c.keepInline(*command.KeepInline)
 	case command.EndInline != nil:
 		return c.endInline(*command.EndInline)
 	case command.ExpireInline != nil:
--- a/jobs/storage.go
+++ b/jobs/storage.go
@@ -52,11 +52,12 @@
 	keyHolder    = 'h' // router: empty, while it may hold shares of ceilings
 	keyGarbage   = 'g' // prefix whose keys are to be deleted: empty
 
-	keyInlineJob    = 'I' // inline job: InlineJob
-	keyInlineItem   = 'N' // inline job, index: InlineItem
-	keyInlineResult = 'P' // inline job, position: InlineResult
-	keyInlineListed = 'Q' // inline job, index: empty, once the item stands in the list
-	keyInlineRetain = 'R' // time, inline job: empty
+	keyInlineJob     = 'I' // inline job: InlineJob
+	keyInlineItem    = 'N' // inline job, index: InlineItem
+	keyInlineResult  = 'P' // inline job, position: InlineResult
+	keyInlineListed  = 'Q' // inline job, index: empty, once the item stands in the list
+	keyInlinePartial = 'O' // inline job, index: InlinePartial of an item that is not listed
+	keyInlineRetain  = 'R' // time, inline job: empty
 )
 
 var appliedKey = []byte{keyMeta, 'a'}
