--- a/cmd/dykewing/main.go
+++ b/cmd/dykewing/main.go
@@ -128,6 +128,8 @@
 		KeyValue: platform.NewKeyValue(settings.Platform.StoreAddress, settings.Platform.Timeout),
 		Protocol: platform.Protocol{},
 		Source:   platform.Source(),
+
+		Decommissions: platform.Decommissions(),
 	}
 }
 
--- a/internal/batchrun/keep.go
+++ b/internal/batchrun/keep.go
@@ -10,7 +10,7 @@
 	// keepInterval is how often what items have given so far is kept.
 	keepInterval = time.Second
 	// leastKept bytes of an item are worth a part.
-	leastKept = 512
+	leastKept = 64
 )
 
 // keepLoop lets the group keep what running items have given so far: another
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -36,6 +36,8 @@
 	KeyValue kv.Service
 	Protocol backend.Protocol
 	Source   catalog.Source
+	// Decommissions are operators' requests to empty machines; nil: none.
+	Decommissions *store.Decommissions
 }
 
 // New binds addresses and opens disks; a fault is a clear error before
@@ -90,7 +92,12 @@
 	runner := batchrun.New(common, platform.Protocol, platform.Source)
 	registered := &storeclient.Registered{}
 	runner.Catalog().Also("stores", common.Settings.KeyValueService.Prefix+storeclient.PrefixStores, registered)
-	part, err := store.New(common, store.WithInlineRunner(runner.Lead), store.WithRegistered(registered))
+	options := []store.Option{store.WithInlineRunner(runner.Lead), store.WithRegistered(registered)}
+	if platform.Decommissions != nil {
+		runner.Catalog().Also("decommissions", platform.Decommissions.Prefix, platform.Decommissions)
+		options = append(options, store.WithDecommissions(platform.Decommissions))
+	}
+	part, err := store.New(common, options...)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/frontend/online.go
+++ b/internal/frontend/online.go
@@ -54,7 +54,7 @@
 	x.lastEvent = x.request.LastEvent
 	last := attemptResult{failure: api.NewError("choose worker", "", api.CodeNoCapacity, api.OutcomeNotRun, "no worker of %s takes it", x.service)}
 	for x.sends < maximumSends {
-		ticket, ok := f.pool.Take(x.query())
+		ticket, ok := x.take()
 		if !ok {
 			break
 		}
@@ -87,6 +87,16 @@
 	return matched.Draw(f.random)
 }
 
+// take chooses a worker that was not tried, or, for what may be repeated, any.
+func (x *exchange) take() (*backend.Ticket, bool) {
+	ticket, ok := x.frontend.pool.Take(x.query())
+	if ok || len(x.tried) == 0 || !x.route.Repeatable() {
+		return ticket, ok
+	}
+	x.tried = nil
+	return x.frontend.pool.Take(x.query())
+}
+
 func (x *exchange) query() worker.Query {
 	return worker.Query{Service: x.service, Parts: x.request.Parts, Tokens: x.request.PromptTokens, Excluded: x.tried}
 }
--- a/internal/store/group.go
+++ b/internal/store/group.go
@@ -311,6 +311,13 @@
 	g.shell.Tell(replication.TransferLeadership{})
 }
 
+// giveAway hands leadership over and goes on as a follower.
+func (g *group) giveAway() {
+	if g.leads() {
+		g.shell.Tell(replication.TransferLeadership{})
+	}
+}
+
 func (g *group) summary() api.GroupSummary {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
--- a/internal/store/members.go
+++ b/internal/store/members.go
@@ -38,6 +38,9 @@
 		if s.node.Leaving() {
 			continue
 		}
+		if s.decommissions != nil {
+			s.decommission(ctx)
+		}
 		s.askSilent(ctx)
 		for _, group := range s.list() {
 			s.lookAfter(ctx, group)
--- a/internal/store/peers.go
+++ b/internal/store/peers.go
@@ -26,6 +26,7 @@
 	// replace; replaced are those members.
 	answered map[replication.ReplicaID]api.Node
 	replaced map[replication.ReplicaID]bool
+	emptying map[api.NodeID]bool // machines to be emptied
 }
 
 type sighting struct {
@@ -38,7 +39,7 @@
 		trust: trust, heardOf: map[replication.ReplicaID]sighting{}, toldOf: map[replication.ReplicaID]string{}, nodes: map[replication.ReplicaID]api.Node{},
 		owners: map[replication.ReplicaID]api.NodeID{}, current: map[api.NodeID]replication.ReplicaID{},
 		avoided: map[replication.ReplicaID]time.Time{}, answered: map[replication.ReplicaID]api.Node{},
-		replaced: map[replication.ReplicaID]bool{},
+		replaced: map[replication.ReplicaID]bool{}, emptying: map[api.NodeID]bool{},
 	}
 }
 
@@ -208,18 +209,35 @@
 	for replica, node := range p.nodes {
 		stores = append(stores, placement.Store{
 			Replica: replica, Location: node.Location, Groups: len(node.Summary.Groups),
-			Leaving: node.Leaving || node.Summary.DiskFull || now.Before(p.avoided[replica]),
+			Leaving: p.emptying[node.ID] || node.Leaving || node.Summary.DiskFull || now.Before(p.avoided[replica]),
 		})
 	}
 	return stores
 }
 
+// empty sets the machines that are to be emptied.
+func (p *peers) empty(nodes []api.NodeID) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	clear(p.emptying)
+	for _, id := range nodes {
+		p.emptying[id] = true
+	}
+}
+
+// owner is the machine that a replica is on; empty when not known.
+func (p *peers) owner(replica replication.ReplicaID) api.NodeID {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.owners[replica]
+}
+
 // lost tells whether a replica was not heard for the given time, counted from
 // since at the earliest, or its machine came back with another disk.
 func (p *peers) lost(now time.Time, replica replication.ReplicaID, since time.Time, after time.Duration) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if owner, ok := p.owners[replica]; ok && p.current[owner] != replica {
+	if owner, ok := p.owners[replica]; ok && (p.current[owner] != replica || p.emptying[owner]) {
 		return true
 	}
 	last := p.heardOf[replica].at
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -32,6 +32,7 @@
 	shared        parts
 	space         *space
 	inline        StartInlineRunner       // nil: inline jobs are kept, not run
+	decommissions *Decommissions          // nil: no machine is emptied on request
 	registrations *storeclient.Registered // nil: only views tell of other stores
 	registered    bool                    // only for the loop that meets other stores
 
@@ -61,6 +62,11 @@
 	return func(s *Store) { s.registrations = registered }
 }
 
+// WithDecommissions lets operators have machines emptied.
+func WithDecommissions(decommissions *Decommissions) Option {
+	return func(s *Store) { s.decommissions = decommissions }
+}
+
 // New opens the data folder and adds the role to a node.
 func New(common *node.Node, options ...Option) (*Store, error) {
 	return newStore(common, hooks{}, options...)
