--- a/cmd/dykewing/main.go
+++ b/cmd/dykewing/main.go
@@ -84,13 +84,24 @@
 func runRole(flags *roleFlags) {
 	settings, err := flags.load()
 	exitOn(err, exitSettings)
-	logger, err := logging.New(settings.Log, os.Stdout)
+	logger, lines, err := logging.NewQueued(settings.Log, os.Stdout)
 	exitOn(err, exitSettings)
+	err = serveRole(flags.role, settings, logger)
+	if err != nil {
+		logger.WithField("part", "node").WithField("event", "ended").WithError(err).Error("The process ends.")
+	}
+	lines.Close()
+	exitOn(err, exitFailure)
+}
+
+func serveRole(role api.Role, settings config.Settings, logger *logrus.Logger) error {
 	ctx, kill := stopSignals()
 	go ignoreReloads(logger)
-	process, err := daemon.New(flags.role, settings, logger, platformOf(settings))
-	exitOn(err, exitFailure)
-	exitOn(process.Run(ctx, kill), exitFailure)
+	process, err := daemon.New(role, settings, logger, platformOf(settings))
+	if err != nil {
+		return err
+	}
+	return process.Run(ctx, kill)
 }
 
 // stopSignals gives a context that the first SIGTERM or interrupt ends, and one
--- /dev/null
+++ b/cmd/dykewingctl/explain.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// maximumLogLine bounds one line of a log.
+const maximumLogLine = 1 << 20
+
+// deciding ranks the events of a request that say why it ended as it did; the
+// highest one that a request's lines have is the answer. docs/LOGS.md lists all.
+var deciding = map[string]int{
+	"request_served": 1, "job_accepted": 1, "request_retried": 2, "item_send_ended": 2, "results_not_committed": 2,
+	"item_gives_way": 3, "job_stopped": 3, "job_ended": 4, "job_call_failed": 4, "item_abandoned": 5, "caller_gone": 5,
+	"worker_failed": 6, "request_refused": 7, "answer_cut": 7,
+}
+
+// leftOut are fields that an explanation shows elsewhere or not at all.
+var leftOut = []string{"level", "time", "node", "part", "event", "msg", "request"}
+
+// logLine is one line of a log about the request.
+type logLine struct {
+	at     time.Time
+	prefix string // what stands before the line in the file, as of a collector
+	fields map[string]any
+}
+
+func (l logLine) text(name string) string {
+	text, _ := l.fields[name].(string)
+	return text
+}
+
+func registerExplain(application *kingpin.Application) {
+	command := application.Command("explain", "Show a request's lines from the logs of all processes, in order, and the one that decided.")
+	id := command.Arg("id", "The id of the request, or of the batch job.").Required().String()
+	files := command.Arg("logs", "Log files, in any order; standard input without any.").ExistingFiles()
+	command.Action(action(func() error { return explainFiles(os.Stdout, *id, *files) }))
+}
+
+func explainFiles(w io.Writer, id string, files []string) error {
+	if len(files) == 0 {
+		return explain(w, id, os.Stdin)
+	}
+	var readers []io.Reader
+	for _, name := range files {
+		file, err := os.Open(name)
+		if err != nil {
+			return fmt.Errorf("read log: %w", err)
+		}
+		defer file.Close()
+		readers = append(readers, file, strings.NewReader("\n"))
+	}
+	return explain(w, id, io.MultiReader(readers...))
+}
+
+// explain prints the lines about a request, in the order of their time, and marks
+// the one that decided.
+func explain(w io.Writer, id string, logs io.Reader) error {
+	lines, err := linesOf(id, logs)
+	if err != nil {
+		return err
+	}
+	if len(lines) == 0 {
+		return fmt.Errorf("no line about %s: it was served without a line of its own, dropped, or never came here", id)
+	}
+	slices.SortStableFunc(lines, func(a, b logLine) int { return a.at.Compare(b.at) })
+	decided := decidingLine(lines)
+	for i, line := range lines {
+		mark := " "
+		if i == decided {
+			mark = "*"
+		}
+		_, _ = fmt.Fprintf(w, "%s %s%s %s %s %s%s\n", mark, line.prefix, line.at.Format(time.RFC3339Nano), line.text("node"), line.text("event"), line.text("msg"), details(line))
+	}
+	last := lines[decided]
+	_, _ = fmt.Fprintf(w, "decided by: %s at %s%s\n", last.text("event"), last.text("node"), details(last))
+	return nil
+}
+
+func linesOf(id string, logs io.Reader) ([]logLine, error) {
+	scanner := bufio.NewScanner(logs)
+	scanner.Buffer(nil, maximumLogLine)
+	var lines []logLine
+	for scanner.Scan() {
+		if !strings.Contains(scanner.Text(), id) {
+			continue
+		}
+		if line, ok := parseLine(scanner.Text()); ok && line.text("request") == id {
+			lines = append(lines, line)
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, fmt.Errorf("read logs: %w", err)
+	}
+	return lines, nil
+}
+
+// parseLine reads a JSON line; what stands before its brace is kept.
+func parseLine(text string) (logLine, bool) {
+	brace := strings.IndexByte(text, '{')
+	if brace < 0 {
+		return logLine{}, false
+	}
+	line := logLine{prefix: text[:brace]}
+	if err := json.Unmarshal([]byte(text[brace:]), &line.fields); err != nil {
+		return logLine{}, false
+	}
+	at, err := time.Parse(time.RFC3339Nano, line.text("time"))
+	if err != nil {
+		return logLine{}, false
+	}
+	line.at = at
+	return line, true
+}
+
+// decidingLine is the last of those that rank highest.
+func decidingLine(lines []logLine) int {
+	best := 0
+	for i, line := range lines {
+		if deciding[line.text("event")] >= deciding[lines[best].text("event")] {
+			best = i
+		}
+	}
+	return best
+}
+
+func details(line logLine) string {
+	var text strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(line.fields)) {
+		if !slices.Contains(leftOut, name) {
+			_, _ = fmt.Fprintf(&text, " %s=%v", name, line.fields[name])
+		}
+	}
+	return text.String()
+}
--- a/cmd/dykewingctl/main.go
+++ b/cmd/dykewingctl/main.go
@@ -43,6 +43,7 @@
 	registerNodes(application, s)
 	registerJobs(application, s, action)
 	registerTable(application, s)
+	registerExplain(application)
 	kingpin.MustParse(application.Parse(os.Args[1:]))
 }
 
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/config"
@@ -29,6 +30,8 @@
 	readHeaderTimeout  = 10 * time.Second
 	idleTimeout        = 5 * time.Minute // callers end idle connections sooner
 	maximumHeaderBytes = 64 << 10
+	// servedLinesPerSecond bounds the log lines about ordinary successes.
+	servedLinesPerSecond = 20
 	// endMargin is kept of the stop timeout for what ends after the requests.
 	endMargin = 500 * time.Millisecond
 	// takingShare of the stop timeout is the most during which requests are taken.
@@ -51,6 +54,8 @@
 	metrics  *metrics
 	port     string // of Address, alike on all machines
 
+	samples *rate.Limiter // of lines about ordinary successes
+
 	randomMutex sync.Mutex
 	random      *rand.Rand
 
@@ -79,7 +84,8 @@
 	f := &Frontend{
 		node: common, settings: settings, log: common.Logger("frontend"), protocol: protocol, port: port,
 		caller: backend.NewCaller(protocol), metrics: newMetrics(common.Registry),
-		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		samples: rate.NewLimiter(servedLinesPerSecond, servedLinesPerSecond),
 	}
 	registered := &storeclient.Registered{}
 	f.stores = &storeclient.Client{HTTP: newStoreClient(), AttemptTimeout: storeAttempt, Nodes: func() []api.Node { return registered.With(common.Nodes()) }}
--- a/internal/frontend/online.go
+++ b/internal/frontend/online.go
@@ -220,6 +220,7 @@
 
 func (x *exchange) begin(status int) {
 	x.begun = true
+	x.first = time.Since(x.arrived)
 	x.frontend.metrics.firstByte.WithLabelValues(string(x.route.Kind)).Observe(time.Since(x.arrived).Seconds())
 	x.w.WriteHeader(status)
 }
@@ -261,9 +262,11 @@
 	kind := string(x.route.Kind)
 	x.frontend.metrics.requests.WithLabelValues(kind, "served").Inc()
 	x.frontend.metrics.duration.WithLabelValues(kind).Observe(time.Since(x.arrived).Seconds())
-	if x.sends > 1 {
-		x.note("request_served", nil).WithField("worker", ticket.Worker.ID).Info("A request was served after a retry.")
+	if x.sends == 1 && !x.frontend.samples.Allow() {
+		return
 	}
+	x.note("request_served", nil).WithField("worker", ticket.Worker.ID).WithField("load", ticket.Load).WithField("unread", ticket.Unread).
+		WithField("load_age_ms", ticket.Age.Milliseconds()).WithField("first_ms", x.first.Milliseconds()).Info("A request was served.")
 }
 
 func (v verdict) String() string {
--- a/internal/frontend/serve.go
+++ b/internal/frontend/serve.go
@@ -84,6 +84,7 @@
 	begun     bool     // a byte of the answer has gone to the caller
 	lastEvent string   // id of the last whole event that went to the caller
 	events    int
+	first     time.Duration // until the first byte for the caller
 }
 
 // left is how long the request may be held from its arrival on.
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -21,13 +22,25 @@
 	logger.SetOutput(output)
 	logger.SetLevel(level)
 	if settings.Format == "json" {
-		logger.SetFormatter(&logrus.JSONFormatter{})
+		logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 		return logger, nil
 	}
 	logger.SetFormatter(&prefixFormatter{inner: &logrus.TextFormatter{DisableColors: true, FullTimestamp: true}})
 	return logger, nil
 }
 
+// NewQueued gives a logger whose lines are written in the background; close it
+// before the process ends.
+func NewQueued(settings config.Log, output io.Writer) (*logrus.Logger, *Queue, error) {
+	logger, err := New(settings, io.Discard)
+	if err != nil {
+		return nil, nil, err
+	}
+	queue := newQueue(logger.Formatter, output)
+	logger.SetFormatter(queue)
+	return logger, queue, nil
+}
+
 // prefixFormatter puts the field "part" before the text as "[part]".
 type prefixFormatter struct{ inner logrus.Formatter }
 
