--- a/api/node.go
+++ b/api/node.go
@@ -11,6 +11,8 @@
 	Incarnation uint64 `json:"incarnation"`
 	// Leaving: the node finishes what it has and takes nothing new.
 	Leaving bool `json:"leaving,omitempty"`
+	// Suspected: it did not answer lately. Only in a view, never sent.
+	Suspected bool `json:"-"`
 	// TableRevision is the newest table revision in force there.
 	TableRevision int64 `json:"table_revision,omitempty"`
 	// Summary is the load that the node reports; empty for sidecars.
--- a/config/config.go
+++ b/config/config.go
@@ -34,8 +34,14 @@
 	Zone    string `koanf:"zone" validate:"required,max=128"`
 	// StopTimeout bounds how long a planned stop waits for streams.
 	StopTimeout time.Duration `koanf:"stop_timeout" validate:"min=1s,max=24h"`
+	// StopMargin is kept of StopTimeout for what ends after the streams, where a
+	// platform kills the process at StopTimeout.
+	StopMargin time.Duration `koanf:"stop_margin" validate:"min=0,max=1m,ltfield=StopTimeout"`
 }
 
+// StopWithin is how long a planned stop may take.
+func (n Node) StopWithin() time.Duration { return n.StopTimeout - n.StopMargin }
+
 // Location is the node's region and zone.
 func (n Node) Location() api.Location {
 	return api.Location{Region: api.RegionName(n.Region), Zone: api.ZoneName(n.Zone)}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -179,13 +179,13 @@
 // Callers that hold it longer are refused the connection and try another.
 func (f *Frontend) forgetTime() time.Duration {
 	longest := time.Duration(f.settings.ForgetFactor*float64(f.settings.AddressLifetime)) + forgetMargin
-	return min(longest, time.Duration(takingShare*float64(f.node.Settings.Node.StopTimeout)))
+	return min(longest, time.Duration(takingShare*float64(f.node.Settings.Node.StopWithin())))
 }
 
 // drain is the planned stop.
 func (f *Frontend) drain() {
 	began := time.Now()
-	deadline := began.Add(f.node.Settings.Node.StopTimeout - endMargin)
+	deadline := began.Add(f.node.Settings.Node.StopWithin() - endMargin)
 	forgotten := f.forgetTime()
 	f.log.WithField("event", "stop_begun").WithField("forget_ms", forgotten.Milliseconds()).Info("Leaving: callers are told other addresses.")
 	time.Sleep(forgotten)
--- a/internal/frontend/registry.go
+++ b/internal/frontend/registry.go
@@ -52,9 +52,22 @@
 }
 
 func (f *Frontend) addressesFor(zone api.ZoneName) []string {
-	var near, far []string
+	near, far := f.frontends(zone, func(node api.Node) bool { return !node.Suspected })
+	if len(near)+len(far) == 0 {
+		near, far = f.frontends(zone, func(api.Node) bool { return true })
+	}
+	if len(near) < enoughAddresses {
+		near = append(near, far...)
+	}
+	slices.Sort(near)
+	return near[:min(len(near), maximumAddresses)]
+}
+
+// frontends lists the addresses of those that take requests and that keep lets
+// through, of the zone and of others.
+func (f *Frontend) frontends(zone api.ZoneName, keep func(api.Node) bool) (near, far []string) {
 	for _, other := range f.node.Nodes() {
-		if other.Role != api.RoleFrontend || other.Leaving || other.ID == f.node.ID() && f.node.Leaving() {
+		if other.Role != api.RoleFrontend || other.Leaving || !keep(other) || other.ID == f.node.ID() && f.node.Leaving() {
 			continue
 		}
 		host, _, err := net.SplitHostPort(other.Address)
@@ -68,9 +81,5 @@
 			far = append(far, address)
 		}
 	}
-	if len(near) < enoughAddresses {
-		near = append(near, far...)
-	}
-	slices.Sort(near)
-	return near[:min(len(near), maximumAddresses)]
+	return near, far
 }
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -65,7 +65,12 @@
 	})
 }
 
+// isWork leaves out the messages of replicas to each other: they go on for as
+// long as a replica is a member.
 func isWork(path string) bool {
+	if path == api.PathGroups+"messages" {
+		return false
+	}
 	for _, prefix := range workPaths {
 		if strings.HasPrefix(path, prefix) {
 			return true
@@ -79,7 +84,7 @@
 func (n *Node) stop(kill context.Context, stopBackground func()) error {
 	began := time.Now()
 	n.BeginLeaving()
-	deadline, cancel := context.WithTimeout(kill, n.Settings.Node.StopTimeout)
+	deadline, cancel := context.WithTimeout(kill, n.Settings.Node.StopWithin())
 	defer cancel()
 	if n.Role != api.RoleSidecar && n.Role != api.RoleFrontend && kill.Err() == nil {
 		n.awaitAnnounced(deadline)
--- a/membership/view.go
+++ b/membership/view.go
@@ -15,7 +15,9 @@
 	nodes := []api.Node{m.self}
 	for _, e := range m.entries {
 		if e.record.Status != StatusDead {
-			nodes = append(nodes, e.record.Node)
+			node := e.record.Node
+			node.Suspected = e.record.Status == StatusSuspect
+			nodes = append(nodes, node)
 		}
 	}
 	for _, location := range m.otherZones() {
