--- a/worker/worker.go
+++ b/worker/worker.go
@@ -60,8 +60,8 @@
 // service is the workers of one service.
 type service struct {
 	workers []*entry // sorted by id
-	others  float64  // sum of the workers' others
-	peak    peak     // of others
+	running float64  // sum of what others run at the workers
+	peak    peak     // of running
 }
 
 // entry is one worker with what this process knows of it.
@@ -70,6 +70,7 @@
 	own       int // requests of this process there
 	ownTokens int // of prompts, sent by this process and not yet read
 	others    float64
+	running   float64   // of others, that do not wait
 	reported  time.Time // when others was learned
 	slots     int       // by its reports, else by the list
 	downUntil time.Time // it refused a connection
@@ -119,7 +120,7 @@
 	}
 	delete(p.entries, id)
 	of := p.services[known.Service]
-	of.others -= known.others
+	of.running -= known.running
 	of.workers = slices.DeleteFunc(of.workers, func(e *entry) bool { return e.ID == id })
 }
 
@@ -192,7 +193,7 @@
 	if load.Slots > 0 {
 		e.slots = load.Slots
 	}
-	p.setOthers(now, e, float64(max(load.Running+load.Waiting-e.own, 0)))
+	p.setOthers(now, e, float64(max(load.Running+load.Waiting-e.own, 0)), float64(max(load.Running-e.own, 0)))
 	e.sentSince = 0
 	e.failures = 0
 	e.downUntil = time.Time{}
@@ -206,12 +207,14 @@
 	}
 }
 
-// setOthers notes what others have at a worker, and in all of its service.
-func (p *Pool) setOthers(now time.Time, e *entry, others float64) {
+// setOthers notes what others have at a worker, and what of it runs there. Only
+// that counts for the service's peak: what waits says that too much was sent, not
+// how much is needed.
+func (p *Pool) setOthers(now time.Time, e *entry, others, running float64) {
 	of := p.services[e.Service]
-	of.others += others - e.others
-	of.peak.add(now, of.others)
-	e.others, e.reported = others, now
+	of.running += running - e.running
+	of.peak.add(now, of.running)
+	e.others, e.running, e.reported = others, running, now
 }
 
 // maximumBackoff bounds how DownFor grows with failures in a row.
@@ -221,7 +224,8 @@
 func (p *Pool) Full(now time.Time, id string) {
 	if e, ok := p.entries[id]; ok {
 		e.fullUntil = now.Add(fullPause)
-		p.setOthers(now, e, max(e.others, float64(e.slots-e.own)))
+		full := float64(max(e.slots-e.own, 0))
+		p.setOthers(now, e, max(e.others, full), full)
 	}
 }
 
--- a/worker/worker_test.go
+++ b/worker/worker_test.go
@@ -156,13 +156,13 @@
 		}
 		sum := 0.0
 		for _, e := range p.listed("s") {
-			sum += e.others
+			sum += e.running
 			if e.own < 0 {
 				t.Fatalf("%s holds %d", e.ID, e.own)
 			}
 		}
-		if diff := sum - p.services["s"].others; diff > 1e-9 || diff < -1e-9 {
-			t.Fatalf("sum %v, kept %v", sum, p.services["s"].others)
+		if diff := sum - p.services["s"].running; diff > 1e-9 || diff < -1e-9 {
+			t.Fatalf("sum %v, kept %v", sum, p.services["s"].running)
 		}
 	})
 }
