Batch fills up to three quarters and gives way before anything waits

Cause: with room kept for the highest burst of the last 12 s, batch left the valleys between bursts idle (p50 of items 8 to 9 s), became urgent and then filled all slots at once. Change: items are sent up to 0.75 of a worker's slots with what others have there, and give way above 0.85 at each look (250 ms); urgent ones up to 0.9. The reserve is removed again.

--- a/internal/batchrun/leader.go
+++ b/internal/batchrun/leader.go
@@ -263,7 +263,10 @@
 	if full[i.service] && !urgent {
 		return false
 	}
-	query := worker.Query{Service: i.service, Parts: i.parts, Tokens: i.tokens, Limit: l.service.settings.Fill, Reserve: !urgent}
+	query := worker.Query{Service: i.service, Parts: i.parts, Tokens: i.tokens, Limit: l.service.settings.Fill}
+	if urgent {
+		query.Limit = l.service.settings.UrgentFill
+	}
 	if i.avoid != "" {
 		query.Excluded = []string{i.avoid}
 	}
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -108,11 +109,20 @@
 		return
 	}
 	s.pool.Report(w.ID, worker.Load{Running: report.Running, Waiting: report.Waiting})
-	if report.Waiting > 0 {
-		s.giveWay(w.ID, report.Waiting)
+	if excess := s.excess(w, report); excess > 0 {
+		s.giveWay(w.ID, excess)
 	}
 }
 
+// excess is how many items a worker has too many of: it is kept below full, so
+// that requests that come until the next look find a slot.
+func (s *Service) excess(w worker.Worker, report backend.Report) int {
+	if w.Slots == 0 {
+		return report.Waiting
+	}
+	return int(math.Ceil(float64(report.Running+report.Waiting) - s.settings.YieldAbove*float64(w.Slots)))
+}
+
 func (s *Service) giveWay(workerID string, count int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/worker/choose.go
+++ b/worker/choose.go
@@ -18,14 +18,8 @@
 	// Limit leaves out workers that hold more than this share of their slots;
 	// 0 is no limit.
 	Limit float64
-	// Reserve keeps free, beside the limit, a worker's part of what others have
-	// taken of the service at once in the last seconds.
-	Reserve bool
 }
 
-// unknownReserve is the share of slots kept for others where nothing is known.
-const unknownReserve = 0.5
-
 // Choice is a worker with what its choice rested on.
 type Choice struct {
 	Worker Worker
@@ -70,10 +64,10 @@
 
 func (p *Pool) candidates(now time.Time, query Query) []*entry {
 	var usable, doubtful []*entry
-	for _, e := range p.listed(query.Service) {
+	for _, e := range p.services[query.Service] {
 		switch {
 		case e.Leaving || slices.Contains(query.Excluded, e.ID):
-		case query.Limit > 0 && p.held(now, e, query.Reserve)+1 > query.Limit*float64(e.slots):
+		case query.Limit > 0 && p.loadOf(now, e)+1 > query.Limit*float64(e.slots):
 		case now.Before(e.downUntil) || now.Before(e.fullUntil):
 			doubtful = append(doubtful, e)
 		default:
@@ -86,20 +80,6 @@
 	return usable
 }
 
-// held is the load that a limit is compared with.
-func (p *Pool) held(now time.Time, e *entry, reserve bool) float64 {
-	load := p.loadOf(now, e)
-	if !reserve {
-		return load
-	}
-	of := p.services[e.Service]
-	part := of.peak.value(now, -1) / float64(len(of.workers))
-	if part < 0 {
-		part = unknownReserve * float64(e.slots)
-	}
-	return max(load, float64(e.own)+part)
-}
-
 func (p *Pool) consider(now time.Time, e *entry, query Query) Choice {
 	total := query.Tokens
 	if total == 0 {
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -53,15 +53,8 @@
 type Pool struct {
 	settings Settings
 	entries  map[string]*entry
-	services map[string]*service
-	capacity map[string]int // tokens of an engine's memory, by service
-}
-
-// service is the workers of one service.
-type service struct {
-	workers []*entry // sorted by id
-	running float64  // sum of what others run at the workers
-	peak    peak     // of running
+	services map[string][]*entry // sorted by id
+	capacity map[string]int      // tokens of an engine's memory, by service
 }
 
 // entry is one worker with what this process knows of it.
@@ -84,7 +77,7 @@
 // NewPool gives an empty pool.
 func NewPool(settings Settings) *Pool {
 	return &Pool{
-		settings: settings, entries: map[string]*entry{}, services: map[string]*service{}, capacity: map[string]int{},
+		settings: settings, entries: map[string]*entry{}, services: map[string][]*entry{}, capacity: map[string]int{},
 	}
 }
 
@@ -103,13 +96,9 @@
 	p.Remove(w.ID)
 	added := &entry{Worker: w, slots: max(w.Slots, 1), parts: newPartSet(), startedAt: now}
 	p.entries[w.ID] = added
-	known, ok := p.services[w.Service]
-	if !ok {
-		known = &service{}
-		p.services[w.Service] = known
-	}
-	known.workers = append(known.workers, added)
-	slices.SortFunc(known.workers, func(a, b *entry) int { return cmp.Compare(a.ID, b.ID) })
+	list := append(p.services[w.Service], added)
+	slices.SortFunc(list, func(a, b *entry) int { return cmp.Compare(a.ID, b.ID) })
+	p.services[w.Service] = list
 }
 
 // Remove forgets a worker that is gone. Requests there may still end.
@@ -119,9 +108,7 @@
 		return
 	}
 	delete(p.entries, id)
-	of := p.services[known.Service]
-	of.running -= known.running
-	of.workers = slices.DeleteFunc(of.workers, func(e *entry) bool { return e.ID == id })
+	p.services[known.Service] = slices.DeleteFunc(p.services[known.Service], func(e *entry) bool { return e.ID == id })
 }
 
 // Get finds a worker.
@@ -145,21 +132,13 @@
 
 // Workers lists a service's workers, sorted by id.
 func (p *Pool) Workers(service string) []Worker {
-	listed := p.listed(service)
-	list := make([]Worker, 0, len(listed))
-	for _, e := range listed {
+	list := make([]Worker, 0, len(p.services[service]))
+	for _, e := range p.services[service] {
 		list = append(list, e.Worker)
 	}
 	return list
 }
 
-func (p *Pool) listed(name string) []*entry {
-	if known, ok := p.services[name]; ok {
-		return known.workers
-	}
-	return nil
-}
-
 // Begin notes a request sent to a worker, with the tokens of prompt to be read.
 func (p *Pool) Begin(id string, tokens int) {
 	if e, ok := p.entries[id]; ok {
@@ -193,7 +172,8 @@
 	if load.Slots > 0 {
 		e.slots = load.Slots
 	}
-	p.setOthers(now, e, float64(max(load.Running+load.Waiting-e.own, 0)), float64(max(load.Running-e.own, 0)))
+	e.others = float64(max(load.Running+load.Waiting-e.own, 0))
+	e.reported = now
 	e.sentSince = 0
 	e.failures = 0
 	e.downUntil = time.Time{}
@@ -207,16 +187,6 @@
 	}
 }
 
-// setOthers notes what others have at a worker, and what of it runs there. Only
-// that counts for the service's peak: what waits says that too much was sent, not
-// how much is needed.
-func (p *Pool) setOthers(now time.Time, e *entry, others, running float64) {
-	of := p.services[e.Service]
-	of.running += running - e.running
-	of.peak.add(now, of.running)
-	e.others, e.running, e.reported = others, running, now
-}
-
 // maximumBackoff bounds how DownFor grows with failures in a row.
 const maximumBackoff = 4
 
@@ -224,8 +194,8 @@
 func (p *Pool) Full(now time.Time, id string) {
 	if e, ok := p.entries[id]; ok {
 		e.fullUntil = now.Add(fullPause)
-		full := float64(max(e.slots-e.own, 0))
-		p.setOthers(now, e, max(e.others, full), full)
+		e.others = max(e.others, float64(e.slots-e.own))
+		e.reported = now
 	}
 }
 
