--- a/config/config.go
+++ b/config/config.go
@@ -5,6 +5,7 @@
 package config
 
 import (
+	"slices"
 	"time"
 
 	"github.com/dykewing/dykewing/api"
@@ -132,9 +133,13 @@
 
 // Store is for the role with a small disk.
 type Store struct {
-	DataFolder      string        `koanf:"data_folder"`
-	Groups          int           `koanf:"groups" validate:"min=1,max=1024"`
-	Replicas        int           `koanf:"replicas" validate:"min=1,max=7"` // of each group
+	DataFolder string `koanf:"data_folder"`
+	Groups     int    `koanf:"groups" validate:"min=1,max=1024"`
+	Replicas   int    `koanf:"replicas" validate:"min=1,max=7"` // of each group
+	// ToleratedLosses are numbers of machines, zones and the like whose loss is to
+	// be borne: the largest decides the replicas, two for each and one. Without
+	// any, Replicas stands.
+	ToleratedLosses []int         `koanf:"tolerated_losses" validate:"dive,min=0,max=3"`
 	Heartbeat       time.Duration `koanf:"heartbeat" validate:"min=5ms,max=10s"`
 	ElectionTimeout time.Duration `koanf:"election_timeout" validate:"min=20ms,max=1m"`
 	GrantLifetime   time.Duration `koanf:"grant_lifetime" validate:"min=100ms,max=24h"`
@@ -149,6 +154,14 @@
 	SnapshotEntries int `koanf:"snapshot_entries" validate:"min=100,max=10000000"`
 }
 
+// Voters is how many replicas a group has.
+func (s Store) Voters() int {
+	if len(s.ToleratedLosses) == 0 {
+		return s.Replicas
+	}
+	return 2*slices.Max(s.ToleratedLosses) + 1
+}
+
 // Log sets the log output.
 type Log struct {
 	Level  string `koanf:"level" validate:"oneof=debug info warn error"`
--- a/internal/store/bootstrap.go
+++ b/internal/store/bootstrap.go
@@ -141,9 +141,9 @@
 		if _, ok := known[id]; ok {
 			continue
 		}
-		first, ok := placement.FirstMembers(id, candidates, s.node.Settings.Store.Replicas)
+		first, ok := placement.FirstMembers(id, candidates, s.node.Settings.Store.Voters())
 		if !ok {
-			s.log.Debugf("%d of %d stores are there; the groups wait.", len(candidates), s.node.Settings.Store.Replicas)
+			s.log.Debugf("%d of %d stores are there; the groups wait.", len(candidates), s.node.Settings.Store.Voters())
 			return nil
 		}
 		value, err := json.Marshal(groupRecord{First: first, Members: first})
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -77,7 +77,7 @@
 	if settings.DataFolder == "" {
 		return nil, errors.New("settings: store.data_folder is missing")
 	}
-	if common.KeyValue == nil && settings.Replicas > 1 {
+	if common.KeyValue == nil && settings.Voters() > 1 {
 		return nil, errors.New("settings: key_value_service.endpoints is missing; without it only store.replicas 1 can be formed")
 	}
 	database, err := openDatabase(settings.DataFolder, hooks)
