Accept a torn meta page of a transaction that nobody was told of

Cause: the platform's disks tear what was not synced at a loss of power; bbolt writes its meta page before its last sync, and a store that finds it damaged refused its data file for good. With a lost disk beside it, acknowledged jobs would be out of reach. Change: the last synced transaction is noted beside the data file; a damaged meta page is refused only if the other one is older than that. The check that both pages must be whole was too strict in one case and is replaced by one that is as strict for all that was acknowledged.

--- a/internal/store/cluster_test.go
+++ b/internal/store/cluster_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io/fs"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -55,6 +57,7 @@
 
 	mutex   sync.Mutex
 	durable []byte
+	noted   []byte // of the acknowledged file, with durable
 }
 
 func newCluster(t testing.TB, stores int, adjust func(*config.Store)) *cluster {
@@ -152,6 +155,12 @@
 	raw, err := os.ReadFile(filepath.Join(m.folder, databaseFile))
 	m.cluster.require(err)
 	m.durable = raw
+	// The note of the last acknowledged transaction is never synced: a loss of
+	// power gives back what stood there before this sync.
+	if m.noted, err = os.ReadFile(filepath.Join(m.folder, acknowledgedFile)); errors.Is(err, fs.ErrNotExist) {
+		err = nil
+	}
+	m.cluster.require(err)
 }
 
 // wrap lets no answer out of a machine that has crashed.
@@ -201,6 +210,7 @@
 	defer m.mutex.Unlock()
 	if m.durable != nil {
 		m.cluster.require(os.WriteFile(filepath.Join(m.folder, databaseFile), m.durable, fileMode))
+		m.cluster.require(os.WriteFile(filepath.Join(m.folder, acknowledgedFile), m.noted, fileMode))
 	}
 }
 
--- a/internal/store/database.go
+++ b/internal/store/database.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io/fs"
 	"os"
 	"path/filepath"
 	"runtime/debug"
@@ -47,11 +46,13 @@
 // database is the data folder of one store: one file for all groups, so that
 // they share syncs. The identity lives in it: a new disk is a new replica.
 type database struct {
-	bolt     *bbolt.DB
-	lock     *os.File
-	folder   string
-	identity replication.ReplicaID
-	hooks    hooks
+	bolt *bbolt.DB
+	lock *os.File
+
+	acknowledged *acknowledgements
+	folder       string
+	identity     replication.ReplicaID
+	hooks        hooks
 }
 
 // openDatabase locks the folder and reads every record once; damage is an error
@@ -97,12 +98,20 @@
 
 func (d *database) open() error {
 	path := filepath.Join(d.folder, databaseFile)
-	if _, err := os.Stat(path); errors.Is(err, fs.ErrNotExist) {
-		if err := d.create(path); err != nil {
+	var err error
+	if d.acknowledged, err = openAcknowledgements(d.folder); err != nil {
+		return err
+	}
+	if missing(path) {
+		if err := errors.Join(d.acknowledged.forget(), d.create(path)); err != nil {
 			return err
 		}
 	}
-	if err := verifyMetaPages(path); err != nil && !d.hooks.skipVerify {
+	acknowledged, err := d.acknowledged.last()
+	if err != nil {
+		return err
+	}
+	if err := verifyMetaPages(path, acknowledged); err != nil && !d.hooks.skipVerify {
 		return err
 	}
 	bolt, err := openBolt(path)
@@ -252,7 +261,7 @@
 // createGroup records a group's first members; every replica of the group
 // starts from the same ones. A group that is known already stays as it is.
 func (d *database) createGroup(id api.GroupID, origin replication.Members) error {
-	return d.bolt.Update(func(transaction *bbolt.Tx) error {
+	return d.update(func(transaction *bbolt.Tx) error {
 		groups, err := listGroups(transaction)
 		if err != nil || slices.Contains(groups, id) {
 			return err
@@ -273,5 +282,8 @@
 	if d.bolt != nil {
 		err = d.bolt.Close()
 	}
+	if d.acknowledged != nil {
+		err = errors.Join(err, d.acknowledged.close())
+	}
 	return errors.Join(err, d.lock.Close())
 }
--- a/internal/store/metapages.go
+++ b/internal/store/metapages.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"cmp"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -29,30 +30,32 @@
 	errCutOff   = errors.New("the data file is cut off")
 )
 
-// verifyMetaPages refuses a file one of whose two meta pages is damaged. bbolt
-// itself would go on from the other one, which is the transaction before: an
-// acknowledged write would be gone without a word.
-func verifyMetaPages(path string) error {
+// verifyMetaPages refuses a file whose newest acknowledged meta page is damaged.
+// bbolt itself would go on from the other one, which is the transaction before: an
+// acknowledged write would be gone without a word. A page that is damaged while
+// the other one holds all that was acknowledged was torn by a loss of power in the
+// middle of a transaction that nobody was told of: the file is whole without it.
+func verifyMetaPages(path string, acknowledged uint64) error {
 	file, err := os.Open(path)
 	if err != nil {
 		return err
 	}
 	defer file.Close()
-	first, err := readMeta(file, 0)
-	if err != nil {
-		return err
+	size := int64(os.Getpagesize())
+	first, firstErr := readMeta(file, 0)
+	if firstErr == nil {
+		size = int64(binary.NativeEndian.Uint32(first[metaPageSizeAt:]))
 	}
-	size := int64(binary.NativeEndian.Uint32(first[metaPageSizeAt:]))
 	if size < smallestPageBytes || size > largestPageBytes {
 		return errMetaPage
 	}
-	second, err := readMeta(file, size)
+	second, secondErr := readMeta(file, size)
+	newest, err := newestMeta(first, firstErr, second, secondErr)
 	if err != nil {
 		return err
 	}
-	newest := first
-	if binary.NativeEndian.Uint64(second[metaTransactionAt:]) > binary.NativeEndian.Uint64(first[metaTransactionAt:]) {
-		newest = second
+	if binary.NativeEndian.Uint64(newest[metaTransactionAt:]) < acknowledged {
+		return fmt.Errorf("transaction %d was acknowledged: %w", acknowledged, cmp.Or(firstErr, secondErr, errMetaPage))
 	}
 	info, err := file.Stat()
 	if err != nil {
@@ -64,6 +67,25 @@
 	return nil
 }
 
+// newestMeta is the undamaged page of the later transaction. Two damaged ones, or
+// a file that ends before a page, are an error.
+func newestMeta(first []byte, firstErr error, second []byte, secondErr error) ([]byte, error) {
+	if errors.Is(firstErr, errCutOff) || errors.Is(secondErr, errCutOff) {
+		return nil, errCutOff
+	}
+	switch {
+	case firstErr != nil && secondErr != nil:
+		return nil, firstErr
+	case firstErr != nil:
+		return second, nil
+	case secondErr != nil:
+		return first, nil
+	case binary.NativeEndian.Uint64(second[metaTransactionAt:]) > binary.NativeEndian.Uint64(first[metaTransactionAt:]):
+		return second, nil
+	}
+	return first, nil
+}
+
 func readMeta(file *os.File, offset int64) ([]byte, error) {
 	raw := make([]byte, metaBytes)
 	if _, err := file.ReadAt(raw, offset+pageHeaderBytes); err != nil {
--- a/internal/store/snapshot.go
+++ b/internal/store/snapshot.go
@@ -185,7 +185,7 @@
 }
 
 func (s *staging) Update(change func(jobs.Writer) error) error {
-	return s.database.bolt.Update(func(transaction *bbolt.Tx) error {
+	return s.database.update(func(transaction *bbolt.Tx) error {
 		records, err := openLedger(groupBucket(transaction, s.group))
 		if err != nil {
 			return err
@@ -210,7 +210,7 @@
 		return nil
 	}
 	for more := true; more; {
-		err := g.database.bolt.Update(func(transaction *bbolt.Tx) (err error) {
+		err := g.database.update(func(transaction *bbolt.Tx) (err error) {
 			records, err := openLedger(groupBucket(transaction, g.id))
 			if err != nil {
 				return err
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -150,7 +150,7 @@
 		return nil
 	}
 	started := time.Now()
-	err := w.database.bolt.Update(func(transaction *bbolt.Tx) error {
+	err := w.database.update(func(transaction *bbolt.Tx) error {
 		for _, write := range groups {
 			if err := write.write(transaction); err != nil {
 				return err
@@ -165,9 +165,6 @@
 	for _, write := range groups {
 		write.group.state.flushed(write.flushed)
 	}
-	if w.database.hooks.synced != nil && !w.database.hooks.skipSync {
-		w.database.hooks.synced()
-	}
 	return nil
 }
 
