--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -94,12 +94,6 @@
 	return list
 }
 
-// Held is how many requests of this process a worker has.
-func (p *Pool) Held(id string) (held int) {
-	p.do(func(pool *worker.Pool) { held = pool.Held(id) })
-	return held
-}
-
 func (p *Pool) do(change func(*worker.Pool)) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -108,13 +102,12 @@
 
 // WorkersChanged takes changes of the list.
 func (p *Pool) WorkersChanged(changes []catalog.Change) {
-	now := time.Now()
 	p.do(func(pool *worker.Pool) {
 		for _, change := range changes {
 			if change.Gone {
 				pool.Remove(change.ID)
 			} else {
-				pool.Put(now, change.Worker)
+				pool.Put(change.Worker)
 			}
 		}
 	})
--- a/worker/choose.go
+++ b/worker/choose.go
@@ -148,10 +148,3 @@
 	bound := int(float64(p.capacity[e.Service]) * p.settings.CacheShare)
 	e.parts.add(parts, bound)
 }
-
-// Restarted notes that a worker's memory is gone.
-func (p *Pool) Restarted(id string) {
-	if e, ok := p.entries[id]; ok {
-		e.parts.forget()
-	}
-}
--- a/worker/parts.go
+++ b/worker/parts.go
@@ -47,6 +47,3 @@
 	s.byID[part.ID] = s.order.PushFront(part)
 	s.tokens += part.Tokens
 }
-
-// forget drops all, as after a restart of the worker.
-func (s *partSet) forget() { *s = *newPartSet() }
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -63,15 +63,12 @@
 	own       int // requests of this process there
 	ownTokens int // of prompts, sent by this process and not yet read
 	others    float64
-	running   float64   // of others, that do not wait
 	reported  time.Time // when others was learned
 	slots     int       // by its reports, else by the list
 	downUntil time.Time // it refused a connection
 	failures  int       // in a row
 	parts     *partSet
-	sentSince int // by this process since the last report
 	fullUntil time.Time
-	startedAt time.Time // first seen
 }
 
 // NewPool gives an empty pool.
@@ -85,7 +82,7 @@
 func (p *Pool) SetCapacity(service string, tokens int) { p.capacity[service] = tokens }
 
 // Put adds a worker or replaces what is listed of it.
-func (p *Pool) Put(now time.Time, w Worker) {
+func (p *Pool) Put(w Worker) {
 	if listed, ok := p.entries[w.ID]; ok && listed.Service == w.Service {
 		listed.Worker = w
 		if w.Slots > 0 {
@@ -94,7 +91,7 @@
 		return
 	}
 	p.Remove(w.ID)
-	added := &entry{Worker: w, slots: max(w.Slots, 1), parts: newPartSet(), startedAt: now}
+	added := &entry{Worker: w, slots: max(w.Slots, 1), parts: newPartSet()}
 	p.entries[w.ID] = added
 	list := append(p.services[w.Service], added)
 	slices.SortFunc(list, func(a, b *entry) int { return cmp.Compare(a.ID, b.ID) })
@@ -111,25 +108,6 @@
 	p.services[known.Service] = slices.DeleteFunc(p.services[known.Service], func(e *entry) bool { return e.ID == id })
 }
 
-// Get finds a worker.
-func (p *Pool) Get(id string) (Worker, bool) {
-	known, ok := p.entries[id]
-	if !ok {
-		return Worker{}, false
-	}
-	return known.Worker, true
-}
-
-// IDs lists the workers, sorted.
-func (p *Pool) IDs() []string {
-	ids := make([]string, 0, len(p.entries))
-	for id := range p.entries {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
-
 // Workers lists a service's workers, sorted by id.
 func (p *Pool) Workers(service string) []Worker {
 	list := make([]Worker, 0, len(p.services[service]))
@@ -144,7 +122,6 @@
 	if e, ok := p.entries[id]; ok {
 		e.own++
 		e.ownTokens += tokens
-		e.sentSince++
 	}
 }
 
@@ -174,7 +151,6 @@
 	}
 	e.others = float64(max(load.Running+load.Waiting-e.own, 0))
 	e.reported = now
-	e.sentSince = 0
 	e.failures = 0
 	e.downUntil = time.Time{}
 }
--- a/worker/worker_test.go
+++ b/worker/worker_test.go
@@ -18,7 +18,7 @@
 	p := NewPool(DefaultSettings("a"))
 	p.SetCapacity("s", 100_000)
 	for i := range workers {
-		p.Put(start, Worker{ID: fmt.Sprint("w", i), Service: "s", Zone: "a", Slots: 10})
+		p.Put(Worker{ID: fmt.Sprint("w", i), Service: "s", Zone: "a", Slots: 10})
 	}
 	return p
 }
@@ -52,7 +52,7 @@
 
 func TestWorkersThatCannotTakeItAreLeftOut(t *testing.T) {
 	p := testPool(3)
-	p.Put(start, Worker{ID: "w0", Service: "s", Slots: 10, Leaving: true})
+	p.Put(Worker{ID: "w0", Service: "s", Slots: 10, Leaving: true})
 	p.Refused(start, "w1")
 	if got := choose(t, p, start, Query{}); got != "w2" {
 		t.Errorf("chose %s", got)
