Read a daemon's log from standard output in its tests

Change: the test reads standard output for the log; what ends a process is still read from standard error. It asks for the same warning. Result: go test -race ./cmd/dykewing passes.

--- a/cmd/dykewing/process_test.go
+++ b/cmd/dykewing/process_test.go
@@ -49,6 +49,7 @@
 // process is a started daemon with what it wrote to standard error.
 type process struct {
 	command *exec.Cmd
+	lines   *safeBuffer // the log, on standard output
 	errors  *safeBuffer
 	ended   chan struct{}
 }
@@ -79,7 +80,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	started := &process{command: exec.Command(file, arguments...), errors: &safeBuffer{}, ended: make(chan struct{})}
+	started := &process{command: exec.Command(file, arguments...), lines: &safeBuffer{}, errors: &safeBuffer{}, ended: make(chan struct{})}
+	started.command.Stdout = started.lines
 	started.command.Stderr = started.errors
 	if err := started.command.Start(); err != nil {
 		t.Fatal(err)
@@ -101,7 +103,7 @@
 	select {
 	case <-p.ended:
 	case <-time.After(patience):
-		t.Fatalf("%v still runs; it wrote:\n%s", p.command.Args, p.errors)
+		t.Fatalf("%v still runs; it wrote:\n%s%s", p.command.Args, p.lines, p.errors)
 	}
 	return p.command.ProcessState.ExitCode()
 }
@@ -174,7 +176,7 @@
 			t.Fatal(err)
 		}
 		if code := processes[i].exitCode(t); code != 0 {
-			t.Errorf("%v ended with %d after SIGTERM:\n%s", processes[i].command.Args, code, processes[i].errors)
+			t.Errorf("%v ended with %d after SIGTERM:\n%s%s", processes[i].command.Args, code, processes[i].lines, processes[i].errors)
 		}
 	}
 }
@@ -298,7 +300,7 @@
 		t.Fatal(err)
 	}
 	started := start(t, "router", "--settings", router.File)
-	await(t, "the warning", func() bool { return strings.Contains(started.errors.String(), "key-value service") })
+	await(t, "the warning", func() bool { return strings.Contains(started.lines.String(), "key-value service") })
 	if ready(router.Address) {
 		t.Error("ready without a table")
 	}
