--- a/internal/batchrun/leader.go
+++ b/internal/batchrun/leader.go
@@ -17,6 +17,8 @@
 
 const (
 	dispatchInterval = 100 * time.Millisecond // at the latest, while items wait
+	startsAtOnce     = 8                      // items sent in one go
+	startPause       = 25 * time.Millisecond  // between two full goes
 	expireInterval   = 10 * time.Second
 	proposeTimeout   = 3 * time.Second
 	proposePause     = 100 * time.Millisecond
@@ -222,26 +224,43 @@
 			return
 		}
 		timer.Stop()
-		l.dispatch()
+		if l.dispatch() == startsAtOnce {
+			pause(l.ctx, startPause)
+			l.wakeUp()
+		}
+	}
+}
+
+func pause(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
 	}
 }
 
-// dispatch sends as many waiting items as workers have room for.
-func (l *Leader) dispatch() {
+// dispatch sends waiting items that workers have room for, and tells how many.
+// Invariant: never more than startsAtOnce, so that a new leader with many open
+// items still sends its heartbeats in time on a small processor.
+func (l *Leader) dispatch() (started int) {
 	now := time.Now()
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	full := map[string]bool{}
 	kept := l.waiting[:0]
 	for _, i := range l.waiting {
-		if l.ctx.Err() != nil || now.Before(i.notUntil) || !l.try(now, i, full) {
+		if started == startsAtOnce || l.ctx.Err() != nil || now.Before(i.notUntil) || !l.try(now, i, full) {
 			kept = append(kept, i)
+			continue
 		}
+		started++
 	}
 	clear(l.waiting[len(kept):])
 	l.waiting = kept
 	l.service.metrics.waiting.Set(float64(len(l.waiting)))
 	l.service.metrics.running.Set(float64(len(l.running)))
+	return started
 }
 
 // try begins one item; false when it has to wait. The mutex is held.
