Fewer calls to the platform when many workers change; a leader reads items' streams in intervals

Change: after word of changes a watch pauses for 400 ms, so that the next call brings all that came meanwhile. Items' streams are read five times a second, their parts kept every 2 s instead of 1 s. node.processor_share stretches the election timeout under 0.8 of a core.

--- a/config/config.go
+++ b/config/config.go
@@ -42,6 +42,8 @@
 	// is no bound. The heap is held to a part of it, and so is the log that stores
 	// keep in memory.
 	MemoryMB int `koanf:"memory_mb" validate:"min=0,max=1048576"`
+	// ProcessorShare is how much of a core the process may use; 0 is not known.
+	ProcessorShare float64 `koanf:"processor_share" validate:"min=0,max=1024"`
 }
 
 // heapShare of a process's memory is the heap's; the rest is for the program,
@@ -173,6 +175,22 @@
 	return 2*slices.Max(s.ToleratedLosses) + 1
 }
 
+// Bounds of how a small processor stretches the election timeout.
+const (
+	unstretchedShare = 0.8 // of a core, from which ElectionTimeout holds as it is
+	mostStretch      = 4.0
+)
+
+// ElectionTimeoutAt is ElectionTimeout at a share of a core (0: not known): what
+// keeps a leader from its heartbeats takes longer on a smaller processor, and a
+// leader that is only slow must not be replaced by one that is as slow.
+func (s Store) ElectionTimeoutAt(processorShare float64) time.Duration {
+	if processorShare <= 0 || processorShare >= unstretchedShare {
+		return s.ElectionTimeout
+	}
+	return time.Duration(min(unstretchedShare/processorShare, mostStretch) * float64(s.ElectionTimeout))
+}
+
 // Log sets the log output.
 type Log struct {
 	Level  string `koanf:"level" validate:"oneof=debug info warn error"`
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -1,6 +1,9 @@
 package config
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 func TestVotersFollowTheLossesToBeBorne(t *testing.T) {
 	for _, each := range []struct {
@@ -15,3 +18,18 @@
 		}
 	}
 }
+
+func TestASmallProcessorStretchesTheElectionTimeout(t *testing.T) {
+	store := Store{ElectionTimeout: 200 * time.Millisecond}
+	for _, test := range []struct {
+		share float64
+		want  time.Duration
+	}{
+		{0, 200 * time.Millisecond}, {2, 200 * time.Millisecond}, {0.8, 200 * time.Millisecond},
+		{0.4, 400 * time.Millisecond}, {0.01, 800 * time.Millisecond},
+	} {
+		if got := store.ElectionTimeoutAt(test.share); got != test.want {
+			t.Errorf("share %v: %v, want %v", test.share, got, test.want)
+		}
+	}
+}
--- a/internal/batchrun/keep.go
+++ b/internal/batchrun/keep.go
@@ -8,7 +8,7 @@
 
 const (
 	// keepInterval is how often what items have given so far is kept.
-	keepInterval = time.Second
+	keepInterval = 2 * time.Second
 	// leastKept bytes of an item are worth a part.
 	leastKept = 64
 )
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -141,7 +141,7 @@
 	case status != http.StatusOK || !incoming.Stamped:
 		return verdictBroken, fmt.Errorf("status %d", status)
 	}
-	return l.read(i, ticket, incoming, watch)
+	return l.read(watch.ctx, i, ticket, incoming, watch)
 }
 
 func turnedAway(ticket *backend.Ticket, incoming *backend.Incoming) {
@@ -153,8 +153,8 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(incoming.Response.Body, engine.MaximumEventBytes))
 }
 
-func (l *Leader) read(i *item, ticket *backend.Ticket, incoming *backend.Incoming, watch *silenceWatch) (verdict, error) {
-	events := engine.NewEventReader(incoming.Response.Body)
+func (l *Leader) read(ctx context.Context, i *item, ticket *backend.Ticket, incoming *backend.Incoming, watch *silenceWatch) (verdict, error) {
+	events := engine.NewEventReader(&pacedReader{ctx: ctx, source: incoming.Response.Body, interval: readInterval})
 	for {
 		event, err := events.Next()
 		if err == io.EOF && !events.Cut() {
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -22,6 +22,9 @@
 const (
 	firstRetryDelay = 50 * time.Millisecond
 	lastRetryDelay  = 500 * time.Millisecond
+	// gatherPause follows each word of changes, so that many changes in a row, as
+	// when all workers of a fleet start, come with a few calls instead of one each.
+	gatherPause = 400 * time.Millisecond
 )
 
 // Source says where configuration and workers stand and how they are read.
@@ -139,6 +142,9 @@
 			}
 		}
 		*revision = max(*revision, batch.Revision)
+		if len(batch.Events) > 0 {
+			pause(ctx, gatherPause)
+		}
 	})
 }
 
--- a/internal/store/group.go
+++ b/internal/store/group.go
@@ -35,15 +35,16 @@
 
 // parts are what the groups of one store share.
 type parts struct {
-	settings  config.Store
-	heapBytes int64 // that the process may take; 0: no bound
-	database  *database
-	writer    *writer
-	sender    *sender
-	peers     *peers
-	metrics   *metrics
-	log       *logrus.Entry
-	inline    StartInlineRunner // nil: inline jobs are kept, not run
+	settings        config.Store
+	heapBytes       int64 // that the process may take; 0: no bound
+	electionTimeout time.Duration
+	database        *database
+	writer          *writer
+	sender          *sender
+	peers           *peers
+	metrics         *metrics
+	log             *logrus.Entry
+	inline          StartInlineRunner // nil: inline jobs are kept, not run
 }
 
 // group runs one replica: its log, its applied state and, while it leads, its
@@ -100,7 +101,7 @@
 	}
 	machine, err := replication.NewMachine(replication.Settings{
 		Group: id, Self: shared.database.identity,
-		Heartbeat: shared.settings.Heartbeat, ElectionTimeout: shared.settings.ElectionTimeout,
+		Heartbeat: shared.settings.Heartbeat, ElectionTimeout: shared.electionTimeout,
 		Random:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		TrailingEntries: trailingEntries,
 	}, restored.machine)
@@ -259,7 +260,7 @@
 func (g *group) notLeader(step string, outcome api.Outcome) *api.Error {
 	failure := api.NewError(step, "", api.CodeNotLeader, outcome, "this replica does not lead group %d", g.id)
 	failure.Leader = g.peers.node(g.role.Leader)
-	failure.RetryAfter = g.settings.ElectionTimeout
+	failure.RetryAfter = g.electionTimeout
 	return failure
 }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -109,7 +109,8 @@
 	settings := s.node.Settings.Store
 	peers := newPeers(settings.ReplaceAfter)
 	s.shared = parts{
-		settings: settings, heapBytes: s.node.Settings.Node.HeapBytes(), database: database, peers: peers, metrics: metrics, log: s.log, inline: s.inline,
+		settings: settings, heapBytes: s.node.Settings.Node.HeapBytes(),
+		electionTimeout: settings.ElectionTimeoutAt(s.node.Settings.Node.ProcessorShare), database: database, peers: peers, metrics: metrics, log: s.log, inline: s.inline,
 		sender: newSender(database.identity, s.node.Address(), peers, metrics),
 	}
 	s.shared.writer = newWriter(database, metrics, s.writeFailed, s.writeRecovered)
