Batch items are spread over groups, each with its own workers; parts are kept in small commands

Change: store.groups 0 is as many groups as a group has replicas, from five on; each leader fills the workers that hash to its group, other ones only with urgent items. One command keeps at most 64 KB.

--- a/config/config.go
+++ b/config/config.go
@@ -147,8 +147,11 @@
 // Store is for the role with a small disk.
 type Store struct {
 	DataFolder string `koanf:"data_folder"`
-	Groups     int    `koanf:"groups" validate:"min=1,max=1024"`
-	Replicas   int    `koanf:"replicas" validate:"min=1,max=7"` // of each group
+	// Groups of jobs; each has a leader that runs its items. 0 is as many as a group
+	// has replicas, and one where that is no more than three: a fleet that has to
+	// bear more losses is a larger one.
+	Groups   int `koanf:"groups" validate:"min=0,max=1024"`
+	Replicas int `koanf:"replicas" validate:"min=1,max=7"` // of each group
 	// ToleratedLosses are numbers of machines, zones and the like whose loss is to
 	// be borne: the largest decides the replicas, two for each and one. Without
 	// any, Replicas stands.
@@ -175,6 +178,21 @@
 	return 2*slices.Max(s.ToleratedLosses) + 1
 }
 
+// fewVoters is up to which replicas one group is enough.
+const fewVoters = 3
+
+// deriveGroups is Groups where the settings leave it to the fleet's size.
+func (s Store) deriveGroups() int {
+	switch voters := s.Voters(); {
+	case s.Groups > 0:
+		return s.Groups
+	case voters <= fewVoters:
+		return 1
+	default:
+		return voters
+	}
+}
+
 // Bounds of how a small processor stretches the election timeout.
 const (
 	unstretchedShare = 0.8 // of a core, from which ElectionTimeout holds as it is
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -33,3 +33,17 @@
 		}
 	}
 }
+
+func TestGroupsFollowTheLossesToBeBorne(t *testing.T) {
+	for _, test := range []struct {
+		store Store
+		want  int
+	}{
+		{Store{Groups: 7, Replicas: 3}, 7}, {Store{Replicas: 3}, 1}, {Store{ToleratedLosses: []int{1}}, 1},
+		{Store{ToleratedLosses: []int{2, 0}}, 5},
+	} {
+		if got := test.store.deriveGroups(); got != test.want {
+			t.Errorf("%+v: %d groups, want %d", test.store, got, test.want)
+		}
+	}
+}
--- a/config/load.go
+++ b/config/load.go
@@ -50,6 +50,7 @@
 func Parse(file string, raw []byte, overrides map[string]any) (Settings, error) {
 	settings := Default()
 	err := ParseDocument(file, raw, overrides, &settings)
+	settings.Store.Groups = settings.Store.deriveGroups()
 	return settings, err
 }
 
--- a/internal/batchrun/keep.go
+++ b/internal/batchrun/keep.go
@@ -7,8 +7,12 @@
 )
 
 const (
-	// keepInterval is how often what items have given so far is kept.
+	// keepInterval is how often what an item has given so far is kept.
 	keepInterval = 2 * time.Second
+	// keepTick is the time between two commands, and keptAtOnce the bytes from which
+	// one takes no further item: large ones would hold up heartbeats.
+	keepTick   = 100 * time.Millisecond
+	keptAtOnce = 64 << 10
 	// leastKept bytes of an item are worth a part.
 	leastKept = 64
 )
@@ -17,7 +21,7 @@
 // often their runs failed: another leader goes on from there. Invariant: an item's
 // failures count over all leaders, so that one that always fails is given up.
 func (l *Leader) keepLoop() {
-	ticker := time.NewTicker(keepInterval)
+	ticker := time.NewTicker(keepTick)
 	defer ticker.Stop()
 	for {
 		select {
@@ -26,39 +30,44 @@
 		case <-l.ctx.Done():
 			return
 		}
-		if parts := l.newParts(); len(parts) > 0 {
+		if parts := l.newParts(time.Now()); len(parts) > 0 {
 			l.commit(jobs.Command{KeepInline: &jobs.KeepInline{Parts: parts}})
 		}
 	}
 }
 
-func (l *Leader) newParts() []jobs.InlinePart {
+func (l *Leader) newParts(now time.Time) []jobs.InlinePart {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	var parts []jobs.InlinePart
-	for i := range l.running {
-		if part, ok := i.newPart(); ok {
+	n := 0
+	add := func(i *item) {
+		if part, ok := i.newPart(now, n < keptAtOnce); ok {
 			parts = append(parts, part)
+			n += len(part.Text)
 		}
 	}
+	for i := range l.running {
+		add(i)
+	}
 	for _, i := range l.waiting {
-		if part, ok := i.newPart(); ok {
-			parts = append(parts, part)
-		}
+		add(i)
 	}
 	return parts
 }
 
-// newPart is what has come since the last one.
-func (i *item) newPart() (jobs.InlinePart, bool) {
+// newPart is what has come since the last one: at once when a run has failed, else
+// each keepInterval if there is room.
+func (i *item) newPart(now time.Time, room bool) (jobs.InlinePart, bool) {
 	i.received.Lock()
 	defer i.received.Unlock()
-	if len(i.text)-i.kept < leastKept && i.failures == i.keptFailures {
+	due := room && len(i.text)-i.kept >= leastKept && now.Sub(i.keptAt) >= keepInterval
+	if !due && i.failures == i.keptFailures {
 		return jobs.InlinePart{}, false
 	}
 	part := jobs.InlinePart{
 		Job: i.job.ID, Index: i.index, Offset: i.kept, Text: string(i.text[i.kept:]), Last: i.last, Failures: i.failures,
 	}
-	i.kept, i.keptFailures = len(i.text), i.failures
+	i.kept, i.keptFailures, i.keptAt = len(i.text), i.failures, now
 	return part, true
 }
--- a/internal/batchrun/leader.go
+++ b/internal/batchrun/leader.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/dykewing/dykewing/api"
@@ -43,6 +44,7 @@
 	text         []byte     // of whole events so far
 	last         string     // id of the last whole event
 	kept         int        // bytes of text that other leaders know of
+	keptAt       time.Time  // when that was
 	keptFailures int        // failures that other leaders know of
 	avoid        string     // the worker that it was lost at
 	cancel       context.CancelFunc
@@ -200,16 +202,37 @@
 	}
 }
 
-func (l *Leader) addBusy(busy map[string]bool) {
+// mine tells whether this group's items fill a worker. Each worker is filled by one
+// group, so that one leader sees all batch that it holds, asks for its load and
+// makes items give way; only urgent items go elsewhere.
+func (l *Leader) mine(workerID string) bool {
+	groups := uint64(l.service.groups)
+	return xxhash.Sum64String(workerID)%groups == uint64(l.group)%groups
+}
+
+// addBusy adds the workers of services for which items wait or run here.
+func (l *Leader) addBusy(busy map[string]worker.Worker) {
+	for service := range l.services() {
+		for _, w := range l.service.pool.Workers(service) {
+			if l.mine(w.ID) {
+				busy[w.ID] = w
+			}
+		}
+	}
+}
+
+func (l *Leader) services() map[string]bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	services := map[string]bool{}
 	for _, i := range l.waiting {
-		busy[i.service] = true
+		services[i.service] = true
 	}
 	for i := range l.running {
-		busy[i.service] = true
+		services[i.service] = true
 	}
-	delete(busy, "")
+	delete(services, "")
+	return services
 }
 
 // dispatchLoop sends waiting items whenever something may have changed.
@@ -291,9 +314,9 @@
 	if full[i.service] && !urgent {
 		return false
 	}
-	query := worker.Query{Service: i.service, Parts: i.parts, Tokens: i.tokens, Limit: l.service.settings.Fill}
+	query := worker.Query{Service: i.service, Parts: i.parts, Tokens: i.tokens, Limit: l.service.settings.Fill, Only: l.mine}
 	if urgent {
-		query.Limit = l.service.settings.UrgentFill
+		query.Limit, query.Only = l.service.settings.UrgentFill, nil
 	}
 	if i.avoid != "" {
 		query.Excluded = []string{i.avoid}
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -27,6 +27,7 @@
 // Service is what the leaders of a process's groups share.
 type Service struct {
 	settings config.Batch
+	groups   int // of jobs, in all
 	log      *logrus.Entry
 	catalog  *catalog.Catalog
 	pool     *backend.Pool
@@ -40,7 +41,7 @@
 // New gives a service that learns configuration and workers from source.
 func New(common *node.Node, protocol backend.Protocol, source catalog.Source) *Service {
 	s := &Service{
-		settings: common.Settings.Batch, log: common.Logger("batch"), caller: backend.NewCaller(protocol),
+		settings: common.Settings.Batch, groups: common.Settings.Store.Groups, log: common.Logger("batch"), caller: backend.NewCaller(protocol),
 		metrics: newMetrics(common.Registry), leaders: map[*Leader]bool{},
 	}
 	s.pool = backend.NewPool(worker.DefaultSettings(common.Settings.Node.Zone), s.wakeAll)
@@ -81,19 +82,17 @@
 		case <-ctx.Done():
 			return
 		}
-		for service := range s.busyServices() {
-			for _, w := range s.pool.Workers(service) {
-				s.askLoad(ctx, w)
-			}
+		for _, w := range s.busyWorkers() {
+			s.askLoad(ctx, w)
 		}
 		s.wakeAll()
 	}
 }
 
-func (s *Service) busyServices() map[string]bool {
+func (s *Service) busyWorkers() map[string]worker.Worker {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	busy := map[string]bool{}
+	busy := map[string]worker.Worker{}
 	for leader := range s.leaders {
 		leader.addBusy(busy)
 	}
--- a/worker/choose.go
+++ b/worker/choose.go
@@ -15,6 +15,8 @@
 	Parts    []Part // of the prompt, in order
 	Tokens   int    // of the whole prompt; 0 when not told
 	Excluded []string
+	// Only leaves out workers for which it is false; nil leaves out none.
+	Only func(id string) bool
 	// Limit leaves out workers that hold more than this share of their slots;
 	// 0 is no limit.
 	Limit float64
@@ -67,6 +69,7 @@
 	for _, e := range p.services[query.Service] {
 		switch {
 		case e.Leaving || slices.Contains(query.Excluded, e.ID):
+		case query.Only != nil && !query.Only(e.ID):
 		case query.Limit > 0 && p.loadOf(now, e)+1 > query.Limit*float64(e.slots):
 		case now.Before(e.downUntil) || now.Before(e.fullUntil):
 			doubtful = append(doubtful, e)
