First members of groups are spread over all stores

Change: groups are formed when the number of stores stands still between two looks, and their members are taken from the stores with the fewest groups.

--- a/internal/store/bootstrap.go
+++ b/internal/store/bootstrap.go
@@ -137,10 +137,20 @@
 	if err != nil {
 		return err
 	}
+	if len(candidates) != s.candidates {
+		// Others may still be starting; groups formed now would all be on those that
+		// were first.
+		s.candidates = len(candidates)
+		return nil
+	}
+	held := heldGroups(known)
 	for id := range api.GroupID(s.node.Settings.Store.Groups) {
 		if _, ok := known[id]; ok {
 			continue
 		}
+		for i := range candidates {
+			candidates[i].Groups = held[candidates[i].Replica]
+		}
 		first, ok := placement.FirstMembers(id, candidates, s.node.Settings.Store.Voters())
 		if !ok {
 			s.log.Debugf("%d of %d stores are there; the groups wait.", len(candidates), s.node.Settings.Store.Voters())
@@ -153,10 +163,24 @@
 		if _, err := s.node.KeyValue.Swap(ctx, kv.Swap{Key: s.groupRecordKey(id), Value: value}); err != nil {
 			return fmt.Errorf("form group %d: %w", id, err)
 		}
+		for _, replica := range first.Voters {
+			held[replica]++
+		}
 	}
 	return nil
 }
 
+// heldGroups counts the groups that each replica is of.
+func heldGroups(known map[api.GroupID]groupRecord) map[replication.ReplicaID]int {
+	held := map[replication.ReplicaID]int{}
+	for _, record := range known {
+		for _, replica := range record.First.Voters {
+			held[replica]++
+		}
+	}
+	return held
+}
+
 // registeredStores are those that are registered and seen alive: a disk that
 // was lost stays registered.
 func (s *Store) registeredStores(ctx context.Context) ([]placement.Store, error) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -34,7 +34,8 @@
 	inline        StartInlineRunner       // nil: inline jobs are kept, not run
 	decommissions *Decommissions          // nil: no machine is emptied on request
 	registrations *storeclient.Registered // nil: only views tell of other stores
-	registered    bool                    // only for the loop that meets other stores
+	registered    bool                    // only for the loop that meets other stores, like candidates
+	candidates    int                     // stores of which groups could be formed at the last look
 
 	ctx        context.Context
 	cancel     context.CancelFunc
--- a/placement/groups.go
+++ b/placement/groups.go
@@ -18,8 +18,8 @@
 }
 
 // FirstMembers chooses the first voters of a group: in as many zones as there
-// are, spread over the stores by rendezvous. It is false while there are fewer
-// stores than replicas.
+// are, there the stores with the fewest groups, and among those by rendezvous. It
+// is false while there are fewer stores than replicas.
 func FirstMembers(group api.GroupID, stores []Store, replicas int) (replication.Members, bool) {
 	var members replication.Members
 	rest := takesReplica(stores, nil)
@@ -28,7 +28,7 @@
 	}
 	var zones []api.Location
 	for len(members.Voters) < replicas {
-		chosen := best(group, rest, zones, false)
+		chosen := best(group, rest, zones, true)
 		members.Voters = append(members.Voters, chosen.Replica)
 		zones = append(zones, chosen.Location)
 		rest = takesReplica(rest, members.Voters)
--- a/placement/groups_test.go
+++ b/placement/groups_test.go
@@ -22,6 +22,33 @@
 	return stores
 }
 
+// TestFirstMembersAreSpreadOverAllStores: on the bench one of ten stores was a
+// member of all five groups and was killed for its memory.
+func TestFirstMembersAreSpreadOverAllStores(t *testing.T) {
+	const groups, replicas = 5, 5
+	var stores []Store
+	for i := range 10 {
+		zone := api.ZoneName("abcd"[i%4 : i%4+1])
+		stores = append(stores, Store{Replica: replication.ReplicaID(fmt.Sprint("store-", i)), Location: api.Location{Region: "r", Zone: zone}})
+	}
+	for group := range api.GroupID(groups) {
+		members, ok := FirstMembers(group, stores, replicas)
+		if !ok {
+			t.Fatal("no members")
+		}
+		for i := range stores {
+			if slices.Contains(members.Voters, stores[i].Replica) {
+				stores[i].Groups++
+			}
+		}
+	}
+	for _, store := range stores {
+		if store.Groups < 2 || store.Groups > 4 {
+			t.Errorf("%s is of %d of %d groups", store.Replica, store.Groups, groups)
+		}
+	}
+}
+
 func TestFirstMembersTakeDifferentZones(t *testing.T) {
 	stores := testStores(9, 3)
 	for group := range api.GroupID(50) {
