Logs in memory of all groups of a store share one bound

Change: that sixteenth is for all groups together (1 MB at least each); the heap is held to 0.45 of the memory.

--- a/config/config.go
+++ b/config/config.go
@@ -48,7 +48,7 @@
 
 // heapShare of a process's memory is the heap's; the rest is for the program,
 // stacks and mapped files.
-const heapShare = 0.5
+const heapShare = 0.45
 
 // HeapBytes is what the heap is held to; 0 is no bound.
 func (n Node) HeapBytes() int64 { return int64(heapShare * float64(n.MemoryMB) * (1 << 20)) }
--- a/internal/store/group.go
+++ b/internal/store/group.go
@@ -27,7 +27,7 @@
 	// machine holds the log in memory. That is a part of the process's heap.
 	mostLogBytes  = 32 << 20
 	leastLogBytes = 1 << 20
-	logHeapShare  = 16 // one part in so many of the heap
+	logHeapShare  = 16 // one part in so many of the heap, for all groups together
 	// trailingEntries are kept in memory for replicas that lag a little; parts
 	// of files make entries of hundreds of kilobytes.
 	trailingEntries = 64
@@ -280,13 +280,13 @@
 	return g.ledSince
 }
 
-// logBytes is how much log a group keeps in memory, by the bound of the heap; 0
-// is no bound.
-func logBytes(heapBytes int64) int64 {
+// logBytes is how much log each of so many groups keeps in memory, by the bound of
+// the heap; 0 is no bound.
+func logBytes(heapBytes int64, groups int) int64 {
 	if heapBytes == 0 {
 		return mostLogBytes
 	}
-	return min(max(heapBytes/logHeapShare, leastLogBytes), mostLogBytes)
+	return min(max(heapBytes/logHeapShare/int64(groups), leastLogBytes), mostLogBytes)
 }
 
 // maintain writes applied state that is only in memory, drops replaced states
@@ -303,7 +303,7 @@
 		g.log.WithError(err).Warn("A replaced state could not be removed yet.")
 	}
 	onDisk := g.state.onDisk()
-	full := onDisk >= g.compacted+uint64(g.settings.SnapshotEntries) || g.logBytes.Load() >= logBytes(g.heapBytes)
+	full := onDisk >= g.compacted+uint64(g.settings.SnapshotEntries) || g.logBytes.Load() >= logBytes(g.heapBytes, g.settings.Groups)
 	if !full || onDisk == g.compacted || g.snapshots.serving.Load() > 0 {
 		return
 	}
