--- /dev/null
+++ b/internal/batchrun/dispatch.go
@@ -0,0 +1,165 @@
+package batchrun
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dykewing/dykewing/worker"
+)
+
+// mine tells whether this group's items fill a worker. Each worker is filled by one
+// group, so that one leader sees all batch that it holds, asks for its load and
+// makes items give way; only urgent items go elsewhere.
+func (l *Leader) mine(workerID string) bool {
+	groups := uint64(l.service.groups)
+	return xxhash.Sum64String(workerID)%groups == uint64(l.group)%groups
+}
+
+// addBusy adds the workers of services for which items wait or run here.
+func (l *Leader) addBusy(busy map[string]worker.Worker) {
+	for service := range l.services() {
+		for _, w := range l.service.pool.Workers(service) {
+			if l.mine(w.ID) {
+				busy[w.ID] = w
+			}
+		}
+	}
+}
+
+func (l *Leader) services() map[string]bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	services := map[string]bool{}
+	for _, i := range l.waiting {
+		services[i.service] = true
+	}
+	for i := range l.running {
+		services[i.service] = true
+	}
+	delete(services, "")
+	return services
+}
+
+// dispatchLoop sends waiting items whenever something may have changed.
+func (l *Leader) dispatchLoop() {
+	for {
+		timer := time.NewTimer(dispatchInterval)
+		select {
+		case <-l.wake:
+		case <-timer.C:
+		case <-l.ctx.Done():
+			timer.Stop()
+			return
+		}
+		timer.Stop()
+		if l.dispatch() == startsAtOnce {
+			pause(l.ctx, startPause)
+			l.wakeUp()
+		}
+	}
+}
+
+func pause(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// dispatch sends waiting items that workers have room for, and tells how many.
+// Invariant: never more than startsAtOnce, so that a new leader with many open
+// items still sends its heartbeats in time on a small processor.
+func (l *Leader) dispatch() (started int) {
+	now := time.Now()
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	full := map[string]bool{}
+	kept := l.waiting[:0]
+	for _, i := range l.waiting {
+		if started == startsAtOnce || l.ctx.Err() != nil || now.Before(i.notUntil) || !l.try(now, i, full) {
+			kept = append(kept, i)
+			continue
+		}
+		started++
+	}
+	clear(l.waiting[len(kept):])
+	l.waiting = kept
+	l.service.metrics.waiting.Set(float64(len(l.waiting)))
+	l.service.metrics.running.Set(float64(len(l.running)))
+	return started
+}
+
+// try begins one item; false when it has to wait. The mutex is held.
+func (l *Leader) try(now time.Time, i *item, full map[string]bool) bool {
+	if i.path == "" && !l.describe(i) {
+		return false
+	}
+	matched, known, found := l.service.routeOf(i.host, i.path)
+	if !known {
+		return false
+	}
+	if !found {
+		l.abandon(i, "no route")
+		return true
+	}
+	if i.job.Keep > 0 && time.Since(i.job.Created) > i.job.Keep {
+		l.abandon(i, "kept long enough")
+		return true
+	}
+	if i.failures >= matched.MaxAttempts {
+		l.abandon(i, "failed often enough")
+		return true
+	}
+	if !matched.Allows(i.service) {
+		i.service = matched.Shares[0].Service
+	}
+	urgent := l.urgent(now, i)
+	if full[i.service] && !urgent {
+		return false
+	}
+	query := worker.Query{Service: i.service, Parts: i.parts, Tokens: i.tokens, Limit: l.service.settings.Fill, Only: l.mine}
+	if urgent {
+		query.Limit, query.Only = l.service.settings.UrgentFill, nil
+	}
+	if i.avoid != "" {
+		query.Excluded = []string{i.avoid}
+	}
+	ticket, ok := l.service.pool.Take(query)
+	if !ok {
+		i.avoid = ""
+		full[i.service] = true
+		return false
+	}
+	ctx, cancel := context.WithCancel(l.ctx)
+	i.cancel, i.worker, i.since = cancel, ticket.Worker.ID, now
+	l.running[i] = true
+	go l.run(ctx, i, matched.MaxAttempts, ticket)
+	return true
+}
+
+// urgent tells whether an item has to run now to be in time. It then takes room
+// that is otherwise kept for bursts of online requests, and keeps it.
+func (l *Leader) urgent(now time.Time, i *item) bool {
+	return i.job.RunTarget > 0 && i.job.Due().Sub(now) < time.Duration(urgentFactor*float64(l.runTime))
+}
+
+// describe reads from the state what a choice of worker needs.
+func (l *Leader) describe(i *item) bool {
+	stored, found, err := l.state.InlineItem(i.job.ID, i.index)
+	if err != nil || !found {
+		return false
+	}
+	request := l.service.caller.Protocol.ReadRequest(headerOf(stored))
+	partial, err := l.state.InlinePartial(i.job.ID, i.index)
+	if err != nil {
+		return false
+	}
+	i.text, i.last, i.kept = []byte(partial.Text), partial.Last, len(partial.Text)
+	i.failures, i.keptFailures = partial.Failures, partial.Failures
+	i.path, i.host, i.parts, i.tokens = stored.Path, i.job.Host, request.Parts, request.PromptTokens
+	return true
+}
--- a/internal/store/group.go
+++ b/internal/store/group.go
@@ -76,7 +76,8 @@
 	ledSince  time.Time            // when leading was set
 	services  []api.ServiceName    // of the table in force; nil before the first
 	role      replication.RoleChanged
-	draining  bool // before a planned stop: nothing new is taken
+	roleSince time.Time // when role was set
+	draining  bool      // before a planned stop: nothing new is taken
 	token     uint64
 	proposals map[uint64]chan answer // by token, until the index is known
 	waiting   map[uint64]proposal    // by log index
@@ -91,7 +92,8 @@
 	}
 	shared.log = shared.log.WithField("group", id)
 	g := &group{
-		parts: shared, id: id, origin: restored.origin,
+		roleSince: time.Now(),
+		parts:     shared, id: id, origin: restored.origin,
 		state:     newState(shared.database, id, restored.applied),
 		proposals: map[uint64]chan answer{}, waiting: map[uint64]proposal{}, shares: newShareOwner(),
 	}
@@ -243,6 +245,7 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	lost := g.role.Leading && (!change.Leading || change.Term != g.role.Term)
+	g.logRole(change)
 	g.role = change
 	g.metrics.roleChanges.Inc()
 	if g.halted.Load() {
@@ -256,6 +259,17 @@
 	g.lead(g.state.position())
 }
 
+// logRole says what this replica now believes of the leadership, and for how long
+// it believed the last; the mutex is held.
+func (g *group) logRole(to replication.RoleChanged) {
+	g.log.WithFields(logrus.Fields{
+		"event": "role_changed", "leading": to.Leading, "term": to.Term, "leader": to.Leader,
+		"before_leading": g.role.Leading, "before_term": g.role.Term, "before_leader": g.role.Leader,
+		"before_ms": time.Since(g.roleSince).Milliseconds(),
+	}).Info("The leadership of the group changed.")
+	g.roleSince = time.Now()
+}
+
 // notLeader is the answer of a replica that can't serve; the mutex is held.
 func (g *group) notLeader(step string, outcome api.Outcome) *api.Error {
 	failure := api.NewError(step, "", api.CodeNotLeader, outcome, "this replica does not lead group %d", g.id)
