A planned stop answers what has no answer yet, instead of closing its connection

Change: requests are waited for until 0.8 s before the stop timeout; 0.25 s before that those without an answer get the system's own (502, may have run).

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -32,8 +32,10 @@
 	maximumHeaderBytes = 64 << 10
 	// servedLinesPerSecond bounds the log lines about ordinary successes.
 	servedLinesPerSecond = 20
-	// endMargin is kept of the stop timeout for what ends after the requests.
-	endMargin = 500 * time.Millisecond
+	// endMargin is kept of the stop timeout for what ends after the requests, and
+	// answerMargin before it for the answers of those that still run then.
+	endMargin    = 800 * time.Millisecond
+	answerMargin = 250 * time.Millisecond
 	// takingShare of the stop timeout is the most during which requests are taken.
 	takingShare = 0.5
 	// forgetMargin is waited beyond the time after which callers have forgotten
@@ -56,6 +58,11 @@
 
 	samples *rate.Limiter // of lines about ordinary successes
 
+	// ending ends when a planned stop can wait no longer: what has no answer yet
+	// gets the system's own then, instead of a closed connection.
+	ending context.Context
+	endAll context.CancelFunc
+
 	randomMutex sync.Mutex
 	random      *rand.Rand
 
@@ -87,6 +94,7 @@
 		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		samples: rate.NewLimiter(servedLinesPerSecond, servedLinesPerSecond),
 	}
+	f.ending, f.endAll = context.WithCancel(context.Background())
 	registered := &storeclient.Registered{}
 	f.stores = &storeclient.Client{HTTP: newStoreClient(), AttemptTimeout: storeAttempt, Nodes: func() []api.Node { return registered.With(common.Nodes()) }}
 	f.pool = backend.NewPool(worker.DefaultSettings(common.Settings.Node.Zone), nil)
@@ -185,7 +193,8 @@
 // drain is the planned stop.
 func (f *Frontend) drain() {
 	began := time.Now()
-	deadline := began.Add(f.node.Settings.Node.StopWithin() - endMargin)
+	deadline := began.Add(f.node.Settings.Node.StopTimeout - endMargin)
+	defer time.AfterFunc(time.Until(deadline.Add(-answerMargin)), f.endAll).Stop()
 	forgotten := f.forgetTime()
 	f.log.WithField("event", "stop_begun").WithField("forget_ms", forgotten.Milliseconds()).Info("Leaving: callers are told other addresses.")
 	time.Sleep(forgotten)
--- a/internal/frontend/online.go
+++ b/internal/frontend/online.go
@@ -50,6 +50,7 @@
 	f := x.frontend
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
+	defer context.AfterFunc(f.ending, cancel)()
 	x.service = f.draw(x.route)
 	x.lastEvent = x.request.LastEvent
 	last := attemptResult{failure: api.NewError("choose worker", "", api.CodeNoCapacity, api.OutcomeNotRun, "no worker of %s takes it", x.service)}
@@ -104,7 +105,7 @@
 // maySendAgain tells whether another worker may be tried: always when none ran
 // the request, else only what may be repeated, within its attempts.
 func (x *exchange) maySendAgain(last attemptResult) bool {
-	if time.Until(x.deadline) < leastLeft {
+	if time.Until(x.deadline) < leastLeft || x.frontend.ending.Err() != nil {
 		return false
 	}
 	if last.verdict == notRun {
