--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -36,8 +36,10 @@
 	// answerMargin before it for the answers of those that still run then.
 	endMargin    = 800 * time.Millisecond
 	answerMargin = 250 * time.Millisecond
-	// takingShare of the stop timeout is the most during which requests are taken.
+	// takingShare of the stop timeout is the most during which requests are taken,
+	// and mostTaking at most: what is taken must have time to end.
 	takingShare = 0.5
+	mostTaking  = 2800 * time.Millisecond
 	// forgetMargin is waited beyond the time after which callers have forgotten
 	// an address.
 	forgetMargin = 300 * time.Millisecond
@@ -187,7 +189,7 @@
 // Callers that hold it longer are refused the connection and try another.
 func (f *Frontend) forgetTime() time.Duration {
 	longest := time.Duration(f.settings.ForgetFactor*float64(f.settings.AddressLifetime)) + forgetMargin
-	return min(longest, time.Duration(takingShare*float64(f.node.Settings.Node.StopWithin())))
+	return min(longest, time.Duration(takingShare*float64(f.node.Settings.Node.StopWithin())), mostTaking)
 }
 
 // drain is the planned stop.
