A bound of queued tokens a route, exact over all groups

Change: route.MaxQueuedTokens; a queue's home group keeps the count in its replicated state (jobs/queue.go). A frontend admits a job there before its own group takes it; leaders report each 200 ms what no worker has finished, and all of it each 5 s. 429 with a pause of 1 s only for what does not fit and was not taken before. Weighed: a count in each group with a part of the bound (refuses what fits when parts are uneven), one group for all bounded jobs (loses the spread), counts told between leaders (races within a report pass a small bound). Tests: a table and a model of the machine (never over, nothing that fits refused, planted fault seen), and the path on real processes.

--- a/api/outcome.go
+++ b/api/outcome.go
@@ -27,6 +27,7 @@
 	CodeConflict         ErrorCode = "conflict"          // 409
 	CodeUnknownService   ErrorCode = "model_not_found"   // 404
 	CodeCeiling          ErrorCode = "ceiling_reached"   // 429
+	CodeQueueFull        ErrorCode = "queue_full"        // 429: more waits than the route's bound
 	CodeNoCapacity       ErrorCode = "no_capacity"       // 503
 	CodeNoTable          ErrorCode = "no_table"          // 503
 	CodeNotLeader        ErrorCode = "not_leader"        // 503, internal
@@ -47,7 +48,7 @@
 // httpStatus maps each code to the status it is answered with.
 var httpStatus = map[ErrorCode]int{
 	CodeBadRequest: 400, CodeTooLarge: 413, CodeNotFound: 404, CodeConflict: 409,
-	CodeUnknownService: 404, CodeCeiling: 429, CodeNoCapacity: 503, CodeNoTable: 503,
+	CodeUnknownService: 404, CodeCeiling: 429, CodeQueueFull: 429, CodeNoCapacity: 503, CodeNoTable: 503,
 	CodeNotLeader: 503, CodeNoQuorum: 503, CodeLeaving: 503, CodePreempted: 503,
 	CodeDiskFull: 507, CodeDeadline: 504, CodeUpstream: 502, CodeOutcomeUnknown: 502,
 	CodeClientCancelled: 499, CodeAlreadySubmitted: 409, CodeInternal: 500,
--- a/internal/batchrun/commit.go
+++ b/internal/batchrun/commit.go
@@ -15,6 +15,7 @@
 		"event": "item_abandoned", "request": i.job.ID, "index": i.index, "why": why, "failures": i.failures,
 		"age_ms": time.Since(i.job.Created).Milliseconds(),
 	}).Warn("An item is given up.")
+	l.queued.finished(i)
 	go l.list(i, jobs.InlineAbandoned, "")
 }
 
--- a/internal/batchrun/leader.go
+++ b/internal/batchrun/leader.go
@@ -69,6 +69,7 @@
 	waiting []*item    // the most urgent first
 	running map[*item]bool
 	ended   map[jobs.JobID]bool
+	queued  *queued
 	runTime time.Duration // of a whole item, lately
 }
 
@@ -83,7 +84,7 @@
 	l := &Leader{
 		service: service, group: group, state: state, propose: propose, log: service.log.WithField("group", group),
 		wake: make(chan struct{}, 1), failed: make(chan struct{}, 1), results: make(chan jobs.InlineResult, maximumGathered),
-		runTime: firstRunTime, running: map[*item]bool{}, ended: map[jobs.JobID]bool{},
+		runTime: firstRunTime, running: map[*item]bool{}, ended: map[jobs.JobID]bool{}, queued: newQueued(),
 	}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	return l
@@ -95,11 +96,23 @@
 	if err != nil {
 		return err
 	}
+	queues, err := l.state.InlineQueues()
+	if err != nil {
+		return err
+	}
+	for _, queue := range queues {
+		l.queued.expect(time.Now(), queue)
+	}
 	for _, job := range open {
 		indexes, err := l.state.UnlistedInline(job)
 		if err != nil {
 			return err
 		}
+		tokens, err := l.state.InlineTokens(job.ID)
+		if err != nil {
+			return err
+		}
+		l.queued.add(job, tokens, indexes)
 		for _, index := range indexes {
 			l.waiting = append(l.waiting, &item{job: job, index: index})
 		}
@@ -114,6 +127,7 @@
 	go l.commitLoop()
 	go l.keepLoop()
 	go l.expireLoop()
+	go l.reportQueuesLoop()
 }
 
 // Stop ends all that runs; what has no committed result is run by the next leader.
@@ -127,6 +141,8 @@
 	switch {
 	case command.SubmitInline != nil && result.Inline != nil && !result.Duplicate:
 		l.add(*result.Inline, command.SubmitInline.Items)
+	case command.SubmitInline != nil && result.Inline != nil:
+		l.resent(*result.Inline)
 	case command.EndInline != nil && result.Code == "" && !result.Duplicate:
 		l.endJob(command.EndInline.Job)
 	}
@@ -134,6 +150,7 @@
 
 func (l *Leader) add(job jobs.InlineJob, items []jobs.InlineItem) {
 	l.mutex.Lock()
+	l.queued.submitted(job, items)
 	for index := range items {
 		l.waiting = append(l.waiting, &item{job: job, index: index})
 	}
@@ -142,6 +159,13 @@
 	l.wakeUp()
 }
 
+// resent notes that a job was submitted again: its queue may have counted it anew.
+func (l *Leader) resent(job jobs.InlineJob) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.queued.resent(job)
+}
+
 // sortWaiting orders by when results are due; the mutex is held.
 func (l *Leader) sortWaiting() {
 	slices.SortStableFunc(l.waiting, func(a, b *item) int {
@@ -154,6 +178,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.ended[id] = true
+	l.queued.drop(id)
 	l.waiting = slices.DeleteFunc(l.waiting, func(i *item) bool { return i.job.ID == id })
 	stopped := 0
 	for i := range l.running {
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -78,6 +78,9 @@
 		l.runTime += time.Duration(runTimeShare * float64(took-l.runTime))
 	}
 	i.worker, i.yielding = "", false
+	if verdict == verdictDone {
+		l.queued.finished(i)
+	}
 	if verdict == verdictDone || verdict == verdictStopped && (l.ended[i.job.ID] || l.ctx.Err() != nil) {
 		return
 	}
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -19,6 +19,8 @@
 	"github.com/dykewing/dykewing/internal/dispatch"
 	"github.com/dykewing/dykewing/internal/node"
 	"github.com/dykewing/dykewing/internal/store"
+	"github.com/dykewing/dykewing/internal/storeclient"
+	"github.com/dykewing/dykewing/internal/transport"
 	"github.com/dykewing/dykewing/jobs"
 	"github.com/dykewing/dykewing/route"
 	"github.com/dykewing/dykewing/worker"
@@ -30,6 +32,8 @@
 	groups   int // of jobs, in all
 	log      *logrus.Entry
 	catalog  *catalog.Catalog
+	stores   *storeclient.Client // reaches other groups' leaders
+	members  *storeclient.Registered
 	pool     *backend.Pool
 	caller   *backend.Caller
 	metrics  *metrics
@@ -42,14 +46,28 @@
 func New(common *node.Node, protocol backend.Protocol, source catalog.Source) *Service {
 	s := &Service{
 		settings: common.Settings.Batch, groups: common.Settings.Store.Groups, log: common.Logger("batch"), caller: backend.NewCaller(protocol),
-		metrics: newMetrics(common.Registry), leaders: map[*Leader]bool{},
+		metrics: newMetrics(common.Registry), leaders: map[*Leader]bool{}, members: &storeclient.Registered{},
 	}
 	s.pool = backend.NewPool(worker.DefaultSettings(common.Settings.Node.Zone), s.wakeAll)
 	s.catalog = catalog.New(source, common.KeyValue, common.Logger("catalog"), s.pool)
+	s.catalog.Also(common.Settings.KeyValueService.Prefix+storeclient.PrefixStores, s.members)
+	s.stores = &storeclient.Client{
+		HTTP: transport.NewClient(storeConnections), AttemptTimeout: storeAttempt,
+		Nodes: func() []api.Node { return s.members.With(common.Nodes()) },
+	}
 	common.Mux.HandleFunc("GET "+catalog.PathConfiguration, s.catalog.ServeConfiguration)
 	return s
 }
 
+// Calls to other stores.
+const (
+	storeConnections = 4
+	storeAttempt     = 500 * time.Millisecond
+)
+
+// Registered are the stores that the platform's store lists.
+func (s *Service) Registered() *storeclient.Registered { return s.members }
+
 // Catalog is what the service watches.
 func (s *Service) Catalog() *catalog.Catalog { return s.catalog }
 
@@ -61,6 +79,7 @@
 	running.Go(func() { s.askLoads(ctx) })
 	running.Wait()
 	s.caller.Close()
+	s.stores.HTTP.CloseIdleConnections()
 }
 
 func (s *Service) wakeAll() {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,7 +20,6 @@
 	"github.com/dykewing/dykewing/internal/router"
 	"github.com/dykewing/dykewing/internal/sidecar"
 	"github.com/dykewing/dykewing/internal/store"
-	"github.com/dykewing/dykewing/internal/storeclient"
 )
 
 // Daemon is one process's role, ready to run.
@@ -90,9 +89,7 @@
 		return part.Run, nil
 	}
 	runner := batchrun.New(common, platform.Protocol, platform.Source)
-	registered := &storeclient.Registered{}
-	runner.Catalog().Also(common.Settings.KeyValueService.Prefix+storeclient.PrefixStores, registered)
-	options := []store.Option{store.WithInlineRunner(runner.Lead), store.WithRegistered(registered)}
+	options := []store.Option{store.WithInlineRunner(runner.Lead), store.WithRegistered(runner.Registered())}
 	if platform.Decommissions != nil {
 		runner.Catalog().Also(platform.Decommissions.Prefix, platform.Decommissions)
 		options = append(options, store.WithDecommissions(platform.Decommissions))
--- a/internal/frontend/jobs.go
+++ b/internal/frontend/jobs.go
@@ -37,8 +37,12 @@
 	}
 	ctx, cancel := context.WithTimeout(x.r.Context(), min(x.left(), submitTimeout))
 	defer cancel()
+	if failure := x.admitToQueue(ctx, items); failure != nil {
+		x.refuseJob(failure)
+		return
+	}
 	command := jobs.Command{SubmitInline: &jobs.SubmitInline{
-		Job: jobs.JobID(x.request.ID), Host: hostOf(x.r), Items: items, RunTarget: x.route.RunTarget, Keep: x.route.Keep,
+		Job: jobs.JobID(x.request.ID), Host: hostOf(x.r), Queue: x.queue(), Items: items, RunTarget: x.route.RunTarget, Keep: x.route.Keep,
 		Retain: max(x.route.Keep, f.node.Settings.Batch.Retention) + retainMargin,
 	}}
 	result, err := f.stores.Command(ctx, f.group(x.request.ID), command)
@@ -57,9 +61,12 @@
 // refuseJob answers for a job that is not known to be kept: only when it surely
 // is not, the caller is told so.
 func (x *exchange) refuseJob(failure *api.Error) {
-	if failure.Outcome != api.OutcomeNotRun {
+	switch {
+	case failure.Outcome != api.OutcomeNotRun:
 		failure.Code = api.CodeDeadline
-	} else {
+	case failure.Code == api.CodeQueueFull:
+		failure.RetryAfter = queueRetryAfter
+	default:
 		failure.Code = api.CodeNoQuorum
 		failure.RetryAfter = 0
 	}
--- a/jobs/command.go
+++ b/jobs/command.go
@@ -48,6 +48,8 @@
 	KeepInline     *KeepInline     `json:"keep_inline,omitempty"`
 	EndInline      *EndInline      `json:"end_inline,omitempty"`
 	ExpireInline   *ExpireInline   `json:"expire_inline,omitempty"`
+	AdmitToQueue   *AdmitToQueue   `json:"admit_to_queue,omitempty"`
+	ReportQueue    *ReportQueue    `json:"report_queue,omitempty"`
 }
 
 // CreateFile opens a file for AppendFile.
--- a/jobs/inline.go
+++ b/jobs/inline.go
@@ -22,6 +22,7 @@
 type SubmitInline struct {
 	Job       JobID         `json:"job"`
 	Host      string        `json:"host"` // of the route that took it
+	Queue     QueueName     `json:"queue,omitempty"`
 	Items     []InlineItem  `json:"items"`
 	RunTarget time.Duration `json:"run_target,omitempty"` // within which all results are due
 	Keep      time.Duration `json:"keep,omitempty"`       // after which items may be given up; 0: never
@@ -90,6 +91,7 @@
 type InlineJob struct {
 	ID        JobID         `json:"id"`
 	Host      string        `json:"host"`
+	Queue     QueueName     `json:"queue,omitempty"` // that its items wait in
 	Created   time.Time     `json:"created"`
 	RunTarget time.Duration `json:"run_target,omitempty"`
 	Keep      time.Duration `json:"keep,omitempty"`
@@ -134,14 +136,17 @@
 		retain = defaultRetain
 	}
 	job := InlineJob{
-		ID: command.Job, Host: command.Host, Created: c.now, RunTarget: command.RunTarget, Keep: command.Keep,
+		ID: command.Job, Host: command.Host, Queue: command.Queue, Created: c.now, RunTarget: command.RunTarget, Keep: command.Keep,
 		Until: c.now.Add(retain), Total: len(command.Items),
 	}
 	c.put(inlineJobKey(job.ID), job)
 	c.Put(timedKey(keyInlineRetain, job.Until, []byte(job.ID)), []byte{})
+	tokens := make([]int, 0, len(command.Items))
 	for index, item := range command.Items {
 		c.put(inlineKey(keyInlineItem, job.ID, index), item)
+		tokens = append(tokens, item.Tokens)
 	}
+	c.put(nameKey(keyInlineTokens, string(job.ID)), tokens)
 	return Result{Inline: &job}
 }
 
@@ -254,5 +259,6 @@
 		c.Delete(inlineKey(keyInlineListed, id, index))
 		c.Delete(inlineKey(keyInlinePartial, id, index))
 	}
+	c.Delete(nameKey(keyInlineTokens, string(id)))
 	c.Delete(inlineJobKey(id))
 }
--- a/jobs/read_inline.go
+++ b/jobs/read_inline.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"time"
 
 	"github.com/dykewing/dykewing/api"
@@ -27,6 +28,16 @@
 	return item, found, err
 }
 
+// InlineTokens gives the tokens of each of a job's items, by index; nil when the
+// job is not known.
+func (s *State) InlineTokens(id JobID) (tokens []int, err error) {
+	err = s.storage.View(func(r Reader) error {
+		_, err := get(r, nameKey(keyInlineTokens, string(id)), &tokens)
+		return err
+	})
+	return tokens, err
+}
+
 // InlinePartial gives what is kept of an item that is not listed.
 func (s *State) InlinePartial(id JobID, index int) (partial InlinePartial, err error) {
 	err = s.storage.View(func(r Reader) error {
@@ -86,7 +97,28 @@
 
 // OpenInline lists the jobs that still have items to run, by id.
 func (s *State) OpenInline() (open []InlineJob, err error) {
-	err = s.storage.View(func(r Reader) error {
+	err = s.eachInline(func(job InlineJob) {
+		if job.Open() {
+			open = append(open, job)
+		}
+	})
+	return open, err
+}
+
+// InlineQueues lists the queues of all jobs that are kept, open or not, by name.
+func (s *State) InlineQueues() (queues []QueueName, err error) {
+	err = s.eachInline(func(job InlineJob) {
+		if job.Queue != "" {
+			queues = append(queues, job.Queue)
+		}
+	})
+	slices.Sort(queues)
+	return slices.Compact(queues), err
+}
+
+// eachInline visits the jobs that are kept, by id.
+func (s *State) eachInline(visit func(job InlineJob)) error {
+	return s.storage.View(func(r Reader) error {
 		var failure error
 		r.Scan([]byte{keyInlineJob}, func(key, _ []byte) bool {
 			if key[0] != keyInlineJob {
@@ -96,14 +128,11 @@
 			if _, failure = get(r, key, &job); failure != nil {
 				return false
 			}
-			if job.Open() {
-				open = append(open, job)
-			}
+			visit(job)
 			return true
 		})
 		return failure
 	})
-	return open, err
 }
 
 // UnlistedInline gives the indexes of a job's items that are not listed.
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -35,6 +35,7 @@
 	StartAfterCancel   bool // cancelled jobs go on starting items
 	IgnoreEpoch        bool // a late start of an older grant is taken
 	ForgetReturned     bool // a returned item does not wait again
+	IgnoreQueueBound   bool // jobs are admitted to a full queue
 }
 
 // OpenState goes on from what the storage holds.
@@ -144,6 +145,10 @@
 		return c.endInline(*command.EndInline)
 	case command.ExpireInline != nil:
 		return c.expireInline(*command.ExpireInline)
+	case command.AdmitToQueue != nil:
+		return c.admitToQueue(*command.AdmitToQueue)
+	case command.ReportQueue != nil:
+		return c.reportQueue(*command.ReportQueue)
 	}
 	return failure(api.CodeBadRequest, "command has no known part")
 }
--- a/jobs/storage.go
+++ b/jobs/storage.go
@@ -58,6 +58,10 @@
 	keyInlineListed  = 'Q' // inline job, index: empty, once the item stands in the list
 	keyInlinePartial = 'O' // inline job, index: InlinePartial of an item that is not listed
 	keyInlineRetain  = 'R' // time, inline job: empty
+	keyInlineTokens  = 'W' // inline job: tokens of each item, by index
+
+	keyQueueTotal = 'T' // queue: tokens that wait in it
+	keyQueueEntry = 'U' // inline job: queueEntry
 )
 
 var appliedKey = []byte{keyMeta, 'a'}
--- a/route/route.go
+++ b/route/route.go
@@ -28,21 +28,28 @@
 
 // Route is one rule: requests of Host under Prefix go to its shares.
 type Route struct {
-	Name        string
-	Host        string
-	Prefix      string // starts and ends with a slash
-	Kind        Kind
-	Shares      []Share       // at least one
-	Timeout     time.Duration // longest that a request is held; 0: none
-	Target      time.Duration // within which an answer, or the first event, is in time
-	GapTarget   time.Duration // longest pause between events that is in time
-	RunTarget   time.Duration // batch: within which all results are due, from the submission
-	Keep        time.Duration // batch: after which an item may be given up; 0: never
-	MaxAttempts int           // workers that may run one request; at least 1
-	Priority    int           // 0 is the highest
-	Resumable   bool          // a stream may go on at another worker
+	Name      string
+	Host      string
+	Prefix    string // starts and ends with a slash
+	Kind      Kind
+	Shares    []Share       // at least one
+	Timeout   time.Duration // longest that a request is held; 0: none
+	Target    time.Duration // within which an answer, or the first event, is in time
+	GapTarget time.Duration // longest pause between events that is in time
+	RunTarget time.Duration // batch: within which all results are due, from the submission
+	Keep      time.Duration // batch: after which an item may be given up; 0: never
+	// MaxQueuedTokens is how many tokens may wait on a batch route, of all callers
+	// together; 0: no bound.
+	MaxQueuedTokens int64
+	MaxAttempts     int  // workers that may run one request; at least 1
+	Priority        int  // 0 is the highest
+	Resumable       bool // a stream may go on at another worker
 }
 
+// Queue names what waits on a batch route; it stays when the route's service,
+// bounds or name change.
+func (r Route) Queue() string { return r.Host + r.Prefix }
+
 // Repeatable tells whether a request may run more than once.
 func (r Route) Repeatable() bool {
 	return r.Kind == KindSafe || r.Kind == KindBatch || r.Kind == KindStream && r.Resumable
