Frontends and leaders tell each other what they hold; batch fills what is free

Cause: leaders learned of online requests by asking workers each 250 ms, one after the other, and kept fixed shares of slots free; items counted as urgent from half of their time on and then gave way to nothing. Change: internal/occupancy (exchange of held requests, each 100 ms, at once when a worker is full), fill (pure: reserve after the last rise, what gives way, how items stand to when they are due), hold (pure: order of requests without a slot) with internal/frontend/holding.go; a new leader starts nothing on a guess for 0.5 s; what can't be in time goes last; parts kept each 0.6 s instead of 2 s.

--- a/config/config.go
+++ b/config/config.go
@@ -128,14 +128,6 @@
 
 // Batch sets how a leading store runs batch items.
 type Batch struct {
-	// Fill is the share of a worker's slots up to which batch items are sent, with
-	// what others have there.
-	Fill float64 `koanf:"fill" validate:"min=0,max=1"`
-	// YieldAbove is the share of taken slots above which items give way.
-	YieldAbove float64 `koanf:"yield_above" validate:"min=0,max=1,gtefield=Fill"`
-	// UrgentFill goes before Fill for items that must run now to be in time; those
-	// do not give way.
-	UrgentFill float64 `koanf:"urgent_fill" validate:"min=0,max=1"`
 	// ReportInterval is how often workers are asked for their load while items run.
 	ReportInterval time.Duration `koanf:"report_interval" validate:"min=10ms,max=1m"`
 	// Silence is how long a worker may send nothing before its item goes on elsewhere.
@@ -242,7 +234,7 @@
 		},
 		Platform: Platform{Timeout: time.Second, Freshness: 3 * time.Second},
 		Batch: Batch{
-			Fill: 0.75, YieldAbove: 0.85, UrgentFill: 0.9, ReportInterval: 250 * time.Millisecond, Silence: 3 * time.Second, Retention: 24 * time.Hour,
+			ReportInterval: 250 * time.Millisecond, Silence: 3 * time.Second, Retention: 24 * time.Hour,
 		},
 	}
 }
--- /dev/null
+++ b/fill/fill_test.go
@@ -0,0 +1,128 @@
+package fill
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func TestReserveFollowsTheLastRise(t *testing.T) {
+	tests := []struct {
+		name  string
+		held  []int // one each 50 ms
+		slots int
+		want  float64
+	}{
+		{"nothing seen", nil, 96, 0},
+		{"idle", []int{0, 0}, 96, 0},
+		{"steady", []int{64, 64, 64}, 96, 4},
+		{"a step up", []int{16, 16, 30, 44}, 96, 28},
+		{"a step up that is over", []int{16, 44, 44, 44, 44, 44}, 96, noise * 6.6332495807108},
+		{"a step down", []int{64, 36, 16}, 96, 2},
+		{"more than there is", []int{0, 200}, 96, 96},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var demand Demand
+			for i, held := range test.held {
+				demand.Observe(start.Add(time.Duration(i)*50*time.Millisecond), held)
+			}
+			if got := demand.Reserve(test.slots); got != test.want {
+				t.Errorf("%v slots, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+func TestExcessGivesWayWhereRequestsWait(t *testing.T) {
+	tests := []struct {
+		name    string
+		workers []Worker
+		reserve float64
+		waiting int
+		want    []int
+	}{
+		{"all has room", []Worker{{8, 2, 2}, {8, 2, 2}}, 4, 0, []int{0, 0}},
+		{"one request waits", []Worker{{8, 3, 6}, {8, 2, 2}}, 0, 0, []int{1, 0}},
+		{"more wait than there are items", []Worker{{8, 12, 2}}, 0, 0, []int{2}},
+		{"half of the reserve is missing", []Worker{{8, 2, 6}, {8, 2, 6}}, 4, 0, []int{1, 1}},
+		{"the other half is not", []Worker{{8, 2, 5}, {8, 2, 5}}, 4, 0, []int{0, 0}},
+		{"requests wait elsewhere", []Worker{{8, 2, 6}, {8, 2, 5}}, 0, 3, []int{1, 1}},
+		{"only where there are items", []Worker{{8, 8, 0}, {8, 2, 6}}, 0, 2, []int{0, 2}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := Excess(test.workers, test.reserve, test.waiting); !slices.Equal(got, test.want) {
+				t.Errorf("%v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// TestRoomAndExcessNeverMeet: what may start is never what has to give way at once,
+// no worker gives more than it has, and nothing gives way while enough is free.
+func TestRoomAndExcessNeverMeet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "workers")
+		workers := make([]Worker, n)
+		for i := range workers {
+			workers[i] = Worker{
+				Slots:  rapid.IntRange(1, 20).Draw(t, "slots"),
+				Online: rapid.IntRange(0, 25).Draw(t, "online"), Batch: rapid.IntRange(0, 20).Draw(t, "batch"),
+			}
+		}
+		reserve := rapid.Float64Range(0, 40).Draw(t, "reserve")
+		waiting := rapid.IntRange(0, 30).Draw(t, "waiting")
+		excess := Excess(workers, reserve, waiting)
+		total, held, queued := 0, 0, 0
+		for i, w := range workers {
+			if excess[i] < 0 || excess[i] > w.Batch {
+				t.Fatalf("worker %d gives way %d of %d items", i, excess[i], w.Batch)
+			}
+			if w.Free() < 0 && excess[i] == 0 && w.Batch > 0 {
+				t.Fatalf("requests wait at worker %d and no item gives way", i)
+			}
+			total += excess[i]
+			held += w.Batch
+			queued += max(-w.Free(), 0)
+		}
+		if total > queued && Room(workers, reserve, waiting) > 0 {
+			t.Fatalf("%d items may start while %d give way and %d wait", Room(workers, reserve, waiting), total, queued)
+		}
+		if needed := int(reserve/2) + waiting + queued; total > needed {
+			t.Fatalf("%d items give way for %d slots", total, needed)
+		}
+	})
+}
+
+func TestStand(t *testing.T) {
+	due := func(after time.Duration) time.Time { return start.Add(after) }
+	tests := []struct {
+		name  string
+		items []Item
+		room  float64
+		want  []Standing
+	}{
+		{"much time", []Item{{due(18 * time.Second), 4 * time.Second}}, 10, []Standing{Usual}},
+		{"just enough", []Item{{due(4900 * time.Millisecond), 4 * time.Second}}, 10, []Standing{Pressed}},
+		{"too late", []Item{{due(3 * time.Second), 4 * time.Second}}, 10, []Standing{Missed}},
+		{"never due", []Item{{time.Time{}, 4 * time.Second}}, 10, []Standing{Usual}},
+		{"much before it", []Item{
+			{due(12 * time.Second), 4 * time.Second}, {due(12 * time.Second), 4 * time.Second}, {due(12 * time.Second), 4 * time.Second},
+		}, 1, []Standing{Usual, Usual, Pressed}},
+		{"what is missed is no work before it", []Item{
+			{due(2 * time.Second), 9 * time.Second}, {due(12 * time.Second), 4 * time.Second},
+		}, 1, []Standing{Missed, Usual}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := Stand(start, test.items, test.room); !slices.Equal(got, test.want) {
+				t.Errorf("%v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/fill/room.go
@@ -0,0 +1,69 @@
+package fill
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// Worker is a worker as a plan sees it.
+type Worker struct {
+	Slots  int
+	Online int // requests of others
+	Batch  int // items
+}
+
+// Free is how many slots nothing takes; below 0 something waits.
+func (w Worker) Free() int { return w.Slots - w.Online - w.Batch }
+
+// Room is how many items may be started at the workers together, if reserve of
+// their slots are to stay free beside those for the requests that wait elsewhere.
+func Room(workers []Worker, reserve float64, waiting int) int {
+	return max(free(workers)-int(math.Ceil(reserve))-waiting, 0)
+}
+
+// free counts the slots that nothing takes.
+func free(workers []Worker) (total int) {
+	for _, w := range workers {
+		total += max(w.Free(), 0)
+	}
+	return total
+}
+
+// Excess is how many items are to give way at each worker: as many as requests wait
+// there; and where the least is free first, as many as wait elsewhere, and what is
+// missing of half of the reserve: not of all of it, so that an item that just began
+// is not ended by the next request.
+func Excess(workers []Worker, reserve float64, waiting int) []int {
+	excess := make([]int, len(workers))
+	for i, w := range workers {
+		excess[i] = min(max(-w.Free(), 0), w.Batch)
+	}
+	missing := int(reserve/2) + waiting - free(workers)
+	for missing > 0 {
+		given := false
+		for _, i := range fullest(workers, excess) {
+			if missing > 0 && excess[i] < workers[i].Batch {
+				excess[i]++
+				missing--
+				given = true
+			}
+		}
+		if !given {
+			break
+		}
+	}
+	return excess
+}
+
+// fullest orders the workers by what is free once the excess is gone.
+func fullest(workers []Worker, excess []int) []int {
+	order := make([]int, len(workers))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		return cmp.Compare(workers[a].Free()+excess[a], workers[b].Free()+excess[b])
+	})
+	return order
+}
--- /dev/null
+++ b/hold/hold.go
@@ -0,0 +1,55 @@
+// Package hold orders requests for which no worker has a slot: those that can still
+// be in time go first, the one that must begin soonest in front; those that can't
+// wait until nothing else does, or until their deadline is near. It has no input or
+// output and no clock.
+package hold
+
+import (
+	"cmp"
+	"time"
+)
+
+// Request is what is known of one that waits.
+type Request struct {
+	// Begin is when it must begin at the latest to be in time.
+	Begin time.Time
+	// Last is when it must begin at the latest to be answered at all.
+	Last time.Time
+}
+
+// Class is how soon a request is to be taken; the least goes first.
+type Class int
+
+// The classes.
+const (
+	Expiring Class = iota // late already, and soon too late to be answered at all
+	InTime                // can still be in time
+	Late                  // can't be in time any more
+)
+
+// lastCall is how long before Last a late request goes before all others.
+const lastCall = 300 * time.Millisecond
+
+// Class tells how a request stands now.
+func (r Request) Class(now time.Time) Class {
+	switch {
+	case !now.After(r.Begin):
+		return InTime
+	case now.Add(lastCall).After(r.Last):
+		return Expiring
+	}
+	return Late
+}
+
+// Compare orders two requests as they are to be taken now.
+func Compare(now time.Time, a, b Request) int {
+	class := a.Class(now)
+	return cmp.Or(cmp.Compare(class, b.Class(now)), compareIn(class, a, b))
+}
+
+func compareIn(class Class, a, b Request) int {
+	if class == InTime {
+		return a.Begin.Compare(b.Begin)
+	}
+	return a.Last.Compare(b.Last)
+}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -94,6 +94,40 @@
 	return list
 }
 
+// SetOthers takes what others hold at workers.
+func (p *Pool) SetOthers(others map[string]worker.Others) {
+	now := time.Now()
+	p.do(func(pool *worker.Pool) {
+		for id, each := range others {
+			pool.SetOthers(now, id, each)
+		}
+	})
+}
+
+// AllFull tells whether a bounded query finds no worker only since all are full.
+func (p *Pool) AllFull(query worker.Query) (full bool) {
+	p.do(func(pool *worker.Pool) { full = pool.AllFull(time.Now(), query) })
+	return full
+}
+
+// Occupancies lists what is believed of a service's workers.
+func (p *Pool) Occupancies(service string) (list []worker.Occupancy) {
+	p.do(func(pool *worker.Pool) { list = pool.Occupancies(time.Now(), service) })
+	return list
+}
+
+// Held is how many requests of this process a worker has.
+func (p *Pool) Held(id string) (n int) {
+	p.do(func(pool *worker.Pool) { n = pool.Held(id) })
+	return n
+}
+
+// HeldByWorker is how many requests of this process each worker has.
+func (p *Pool) HeldByWorker() (held map[string]int) {
+	p.do(func(pool *worker.Pool) { held = pool.HeldByWorker() })
+	return held
+}
+
 func (p *Pool) do(change func(*worker.Pool)) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/internal/batchrun/dispatch.go
+++ b/internal/batchrun/dispatch.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/dykewing/dykewing/fill"
 	"github.com/dykewing/dykewing/worker"
 )
 
@@ -19,7 +20,7 @@
 
 // addBusy adds the workers of services for which items wait or run here.
 func (l *Leader) addBusy(busy map[string]worker.Worker) {
-	for service := range l.services() {
+	for service := range l.servicesNow() {
 		for _, w := range l.service.pool.Workers(service) {
 			if l.mine(w.ID) {
 				busy[w.ID] = w
@@ -28,9 +29,14 @@
 	}
 }
 
-func (l *Leader) services() map[string]bool {
+func (l *Leader) servicesNow() map[string]bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	return l.services()
+}
+
+// services are those for which items wait or run; the mutex is held.
+func (l *Leader) services() map[string]bool {
 	services := map[string]bool{}
 	for _, i := range l.waiting {
 		services[i.service] = true
@@ -77,10 +83,15 @@
 	now := time.Now()
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	room := newRooms()
+	for _, service := range l.service.serviceNames() {
+		l.look(now, service, room)
+	}
+	l.stand(now)
 	full := map[string]bool{}
 	kept := l.waiting[:0]
 	for _, i := range l.waiting {
-		if started == startsAtOnce || l.ctx.Err() != nil || now.Before(i.notUntil) || !l.try(now, i, full) {
+		if started == startsAtOnce || l.ctx.Err() != nil || now.Before(i.notUntil) || !l.try(now, i, room, full) {
 			kept = append(kept, i)
 			continue
 		}
@@ -94,7 +105,7 @@
 }
 
 // try begins one item; false when it has to wait. The mutex is held.
-func (l *Leader) try(now time.Time, i *item, full map[string]bool) bool {
+func (l *Leader) try(now time.Time, i *item, room rooms, full map[string]bool) bool {
 	if i.path == "" && !l.describe(i) {
 		return false
 	}
@@ -117,13 +128,13 @@
 	if !matched.Allows(i.service) {
 		i.service = matched.Shares[0].Service
 	}
-	urgent := l.urgent(now, i)
-	if full[i.service] && !urgent {
+	l.look(now, i.service, room)
+	if full[i.service] && i.standing != fill.Pressed {
 		return false
 	}
-	query := worker.Query{Service: i.service, Parts: i.parts, Tokens: i.tokens, Limit: l.service.settings.Fill, Only: l.mine}
-	if urgent {
-		query.Limit, query.Only = l.service.settings.UrgentFill, nil
+	query := worker.Query{
+		Service: i.service, Parts: i.parts, Tokens: i.tokens,
+		Only: func(id string) bool { return room.allows(id, i.service, i.standing == fill.Pressed) },
 	}
 	if i.avoid != "" {
 		query.Excluded = []string{i.avoid}
@@ -131,9 +142,10 @@
 	ticket, ok := l.service.pool.Take(query)
 	if !ok {
 		i.avoid = ""
-		full[i.service] = true
+		full[i.service] = i.standing != fill.Pressed
 		return false
 	}
+	room.take(ticket.Worker.ID, i.service)
 	ctx, cancel := context.WithCancel(l.ctx)
 	i.cancel, i.worker, i.since = cancel, ticket.Worker.ID, now
 	l.running[i] = true
@@ -141,12 +153,6 @@
 	return true
 }
 
-// urgent tells whether an item has to run now to be in time. It then takes room
-// that is otherwise kept for bursts of online requests, and keeps it.
-func (l *Leader) urgent(now time.Time, i *item) bool {
-	return i.job.RunTarget > 0 && i.job.Due().Sub(now) < time.Duration(urgentFactor*float64(l.runTime))
-}
-
 // describe reads from the state what a choice of worker needs.
 func (l *Leader) describe(i *item) bool {
 	stored, found, err := l.state.InlineItem(i.job.ID, i.index)
--- a/internal/batchrun/keep.go
+++ b/internal/batchrun/keep.go
@@ -8,7 +8,7 @@
 
 const (
 	// keepInterval is how often what an item has given so far is kept.
-	keepInterval = 2 * time.Second
+	keepInterval = 600 * time.Millisecond
 	// keepTick is the time between two commands, and keptAtOnce the bytes from which
 	// one takes no further item: large ones would hold up heartbeats.
 	keepTick   = 100 * time.Millisecond
--- a/internal/batchrun/leader.go
+++ b/internal/batchrun/leader.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/fill"
 	"github.com/dykewing/dykewing/internal/dispatch"
 	"github.com/dykewing/dykewing/jobs"
 	"github.com/dykewing/dykewing/worker"
@@ -47,9 +48,10 @@
 	keptFailures int        // failures that other leaders know of
 	avoid        string     // the worker that it was lost at
 	cancel       context.CancelFunc
-	worker       string    // where it runs
-	since        time.Time // when it was sent there
-	yielding     bool      // it was told to give way
+	worker       string        // where it runs
+	since        time.Time     // when it was sent there
+	yielding     bool          // it was told to give way
+	standing     fill.Standing // to when its result is due
 }
 
 // Leader runs the open jobs of one group while this process leads it.
@@ -59,6 +61,7 @@
 	state   *jobs.State
 	propose dispatch.Propose
 	log     *logrus.Entry
+	began   time.Time
 	ctx     context.Context
 	cancel  context.CancelFunc
 	wake    chan struct{}
@@ -70,6 +73,7 @@
 	running map[*item]bool
 	ended   map[jobs.JobID]bool
 	queued  *queued
+	plan    *plan
 	runTime time.Duration // of a whole item, lately
 }
 
@@ -77,14 +81,13 @@
 const (
 	firstRunTime = 4 * time.Second // before one has ended
 	runTimeShare = 0.1             // of a new one in the average
-	urgentFactor = 2.0             // of the average, until results are due
 )
 
 func newLeader(service *Service, group api.GroupID, state *jobs.State, propose dispatch.Propose) *Leader {
 	l := &Leader{
 		service: service, group: group, state: state, propose: propose, log: service.log.WithField("group", group),
 		wake: make(chan struct{}, 1), failed: make(chan struct{}, 1), results: make(chan jobs.InlineResult, maximumGathered),
-		runTime: firstRunTime, running: map[*item]bool{}, ended: map[jobs.JobID]bool{}, queued: newQueued(),
+		runTime: firstRunTime, began: time.Now(), running: map[*item]bool{}, ended: map[jobs.JobID]bool{}, queued: newQueued(), plan: newPlan(),
 	}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	return l
@@ -114,7 +117,7 @@
 		}
 		l.queued.add(job, tokens, indexes)
 		for _, index := range indexes {
-			l.waiting = append(l.waiting, &item{job: job, index: index})
+			l.waiting = append(l.waiting, &item{job: job, index: index, standing: fill.Usual})
 		}
 	}
 	l.sortWaiting()
@@ -152,7 +155,7 @@
 	l.mutex.Lock()
 	l.queued.submitted(job, items)
 	for index := range items {
-		l.waiting = append(l.waiting, &item{job: job, index: index})
+		l.waiting = append(l.waiting, &item{job: job, index: index, standing: fill.Usual})
 	}
 	l.sortWaiting()
 	l.mutex.Unlock()
@@ -166,10 +169,11 @@
 	l.queued.resent(job)
 }
 
-// sortWaiting orders by when results are due; the mutex is held.
+// sortWaiting orders by when results are due, what can't be in time last; the mutex
+// is held.
 func (l *Leader) sortWaiting() {
 	slices.SortStableFunc(l.waiting, func(a, b *item) int {
-		return cmp.Or(a.job.Due().Compare(b.job.Due()), cmp.Compare(a.job.ID, b.job.ID), cmp.Compare(a.index, b.index))
+		return cmp.Or(cmp.Compare(a.missed(), b.missed()), a.job.Due().Compare(b.job.Due()), cmp.Compare(a.job.ID, b.job.ID), cmp.Compare(a.index, b.index))
 	})
 }
 
@@ -190,22 +194,24 @@
 	l.log.WithFields(logrus.Fields{"event": "job_stopped", "request": id, "items_stopped": stopped}).Info("A job was ended; its items stop.")
 }
 
-// giveWay stops up to count items at a worker where others wait: those whose
+// giveWayLocked stops items at a worker until count have been told to: those whose
 // results are due last. They go on elsewhere after their last event.
-func (l *Leader) giveWay(workerID string, count int) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	now := time.Now()
+func (l *Leader) giveWayLocked(workerID string, count int) {
 	var there []*item
 	for i := range l.running {
-		if i.worker == workerID && !i.yielding && !l.urgent(now, i) {
+		if i.worker != workerID {
+			continue
+		}
+		if i.yielding {
+			count--
+		} else if i.standing != fill.Pressed {
 			there = append(there, i)
 		}
 	}
 	slices.SortFunc(there, func(a, b *item) int {
-		return cmp.Or(b.job.Due().Compare(a.job.Due()), b.since.Compare(a.since))
+		return cmp.Or(cmp.Compare(b.missed(), a.missed()), b.job.Due().Compare(a.job.Due()), b.since.Compare(a.since))
 	})
-	for _, i := range there[:min(count, len(there))] {
+	for _, i := range there[:max(min(count, len(there)), 0)] {
 		i.yielding = true
 		i.cancel()
 		l.service.metrics.yielded.Inc()
@@ -216,6 +222,14 @@
 	}
 }
 
+// missed is 1 for an item that can't be in time any more, else 0.
+func (i *item) missed() int {
+	if i.standing == fill.Missed {
+		return 1
+	}
+	return 0
+}
+
 func (l *Leader) wakeUp() { signal(l.wake) }
 
 // signal sets a channel that holds one signal.
--- a/internal/batchrun/leader_test.go
+++ b/internal/batchrun/leader_test.go
@@ -13,6 +13,7 @@
 	"github.com/dykewing/dykewing/config"
 	"github.com/dykewing/dykewing/internal/backend"
 	"github.com/dykewing/dykewing/internal/catalog"
+	"github.com/dykewing/dykewing/internal/occupancy"
 	"github.com/dykewing/dykewing/jobs"
 	"github.com/dykewing/dykewing/platform"
 	"github.com/dykewing/dykewing/worker"
@@ -42,7 +43,7 @@
 	s := &Service{
 		settings: config.Default().Batch, groups: 1, log: log, caller: backend.NewCaller(platform.Protocol{}),
 		metrics: newMetrics(prometheus.NewRegistry()), leaders: map[*Leader]bool{},
-		pool: backend.NewPool(worker.DefaultSettings("a"), nil),
+		pool: backend.NewPool(worker.DefaultSettings("a"), nil), nodes: func() []api.Node { return nil },
 	}
 	s.catalog = catalog.New(platform.Source(), nil, log, s.pool)
 	if err := s.catalog.Adopt([]byte(testConfiguration), "test"); err != nil {
@@ -54,6 +55,7 @@
 		changes = append(changes, catalog.Change{ID: id, Worker: worker.Worker{ID: id, Service: "lm", Address: "127.0.0.1:1", Slots: 12}})
 	}
 	s.pool.WorkersChanged(changes)
+	s.occupancy.Put(time.Now(), occupancy.Report{Node: "front"})
 	l := newLeader(s, 0, state, nil)
 	t.Cleanup(l.cancel)
 	if err := l.load(); err != nil {
--- /dev/null
+++ b/internal/batchrun/plan_test.go
@@ -0,0 +1,105 @@
+package batchrun
+
+import (
+	"testing"
+	"time"
+
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/fill"
+	"github.com/dykewing/dykewing/internal/occupancy"
+	"github.com/dykewing/dykewing/worker"
+)
+
+// TestANewLeaderStartsNothingOnAGuess: after all processes were killed, a new leader
+// filled all workers at once, just when all callers came back.
+func TestANewLeaderStartsNothingOnAGuess(t *testing.T) {
+	tests := []struct {
+		name  string
+		began time.Duration // before now
+		told  bool          // what all frontends hold
+		want  int
+	}{
+		{"just begun, nothing known", 0, false, 0},
+		{"just begun, all known", 0, true, 3},
+		{"nothing told for a while", 2 * blindTime, false, 3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l := testLeader(t, 3, 10)
+			l.began = time.Now().Add(-test.began)
+			l.service.occupancy = occupancy.Table{}
+			l.service.nodes = func() []api.Node { return []api.Node{{ID: "front", Role: api.RoleFrontend}} }
+			if test.told {
+				l.service.occupancy.Put(time.Now(), occupancy.Report{Node: "front"})
+			}
+			if n := l.dispatch(); n != test.want {
+				t.Errorf("%d items started, want %d", n, test.want)
+			}
+		})
+	}
+}
+
+// TestItemsGoOnlyWhereNothingElseIs: 10 workers of 12 slots.
+func TestItemsGoOnlyWhereNothingElseIs(t *testing.T) {
+	l := testLeader(t, 30, 10)
+	for _, w := range l.service.pool.Workers("lm") {
+		held := 12
+		if w.ID == "w3" {
+			held = 10
+		}
+		l.service.pool.SetOthers(map[string]worker.Others{w.ID: {Held: held}})
+	}
+	l.dispatch()
+	for i := range l.running {
+		if i.worker != "w3" {
+			t.Errorf("an item runs at %s, which is full", i.worker)
+		}
+	}
+	if len(l.running) > 2 {
+		t.Errorf("%d items run in 2 slots", len(l.running))
+	}
+}
+
+// TestWhatCannotBeInTimeGoesLast and gives way first.
+func TestWhatCannotBeInTimeGoesLast(t *testing.T) {
+	l := testLeader(t, 3, 1)
+	l.waiting[0].standing = fill.Missed
+	l.sortWaiting()
+	if l.waiting[2].standing != fill.Missed {
+		t.Error("an item that can't be in time does not wait last")
+	}
+	for _, i := range l.waiting {
+		i.worker, i.cancel = "w0", func() {}
+		l.running[i] = true
+	}
+	l.giveWayLocked("w0", 1)
+	for i := range l.running {
+		if i.yielding != (i.standing == fill.Missed) {
+			t.Errorf("an item of standing %d gives way: %t", i.standing, i.yielding)
+		}
+	}
+}
+
+func TestOnlyWhatTwoPollsShowIsHidden(t *testing.T) {
+	tests := []struct {
+		name  string
+		polls []int
+		want  int
+	}{
+		{"one poll", []int{5}, 0},
+		{"two", []int{5, 3}, 3},
+		{"one that has gone", []int{5, 0}, 0},
+		{"fewer than is told", []int{-3, -4}, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var h hidden
+			for _, n := range test.polls {
+				h.put("w", n)
+			}
+			if got := h.of("w"); got != test.want {
+				t.Errorf("%d, want %d", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -73,6 +73,9 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	delete(l.running, i)
+	if verdict == verdictDone {
+		l.plan.ended(len(i.text))
+	}
 	if verdict == verdictDone && i.sends == 1 {
 		took := time.Since(i.since)
 		l.runTime += time.Duration(runTimeShare * float64(took-l.runTime))
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"time"
 
@@ -18,6 +17,7 @@
 	"github.com/dykewing/dykewing/internal/catalog"
 	"github.com/dykewing/dykewing/internal/dispatch"
 	"github.com/dykewing/dykewing/internal/node"
+	"github.com/dykewing/dykewing/internal/occupancy"
 	"github.com/dykewing/dykewing/internal/store"
 	"github.com/dykewing/dykewing/internal/storeclient"
 	"github.com/dykewing/dykewing/internal/transport"
@@ -32,12 +32,16 @@
 	groups   int // of jobs, in all
 	log      *logrus.Entry
 	catalog  *catalog.Catalog
+	nodes    func() []api.Node
 	stores   *storeclient.Client // reaches other groups' leaders
 	members  *storeclient.Registered
 	pool     *backend.Pool
 	caller   *backend.Caller
 	metrics  *metrics
 
+	occupancy occupancy.Table
+	hidden    hidden
+
 	mutex   sync.Mutex // guards leaders
 	leaders map[*Leader]bool
 }
@@ -46,7 +50,7 @@
 func New(common *node.Node, protocol backend.Protocol, source catalog.Source) *Service {
 	s := &Service{
 		settings: common.Settings.Batch, groups: common.Settings.Store.Groups, log: common.Logger("batch"), caller: backend.NewCaller(protocol),
-		metrics: newMetrics(common.Registry), leaders: map[*Leader]bool{}, members: &storeclient.Registered{},
+		metrics: newMetrics(common.Registry), leaders: map[*Leader]bool{}, members: &storeclient.Registered{}, nodes: common.Nodes,
 	}
 	s.pool = backend.NewPool(worker.DefaultSettings(common.Settings.Node.Zone), s.wakeAll)
 	s.catalog = catalog.New(source, common.KeyValue, common.Logger("catalog"), s.pool)
@@ -55,6 +59,7 @@
 		HTTP: transport.NewClient(storeConnections), AttemptTimeout: storeAttempt,
 		Nodes: func() []api.Node { return s.members.With(common.Nodes()) },
 	}
+	common.Mux.HandleFunc("POST "+occupancy.Path, s.serveOccupancy)
 	common.Mux.HandleFunc("GET "+catalog.PathConfiguration, s.catalog.ServeConfiguration)
 	return s
 }
@@ -126,27 +131,7 @@
 		s.log.WithFields(logrus.Fields{"event": "report_missing", "worker": w.ID}).WithError(err).Debug("A worker did not tell its load.")
 		return
 	}
-	s.pool.Report(w.ID, worker.Load{Running: report.Running, Waiting: report.Waiting})
-	if excess := s.excess(w, report); excess > 0 {
-		s.giveWay(w.ID, excess)
-	}
-}
-
-// excess is how many items a worker has too many of: it is kept below full, so
-// that requests that come until the next look find a slot.
-func (s *Service) excess(w worker.Worker, report backend.Report) int {
-	if w.Slots == 0 {
-		return report.Waiting
-	}
-	return int(math.Ceil(float64(report.Running+report.Waiting) - s.settings.YieldAbove*float64(w.Slots)))
-}
-
-func (s *Service) giveWay(workerID string, count int) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	for leader := range s.leaders {
-		leader.giveWay(workerID, count)
-	}
+	s.polled(w, report.Running+report.Waiting)
 }
 
 // Lead begins to run a group's open jobs; it is a store.StartInlineRunner.
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -58,6 +58,10 @@
 	metrics  *metrics
 	port     string // of Address, alike on all machines
 
+	holding  *holding
+	patience patience
+	sharing  *sharing
+
 	samples *rate.Limiter // of lines about ordinary successes
 
 	// ending ends when a planned stop can wait no longer: what has no answer yet
@@ -96,10 +100,11 @@
 		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		samples: rate.NewLimiter(servedLinesPerSecond, servedLinesPerSecond),
 	}
+	f.holding, f.sharing = newHolding(f), newSharing(f)
 	f.ending, f.endAll = context.WithCancel(context.Background())
 	registered := &storeclient.Registered{}
 	f.stores = &storeclient.Client{HTTP: newStoreClient(), AttemptTimeout: storeAttempt, Nodes: func() []api.Node { return registered.With(common.Nodes()) }}
-	f.pool = backend.NewPool(worker.DefaultSettings(common.Settings.Node.Zone), nil)
+	f.pool = backend.NewPool(worker.DefaultSettings(common.Settings.Node.Zone), f.holding.kick)
 	f.catalog = catalog.New(source, common.KeyValue, common.Logger("catalog"), f.pool)
 	f.catalog.Also(common.Settings.KeyValueService.Prefix+storeclient.PrefixStores, registered)
 	common.Mux.HandleFunc("GET "+catalog.PathConfiguration, f.catalog.ServeConfiguration)
@@ -165,6 +170,8 @@
 	var running sync.WaitGroup
 	running.Go(func() { f.catalog.Run(background) })
 	running.Go(func() { f.catalog.AskPeers(background, f.node) })
+	running.Go(func() { f.sharing.run(background) })
+	running.Go(func() { f.holding.run(background) })
 	failed := make(chan error, len(f.listeners))
 	for _, each := range f.listeners {
 		go func() { failed <- each.server.Serve(each.listener) }()
--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -15,6 +15,8 @@
 	attempts   *prometheus.CounterVec   // sends to workers, by outcome
 	running    prometheus.Gauge
 	registries prometheus.Counter
+	held       prometheus.Histogram   // seconds that requests waited here for a slot
+	shares     *prometheus.CounterVec // exchanges of occupancy, by outcome
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -39,7 +41,13 @@
 			Name: "dykewing_frontend_registry_answers_total", Help: "Answers of the registry.",
 		}),
 	}
-	registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.running, m.registries)
+	m.shares = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "dykewing_frontend_occupancy_shares_total", Help: "Exchanges of occupancy with leaders, by outcome.",
+	}, []string{"outcome"})
+	m.held = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "dykewing_frontend_held_seconds", Help: "Time that requests waited for a free slot.", Buckets: buckets,
+	})
+	registry.MustRegister(m.held, m.shares, m.requests, m.firstByte, m.duration, m.attempts, m.running, m.registries)
 	return m
 }
 
--- a/internal/frontend/online.go
+++ b/internal/frontend/online.go
@@ -55,11 +55,15 @@
 	x.lastEvent = x.request.LastEvent
 	last := attemptResult{failure: api.NewError("choose worker", "", api.CodeNoCapacity, api.OutcomeNotRun, "no worker of %s takes it", x.service)}
 	for x.sends < maximumSends {
-		ticket, ok := x.take()
+		ticket, ok := x.take(ctx)
 		if !ok {
+			if x.callerLeft() {
+				x.gone("wait for worker", x.r.Context().Err())
+			}
 			break
 		}
 		x.sends++
+		x.frontend.sharing.noteFull(ticket)
 		last = x.attempt(ctx, ticket)
 		f.metrics.attempts.WithLabelValues(last.verdict.String()).Inc()
 		if last.verdict == done {
@@ -89,13 +93,15 @@
 }
 
 // take chooses a worker that was not tried, or, for what may be repeated, any.
-func (x *exchange) take() (*backend.Ticket, bool) {
-	ticket, ok := x.frontend.pool.Take(x.query())
-	if ok || len(x.tried) == 0 || !x.route.Repeatable() {
-		return ticket, ok
+func (x *exchange) take(ctx context.Context) (*backend.Ticket, bool) {
+	since := time.Now()
+	ticket, ok := x.frontend.holding.take(ctx, x.query(), x.order())
+	if !ok && ctx.Err() == nil && len(x.tried) > 0 && x.route.Repeatable() {
+		x.tried = nil
+		ticket, ok = x.frontend.holding.take(ctx, x.query(), x.order())
 	}
-	x.tried = nil
-	return x.frontend.pool.Take(x.query())
+	x.noteHeld(since, ok)
+	return ticket, ok
 }
 
 func (x *exchange) query() worker.Query {
@@ -116,6 +122,7 @@
 
 // attempt sends the request to the ticket's worker and relays its answer.
 func (x *exchange) attempt(ctx context.Context, ticket *backend.Ticket) attemptResult {
+	defer x.frontend.holding.kick()
 	defer ticket.End()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/route/route.go
+++ b/route/route.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 )
@@ -147,6 +148,21 @@
 	return Route{}, false
 }
 
+// BatchServices lists the services of batch routes, by name.
+func (c *Configuration) BatchServices() []string {
+	var names []string
+	for _, route := range c.Routes {
+		if route.Kind != KindBatch {
+			continue
+		}
+		for _, share := range route.Shares {
+			names = append(names, share.Service)
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // Service finds a service by name.
 func (c *Configuration) Service(name string) (Service, bool) {
 	index, ok := c.services[name]
--- a/worker/choose.go
+++ b/worker/choose.go
@@ -20,6 +20,10 @@
 	// Limit leaves out workers that hold more than this share of their slots;
 	// 0 is no limit.
 	Limit float64
+	// Bounded leaves out workers that are full with more than Over requests waiting
+	// there, as far as others tell what they hold.
+	Bounded bool
+	Over    int
 }
 
 // Choice is a worker with what its choice rested on.
@@ -64,20 +68,32 @@
 	return best, true
 }
 
+// AllFull tells whether a bounded query finds no worker only since all are full.
+func (p *Pool) AllFull(now time.Time, query Query) bool {
+	if !query.Bounded || len(p.candidates(now, query)) > 0 {
+		return false
+	}
+	query.Bounded = false
+	return len(p.candidates(now, query)) > 0
+}
+
 func (p *Pool) candidates(now time.Time, query Query) []*entry {
 	var usable, doubtful []*entry
+	bounded := false
 	for _, e := range p.services[query.Service] {
 		switch {
 		case e.Leaving || slices.Contains(query.Excluded, e.ID):
 		case query.Only != nil && !query.Only(e.ID):
 		case query.Limit > 0 && p.loadOf(now, e)+1 > query.Limit*float64(e.slots):
+		case query.Bounded && p.full(now, e, query.Over):
+			bounded = true
 		case now.Before(e.downUntil) || now.Before(e.fullUntil):
 			doubtful = append(doubtful, e)
 		default:
 			usable = append(usable, e)
 		}
 	}
-	if len(usable) == 0 && query.Limit == 0 {
+	if len(usable) == 0 && query.Limit == 0 && !bounded {
 		return doubtful
 	}
 	return usable
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -64,6 +64,8 @@
 	ownTokens int // of prompts, sent by this process and not yet read
 	others    float64
 	reported  time.Time // when others was learned
+	yielding  int       // of others, those that give way to any request
+	toldAt    time.Time // when those who hold them last told of others
 	slots     int       // by its reports, else by the list
 	downUntil time.Time // it refused a connection
 	failures  int       // in a row
@@ -155,6 +157,66 @@
 	e.downUntil = time.Time{}
 }
 
+// Others is what others hold at a worker, as those who hold it tell.
+type Others struct {
+	Held     int `json:"held"`               // in all
+	Yielding int `json:"yielding,omitempty"` // of them, those that give way to any request
+}
+
+// SetOthers takes what others hold at a worker.
+func (p *Pool) SetOthers(now time.Time, id string, others Others) {
+	if e, ok := p.entries[id]; ok {
+		e.others = float64(others.Held)
+		e.yielding = others.Yielding
+		e.reported, e.toldAt = now, now
+	}
+}
+
+// toldLife is how long what others told bounds what is sent.
+const toldLife = time.Second
+
+// full tells whether a worker has no slot, nor one that gives way, for a request
+// more, with over requests waiting there at most. Without word of others it never
+// is.
+func (p *Pool) full(now time.Time, e *entry, over int) bool {
+	if e.toldAt.IsZero() || now.Sub(e.toldAt) > toldLife {
+		return false
+	}
+	return e.own+int(e.others)-e.yielding+1 > e.slots+over
+}
+
+// Occupancy is what is believed of one worker of a service.
+type Occupancy struct {
+	Worker
+	Taken  int  // requests of this process
+	Others int  // requests of others
+	Usable bool // it takes requests, as far as is known
+}
+
+// Occupancies lists what is believed of a service's workers, sorted by id.
+func (p *Pool) Occupancies(now time.Time, service string) []Occupancy {
+	list := make([]Occupancy, 0, len(p.services[service]))
+	for _, e := range p.services[service] {
+		occupancy := Occupancy{Worker: e.Worker, Taken: e.own, Others: int(p.loadOf(now, e)+0.5) - e.own}
+		occupancy.Slots = e.slots
+		occupancy.Usable = !e.Leaving && !now.Before(e.downUntil) && !now.Before(e.fullUntil)
+		list = append(list, occupancy)
+	}
+	return list
+}
+
+// HeldByWorker is how many requests of this process each worker has; those that
+// have none are left out.
+func (p *Pool) HeldByWorker() map[string]int {
+	held := map[string]int{}
+	for id, e := range p.entries {
+		if e.own > 0 {
+			held[id] = e.own
+		}
+	}
+	return held
+}
+
 // Refused notes that no connection could be made, or that one hung.
 func (p *Pool) Refused(now time.Time, id string) {
 	if e, ok := p.entries[id]; ok {
