A choice of worker allows for requests of others that it can't see yet

Cause: processes that choose by the same word of loads chose the same workers until the next word. Change: worker.Pool estimates how many requests its peers have sent since the loads were true (own rate, number of peers, age) and chooses as though a random part of them had gone to the best workers before.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -116,6 +116,11 @@
 	return list
 }
 
+// SetPeers tells how many other processes send requests to the same workers.
+func (p *Pool) SetPeers(n int) {
+	p.do(func(pool *worker.Pool) { pool.SetPeers(n) })
+}
+
 // Held is how many requests of this process a worker has.
 func (p *Pool) Held(id string) (n int) {
 	p.do(func(pool *worker.Pool) { n = pool.Held(id) })
--- a/internal/frontend/occupancy.go
+++ b/internal/frontend/occupancy.go
@@ -27,7 +27,7 @@
 	shareTimeout      = 300 * time.Millisecond
 	// answeredLife is how long a leader that took a report is taken for one.
 	answeredLife = 500 * time.Millisecond
-	// mostShared stores are told. On a larger fleet leaders ask workers instead.
+	// mostShared leaders are told. On a larger fleet they ask workers instead.
 	mostShared       = 8
 	shareConnections = 1
 )
@@ -72,10 +72,21 @@
 			continue
 		}
 		toldAt = time.Now()
+		s.frontend.pool.SetPeers(s.peers())
 		s.tell(ctx, report)
 	}
 }
 
+// peers counts the other frontends that are known.
+func (s *sharing) peers() (n int) {
+	for _, node := range s.frontend.node.Nodes() {
+		if node.Role == api.RoleFrontend && !node.Suspected && node.ID != s.frontend.node.ID() {
+			n++
+		}
+	}
+	return n
+}
+
 func pause(ctx context.Context, length time.Duration) {
 	if length <= 0 {
 		return
@@ -106,9 +117,6 @@
 // tell begins an exchange with each store that is to know and is not being asked.
 func (s *sharing) tell(ctx context.Context, report occupancy.Report) {
 	whom := s.whom(time.Now())
-	if len(whom) > mostShared {
-		return
-	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for _, store := range whom {
@@ -129,6 +137,9 @@
 	for _, leader := range leaders {
 		complete = complete && now.Sub(s.answered[leader.ID]) < answeredLife
 	}
+	if len(leaders) > mostShared {
+		return nil
+	}
 	if complete {
 		return leaders
 	}
--- a/worker/choose.go
+++ b/worker/choose.go
@@ -1,7 +1,6 @@
 package worker
 
 import (
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -56,16 +55,45 @@
 		return Choice{}, false
 	}
 	agreed := agreedWorker(query.Parts, candidates)
-	var best Choice
-	least := math.Inf(1)
+	options := make([]option, 0, len(candidates))
 	for _, e := range candidates {
 		choice := p.consider(now, e, query)
-		cost := p.cost(e, choice, e == agreed) + tieCost*random.Float64()
-		if cost < least {
-			best, least = choice, cost
+		ties := tieCost * random.Float64()
+		options = append(options, option{entry: e, choice: choice, agreed: e == agreed, ties: ties, cost: p.cost(e, choice, e == agreed) + ties})
+	}
+	p.noteChoice(now, query.Service)
+	return p.after(options, random.IntN(p.unseen(now, query.Service, candidates)+1)), true
+}
+
+// option is a worker that may be chosen.
+type option struct {
+	entry  *entry
+	choice Choice
+	agreed bool
+	ties   float64
+	cost   float64
+	taken  int // by others, in after
+}
+
+// after gives the best option when so many other requests have gone to the best ones
+// before: processes that choose by the same word of loads would else all choose the
+// same worker.
+func (p *Pool) after(options []option, others int) Choice {
+	for ; ; others-- {
+		best := &options[0]
+		for i := range options {
+			if options[i].cost < best.cost {
+				best = &options[i]
+			}
+		}
+		if others == 0 {
+			return best.choice
 		}
+		later := best.choice
+		later.Load += float64(best.taken + 1)
+		best.taken++
+		best.cost = p.cost(best.entry, later, best.agreed) + best.ties
 	}
-	return best, true
 }
 
 // AllFull tells whether a bounded query finds no worker only since all are full.
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -55,6 +55,8 @@
 	entries  map[string]*entry
 	services map[string][]*entry // sorted by id
 	capacity map[string]int      // tokens of an engine's memory, by service
+	peers    int                 // other processes that send requests
+	rates    map[string]*rate    // of this process, by service
 }
 
 // entry is one worker with what this process knows of it.
@@ -76,7 +78,7 @@
 // NewPool gives an empty pool.
 func NewPool(settings Settings) *Pool {
 	return &Pool{
-		settings: settings, entries: map[string]*entry{}, services: map[string][]*entry{}, capacity: map[string]int{},
+		settings: settings, entries: map[string]*entry{}, services: map[string][]*entry{}, capacity: map[string]int{}, rates: map[string]*rate{},
 	}
 }
 
--- a/worker/worker_test.go
+++ b/worker/worker_test.go
@@ -141,3 +141,70 @@
 		}
 	})
 }
+
+// TestAChoiceAllowsForRequestsOfOthers: with peers, many choices by one word of loads
+// spread as far as the peers' requests reach, and a pool that was never told of a
+// load chooses too.
+func TestAChoiceAllowsForRequestsOfOthers(t *testing.T) {
+	tests := []struct {
+		name          string
+		peers, chosen int
+	}{
+		{"alone", 0, 1},
+		{"many peers", 50, 8},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := testPool(10)
+			p.SetPeers(test.peers)
+			r := random()
+			chosen := map[string]bool{}
+			for i := range 40 {
+				now := start.Add(time.Duration(i) * time.Millisecond)
+				if i > 0 {
+					for w := range 10 {
+						p.SetOthers(now, fmt.Sprint("w", w), Others{Held: min(w, 1)})
+					}
+				}
+				choice, ok := p.Choose(now, Query{Service: "s"}, r)
+				if !ok {
+					t.Fatal("no worker")
+				}
+				if i > 0 {
+					chosen[choice.Worker.ID] = true
+				}
+			}
+			if got := len(chosen); test.peers == 0 && got != test.chosen || got < test.chosen {
+				t.Errorf("%d workers were chosen, want %d", got, test.chosen)
+			}
+		})
+	}
+}
+
+// TestABoundedQueryPassesOverFullWorkers: items that give way take no slot.
+func TestABoundedQueryPassesOverFullWorkers(t *testing.T) {
+	tests := []struct {
+		name   string
+		others Others
+		over   int
+		want   bool
+	}{
+		{"a free slot", Others{Held: 9}, 0, true},
+		{"full", Others{Held: 10}, 0, false},
+		{"full, one may wait", Others{Held: 10}, 1, true},
+		{"full of what gives way", Others{Held: 10, Yielding: 3}, 0, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := testPool(1)
+			p.SetOthers(start, "w0", test.others)
+			query := Query{Service: "s", Bounded: true, Over: test.over}
+			if _, ok := p.Choose(start, query, random()); ok != test.want || p.AllFull(start, query) == ok {
+				t.Errorf("chosen %t, all full %t", ok, p.AllFull(start, query))
+			}
+			if _, ok := p.Choose(start.Add(2*toldLife), query, random()); !ok {
+				t.Error("old word still bounds what is sent")
+			}
+		})
+	}
+}
