--- a/internal/catalog/lapse.go
+++ b/internal/catalog/lapse.go
@@ -15,7 +15,6 @@
 // outages tells by the answers of a service when it was away. The zero value has
 // seen nothing.
 type outages struct {
-	freshness  time.Duration // within which a sound watch answers; 0: not known
 	answeredAt time.Time
 	failedAt   time.Time // zero while calls succeed
 	regainedAt time.Time
@@ -28,10 +27,11 @@
 	}
 }
 
-// answered notes an answer, and whether the service had been away until then.
-func (o *outages) answered(now time.Time) {
+// answered notes an answer, and whether the service had been away until then; a
+// sound watch answers within quiet (0: not known).
+func (o *outages) answered(now time.Time, quiet time.Duration) {
 	failing := !o.failedAt.IsZero() && now.Sub(o.failedAt) >= shortestOutage
-	silent := o.freshness > 0 && !o.answeredAt.IsZero() && now.Sub(o.answeredAt) > o.freshness+quietMargin
+	silent := quiet > 0 && !o.answeredAt.IsZero() && now.Sub(o.answeredAt) > quiet+quietMargin
 	if failing || silent {
 		o.regainedAt = now
 	}
