Reports of occupancy and kept parts are spaced by how many there are

Change: a frontend's interval is at least 6 ms for each other one; an item's at least 20 ms for each that runs; choices allow for the age that follows.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -116,9 +116,10 @@
 	return list
 }
 
-// SetPeers tells how many other processes send requests to the same workers.
-func (p *Pool) SetPeers(n int) {
-	p.do(func(pool *worker.Pool) { pool.SetPeers(n) })
+// SetPeers tells how many other processes send requests to the same workers, and how
+// old what they hold is at most when it is told.
+func (p *Pool) SetPeers(n int, age time.Duration) {
+	p.do(func(pool *worker.Pool) { pool.SetPeers(n, age) })
 }
 
 // Held is how many requests of this process a worker has.
--- a/internal/batchrun/keep.go
+++ b/internal/batchrun/keep.go
@@ -7,8 +7,11 @@
 )
 
 const (
-	// keepInterval is how often what an item has given so far is kept.
+	// keepInterval is how often what an item has given so far is kept, and at least
+	// keepPerItem for each that runs, so that the parts that a leader lets its group
+	// keep do not grow with them.
 	keepInterval = 600 * time.Millisecond
+	keepPerItem  = 20 * time.Millisecond
 	// keepTick is the time between two commands, and keptAtOnce the bytes from which
 	// one takes no further item: large ones would hold up heartbeats.
 	keepTick   = 100 * time.Millisecond
@@ -41,8 +44,9 @@
 	defer l.mutex.Unlock()
 	var parts []jobs.InlinePart
 	n := 0
+	every := keepEvery(len(l.running))
 	add := func(i *item) {
-		if part, ok := i.newPart(now, n < keptAtOnce); ok {
+		if part, ok := i.newPart(now, every, n < keptAtOnce); ok {
 			parts = append(parts, part)
 			n += len(part.Text)
 		}
@@ -56,12 +60,17 @@
 	return parts
 }
 
+// keepEvery is the time between two parts of one item among so many that run.
+func keepEvery(running int) time.Duration {
+	return max(keepInterval, time.Duration(running)*keepPerItem)
+}
+
 // newPart is what has come since the last one: at once when a run has failed, else
-// each keepInterval if there is room.
-func (i *item) newPart(now time.Time, room bool) (jobs.InlinePart, bool) {
+// each time that every has passed, if there is room.
+func (i *item) newPart(now time.Time, every time.Duration, room bool) (jobs.InlinePart, bool) {
 	i.received.Lock()
 	defer i.received.Unlock()
-	due := room && len(i.text)-i.kept >= leastKept && now.Sub(i.keptAt) >= keepInterval
+	due := room && len(i.text)-i.kept >= leastKept && now.Sub(i.keptAt) >= every
 	if !due && i.failures == i.keptFailures {
 		return jobs.InlinePart{}, false
 	}
--- a/internal/frontend/occupancy.go
+++ b/internal/frontend/occupancy.go
@@ -17,9 +17,11 @@
 )
 
 const (
-	// shareInterval is between two reports of what is held, while that is anything;
-	// idleShareInterval else.
+	// shareInterval is between two reports of what is held, while that is anything,
+	// and at least sharePerPeer for each frontend, so that what a leader takes does not
+	// grow with them; idleShareInterval else.
 	shareInterval     = 100 * time.Millisecond
+	sharePerPeer      = 6 * time.Millisecond
 	idleShareInterval = 500 * time.Millisecond
 	// fullShareInterval is the least between two reports when requests go to workers
 	// that are full: batch there gives way once it is told.
@@ -54,17 +56,20 @@
 // run makes exchanges until ctx ends.
 func (s *sharing) run(ctx context.Context) {
 	defer s.client.CloseIdleConnections()
-	ticker := time.NewTicker(shareInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(shareInterval)
+	defer timer.Stop()
 	toldAt := time.Time{}
 	for {
 		select {
-		case <-ticker.C:
+		case <-timer.C:
 		case <-s.full:
 			pause(ctx, fullShareInterval-time.Since(toldAt))
 		case <-ctx.Done():
 			return
 		}
+		peers := s.peers()
+		interval := shareEvery(peers)
+		timer.Reset(interval)
 		report := occupancy.Report{
 			Node: s.frontend.node.ID(), Held: s.frontend.pool.HeldByWorker(), Waiting: s.frontend.holding.counts(),
 		}
@@ -72,11 +77,16 @@
 			continue
 		}
 		toldAt = time.Now()
-		s.frontend.pool.SetPeers(s.peers())
+		s.frontend.pool.SetPeers(peers, interval)
 		s.tell(ctx, report)
 	}
 }
 
+// shareEvery is the time between two reports of one among so many other frontends.
+func shareEvery(peers int) time.Duration {
+	return max(shareInterval, time.Duration(peers)*sharePerPeer)
+}
+
 // peers counts the other frontends that are known.
 func (s *sharing) peers() (n int) {
 	for _, node := range s.frontend.node.Nodes() {
--- a/worker/peers.go
+++ b/worker/peers.go
@@ -7,8 +7,6 @@
 	rateLife = 400 * time.Millisecond
 	// mostUnseen bounds how many requests of others a choice allows for.
 	mostUnseen = 256
-	// tellingAge is how old what others hold is when it is told.
-	tellingAge = 100 * time.Millisecond
 )
 
 // rate is how often requests are sent, averaged.
@@ -33,8 +31,9 @@
 	r.perSecond *= 1 - float64(passed)/float64(rateLife)
 }
 
-// SetPeers tells how many other processes send requests to the same workers.
-func (p *Pool) SetPeers(n int) { p.peers = n }
+// SetPeers tells how many other processes send requests to the same workers, and how
+// old what they hold is at most when it is told.
+func (p *Pool) SetPeers(n int, age time.Duration) { p.peers, p.tellingAge = n, age }
 
 func (p *Pool) noteChoice(now time.Time, service string) {
 	known := p.rates[service]
@@ -53,7 +52,7 @@
 	}
 	age := time.Duration(0)
 	for _, e := range candidates {
-		age += tellingAge + min(now.Sub(e.reported), p.settings.LoadLife)
+		age += p.tellingAge + min(now.Sub(e.reported), p.settings.LoadLife)
 	}
 	age /= time.Duration(len(candidates))
 	return min(int(p.rates[service].perSecond*float64(p.peers)*age.Seconds()), mostUnseen)
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -51,12 +51,13 @@
 
 // Pool is the set of workers. It is not safe for concurrent use.
 type Pool struct {
-	settings Settings
-	entries  map[string]*entry
-	services map[string][]*entry // sorted by id
-	capacity map[string]int      // tokens of an engine's memory, by service
-	peers    int                 // other processes that send requests
-	rates    map[string]*rate    // of this process, by service
+	settings   Settings
+	entries    map[string]*entry
+	services   map[string][]*entry // sorted by id
+	capacity   map[string]int      // tokens of an engine's memory, by service
+	peers      int                 // other processes that send requests
+	tellingAge time.Duration       // of what they hold when it is told
+	rates      map[string]*rate    // of this process, by service
 }
 
 // entry is one worker with what this process knows of it.
--- a/worker/worker_test.go
+++ b/worker/worker_test.go
@@ -156,7 +156,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			p := testPool(10)
-			p.SetPeers(test.peers)
+			p.SetPeers(test.peers, 100*time.Millisecond)
 			r := random()
 			chosen := map[string]bool{}
 			for i := range 40 {
