--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -62,15 +62,10 @@
 	views         []prefixed
 	failing       bool // the service does not answer; only for follow
 	outages       outages
-	freshness     time.Duration // within which a sentinel's watch answers; 0: not known
-	asksOften     bool          // as a sentinel, when last asked; only for follow
 	configuration atomic.Pointer[route.Configuration]
 	raw           atomic.Pointer[[]byte] // of the configuration in force
 	changedAt     atomic.Int64           // Unix nanoseconds
 	adopting      sync.Mutex
-	revision      atomic.Int64 // newest that is known of the service
-	gathering     atomic.Bool  // the watch pauses after word of changes
-	peers         Peers        // nil: nothing is compared
 }
 
 // New gives a catalog that tells listener.
@@ -83,38 +78,7 @@
 
 // Freshness tells within which time a sound watch of the service answers; before
 // Run. It shows outages in which calls hang.
-func (c *Catalog) Freshness(limit time.Duration) { c.freshness = limit }
-
-// Compare lets the catalog compare what it knows with its peers, so that most of
-// them ask seldom; before Run.
-func (c *Catalog) Compare(peers Peers) {
-	c.peers = peers
-	if waiter, ok := c.service.(kv.Waiter); ok {
-		waiter.SetWait(c.Wait)
-	}
-}
-
-// Sentinel tells whether this process asks the service often, for others too. Without
-// peers it is one.
-func (c *Catalog) Sentinel() bool {
-	return c.peers == nil || Sentinel(c.peers.ID(), c.peers.Nodes())
-}
-
-// Told is the revision that the process tells its peers; 0 if it is no sentinel.
-func (c *Catalog) Told() int64 {
-	if !c.Sentinel() {
-		return 0
-	}
-	return c.revision.Load()
-}
-
-// Wait is how long one call of a watch waits where a sentinel's waits for short.
-func (c *Catalog) Wait(short time.Duration) time.Duration {
-	if c.Sentinel() {
-		return short
-	}
-	return max(longWait, short)
-}
+func (c *Catalog) Freshness(limit time.Duration) { c.outages.freshness = limit }
 
 // Configuration is the one in force; nil before the first.
 func (c *Catalog) Configuration() *route.Configuration { return c.configuration.Load() }
@@ -158,10 +122,6 @@
 			return
 		}
 		whole = whole || errors.Is(err, kv.ErrCompacted)
-		if errors.Is(err, errBehind) {
-			c.log.WithField("event", "watch_behind").WithField("revision", revision).WithField("newest", newestOf(c.peers.Nodes())).Info("A watch was not told what others know; asking again.")
-			continue
-		}
 		c.lostContact(err)
 		pause(ctx, delay/2+rand.N(delay))
 		delay = min(2*delay, lastRetryDelay)
@@ -181,13 +141,9 @@
 			each.view.Whole(each.part(result))
 		}
 		*whole, *revision = false, result.Revision
-		c.revision.Store(result.Revision)
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	go c.compare(ctx, cancel)
 	gather := firstGatherPause
-	err := c.service.Watch(ctx, "", *revision, func(batch kv.Batch) {
+	return c.service.Watch(ctx, "", *revision, func(batch kv.Batch) {
 		answered()
 		c.contact()
 		for _, each := range c.views {
@@ -196,45 +152,13 @@
 			}
 		}
 		*revision = max(*revision, batch.Revision)
-		c.revision.Store(*revision)
 		if len(batch.Events) == 0 {
 			gather = firstGatherPause
 			return
 		}
-		c.gathering.Store(true)
 		pause(ctx, gather)
-		c.gathering.Store(false)
 		gather = min(2*gather, lastGatherPause)
 	})
-	if errors.Is(context.Cause(ctx), errBehind) {
-		return errBehind
-	}
-	return err
-}
-
-// compare ends a watch once others know for a while what it was not told.
-func (c *Catalog) compare(ctx context.Context, end context.CancelCauseFunc) {
-	if c.peers == nil {
-		return
-	}
-	ticker := time.NewTicker(behindTick)
-	defer ticker.Stop()
-	var late behind
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-		if c.gathering.Load() {
-			late = behind{}
-			continue
-		}
-		if late.see(time.Now(), c.revision.Load(), newestOf(c.peers.Nodes())) {
-			end(errBehind)
-			return
-		}
-	}
 }
 
 // prefixed is a view with the prefix of its keys.
@@ -276,18 +200,8 @@
 	}
 }
 
-// quietLimit is how long a sound watch may have said nothing until now; 0: not known.
-func (c *Catalog) quietLimit() time.Duration {
-	often, before := c.Sentinel(), c.asksOften
-	c.asksOften = often
-	if often && before {
-		return c.freshness
-	}
-	return max(c.freshness, longWait)
-}
-
 func (c *Catalog) contact() {
-	c.outages.answered(time.Now(), c.quietLimit())
+	c.outages.answered(time.Now())
 	if c.failing {
 		c.failing = false
 		c.log.WithField("event", "dependency_regained").Info("The key-value service answers again.")
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -8,7 +8,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,7 +28,6 @@
 	ranges  map[string]int
 	watch   chan watchEvent
 	failing bool
-	watches atomic.Int64 // calls of Watch
 }
 
 type watchEvent struct {
@@ -77,7 +75,6 @@
 }
 
 func (f *fakeService) Watch(ctx context.Context, _ string, _ int64, deliver func(kv.Batch)) error {
-	f.watches.Add(1)
 	for {
 		select {
 		case event := <-f.watch:
@@ -91,15 +88,6 @@
 	}
 }
 
-func (f *fakeService) awaitWatches(t *testing.T, n int64) {
-	t.Helper()
-	for deadline := time.Now().Add(patience); f.watches.Load() < n; time.Sleep(time.Millisecond) {
-		if time.Now().After(deadline) {
-			t.Fatalf("%d watches, want %d", f.watches.Load(), n)
-		}
-	}
-}
-
 type recorder struct {
 	mutex    sync.Mutex
 	versions []int64
--- a/internal/catalog/lapse.go
+++ b/internal/catalog/lapse.go
@@ -15,6 +15,7 @@
 // outages tells by the answers of a service when it was away. The zero value has
 // seen nothing.
 type outages struct {
+	freshness  time.Duration // within which a sound watch answers; 0: not known
 	answeredAt time.Time
 	failedAt   time.Time // zero while calls succeed
 	regainedAt time.Time
@@ -27,11 +28,10 @@
 	}
 }
 
-// answered notes an answer, and whether the service had been away until then; a
-// sound watch answers within quiet (0: not known).
-func (o *outages) answered(now time.Time, quiet time.Duration) {
+// answered notes an answer, and whether the service had been away until then.
+func (o *outages) answered(now time.Time) {
 	failing := !o.failedAt.IsZero() && now.Sub(o.failedAt) >= shortestOutage
-	silent := quiet > 0 && !o.answeredAt.IsZero() && now.Sub(o.answeredAt) > quiet+quietMargin
+	silent := o.freshness > 0 && !o.answeredAt.IsZero() && now.Sub(o.answeredAt) > o.freshness+quietMargin
 	if failing || silent {
 		o.regainedAt = now
 	}
--- a/internal/catalog/lapse_test.go
+++ b/internal/catalog/lapse_test.go
@@ -11,35 +11,35 @@
 func TestEntriesThatWentAreKeptOnlyAfterAnOutage(t *testing.T) {
 	start := time.Unix(1_700_000_000, 0)
 	at := func(after time.Duration) time.Time { return start.Add(after) }
-	const second, quiet = time.Second, 3 * time.Second
+	const second = time.Second
 	tests := []struct {
 		name string
 		play func(o *outages)
 		want time.Duration // kept 500 ms after the last answer
 	}{
-		{"never away", func(o *outages) { o.answered(at(0), quiet); o.answered(at(2*second), quiet) }, 0},
+		{"never away", func(o *outages) { o.answered(at(0)); o.answered(at(2 * second)) }, 0},
 		{"a watch that broke once", func(o *outages) {
-			o.answered(at(0), quiet)
+			o.answered(at(0))
 			o.failed(at(second))
-			o.answered(at(second+100*time.Millisecond), quiet)
+			o.answered(at(second + 100*time.Millisecond))
 		}, 0},
 		{"calls failed for seconds", func(o *outages) {
-			o.answered(at(0), quiet)
+			o.answered(at(0))
 			o.failed(at(second))
 			o.failed(at(3 * second))
-			o.answered(at(4*second), quiet)
+			o.answered(at(4 * second))
 		}, returnGrace - 500*time.Millisecond},
-		{"nothing was heard for long", func(o *outages) { o.answered(at(0), quiet); o.answered(at(6*second), quiet) }, returnGrace - 500*time.Millisecond},
-		{"a pause after changes", func(o *outages) { o.answered(at(0), quiet); o.answered(at(4*second), quiet) }, 0},
+		{"nothing was heard for long", func(o *outages) { o.answered(at(0)); o.answered(at(6 * second)) }, returnGrace - 500*time.Millisecond},
+		{"a pause after changes", func(o *outages) { o.answered(at(0)); o.answered(at(4 * second)) }, 0},
 		{"away, and back for long", func(o *outages) {
-			o.answered(at(0), quiet)
-			o.answered(at(6*second), quiet)
-			o.answered(at(8*second), quiet)
+			o.answered(at(0))
+			o.answered(at(6 * second))
+			o.answered(at(8 * second))
 		}, 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			var o outages
+			o := outages{freshness: 3 * second}
 			test.play(&o)
 			if got := o.keeps(o.answeredAt.Add(500 * time.Millisecond)); got != test.want {
 				t.Errorf("kept for %v, want %v", got, test.want)
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -107,8 +107,6 @@
 	f.pool = backend.NewPool(worker.DefaultSettings(common.Settings.Node.Zone), f.holding.kick)
 	f.catalog = catalog.New(source, common.KeyValue, common.Logger("catalog"), f.pool)
 	f.catalog.Freshness(common.Settings.Platform.Freshness)
-	f.catalog.Compare(common)
-	common.TellRevision(f.catalog.Told)
 	f.catalog.Also(common.Settings.KeyValueService.Prefix+storeclient.PrefixStores, registered)
 	common.Mux.HandleFunc("GET "+catalog.PathConfiguration, f.catalog.ServeConfiguration)
 	if err := f.listen(); err != nil {
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -70,12 +70,6 @@
 	Revision int64
 }
 
-// Waiter is a Service whose watches ask again and again: each call waits for as long
-// as the function says, by the usual time.
-type Waiter interface {
-	SetWait(wait func(usual time.Duration) time.Duration)
-}
-
 // Service is a key-value service with compare-and-swap, leases and watches.
 // Errors of Swap wrap ErrUnknown unless the change certainly had no effect.
 type Service interface {
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -28,10 +28,6 @@
 	}
 }
 
-// TellRevision lets the node tell its peers the newest revision that it knows of the
-// operators' configuration; before Run.
-func (n *Node) TellRevision(revision func() int64) { n.revision = revision }
-
 // ReportNow makes the node report its state before the next interval; it never
 // blocks.
 func (n *Node) ReportNow() {
@@ -47,9 +43,6 @@
 	if snapshot := n.Table(); snapshot != nil {
 		changed.TableRevision = snapshot.Revision()
 	}
-	if n.revision != nil {
-		changed.TableRevision = max(changed.TableRevision, n.revision())
-	}
 	n.membership.Tell(changed)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,8 +69,7 @@
 	leaving         atomic.Bool
 	panics          prometheus.Counter
 	summary         func() api.Summary
-	revision        func() int64 // of another source than the table; nil: none
-	mutex           sync.Mutex   // guards the callbacks
+	mutex           sync.Mutex // guards the callbacks
 	onView          []func([]api.Node)
 	onTable         []func(*table.Snapshot)
 	onLeave         []func()
