Large fleets ask workers as before; pressed items give way where frontends tell what they hold

Change: frontends exchange occupancy while there are at most 16; else, and while one does not tell, leaders keep fixed shares of slots by the workers' own word, as before (shares.go). Told, every item gives way where a request waits, whatever its standing; other groups' workers get pressed items only beyond a margin. A held request whose time is nearly over is offered to a worker, whatever waits there.

--- a/internal/batchrun/keep.go
+++ b/internal/batchrun/keep.go
@@ -8,10 +8,10 @@
 
 const (
 	// keepInterval is how often what an item has given so far is kept, and at least
-	// keepPerItem for each that runs, so that the parts that a leader lets its group
-	// keep do not grow with them.
+	// keepPerItem for each that runs, on a whole core, so that what a leader spends on
+	// parts does not grow with them.
 	keepInterval = 600 * time.Millisecond
-	keepPerItem  = 20 * time.Millisecond
+	keepPerItem  = 16 * time.Millisecond
 	// keepTick is the time between two commands, and keptAtOnce the bytes from which
 	// one takes no further item: large ones would hold up heartbeats.
 	keepTick   = 100 * time.Millisecond
@@ -44,7 +44,7 @@
 	defer l.mutex.Unlock()
 	var parts []jobs.InlinePart
 	n := 0
-	every := keepEvery(len(l.running))
+	every := keepEvery(len(l.running), l.service.core)
 	add := func(i *item) {
 		if part, ok := i.newPart(now, every, n < keptAtOnce); ok {
 			parts = append(parts, part)
@@ -60,9 +60,13 @@
 	return parts
 }
 
-// keepEvery is the time between two parts of one item among so many that run.
-func keepEvery(running int) time.Duration {
-	return max(keepInterval, time.Duration(running)*keepPerItem)
+// keepEvery is the time between two parts of one item among so many that run, on so
+// much of a core (0: not known).
+func keepEvery(running int, core float64) time.Duration {
+	if core <= 0 || core > 1 {
+		core = 1
+	}
+	return max(keepInterval, time.Duration(float64(running)*float64(keepPerItem)/core))
 }
 
 // newPart is what has come since the last one: at once when a run has failed, else
--- a/internal/batchrun/leader.go
+++ b/internal/batchrun/leader.go
@@ -194,9 +194,10 @@
 	l.log.WithFields(logrus.Fields{"event": "job_stopped", "request": id, "items_stopped": stopped}).Info("A job was ended; its items stop.")
 }
 
-// giveWayLocked stops items at a worker until count have been told to: those whose
-// results are due last. They go on elsewhere after their last event.
-func (l *Leader) giveWayLocked(workerID string, count int) {
+// giveWayLocked stops items at a worker until count have been told to: those that
+// can't be in time first, those that have to run now to be in time last. Invariant:
+// with pressed, whatever its standing, an item gives way where a request waits. They go on elsewhere after their last event.
+func (l *Leader) giveWayLocked(workerID string, count int, pressed bool) {
 	var there []*item
 	for i := range l.running {
 		if i.worker != workerID {
@@ -204,12 +205,12 @@
 		}
 		if i.yielding {
 			count--
-		} else if i.standing != fill.Pressed {
+		} else if pressed || i.standing != fill.Pressed {
 			there = append(there, i)
 		}
 	}
 	slices.SortFunc(there, func(a, b *item) int {
-		return cmp.Or(cmp.Compare(b.missed(), a.missed()), b.job.Due().Compare(a.job.Due()), b.since.Compare(a.since))
+		return cmp.Or(cmp.Compare(b.standing, a.standing), b.job.Due().Compare(a.job.Due()), b.since.Compare(a.since))
 	})
 	for _, i := range there[:max(min(count, len(there)), 0)] {
 		i.yielding = true
--- a/internal/batchrun/occupancy.go
+++ b/internal/batchrun/occupancy.go
@@ -2,10 +2,12 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/internal/backend"
 	"github.com/dykewing/dykewing/internal/occupancy"
 	"github.com/dykewing/dykewing/internal/transport"
 	"github.com/dykewing/dykewing/worker"
@@ -28,7 +30,7 @@
 		return
 	}
 	s.occupancy.Put(time.Now(), report)
-	s.spread()
+	s.spread(leaders)
 	for _, leader := range leaders {
 		leader.wakeUp()
 	}
@@ -45,8 +47,9 @@
 	return leaders
 }
 
-// spread lets choices of workers see what frontends hold.
-func (s *Service) spread() {
+// spread lets choices of workers see what frontends hold at those that this process
+// fills. Others are filled by other leaders, of whose items frontends do not tell.
+func (s *Service) spread(leaders []*Leader) {
 	now := time.Now()
 	if !s.occupancy.Complete(now, s.nodes()) {
 		return
@@ -55,18 +58,27 @@
 	held := map[string]worker.Others{}
 	for _, name := range s.serviceNames() {
 		for _, w := range s.pool.Workers(name) {
+			if !filled(leaders, w.ID) {
+				continue
+			}
 			held[w.ID] = worker.Others{Held: sum[w.ID] + s.hidden.of(w.ID)}
 		}
 	}
 	s.pool.SetOthers(held)
 }
 
+// filled tells whether one of the leaders fills a worker.
+func filled(leaders []*Leader, id string) bool {
+	return slices.ContainsFunc(leaders, func(leader *Leader) bool { return leader.mine(id) })
+}
+
 // polled takes a worker's own word: all of it while not all frontends tell what
 // they hold, else what is more than theirs and this process's.
-func (s *Service) polled(w worker.Worker, load int) {
-	now := time.Now()
+func (s *Service) polled(w worker.Worker, report backend.Report) {
+	now, load := time.Now(), report.Running+report.Waiting
 	if !s.occupancy.Complete(now, s.nodes()) {
 		s.pool.Report(w.ID, worker.Load{Running: load})
+		s.giveWayByShares(w, report)
 		return
 	}
 	s.hidden.put(w.ID, load-s.pool.Held(w.ID)-s.occupancy.Sum(now)[w.ID])
--- a/internal/batchrun/plan.go
+++ b/internal/batchrun/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -18,6 +19,8 @@
 	tellInterval = time.Second
 	// blindTime is how long a new leader waits at most for frontends' reports.
 	blindTime = 500 * time.Millisecond
+	// elsewhereMargin of the slots of other groups' workers is left to their leaders.
+	elsewhereMargin = 0.1
 	// leastPart of an item's time is expected to be left while it runs.
 	leastPart = 0.1
 	// textShare of a new item's text in the average length.
@@ -42,20 +45,21 @@
 // rooms is what is left for items to start.
 type rooms struct {
 	seen map[string]bool // services that were looked at
-	free map[string]int  // slots that nothing takes, by worker
+	free map[string]int  // items that may start at a worker
+	high map[string]int  // the same for pressed items
 	own  map[string]bool // workers that this group's items fill
 	left map[string]int  // items that may start beside the reserve, by service
 }
 
 func newRooms() rooms {
-	return rooms{seen: map[string]bool{}, free: map[string]int{}, own: map[string]bool{}, left: map[string]int{}}
+	return rooms{seen: map[string]bool{}, free: map[string]int{}, high: map[string]int{}, own: map[string]bool{}, left: map[string]int{}}
 }
 
 // allows tells whether an item may start at a worker: pressed ones do not mind the
 // reserve and may go to workers of other groups.
 func (r rooms) allows(id, service string, pressed bool) bool {
 	if pressed {
-		return r.free[id] > 0
+		return r.high[id] > 0
 	}
 	return r.own[id] && r.free[id] > 0 && r.left[service] > 0
 }
@@ -63,6 +67,7 @@
 // take takes a slot of a worker.
 func (r rooms) take(id, service string) {
 	r.free[id]--
+	r.high[id]--
 	r.left[service]--
 }
 
@@ -76,6 +81,11 @@
 	if l.blind(now) {
 		return
 	}
+	if !l.informed(now) {
+		l.lookByShares(service, into)
+		return
+	}
+	told := l.service.occupancy.Sum(now)
 	var own []fill.Worker
 	var ids []string
 	slots, online := 0, 0
@@ -84,13 +94,14 @@
 			continue
 		}
 		w := fill.Worker{Slots: seen.Slots, Online: seen.Others, Batch: seen.Taken}
-		into.free[seen.ID] = w.Free()
-		if l.mine(seen.ID) {
-			into.own[seen.ID] = true
-			own, ids = append(own, w), append(ids, seen.ID)
-			slots += w.Slots
-			online += w.Online
+		if !l.mine(seen.ID) {
+			l.lookElsewhere(seen.ID, w, told[seen.ID], into)
+			continue
 		}
+		into.free[seen.ID], into.high[seen.ID], into.own[seen.ID] = w.Free(), w.Free(), true
+		own, ids = append(own, w), append(ids, seen.ID)
+		slots += w.Slots
+		online += w.Online
 	}
 	waiting := l.waitingFor(now, service)
 	reserve := l.plan.reserve(now, service, online+waiting, slots)
@@ -99,11 +110,22 @@
 	into.left[service] = fill.Room(own, reserve, waiting)
 	for i, excess := range fill.Excess(own, reserve, waiting) {
 		if excess > 0 {
-			l.giveWayLocked(ids[i], excess)
+			l.giveWayLocked(ids[i], excess, true)
 		}
 	}
 }
 
+// lookElsewhere looks at a worker that another group's leader fills: pressed items
+// may go there while it has room beyond a margin, and give way to what frontends tell
+// that they hold.
+func (l *Leader) lookElsewhere(id string, w fill.Worker, told int, into rooms) {
+	w.Online = max(w.Online, told)
+	into.high[id] = w.Free() - int(math.Ceil(elsewhereMargin*float64(w.Slots)))
+	if excess := min(told+w.Batch-w.Slots, w.Batch); excess > 0 {
+		l.giveWayLocked(id, excess, true)
+	}
+}
+
 // blind tells that this leader has just begun and does not know yet what frontends
 // hold: nothing is started on a guess.
 func (l *Leader) blind(now time.Time) bool {
@@ -116,15 +138,13 @@
 	return (l.service.occupancy.Waiting(now, service) + groups - 1) / groups
 }
 
-// yielding is how many items at each worker give way to any request.
+// yielding is how many items at each worker give way to requests.
 func (l *Leader) yielding() map[string]int {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	yielding := map[string]int{}
 	for i := range l.running {
-		if i.standing != fill.Pressed {
-			yielding[i.worker]++
-		}
+		yielding[i.worker]++
 	}
 	return yielding
 }
@@ -197,7 +217,11 @@
 		byService[i.service] = append(byService[i.service], i)
 	}
 	for service, items := range byService {
-		l.standIn(now, items, l.plan.room[service])
+		if l.informed(now) {
+			l.standIn(now, items, l.plan.room[service])
+		} else {
+			l.standByShares(now, items)
+		}
 	}
 	l.sortWaiting()
 }
--- a/internal/batchrun/plan_test.go
+++ b/internal/batchrun/plan_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/fill"
+	"github.com/dykewing/dykewing/internal/backend"
 	"github.com/dykewing/dykewing/internal/occupancy"
 	"github.com/dykewing/dykewing/worker"
 )
@@ -72,7 +73,7 @@
 		i.worker, i.cancel = "w0", func() {}
 		l.running[i] = true
 	}
-	l.giveWayLocked("w0", 1)
+	l.giveWayLocked("w0", 1, true)
 	for i := range l.running {
 		if i.yielding != (i.standing == fill.Missed) {
 			t.Errorf("an item of standing %d gives way: %t", i.standing, i.yielding)
@@ -80,6 +81,48 @@
 	}
 }
 
+// TestWhateverItsStandingAnItemGivesWay where a request waits: pressed items that did
+// not held up online requests for seconds (sbandel-dykewing-grown scale-1).
+func TestWhateverItsStandingAnItemGivesWay(t *testing.T) {
+	l := testLeader(t, 2, 1)
+	for n, i := range l.waiting {
+		i.worker, i.cancel = "w0", func() {}
+		i.standing = []fill.Standing{fill.Pressed, fill.Usual}[n]
+		l.running[i] = true
+	}
+	for _, test := range []struct{ count, pressed int }{{1, 0}, {2, 1}} {
+		l.giveWayLocked("w0", test.count, true)
+		pressed := 0
+		for i := range l.running {
+			if i.yielding && i.standing == fill.Pressed {
+				pressed++
+			}
+		}
+		if pressed != test.pressed {
+			t.Errorf("%d to give way: %d pressed items do, want %d", test.count, pressed, test.pressed)
+		}
+	}
+}
+
+func TestPartsAreSpacedByHowManyItemsRun(t *testing.T) {
+	tests := []struct {
+		running int
+		core    float64
+		want    time.Duration
+	}{
+		{0, 1, keepInterval},
+		{30, 1, keepInterval},
+		{100, 1, 1600 * time.Millisecond},
+		{100, 0.5, 3200 * time.Millisecond},
+		{100, 0, 1600 * time.Millisecond},
+	}
+	for _, test := range tests {
+		if got := keepEvery(test.running, test.core); got != test.want {
+			t.Errorf("%d items on %v of a core: %v, want %v", test.running, test.core, got, test.want)
+		}
+	}
+}
+
 func TestOnlyWhatTwoPollsShowIsHidden(t *testing.T) {
 	tests := []struct {
 		name  string
@@ -103,3 +146,32 @@
 		})
 	}
 }
+
+// TestByWorkersOwnWordSharesStayFree: nobody tells what frontends hold; the workers
+// have 12 slots and 8 requests.
+func TestByWorkersOwnWordSharesStayFree(t *testing.T) {
+	l := testLeader(t, 30, 2)
+	l.service.occupancy = occupancy.Table{}
+	l.began = time.Now().Add(-2 * blindTime)
+	for _, w := range l.service.pool.Workers("lm") {
+		l.service.pool.Report(w.ID, worker.Load{Running: 8})
+	}
+	if n := l.dispatch(); n != 2 {
+		t.Errorf("%d items started, want one a worker", n)
+	}
+	for i := range l.running {
+		i.cancel = func() {}
+		if i.worker == "w1" {
+			i.standing = fill.Pressed
+		}
+	}
+	for _, w := range l.service.pool.Workers("lm") {
+		l.service.leaders[l] = true
+		l.service.polled(w, backend.Report{Running: 12})
+	}
+	for i := range l.running {
+		if i.yielding != (i.worker == "w0") {
+			t.Errorf("the item at %s gives way: %t", i.worker, i.yielding)
+		}
+	}
+}
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -29,7 +29,8 @@
 // Service is what the leaders of a process's groups share.
 type Service struct {
 	settings config.Batch
-	groups   int // of jobs, in all
+	groups   int     // of jobs, in all
+	core     float64 // that the process may use; 0: not known
 	log      *logrus.Entry
 	catalog  *catalog.Catalog
 	nodes    func() []api.Node
@@ -49,7 +50,7 @@
 // New gives a service that learns configuration and workers from source.
 func New(common *node.Node, protocol backend.Protocol, source catalog.Source) *Service {
 	s := &Service{
-		settings: common.Settings.Batch, groups: common.Settings.Store.Groups, log: common.Logger("batch"), caller: backend.NewCaller(protocol),
+		settings: common.Settings.Batch, groups: common.Settings.Store.Groups, core: common.Settings.Node.ProcessorShare, log: common.Logger("batch"), caller: backend.NewCaller(protocol),
 		metrics: newMetrics(common.Registry), leaders: map[*Leader]bool{}, members: &storeclient.Registered{}, nodes: common.Nodes,
 	}
 	s.pool = backend.NewPool(worker.DefaultSettings(common.Settings.Node.Zone), s.wakeAll)
@@ -132,7 +133,7 @@
 		s.log.WithFields(logrus.Fields{"event": "report_missing", "worker": w.ID}).WithError(err).Debug("A worker did not tell its load.")
 		return
 	}
-	s.polled(w, report.Running+report.Waiting)
+	s.polled(w, report)
 }
 
 // Lead begins to run a group's open jobs; it is a store.StartInlineRunner.
--- a/internal/frontend/holding.go
+++ b/internal/frontend/holding.go
@@ -88,8 +88,11 @@
 
 // place tries for a worker now.
 func (h *holding) place(now time.Time, query worker.Query, request hold.Request) (*backend.Ticket, bool) {
-	if request.Class(now) != hold.Late {
+	switch request.Class(now) {
+	case hold.InTime:
 		query.Over = inTimeOver
+	case hold.Expiring:
+		query.Bounded = false // it is offered to a worker, whatever waits there
 	}
 	return h.frontend.pool.Take(query)
 }
--- a/internal/frontend/occupancy.go
+++ b/internal/frontend/occupancy.go
@@ -24,13 +24,16 @@
 	sharePerPeer      = 6 * time.Millisecond
 	idleShareInterval = 500 * time.Millisecond
 	// fullShareInterval is the least between two reports when requests go to workers
-	// that are full: batch there gives way once it is told.
+	// that are full, and at least fullPerPeer for each other frontend: batch there
+	// gives way once it is told.
 	fullShareInterval = 25 * time.Millisecond
+	fullPerPeer       = 3 * time.Millisecond
 	shareTimeout      = 300 * time.Millisecond
 	// answeredLife is how long a leader that took a report is taken for one.
 	answeredLife = 500 * time.Millisecond
-	// mostShared leaders are told. On a larger fleet they ask workers instead.
-	mostShared       = 8
+	// mostShared frontends tell what they hold. On a larger fleet that costs leaders
+	// more than it tells them, and they ask workers instead.
+	mostShared       = 16
 	shareConnections = 1
 )
 
@@ -63,13 +66,17 @@
 		select {
 		case <-timer.C:
 		case <-s.full:
-			pause(ctx, fullShareInterval-time.Since(toldAt))
+			pause(ctx, max(fullShareInterval, time.Duration(s.peers())*fullPerPeer)-time.Since(toldAt))
 		case <-ctx.Done():
 			return
 		}
 		peers := s.peers()
 		interval := shareEvery(peers)
 		timer.Reset(interval)
+		if peers >= mostShared {
+			s.frontend.pool.SetPeers(0, 0)
+			continue
+		}
 		report := occupancy.Report{
 			Node: s.frontend.node.ID(), Held: s.frontend.pool.HeldByWorker(), Waiting: s.frontend.holding.counts(),
 		}
@@ -147,9 +154,6 @@
 	for _, leader := range leaders {
 		complete = complete && now.Sub(s.answered[leader.ID]) < answeredLife
 	}
-	if len(leaders) > mostShared {
-		return nil
-	}
 	if complete {
 		return leaders
 	}
