--- a/worker/worker.go
+++ b/worker/worker.go
@@ -40,13 +40,15 @@
 	DownFor time.Duration
 	// LoadLife is how long others' share of a reported load is believed.
 	LoadLife time.Duration
+	// ToldLife is how long what others told bounds what is sent.
+	ToldLife time.Duration
 	// CacheShare of an engine's memory is thought to keep parts of prompts.
 	CacheShare float64
 }
 
 // DefaultSettings suit a fleet whose requests take around a second.
 func DefaultSettings(zone string) Settings {
-	return Settings{Zone: zone, DownFor: time.Second, LoadLife: 3 * time.Second, CacheShare: 0.5}
+	return Settings{Zone: zone, DownFor: time.Second, LoadLife: 3 * time.Second, ToldLife: time.Second, CacheShare: 0.5}
 }
 
 // Pool is the set of workers. It is not safe for concurrent use.
@@ -175,14 +177,11 @@
 	}
 }
 
-// toldLife is how long what others told bounds what is sent.
-const toldLife = time.Second
-
 // full tells whether a worker has no slot, nor one that gives way, for a request
 // more, with over requests waiting there at most. Without word of others it never
 // is.
 func (p *Pool) full(now time.Time, e *entry, over int) bool {
-	if e.toldAt.IsZero() || now.Sub(e.toldAt) > toldLife {
+	if e.toldAt.IsZero() || now.Sub(e.toldAt) > p.settings.ToldLife {
 		return false
 	}
 	return e.own+int(e.others)-e.yielding+1 > e.slots+over
--- a/worker/worker_test.go
+++ b/worker/worker_test.go
@@ -202,7 +202,7 @@
 			if _, ok := p.Choose(start, query, random()); ok != test.want || p.AllFull(start, query) == ok {
 				t.Errorf("chosen %t, all full %t", ok, p.AllFull(start, query))
 			}
-			if _, ok := p.Choose(start.Add(2*toldLife), query, random()); !ok {
+			if _, ok := p.Choose(start.Add(2*DefaultSettings("a").ToldLife), query, random()); !ok {
 				t.Error("old word still bounds what is sent")
 			}
 		})
