--- a/cmd/dykewing/main.go
+++ b/cmd/dykewing/main.go
@@ -15,8 +15,8 @@
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/config"
 	"github.com/dykewing/dykewing/internal/daemon"
-	"github.com/dykewing/dykewing/internal/kv"
 	"github.com/dykewing/dykewing/internal/dev"
+	"github.com/dykewing/dykewing/internal/kv"
 	"github.com/dykewing/dykewing/internal/logging"
 	"github.com/dykewing/dykewing/platform"
 )
