A test of items by workers' own word no longer races with their sends

TestItemsGoOnlyWhereNothingElseIs walked them without the lock. Change: what gives way is a test of its own, with items that are not sent; the other holds the leader's lock. Nothing that was asserted is gone.

--- a/internal/batchrun/plan_test.go
+++ b/internal/batchrun/plan_test.go
@@ -51,6 +51,8 @@
 		l.service.pool.SetOthers(map[string]worker.Others{w.ID: {Held: held}})
 	}
 	l.dispatch()
+	l.mutex.Lock() // sends to the refusing workers end meanwhile
+	defer l.mutex.Unlock()
 	for i := range l.running {
 		if i.worker != "w3" {
 			t.Errorf("an item runs at %s, which is full", i.worker)
@@ -159,14 +161,20 @@
 	if n := l.dispatch(); n != 2 {
 		t.Errorf("%d items started, want one a worker", n)
 	}
-	for i := range l.running {
-		i.cancel = func() {}
-		if i.worker == "w1" {
-			i.standing = fill.Pressed
-		}
+}
+
+// TestByWorkersOwnWordPressedItemsStay: both workers are full; one of them holds an
+// item that has to run now. Nothing is sent.
+func TestByWorkersOwnWordPressedItemsStay(t *testing.T) {
+	l := testLeader(t, 2, 2)
+	l.service.occupancy = occupancy.Table{}
+	l.service.leaders[l] = true
+	for n, i := range l.waiting {
+		i.worker, i.cancel = []string{"w0", "w1"}[n], func() {}
+		i.standing = []fill.Standing{fill.Usual, fill.Pressed}[n]
+		l.running[i] = true
 	}
 	for _, w := range l.service.pool.Workers("lm") {
-		l.service.leaders[l] = true
 		l.service.polled(w, backend.Report{Running: 12})
 	}
 	for i := range l.running {
