A few watchers of each zone ask the platform's store, the others ask these

Who finds its watcher silent or without contact asks the other one, then the store; watchers that the store turns away ask each other. Nobody relies on a process that the store itself has not answered within half of the time that a change may take, so there are no chains. Small zones ask as before. internal/relay is its shell, a kv.Service before the store; answers are compressed, since a configuration goes over a watcher's link once a process. The pause after word of changes moves there from the catalog. New setting platform.changes_within.

--- a/api/outcome.go
+++ b/api/outcome.go
@@ -32,6 +32,7 @@
 	CodeNoTable          ErrorCode = "no_table"          // 503
 	CodeNotLeader        ErrorCode = "not_leader"        // 503, internal
 	CodeNoQuorum         ErrorCode = "no_quorum"         // 503
+	CodeNoContact        ErrorCode = "no_contact"        // 503, internal: the key-value service does not answer
 	CodeLeaving          ErrorCode = "leaving"           // 503
 	CodePreempted        ErrorCode = "preempted"         // 503, batch only
 	CodeDiskFull         ErrorCode = "disk_full"         // 507
@@ -49,7 +50,7 @@
 var httpStatus = map[ErrorCode]int{
 	CodeBadRequest: 400, CodeTooLarge: 413, CodeNotFound: 404, CodeConflict: 409,
 	CodeUnknownService: 404, CodeCeiling: 429, CodeQueueFull: 429, CodeNoCapacity: 503, CodeNoTable: 503,
-	CodeNotLeader: 503, CodeNoQuorum: 503, CodeLeaving: 503, CodePreempted: 503,
+	CodeNotLeader: 503, CodeNoQuorum: 503, CodeNoContact: 503, CodeLeaving: 503, CodePreempted: 503,
 	CodeDiskFull: 507, CodeDeadline: 504, CodeUpstream: 502, CodeOutcomeUnknown: 502,
 	CodeClientCancelled: 499, CodeAlreadySubmitted: 409, CodeInternal: 500,
 	CodeOverloaded: 503, CodeRequestTimeout: 408,
--- a/cmd/dykewing/main.go
+++ b/cmd/dykewing/main.go
@@ -141,7 +141,7 @@
 		return nil
 	}
 	pace := kv.Paced(kv.Rates{Reads: settings.Platform.ReadsPerSecond, Writes: settings.Platform.WritesPerSecond})
-	store := platform.NewKeyValue(settings.Platform.StoreAddress, settings.Platform.Timeout, settings.Platform.Freshness*3/4)
+	store := platform.NewKeyValue(settings.Platform.StoreAddress, settings.Platform.Timeout, settings.Platform.LongWait())
 	store.Admit = pace.Wait
 	return &daemon.Platform{
 		KeyValue: store,
--- a/config/config.go
+++ b/config/config.go
@@ -124,12 +124,24 @@
 	// Freshness bounds how long a watch may wait without a word: what the store
 	// forgot to tell is found out within it.
 	Freshness time.Duration `koanf:"freshness" validate:"min=100ms,max=30s"`
+	// ChangesWithin is the time within which a change of the store's keys has to be
+	// known in every process that can be reached.
+	ChangesWithin time.Duration `koanf:"changes_within" validate:"min=500ms,max=1m"`
 	// ReadsPerSecond and WritesPerSecond are what the store takes of all processes
 	// together; each keeps to its part. 0 is no bound.
 	ReadsPerSecond  float64 `koanf:"reads_per_second" validate:"min=0,max=1000000"`
 	WritesPerSecond float64 `koanf:"writes_per_second" validate:"min=0,max=1000000"`
 }
 
+// longWaitShare of Freshness is how long a watch that a process keeps for itself
+// waits for changes.
+const longWaitShare = 0.75
+
+// LongWait is how long a process that asks the store only for itself lets it wait.
+func (p Platform) LongWait() time.Duration {
+	return time.Duration(longWaitShare * float64(p.Freshness))
+}
+
 // Batch sets how a leading store runs batch items.
 type Batch struct {
 	// ReportInterval is how often workers are asked for their load while items run.
@@ -236,7 +248,7 @@
 		Frontend: Frontend{
 			AddressLifetime: time.Second, ForgetFactor: 3, RetryAfter: 200 * time.Millisecond,
 		},
-		Platform: Platform{Timeout: time.Second, Freshness: 3 * time.Second},
+		Platform: Platform{Timeout: time.Second, Freshness: 3 * time.Second, ChangesWithin: 2 * time.Second},
 		Batch: Batch{
 			ReportInterval: 250 * time.Millisecond, Silence: 3 * time.Second, Retention: 24 * time.Hour,
 		},
--- /dev/null
+++ b/feed/feed.go
@@ -0,0 +1,232 @@
+// Package feed decides where a process learns the changes of a key-value service.
+// On a small fleet every process asks the service. Where that would cost more calls
+// a few watchers of each zone ask it, often, and the others of the zone ask these;
+// whoever finds that its watchers don't answer, or have no contact with the service,
+// asks another watcher and then the service.
+//
+// A Chooser is a pure machine: it has no input or output and no clock.
+package feed
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dykewing/dykewing/api"
+)
+
+// Member is a process of the own zone.
+type Member struct {
+	ID      api.NodeID
+	Address string // of its internal protocol, host:port
+	// Strong: it has room to serve others; such members are watchers first.
+	Strong bool
+}
+
+// Settings of a Chooser.
+type Settings struct {
+	Self     api.NodeID
+	Watchers int // of a zone
+	// LongWait is how long a question to the service waits for changes where the
+	// process asks for itself, ShortWait where it may ask for others.
+	LongWait  time.Duration
+	ShortWait time.Duration
+	// Fresh is how long a watcher may be without an answer of the service before
+	// others stop to rely on it.
+	Fresh time.Duration
+}
+
+// The parts of the time within which a change has to be known everywhere. A watcher
+// that is lost without a word is noticed within Fresh, and a second one and the
+// service are asked in what is left.
+const (
+	shortWaitShare = 0.3
+	gatherShare    = 0.15
+	freshShare     = 0.5
+)
+
+// watchersOfAZone is two: one that is lost leaves the other, which is in contact
+// already.
+const watchersOfAZone = 2
+
+// Within gives settings for a fleet where a change has to be known within a time.
+// longWait is how long a process that asks for itself may wait.
+func Within(self api.NodeID, apply, longWait time.Duration) Settings {
+	part := func(share float64) time.Duration { return time.Duration(share * float64(apply)) }
+	return Settings{Self: self, Watchers: watchersOfAZone, LongWait: longWait, ShortWait: part(shortWaitShare), Fresh: part(freshShare)}
+}
+
+// GatherPause is how long a watcher may let changes gather before it asks for more.
+func (s Settings) GatherPause() time.Duration {
+	return time.Duration(gatherShare / shortWaitShare * float64(s.ShortWait))
+}
+
+// Question is what is to be asked next.
+type Question struct {
+	Peer Member // zero: the service itself
+	// Wait is how long the answer may take while there is no change; 0: it comes at
+	// once.
+	Wait time.Duration
+	// NotBefore is when to ask.
+	NotBefore time.Time
+}
+
+// OfService tells whether the service itself is to be asked.
+func (q Question) OfService() bool { return q.Peer.ID == "" }
+
+// Outcome is how a question ended.
+type Outcome int
+
+// The outcomes.
+const (
+	Answered    Outcome = iota
+	Behind              // the peer has no contact with the service
+	Unreachable         // no answer
+)
+
+// Pauses before a source that has failed is asked again. Those of a peer are longer
+// than a round trip by far and shorter than what changes may take; a process that
+// asks for itself only since its watchers fail leaves a service that fails to them.
+const (
+	behindPause       = 300 * time.Millisecond
+	unreachablePause  = time.Second
+	firstServicePause = 50 * time.Millisecond
+	lastServicePause  = 500 * time.Millisecond
+	followerPause     = 2 * time.Second
+	mostDoublings     = 4
+)
+
+// Chooser is the machine of one process. Make it with New.
+type Chooser struct {
+	settings Settings
+	ranked   []Member // of the zone, watchers first
+	rank     int      // of this process
+	sources  map[api.NodeID]*source
+}
+
+// source is what is known of a peer, or under the empty id of the service.
+type source struct {
+	failures  int // in a row
+	notBefore time.Time
+}
+
+// New gives a chooser that knows of no other process.
+func New(settings Settings) *Chooser {
+	return &Chooser{settings: settings, sources: map[api.NodeID]*source{}}
+}
+
+// Members takes the processes of the zone that can be asked, this one among them.
+func (c *Chooser) Members(members []Member) {
+	c.ranked = slices.Clone(members)
+	slices.SortFunc(c.ranked, func(a, b Member) int {
+		return cmp.Or(-compareBool(a.Strong, b.Strong), cmp.Compare(xxhash.Sum64String(string(a.ID)), xxhash.Sum64String(string(b.ID))), cmp.Compare(a.ID, b.ID))
+	})
+	c.rank = slices.IndexFunc(c.ranked, func(m Member) bool { return m.ID == c.settings.Self })
+	known := map[api.NodeID]bool{"": true}
+	for _, member := range members {
+		known[member.ID] = true
+	}
+	for id := range c.sources {
+		if !known[id] {
+			delete(c.sources, id)
+		}
+	}
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
+// Shared tells whether watchers ask for the others: where these cost fewer calls
+// than all of the zone would.
+func (c *Chooser) Shared() bool {
+	alone := float64(len(c.ranked)) / c.settings.LongWait.Seconds()
+	return c.rank >= 0 && alone > float64(c.settings.Watchers)/c.settings.ShortWait.Seconds()
+}
+
+// Watching tells whether this process asks the service for others.
+func (c *Chooser) Watching() bool { return c.Shared() && c.rank < c.settings.Watchers }
+
+// Next gives the next question.
+func (c *Chooser) Next(now time.Time) Question {
+	var best Question
+	for i, peer := range c.order() {
+		question := c.question(now, peer)
+		if !question.NotBefore.After(now) {
+			return question
+		}
+		if i == 0 || question.NotBefore.Before(best.NotBefore) {
+			best = question
+		}
+	}
+	return best
+}
+
+// order is the peers and the service, the first choice first.
+func (c *Chooser) order() []Member {
+	service := Member{}
+	if !c.Shared() {
+		return []Member{service}
+	}
+	watchers := c.ranked[:min(c.settings.Watchers, len(c.ranked))]
+	if c.rank < len(watchers) {
+		others := slices.DeleteFunc(slices.Clone(watchers), func(m Member) bool { return m.ID == c.settings.Self })
+		return append([]Member{service}, others...)
+	}
+	// The others of the zone are spread over the watchers by their rank.
+	first := c.rank % len(watchers)
+	order := append(slices.Clone(watchers[first:]), watchers[:first]...)
+	return append(order, service)
+}
+
+func (c *Chooser) question(now time.Time, peer Member) Question {
+	question := Question{Peer: peer, NotBefore: now}
+	known := c.sources[peer.ID]
+	if known != nil && known.notBefore.After(now) {
+		question.NotBefore = known.notBefore
+	}
+	switch {
+	case question.OfService() && c.Shared():
+		question.Wait = c.settings.ShortWait
+	case question.OfService():
+		question.Wait = c.settings.LongWait
+	case known != nil && known.failures == 0:
+		question.Wait = c.settings.Fresh
+	}
+	return question
+}
+
+// Ended takes how a question ended.
+func (c *Chooser) Ended(now time.Time, question Question, outcome Outcome) {
+	known := c.sources[question.Peer.ID]
+	if known == nil {
+		known = &source{}
+		c.sources[question.Peer.ID] = known
+	}
+	if outcome == Answered {
+		*known = source{}
+		return
+	}
+	known.failures++
+	known.notBefore = now.Add(c.pauseAfter(question, outcome, known.failures))
+}
+
+func (c *Chooser) pauseAfter(question Question, outcome Outcome, failures int) time.Duration {
+	switch {
+	case question.OfService() && c.Shared() && !c.Watching():
+		return followerPause
+	case question.OfService():
+		return min(firstServicePause<<min(failures-1, mostDoublings), lastServicePause)
+	case outcome == Behind:
+		return behindPause
+	}
+	return unreachablePause
+}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -24,11 +24,6 @@
 const (
 	firstRetryDelay = 50 * time.Millisecond
 	lastRetryDelay  = 500 * time.Millisecond
-	// A pause follows each word of changes, so that many changes in a row, as when
-	// all workers of a fleet start, come with a few calls instead of one each. It
-	// doubles while there are changes each time, within what a change may take.
-	firstGatherPause = 400 * time.Millisecond
-	lastGatherPause  = time.Second
 )
 
 // Source says where configuration and workers stand and how they are read.
@@ -142,7 +137,6 @@
 		}
 		*whole, *revision = false, result.Revision
 	}
-	gather := firstGatherPause
 	return c.service.Watch(ctx, "", *revision, func(batch kv.Batch) {
 		answered()
 		c.contact()
@@ -152,12 +146,6 @@
 			}
 		}
 		*revision = max(*revision, batch.Revision)
-		if len(batch.Events) == 0 {
-			gather = firstGatherPause
-			return
-		}
-		pause(ctx, gather)
-		gather = min(2*gather, lastGatherPause)
 	})
 }
 
--- a/internal/catalog/lapse.go
+++ b/internal/catalog/lapse.go
@@ -9,7 +9,9 @@
 	// shortestOutage that can have let a registration lapse, where calls failed.
 	shortestOutage = 300 * time.Millisecond
 	// quietMargin is added to the longest that a sound watch says nothing.
-	quietMargin = lastGatherPause + 250*time.Millisecond
+	// It covers the pause of package relay after word of changes, which is a second
+	// at most.
+	quietMargin = 1250 * time.Millisecond
 )
 
 // outages tells by the answers of a service when it was away. The zero value has
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,12 +11,14 @@
 
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/config"
+	"github.com/dykewing/dykewing/feed"
 	"github.com/dykewing/dykewing/internal/backend"
 	"github.com/dykewing/dykewing/internal/batchrun"
 	"github.com/dykewing/dykewing/internal/catalog"
 	"github.com/dykewing/dykewing/internal/frontend"
 	"github.com/dykewing/dykewing/internal/kv"
 	"github.com/dykewing/dykewing/internal/node"
+	"github.com/dykewing/dykewing/internal/relay"
 	"github.com/dykewing/dykewing/internal/router"
 	"github.com/dykewing/dykewing/internal/sidecar"
 	"github.com/dykewing/dykewing/internal/store"
@@ -32,7 +34,7 @@
 // Platform is what a process needs of the platform it runs on: its store, its way
 // of speaking, and where configuration and workers stand.
 type Platform struct {
-	KeyValue kv.Service
+	KeyValue relay.Service
 	Protocol backend.Protocol
 	Source   catalog.Source
 	// Pace keeps KeyValue to this process's part of the store's rates; nil: none.
@@ -44,11 +46,7 @@
 // New binds addresses and opens disks; a fault is a clear error before
 // anything is served. platform may be nil for roles that run on none.
 func New(role api.Role, settings config.Settings, log *logrus.Logger, platform *Platform) (*Daemon, error) {
-	var options []node.Option
-	if platform != nil {
-		options = append(options, node.WithKeyValue(platform.KeyValue))
-	}
-	common, err := node.New(role, settings, log, options...)
+	common, err := newNode(role, settings, log, platform)
 	if err != nil {
 		return nil, err
 	}
@@ -84,6 +82,38 @@
 	return daemon, nil
 }
 
+// newNode builds the common part; on a platform, its processes bring each other what
+// the key-value service tells.
+func newNode(role api.Role, settings config.Settings, log *logrus.Logger, platform *Platform) (*node.Node, error) {
+	if platform == nil {
+		return node.New(role, settings, log)
+	}
+	var common *node.Node
+	members := func() []feed.Member { return feedMembers(common.Nodes(), settings.Node.Location()) }
+	within := feed.Within(api.NodeID(settings.Node.ID), settings.Platform.ChangesWithin, settings.Platform.LongWait())
+	changes := relay.New(platform.KeyValue, within, members, log.WithField("part", "feed").WithField("node", settings.Node.ID))
+	common, err := node.New(role, settings, log, node.WithKeyValue(changes))
+	if err != nil {
+		return nil, err
+	}
+	common.Registry.MustRegister(changes.Metrics())
+	common.Mux.HandleFunc("GET "+relay.PathChanges, changes.ServeChanges)
+	common.OnLeave(changes.Withdraw)
+	return common, nil
+}
+
+// feedMembers are the processes of a zone that can be asked for changes. Stores are
+// watchers first: their links carry a configuration to a whole zone at once.
+func feedMembers(nodes []api.Node, location api.Location) []feed.Member {
+	var members []feed.Member
+	for _, each := range nodes {
+		if each.Location == location && !each.Leaving && !each.Suspected {
+			members = append(members, feed.Member{ID: each.ID, Address: each.Address, Strong: each.Role == api.RoleStore})
+		}
+	}
+	return members
+}
+
 // newStore adds the role; on a platform, leaders run inline jobs.
 func newStore(common *node.Node, platform *Platform) (func(ctx context.Context) error, error) {
 	if platform == nil {
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,263 @@
+// Package relay brings the state of the platform's key-value service and its changes
+// to all processes of a fleet with few calls: it asks where package feed says, and
+// answers other processes from what this one has been told by the service itself.
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/feed"
+	"github.com/dykewing/dykewing/internal/kv"
+	"github.com/dykewing/dykewing/internal/transport"
+)
+
+// PathChanges is where a process tells others of its zone what the service told it.
+const PathChanges = "/internal/changes"
+
+// Names of a question's parameters.
+const (
+	parameterAfter = "after"   // a revision; without it the whole state is asked for
+	parameterWait  = "wait_ms" // for how long there may be no answer
+)
+
+const (
+	// peerGrace is added to what a peer may wait, for the way and its processor.
+	peerGrace = 300 * time.Millisecond
+	// wholeTimeout of a peer's whole state.
+	wholeTimeout = time.Second
+	// Pauses after word of changes, where a process asks for itself: many changes in
+	// a row, as when all workers of a fleet start, come with a few calls instead of
+	// one each. The pause doubles while there are changes each time, within what a
+	// change may take.
+	firstGatherPause = 400 * time.Millisecond
+	lastGatherPause  = time.Second
+	// peerConnections to each peer: one question and one whole state.
+	peerConnections  = 2
+	peerDialTimeout  = 300 * time.Millisecond
+	peerIdleLifetime = 30 * time.Second
+)
+
+// Service is a key-value service that can be asked once for changes of all keys.
+type Service interface {
+	kv.Service
+	// Poll gives the changes of all keys after a revision; one without events when
+	// there is none within wait.
+	Poll(ctx context.Context, prefix string, revision int64, wait time.Duration) (kv.Batch, error)
+}
+
+// Relay is the service with watches and whole reads shared among processes; every
+// other call goes to the service.
+type Relay struct {
+	Service
+	settings feed.Settings
+	log      *logrus.Entry
+	members  func() []feed.Member
+	client   *http.Client
+	mirror   *mirror
+	packed   packer
+	asked    *prometheus.CounterVec
+
+	// Only Range and Watch of all keys use these, one after the other.
+	chooser *feed.Chooser
+	source  string // where the last answer came from
+}
+
+// New gives a relay before service. members are the processes of the zone that can
+// be asked, this one among them.
+func New(service Service, settings feed.Settings, members func() []feed.Member, log *logrus.Entry) *Relay {
+	return &Relay{
+		Service: service, settings: settings, log: log, members: members, mirror: newMirror(), chooser: feed.New(settings),
+		client: transport.NewProbingClient(transport.Options{
+			ConnectionsPerHost: peerConnections, DialTimeout: peerDialTimeout, IdleLifetime: peerIdleLifetime, SilenceLimit: settings.Fresh, Compressed: true,
+		}),
+		asked: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "dykewing_feed_questions_total", Help: "Questions for changes of the key-value service, by whom they went to and how they ended.",
+		}, []string{"source", "outcome"}),
+	}
+}
+
+// Metrics are for the process's registry.
+func (r *Relay) Metrics() prometheus.Collector { return r.asked }
+
+// Withdraw lets others ask elsewhere; at the begin of a planned stop.
+func (r *Relay) Withdraw() { r.mirror.withdraw() }
+
+// Range reads a prefix; the state of all keys comes from a watcher where there is one.
+func (r *Relay) Range(ctx context.Context, prefix string) (kv.RangeResult, error) {
+	if prefix != "" {
+		return r.Service.Range(ctx, prefix)
+	}
+	r.chooser.Members(r.members())
+	question := r.chooser.Next(time.Now())
+	if !question.OfService() {
+		result, err := r.wholeOf(ctx, question.Peer)
+		r.ended(question, result.Revision, err)
+		if err == nil {
+			r.mirror.reset(result, false, time.Now())
+			return result, nil
+		}
+	}
+	result, err := r.Service.Range(ctx, prefix)
+	r.ended(feed.Question{}, result.Revision, err)
+	if err == nil {
+		r.mirror.reset(result, true, time.Now())
+	}
+	return result, err
+}
+
+// Watch delivers changes of all keys after a revision until the service itself fails
+// or changes are missed; the watchers' failures are followed by other questions.
+func (r *Relay) Watch(ctx context.Context, prefix string, revision int64, deliver func(kv.Batch)) error {
+	if prefix != "" {
+		return r.Service.Watch(ctx, prefix, revision, deliver)
+	}
+	gather := firstGatherPause
+	for {
+		r.chooser.Members(r.members())
+		question := r.chooser.Next(time.Now())
+		pause(ctx, time.Until(question.NotBefore))
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		batch, err := r.ask(ctx, question, revision)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		r.ended(question, batch.Revision, err)
+		if errors.Is(err, kv.ErrCompacted) || err != nil && question.OfService() {
+			return err
+		}
+		if err != nil {
+			continue
+		}
+		revision = max(revision, batch.Revision)
+		deliver(batch)
+		gather = r.gather(ctx, question, len(batch.Events) > 0, gather)
+	}
+}
+
+// ask puts one question; what is learned goes into the mirror.
+func (r *Relay) ask(ctx context.Context, question feed.Question, revision int64) (kv.Batch, error) {
+	if question.OfService() {
+		batch, err := r.Poll(ctx, "", revision, question.Wait)
+		if err == nil {
+			r.mirror.apply(batch, true, time.Now())
+		}
+		return batch, err
+	}
+	batch, err := r.changesOf(ctx, question, revision)
+	if err == nil {
+		r.mirror.apply(batch, false, time.Now())
+	}
+	return batch, err
+}
+
+// gather pauses after word of changes from the service, and gives the next pause.
+func (r *Relay) gather(ctx context.Context, question feed.Question, changed bool, next time.Duration) time.Duration {
+	if !changed || !question.OfService() {
+		return firstGatherPause
+	}
+	if r.chooser.Shared() {
+		pause(ctx, r.settings.GatherPause())
+		return firstGatherPause
+	}
+	pause(ctx, next)
+	return min(2*next, lastGatherPause)
+}
+
+// errBehind says that a peer has no contact with the service.
+var errBehind = errors.New("the peer has no contact with the service")
+
+// ended tells the chooser how a question ended and logs another source.
+func (r *Relay) ended(question feed.Question, revision int64, err error) {
+	outcome, label := feed.Unreachable, "failed"
+	switch {
+	case err == nil || errors.Is(err, kv.ErrCompacted):
+		outcome, label = feed.Answered, "answered"
+	case errors.Is(err, errBehind):
+		outcome, label = feed.Behind, "behind"
+	}
+	r.chooser.Ended(time.Now(), question, outcome)
+	kind, name := "peer", string(question.Peer.ID)
+	if question.OfService() {
+		kind, name = "service", "service"
+	}
+	r.asked.WithLabelValues(kind, label).Inc()
+	if outcome != feed.Answered && !question.OfService() {
+		r.log.WithFields(logrus.Fields{"event": "feed_failed", "source": name, "outcome": label}).WithError(err).Info("A watcher does not tell changes; asking elsewhere.")
+		return
+	}
+	if outcome == feed.Answered && r.source != name {
+		r.log.WithFields(logrus.Fields{
+			"event": "feed_source", "source": name, "before": r.source, "revision": revision, "watching": r.chooser.Watching(),
+		}).Info("Changes come from another source.")
+		r.source = name
+	}
+}
+
+// answer is the body of PathChanges.
+type answer struct {
+	Revision  int64      `json:"revision"`
+	Pairs     []kv.Pair  `json:"pairs,omitempty"`     // of a whole state
+	Events    []kv.Event `json:"events,omitempty"`    // after the revision that was asked for
+	Compacted bool       `json:"compacted,omitempty"` // changes after it are forgotten here
+}
+
+func (r *Relay) wholeOf(ctx context.Context, peer feed.Member) (kv.RangeResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, wholeTimeout)
+	defer cancel()
+	var state answer
+	if err := r.get(ctx, peer, url.Values{}, &state); err != nil {
+		return kv.RangeResult{}, err
+	}
+	return kv.RangeResult{Pairs: state.Pairs, Revision: state.Revision}, nil
+}
+
+func (r *Relay) changesOf(ctx context.Context, question feed.Question, revision int64) (kv.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, question.Wait+peerGrace)
+	defer cancel()
+	var changes answer
+	err := r.get(ctx, question.Peer, url.Values{
+		parameterAfter: {strconv.FormatInt(revision, 10)},
+		parameterWait:  {strconv.FormatInt(question.Wait.Milliseconds(), 10)},
+	}, &changes)
+	if err != nil {
+		return kv.Batch{}, err
+	}
+	if changes.Compacted {
+		return kv.Batch{}, fmt.Errorf("changes from %s after %d: %w", question.Peer.Address, revision, kv.ErrCompacted)
+	}
+	return kv.Batch{Events: changes.Events, Revision: changes.Revision}, nil
+}
+
+func (r *Relay) get(ctx context.Context, peer feed.Member, query url.Values, into *answer) error {
+	path := PathChanges
+	if len(query) > 0 {
+		path += "?" + query.Encode()
+	}
+	err := transport.Get(ctx, r.client, "ask for changes", peer.Address, path, into)
+	var failure *api.Error
+	if errors.As(err, &failure) && failure.Code == api.CodeNoContact {
+		return fmt.Errorf("%w: %w", errBehind, err)
+	}
+	return err
+}
+
+func pause(ctx context.Context, delay time.Duration) {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,331 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/feed"
+	"github.com/dykewing/dykewing/internal/kv"
+	"github.com/dykewing/dykewing/internal/relay"
+	"github.com/dykewing/dykewing/platform"
+	"github.com/dykewing/dykewing/platform/standin"
+)
+
+const (
+	patience = 30 * time.Second
+	apply    = time.Second
+	longWait = 2 * time.Second // so short that a zone of members shares
+	watchers = 2
+)
+
+// zone is some relays before one stand-in of the platform's store.
+type zone struct {
+	t     *testing.T
+	store *standin.Store
+	// watches counts the store's calls of watches.
+	watches atomic.Int64
+	refuse  sync.Map // ids of members whose calls the store turns away
+	members []feed.Member
+	nodes   []*node
+}
+
+type node struct {
+	id     string
+	relay  *relay.Relay
+	server *httptest.Server
+	frozen atomic.Bool
+	asked  atomic.Int64 // by other members
+
+	mutex    sync.Mutex
+	revision int64
+	seen     map[string]string
+}
+
+// turnedAway is the store as a member whose calls may be refused sees it.
+type turnedAway struct {
+	relay.Service
+	zone *zone
+	id   string
+}
+
+func (s turnedAway) refused() bool {
+	_, refused := s.zone.refuse.Load(s.id)
+	return refused
+}
+
+func (s turnedAway) Poll(ctx context.Context, prefix string, revision int64, wait time.Duration) (kv.Batch, error) {
+	s.zone.watches.Add(1)
+	if s.refused() {
+		return kv.Batch{}, errors.New("turned away")
+	}
+	batch, err := s.Service.Poll(ctx, prefix, revision, wait)
+	if s.refused() {
+		return kv.Batch{}, errors.New("turned away")
+	}
+	return batch, err
+}
+
+func (s turnedAway) Range(ctx context.Context, prefix string) (kv.RangeResult, error) {
+	if s.refused() {
+		return kv.RangeResult{}, errors.New("turned away")
+	}
+	return s.Service.Range(ctx, prefix)
+}
+
+func newZone(t *testing.T, count int) *zone {
+	z := &zone{t: t, store: standin.NewStore()}
+	server := httptest.NewServer(z.store)
+	t.Cleanup(server.Close)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	for i := range count {
+		n := &node{id: fmt.Sprint("node-", i), seen: map[string]string{}}
+		n.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			n.asked.Add(1)
+			for n.frozen.Load() && r.Context().Err() == nil {
+				time.Sleep(time.Millisecond)
+			}
+			n.relay.ServeChanges(w, r)
+		}))
+		t.Cleanup(n.server.Close)
+		z.members = append(z.members, feed.Member{ID: api.NodeID(n.id), Address: strings.TrimPrefix(n.server.URL, "http://"), Strong: i < watchers})
+		client := platform.NewKeyValue(strings.TrimPrefix(server.URL, "http://"), time.Second, time.Second)
+		settings := feed.Within(api.NodeID(n.id), apply, longWait)
+		n.relay = relay.New(turnedAway{Service: client, zone: z, id: n.id}, settings, func() []feed.Member { return z.members }, logrus.NewEntry(log))
+		z.nodes = append(z.nodes, n)
+	}
+	return z
+}
+
+// start lets all members follow the store until the test ends.
+func (z *zone) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for _, n := range z.nodes {
+		running.Go(func() { n.follow(ctx) })
+	}
+	z.t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+}
+
+// follow reads everything and watches, as package catalog does.
+func (n *node) follow(ctx context.Context) {
+	whole := true
+	for ctx.Err() == nil {
+		if whole {
+			result, err := n.relay.Range(ctx, "")
+			if err != nil {
+				time.Sleep(time.Millisecond)
+				continue
+			}
+			n.takeWhole(result)
+		}
+		n.mutex.Lock()
+		revision := n.revision
+		n.mutex.Unlock()
+		err := n.relay.Watch(ctx, "", revision, n.take)
+		whole = errors.Is(err, kv.ErrCompacted)
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (n *node) takeWhole(result kv.RangeResult) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.revision = result.Revision
+	clear(n.seen)
+	for _, pair := range result.Pairs {
+		n.seen[pair.Key] = string(pair.Value)
+	}
+}
+
+func (n *node) take(batch kv.Batch) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	for _, event := range batch.Events {
+		if event.Deleted {
+			delete(n.seen, event.Pair.Key)
+		} else {
+			n.seen[event.Pair.Key] = string(event.Pair.Value)
+		}
+	}
+	n.revision = max(n.revision, batch.Revision)
+}
+
+func (n *node) value(key string) string {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.seen[key]
+}
+
+func (z *zone) await(what string, done func() bool) {
+	z.t.Helper()
+	for deadline := time.Now().Add(patience); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			z.t.Fatalf("waited in vain for %s", what)
+		}
+	}
+}
+
+// allKnow waits until the members hold a value; those that skip names are left out.
+func (z *zone) allKnow(key, value string, skip ...int) {
+	z.t.Helper()
+	for i, n := range z.nodes {
+		left := false
+		for _, each := range skip {
+			left = left || each == i
+		}
+		if !left {
+			z.await(fmt.Sprintf("%s=%q at %s", key, value, n.id), func() bool { return n.value(key) == value })
+		}
+	}
+}
+
+const members = 24
+
+func TestFewMembersAskTheStore(t *testing.T) {
+	z := newZone(t, members)
+	z.start()
+	z.store.Put("op/config", []byte("1"))
+	z.allKnow("op/config", "1")
+	// From now on only the watchers ask: one call for a change each, and those that
+	// end without a change.
+	z.await("all members at a watcher", func() bool { return z.nodes[0].asked.Load()+z.nodes[1].asked.Load() > 2*members })
+	before, changes := z.watches.Load(), 20
+	for i := range changes {
+		value := fmt.Sprint(i + 2)
+		z.store.Put("op/config", []byte(value))
+		z.allKnow("op/config", value)
+	}
+	if calls := z.watches.Load() - before; calls > int64(members*changes)/4 {
+		t.Errorf("%d calls for %d changes at %d members", calls, changes, members)
+	}
+}
+
+func TestDeletionsAndLargeValuesReachAll(t *testing.T) {
+	z := newZone(t, members)
+	z.start()
+	large := strings.Repeat("a route and another, ", 20_000)
+	z.store.Put("op/config", []byte(large))
+	z.allKnow("op/config", large)
+	z.store.Remove("op/config")
+	z.allKnow("op/config", "")
+}
+
+func TestLostWatchersAreReplaced(t *testing.T) {
+	tests := []struct {
+		name string
+		lose func(z *zone, i int)
+	}{
+		{"killed", func(z *zone, i int) { z.nodes[i].server.CloseClientConnections(); z.nodes[i].server.Listener.Close() }},
+		{"frozen", func(z *zone, i int) { z.nodes[i].frozen.Store(true) }},
+		{"leaving", func(z *zone, i int) { z.nodes[i].relay.Withdraw() }},
+		{"turned away by the store", func(z *zone, i int) { z.refuse.Store(z.nodes[i].id, true) }},
+	}
+	for _, test := range tests {
+		for _, lost := range []int{1, watchers} {
+			t.Run(fmt.Sprintf("%s, %d of %d", test.name, lost, watchers), func(t *testing.T) {
+				z := newZone(t, members)
+				z.start()
+				z.store.Put("op/config", []byte("1"))
+				z.allKnow("op/config", "1")
+				for i := range lost {
+					test.lose(z, i)
+				}
+				z.store.Put("op/config", []byte("2"))
+				var skip []int
+				if lost == watchers && test.name == "turned away by the store" {
+					skip = []int{0, 1} // they have only each other; they learn it below
+				}
+				z.allKnow("op/config", "2", skip...)
+				for _, n := range z.nodes {
+					n.frozen.Store(false)
+					z.refuse.Delete(n.id)
+				}
+				z.store.Put("op/config", []byte("3"))
+				z.allKnow("op/config", "3")
+			})
+		}
+	}
+}
+
+// A member that asks for changes that the watcher has forgotten reads everything.
+func TestWhoIsFarBehindReadsTheWholeState(t *testing.T) {
+	const changes = 3000 // more than a watcher keeps
+	z := newZone(t, members)
+	z.store.Put("op/config", []byte("0"))
+	z.start()
+	z.allKnow("op/config", "0")
+	sleeper := z.nodes[members-1]
+	sleeper.mutex.Lock() // its take waits
+	for i := range changes {
+		z.store.Put(fmt.Sprint("key/", i%7), []byte(fmt.Sprint(i)))
+	}
+	z.store.Put("op/config", []byte("1"))
+	z.allKnow("op/config", "1", members-1)
+	if body := z.nodes[0].tell(t, "?after=1&wait_ms=0"); !strings.Contains(body, `"compacted":true`) {
+		t.Errorf("%d changes later the watcher tells %.200s", changes, body)
+	}
+	sleeper.mutex.Unlock()
+	z.allKnow("op/config", "1")
+	z.allKnow("key/3", fmt.Sprint(changes-1))
+}
+
+// tell asks a member as others do.
+func (n *node) tell(t *testing.T, query string) string {
+	t.Helper()
+	response, err := http.Get(n.server.URL + relay.PathChanges + query)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(body)
+}
+
+func TestAQuestionThatCannotBeReadIsRefused(t *testing.T) {
+	z := newZone(t, members)
+	tests := []struct{ query string }{{"?after=x&wait_ms=0"}, {"?after=1"}, {"?after=1&wait_ms=-1"}, {"?after=1&wait_ms=soon"}}
+	for _, test := range tests {
+		response, err := http.Get(z.nodes[0].server.URL + relay.PathChanges + test.query)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response.Body.Close()
+		if response.StatusCode != http.StatusBadRequest {
+			t.Errorf("%s: status %d", test.query, response.StatusCode)
+		}
+	}
+}
+
+// A process that the service has not answered tells nothing.
+func TestWithoutContactNothingIsTold(t *testing.T) {
+	z := newZone(t, members)
+	for _, query := range []string{"", "?after=0&wait_ms=0"} {
+		response, err := http.Get(z.nodes[0].server.URL + relay.PathChanges + query)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response.Body.Close()
+		if response.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("%q: status %d", query, response.StatusCode)
+		}
+	}
+}
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -44,6 +44,8 @@
 	// SilenceLimit is about how long a peer may not answer the probes of the
 	// network before a connection counts as broken.
 	SilenceLimit time.Duration
+	// Compressed: answers may come compressed; they are read as if they had not.
+	Compressed bool
 }
 
 // probes of a silent connection before it is given up.
@@ -59,6 +61,7 @@
 	pool := client.Transport.(*http.Transport)
 	pool.DialContext = countingDial(dialer)
 	pool.IdleConnTimeout = options.IdleLifetime
+	pool.DisableCompression = !options.Compressed
 	return client
 }
 
