--- a/internal/frontend/online.go
+++ b/internal/frontend/online.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	// maximumSends of one request, counting workers that did not take it.
+	// maximumSends of one request in a row, counting workers that did not take it.
 	maximumSends = 5
 	// leastLeft is the time below which nothing is sent any more.
 	leastLeft = 20 * time.Millisecond
@@ -54,15 +54,20 @@
 	x.service = f.draw(x.route)
 	x.lastEvent = x.request.LastEvent
 	last := attemptResult{failure: api.NewError("choose worker", "", api.CodeNoCapacity, api.OutcomeNotRun, "no worker of %s takes it", x.service)}
-	for x.sends < maximumSends {
+	room := roomWait{sends: maximumSends}
+	for {
 		ticket, ok := x.take(ctx)
 		if !ok {
 			if x.callerLeft() {
 				x.gone("wait for worker", x.r.Context().Err())
 			}
+			if x.awaitRoom(ctx, &room, last) {
+				continue
+			}
 			break
 		}
 		x.sends++
+		room.sends--
 		x.frontend.sharing.noteFull(ticket)
 		last = x.attempt(ctx, ticket)
 		f.metrics.attempts.WithLabelValues(last.verdict.String()).Inc()
@@ -74,7 +79,7 @@
 		if x.callerLeft() {
 			x.gone("send to worker", x.r.Context().Err())
 		}
-		if !x.maySendAgain(last) {
+		if !x.maySendAgain(last) || room.sends == 0 && !x.awaitRoom(ctx, &room, last) {
 			break
 		}
 		x.note("request_retried", last.failure).WithField("worker", ticket.Worker.ID).WithField("load", ticket.Load).
@@ -178,6 +183,7 @@
 	} else {
 		ticket.Full()
 	}
+	x.turnedAwayBy = append(x.turnedAwayBy, ticket.Worker.ID)
 	_, _ = io.Copy(io.Discard, io.LimitReader(incoming.Response.Body, engine.MaximumEventBytes))
 	failure := api.NewError("send to worker", ticket.Worker.ID, api.CodeNoCapacity, api.OutcomeNotRun, "turned away with status %d", incoming.Response.StatusCode)
 	return attemptResult{verdict: notRun, failure: failure}
--- a/internal/frontend/serve.go
+++ b/internal/frontend/serve.go
@@ -78,11 +78,14 @@
 	arrived  time.Time
 	deadline time.Time
 
-	runs      int      // sends that may have run
-	sends     int      // all sends
-	tried     []string // workers that did not take it, or broke
-	begun     bool     // a byte of the answer has gone to the caller
-	lastEvent string   // id of the last whole event that went to the caller
+	runs  int      // sends that may have run
+	sends int      // all sends
+	tried []string // workers that did not take it, or broke
+	// turnedAwayBy are those of tried that said to have no room.
+	turnedAwayBy []string
+
+	begun     bool   // a byte of the answer has gone to the caller
+	lastEvent string // id of the last whole event that went to the caller
 	events    int
 	first     time.Duration // until the first byte for the caller
 }
