--- a/internal/integration/processes_test.go
+++ b/internal/integration/processes_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -16,6 +15,7 @@
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/config"
 	"github.com/dykewing/dykewing/internal/kv"
+	"github.com/dykewing/dykewing/internal/standin/address"
 	"github.com/dykewing/dykewing/internal/standin/engine"
 	"github.com/dykewing/dykewing/internal/standin/keyvalue"
 	"github.com/dykewing/dykewing/internal/standin/machinelist"
@@ -118,19 +118,10 @@
 	}
 }
 
-func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 func (f *fleet) define(role string, count int) {
 	for i := range count {
 		name := fmt.Sprintf("%s-%d", role, i)
-		f.processes[name] = &process{name: name, role: role, address: freeAddress(f.t), callers: freeAddress(f.t), file: filepath.Join(f.folder, name+".yaml")}
+		f.processes[name] = &process{name: name, role: role, address: address.New().String(), callers: address.New().String(), file: filepath.Join(f.folder, name+".yaml")}
 		f.names = append(f.names, name)
 	}
 }
--- a/internal/prove/fleet_test.go
+++ b/internal/prove/fleet_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -21,6 +20,7 @@
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/config"
 	"github.com/dykewing/dykewing/internal/kv"
+	"github.com/dykewing/dykewing/internal/standin/address"
 	"github.com/dykewing/dykewing/internal/standin/engine"
 	"github.com/dykewing/dykewing/internal/standin/keyvalue"
 	"github.com/dykewing/dykewing/internal/standin/machinelist"
@@ -186,21 +186,10 @@
 log: {level: info}
 `))
 
-// freeAddress finds a port that nobody has now.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 func (f *fleet) add(role api.Role, number, replicas int) {
 	name := fmt.Sprintf("%s-%d", role, number)
 	p := &process{
-		name: name, role: role, address: freeAddress(f.t), callers: freeAddress(f.t),
+		name: name, role: role, address: address.New().String(), callers: address.New().String(),
 		settings: filepath.Join(f.folder, name+".yaml"), log: filepath.Join(f.folder, name+".log"),
 	}
 	var peers []string
