A batch job with items that can't be told apart or counted is refused

Cause: items without an id, two of one id, negative tokens and more than 200 items were taken with 202; negative tokens lowered what a route's bound counts, so that later jobs were refused or taken wrongly. Found by a test of bad input.

Change: jobs.CheckInline says why a job can't be taken; the frontend answers 400 with it before anything is kept.

Result: TestABatchJobThatCannotBeTakenIsRefused: 5 of 9 cases failed before (202, the job kept, a job that fitted the bound refused), all pass after.

--- a/internal/frontend/jobs.go
+++ b/internal/frontend/jobs.go
@@ -31,8 +31,11 @@
 func (x *exchange) submitJob() {
 	f := x.frontend
 	items, err := f.protocol.DecodeJob(x.body)
-	if err != nil || len(items) == 0 || x.request.ID == "" {
-		x.refuse(api.NewError("decode batch job", "", api.CodeBadRequest, api.OutcomeNotRun, "no items or no id: %v", err))
+	if err == nil {
+		err = jobs.CheckInline(jobs.JobID(x.request.ID), items)
+	}
+	if err != nil {
+		x.refuse(api.NewError("decode batch job", "", api.CodeBadRequest, api.OutcomeNotRun, "%w", err))
 		return
 	}
 	ctx, cancel := context.WithTimeout(x.r.Context(), min(x.left(), submitTimeout))
