Requests carry a key of a tenant; batch jobs belong to tenants

Cause: nothing read the tenants of a configuration.

Change: route.Tenant with keys kept as digests only; a request without a key in force gets 401 before its body is read, or 503 where the process has been out of contact and can't know newer keys. Workers are told the tenant's name and never the key, or a tenant that the caller or an item's header names. A job's tenant stands in its state: others get what an unknown job gets. The bound of queued tokens is each tenant's own.

--- a/api/outcome.go
+++ b/api/outcome.go
@@ -22,11 +22,13 @@
 // The error codes that callers, operators and other nodes see.
 const (
 	CodeBadRequest       ErrorCode = "bad_request"       // 400
+	CodeUnauthorized     ErrorCode = "unauthorized"      // 401: no key that is in force
 	CodeTooLarge         ErrorCode = "request_too_large" // 413
 	CodeNotFound         ErrorCode = "not_found"         // 404
 	CodeConflict         ErrorCode = "conflict"          // 409
 	CodeUnknownService   ErrorCode = "model_not_found"   // 404
 	CodeCeiling          ErrorCode = "ceiling_reached"   // 429
+	CodeRateLimit        ErrorCode = "rate_limit"        // 429: more requests than the tenant's limit
 	CodeQueueFull        ErrorCode = "queue_full"        // 429: more waits than the route's bound
 	CodeNoCapacity       ErrorCode = "no_capacity"       // 503
 	CodeNoTable          ErrorCode = "no_table"          // 503
@@ -48,8 +50,8 @@
 
 // httpStatus maps each code to the status it is answered with.
 var httpStatus = map[ErrorCode]int{
-	CodeBadRequest: 400, CodeTooLarge: 413, CodeNotFound: 404, CodeConflict: 409,
-	CodeUnknownService: 404, CodeCeiling: 429, CodeQueueFull: 429, CodeNoCapacity: 503, CodeNoTable: 503,
+	CodeBadRequest: 400, CodeUnauthorized: 401, CodeTooLarge: 413, CodeNotFound: 404, CodeConflict: 409,
+	CodeUnknownService: 404, CodeCeiling: 429, CodeRateLimit: 429, CodeQueueFull: 429, CodeNoCapacity: 503, CodeNoTable: 503,
 	CodeNotLeader: 503, CodeNoQuorum: 503, CodeNoContact: 503, CodeLeaving: 503, CodePreempted: 503,
 	CodeDiskFull: 507, CodeDeadline: 504, CodeUpstream: 502, CodeOutcomeUnknown: 502,
 	CodeClientCancelled: 499, CodeAlreadySubmitted: 409, CodeInternal: 500,
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/dykewing/dykewing/jobs"
+	"github.com/dykewing/dykewing/route"
 	"github.com/dykewing/dykewing/worker"
 )
 
@@ -19,6 +20,8 @@
 	Parts        []worker.Part // of the prompt, in order
 	PromptTokens int
 	OutputTokens int // estimate; 0: not told
+	Key          route.Key
+	HasKey       bool // Key is told, once and in the right form
 }
 
 // Call is what the system tells a worker with a request.
@@ -27,6 +30,10 @@
 	Left      time.Duration // after which the worker may stop
 	Worker    string        // the only one that may run it
 	LastEvent string        // go on after it; empty: as the client sent it
+	// Tenants: the configuration has tenants, so that neither a key nor a tenant that
+	// the client named may reach the worker. Tenant is whose the request is, if known.
+	Tenants bool
+	Tenant  string
 }
 
 // Answer is what a worker says with an answer's header.
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -121,7 +121,7 @@
 	defer watch.stop()
 	incoming, failure := l.service.caller.Send(watch.ctx, backend.Outgoing{
 		Method: http.MethodPost, Path: path, Query: query, Host: i.host, Header: headerOf(stored), Body: stored.Body,
-		Call: backend.Call{ID: stored.ID, LastEvent: i.last}, ID: stored.ID, Worker: ticket.Worker,
+		Call: backend.Call{ID: stored.ID, LastEvent: i.last, Tenants: l.service.hasTenants(), Tenant: string(i.job.Tenant)}, ID: stored.ID, Worker: ticket.Worker,
 	})
 	if failure != nil {
 		if failure.Code == api.CodeUpstream {
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -166,6 +166,13 @@
 	return matched, true, found
 }
 
+// hasTenants tells whether workers are told whose an item is, and never what the
+// job's caller says of it.
+func (s *Service) hasTenants() bool {
+	configuration := s.catalog.Configuration()
+	return configuration != nil && configuration.HasTenants()
+}
+
 type metrics struct {
 	items    *prometheus.CounterVec // by outcome
 	attempts *prometheus.CounterVec // by verdict
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -60,6 +60,7 @@
 	configuration atomic.Pointer[route.Configuration]
 	raw           atomic.Pointer[[]byte] // of the configuration in force
 	changedAt     atomic.Int64           // Unix nanoseconds
+	contactAt     atomic.Int64           // of the service's last word, in Unix nanoseconds
 	adopting      sync.Mutex
 }
 
@@ -92,6 +93,13 @@
 	return time.Since(time.Unix(0, c.changedAt.Load()))
 }
 
+// OutOfContact tells that the service has said nothing for longer than a sound watch
+// is silent: changes may have been made that are not known here.
+func (c *Catalog) OutOfContact() bool {
+	silent := time.Since(time.Unix(0, c.contactAt.Load()))
+	return c.outages.freshness > 0 && silent > c.outages.freshness+quietMargin
+}
+
 // Run watches until ctx ends.
 func (c *Catalog) Run(ctx context.Context) { c.follow(ctx) }
 
@@ -190,6 +198,7 @@
 
 func (c *Catalog) contact() {
 	c.outages.answered(time.Now())
+	c.contactAt.Store(time.Now().UnixNano())
 	if c.failing {
 		c.failing = false
 		c.log.WithField("event", "dependency_regained").Info("The key-value service answers again.")
@@ -226,8 +235,12 @@
 	c.raw.Store(&raw)
 	c.configuration.Store(decoded)
 	c.log.WithFields(logrus.Fields{
-		"event": "configuration_changed", "version": decoded.Version, "before": before, "routes": len(decoded.Routes), "from": from,
+		"event": "configuration_changed", "version": decoded.Version, "before": before, "routes": len(decoded.Routes),
+		"tenants": decoded.Tenants(), "from": from,
 	}).Info("A newer configuration is in force.")
+	for _, problem := range decoded.Problems {
+		c.log.WithFields(logrus.Fields{"event": "configuration_problem", "version": decoded.Version}).WithError(problem).Error("A part of the configuration is not in force.")
+	}
 	c.listener.ConfigurationChanged(decoded)
 	return nil
 }
--- a/internal/frontend/jobs.go
+++ b/internal/frontend/jobs.go
@@ -45,7 +45,7 @@
 		return
 	}
 	command := jobs.Command{SubmitInline: &jobs.SubmitInline{
-		Job: jobs.JobID(x.request.ID), Host: hostOf(x.r), Queue: x.queue(), Items: items, RunTarget: x.route.RunTarget, Keep: x.route.Keep,
+		Job: jobs.JobID(x.request.ID), Tenant: api.TenantID(x.identity.tenant.Name), Host: hostOf(x.r), Queue: x.queue(), Items: items, RunTarget: x.route.RunTarget, Keep: x.route.Keep,
 		Retain: max(x.route.Keep, f.node.Settings.Batch.Retention) + retainMargin,
 	}}
 	result, err := f.stores.Command(ctx, f.group(x.request.ID), command)
@@ -67,6 +67,7 @@
 	switch {
 	case failure.Outcome != api.OutcomeNotRun:
 		failure.Code = api.CodeDeadline
+	case failure.Code == api.CodeConflict:
 	case failure.Code == api.CodeQueueFull:
 		failure.RetryAfter = queueRetryAfter
 	default:
@@ -78,22 +79,26 @@
 
 // serveJobCall answers a call about a job that was submitted before.
 func (f *Frontend) serveJobCall(w http.ResponseWriter, r *http.Request, call backend.JobCall) {
+	tenant, ok := f.identifyJobCall(w, r, call)
+	if !ok {
+		return
+	}
 	switch call.Action {
 	case backend.JobRead:
-		f.serveResults(w, r, call)
+		f.serveResults(w, r, call, tenant)
 	case backend.JobItem:
-		f.serveItem(w, r, call)
+		f.serveItem(w, r, call, tenant)
 	case backend.JobEnd:
-		f.serveEnd(w, r, call)
+		f.serveEnd(w, r, call, tenant)
 	}
 }
 
-func (f *Frontend) serveResults(w http.ResponseWriter, r *http.Request, call backend.JobCall) {
+func (f *Frontend) serveResults(w http.ResponseWriter, r *http.Request, call backend.JobCall, tenant api.TenantID) {
 	ctx, cancel := context.WithTimeout(r.Context(), readTimeout)
 	defer cancel()
 	group := f.group(call.Job)
 	var page jobs.InlinePage
-	if err := f.stores.Read(ctx, group, storeclient.InlineResultsPath(group, call.Job, call.From), &page); err != nil {
+	if err := f.stores.Read(ctx, group, storeclient.InlineResultsPath(group, tenant, call.Job, call.From), &page); err != nil {
 		f.jobFailed(w, "read results", call, err)
 		return
 	}
@@ -106,12 +111,12 @@
 	_, _ = w.Write(body)
 }
 
-func (f *Frontend) serveItem(w http.ResponseWriter, r *http.Request, call backend.JobCall) {
+func (f *Frontend) serveItem(w http.ResponseWriter, r *http.Request, call backend.JobCall, tenant api.TenantID) {
 	ctx, cancel := context.WithTimeout(r.Context(), readTimeout)
 	defer cancel()
 	group := f.group(call.Job)
 	var item jobs.InlineItem
-	if err := f.stores.Read(ctx, group, storeclient.InlineItemPath(group, call.Job, call.Item), &item); err != nil {
+	if err := f.stores.Read(ctx, group, storeclient.InlineItemPath(group, tenant, call.Job, call.Item), &item); err != nil {
 		f.jobFailed(w, "read item", call, err)
 		return
 	}
@@ -119,10 +124,10 @@
 	_, _ = w.Write(item.Body)
 }
 
-func (f *Frontend) serveEnd(w http.ResponseWriter, r *http.Request, call backend.JobCall) {
+func (f *Frontend) serveEnd(w http.ResponseWriter, r *http.Request, call backend.JobCall, tenant api.TenantID) {
 	ctx, cancel := context.WithTimeout(r.Context(), endTimeout)
 	defer cancel()
-	command := jobs.Command{EndInline: &jobs.EndInline{Job: jobs.JobID(call.Job)}}
+	command := jobs.Command{EndInline: &jobs.EndInline{Job: jobs.JobID(call.Job), Tenant: tenant}}
 	if _, err := f.stores.Command(ctx, f.group(call.Job), command); err != nil {
 		f.jobFailed(w, "end job", call, err)
 		return
@@ -131,13 +136,16 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// jobFailed answers 404 only when the job's group is sure that there is none.
+// jobFailed answers 404 only when the job's group is sure that the tenant has none.
 func (f *Frontend) jobFailed(w http.ResponseWriter, step string, call backend.JobCall, err error) {
 	failure := api.AsError(step, err)
 	status := http.StatusServiceUnavailable
 	if failure.Code == api.CodeNotFound && failure.Outcome == api.OutcomeNotRun {
 		status = http.StatusNotFound
 	}
+	if failure.Code == api.CodeUnauthorized {
+		status = http.StatusUnauthorized
+	}
 	f.log.WithFields(logrus.Fields{
 		"event": "job_call_failed", "request": call.Job, "item": call.Item, "from": call.From, "step": step, "status": status,
 		"code": failure.Code, "peer": failure.Peer,
--- a/internal/frontend/online.go
+++ b/internal/frontend/online.go
@@ -66,6 +66,11 @@
 			}
 			break
 		}
+		if x.keyGone() {
+			ticket.End()
+			x.refuse(x.frontend.unknownKey(x.request))
+			return
+		}
 		x.sends++
 		room.sends--
 		x.frontend.sharing.noteFull(ticket)
@@ -131,7 +136,7 @@
 	defer ticket.End()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	call := backend.Call{Left: time.Until(x.deadline)}
+	call := backend.Call{Left: time.Until(x.deadline), Tenants: x.identity.tenants, Tenant: x.identity.tenant.Name}
 	if x.events > 0 {
 		call.LastEvent = x.lastEvent
 	}
--- a/internal/frontend/queue.go
+++ b/internal/frontend/queue.go
@@ -16,7 +16,9 @@
 const queueRetryAfter = time.Second
 
 // queue names what the job's items wait in.
-func (x *exchange) queue() jobs.QueueName { return jobs.QueueName(x.route.Queue()) }
+func (x *exchange) queue() jobs.QueueName {
+	return jobs.QueueName(x.route.Queue(x.identity.tenant.Name))
+}
 
 // admitToQueue counts a job at its queue's home before it is submitted. The error
 // is of a job that does not fit, or that could not be counted; nothing of it has
@@ -45,7 +47,7 @@
 func (x *exchange) queueFull(ctx context.Context, command jobs.AdmitToQueue, refusal *api.Error) *api.Error {
 	group := x.frontend.group(x.request.ID)
 	var page jobs.InlinePage
-	err := x.frontend.stores.Read(ctx, group, storeclient.InlineResultsPath(group, x.request.ID, 0), &page)
+	err := x.frontend.stores.Read(ctx, group, storeclient.InlineResultsPath(group, api.TenantID(x.identity.tenant.Name), x.request.ID, 0), &page)
 	if err == nil {
 		return nil
 	}
--- a/internal/frontend/serve.go
+++ b/internal/frontend/serve.go
@@ -47,6 +47,11 @@
 		return
 	}
 	x.route = matched
+	x.identity, ok = f.identify(configuration, x.request, matched.Public)
+	if !ok {
+		x.refuse(f.unknownKey(x.request))
+		return
+	}
 	if !x.readBody(configuration.Limits.BodyBytes) {
 		return
 	}
@@ -72,6 +77,7 @@
 	r        *http.Request
 	request  backend.Request
 	route    route.Route
+	identity identity
 	version  int64 // of the configuration that matched
 	service  string
 	body     []byte
@@ -185,7 +191,7 @@
 // note gives a log line about the request with all that decided.
 func (x *exchange) note(event string, failure *api.Error) *logrus.Entry {
 	entry := x.frontend.log.WithFields(logrus.Fields{
-		"event": event, "request": x.request.ID, "route": x.route.Name, "service": x.service, "version": x.version,
+		"event": event, "request": x.request.ID, "route": x.route.Name, "service": x.service, "tenant": x.identity.tenant.Name, "version": x.version,
 		"sends": x.sends, "runs": x.runs, "events": x.events,
 		"age_ms": time.Since(x.arrived).Milliseconds(), "left_ms": time.Until(x.deadline).Milliseconds(),
 	})
--- a/internal/store/inline.go
+++ b/internal/store/inline.go
@@ -6,6 +6,7 @@
 
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/internal/dispatch"
+	"github.com/dykewing/dykewing/internal/storeclient"
 	"github.com/dykewing/dykewing/jobs"
 )
 
@@ -27,15 +28,19 @@
 
 func serveInlineResults(w http.ResponseWriter, r *http.Request, group *group) {
 	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
-	page, found, err := group.jobs.InlineResults(jobs.JobID(r.PathValue("id")), max(from, 0), inlinePageBytes)
+	page, found, err := group.jobs.InlineResults(jobs.JobID(r.PathValue("id")), tenantOf(r), max(from, 0), inlinePageBytes)
 	if err == nil && !found {
 		err = notFound("batch", r.PathValue("id"))
 	}
 	writeRead(w, "read results", page, err)
 }
 
+func tenantOf(r *http.Request) api.TenantID {
+	return api.TenantID(r.URL.Query().Get(storeclient.ParameterTenant))
+}
+
 func serveInlineItem(w http.ResponseWriter, r *http.Request, group *group) {
-	item, found, err := group.jobs.InlineItemByID(jobs.JobID(r.PathValue("id")), r.URL.Query().Get("id"))
+	item, found, err := group.jobs.InlineItemByID(jobs.JobID(r.PathValue("id")), tenantOf(r), r.URL.Query().Get("id"))
 	if err == nil && !found {
 		err = notFound("item", r.URL.Query().Get("id"))
 	}
--- a/internal/storeclient/paths.go
+++ b/internal/storeclient/paths.go
@@ -56,14 +56,20 @@
 	return groupPath(group, fmt.Sprintf("files/%s/lines?from=%d", file, from))
 }
 
+// ParameterTenant names whose an inline job must be to be found; a job of nobody is
+// everybody's.
+const ParameterTenant = "tenant"
+
 // InlineResultsPath reads a jobs.InlinePage from a position on.
-func InlineResultsPath(group api.GroupID, job string, from int) string {
-	return groupPath(group, fmt.Sprintf("inline/%s/results?from=%d", url.PathEscape(job), from))
+func InlineResultsPath(group api.GroupID, tenant api.TenantID, job string, from int) string {
+	query := url.Values{"from": {strconv.Itoa(from)}, ParameterTenant: {string(tenant)}}
+	return groupPath(group, fmt.Sprintf("inline/%s/results?%s", url.PathEscape(job), query.Encode()))
 }
 
 // InlineItemPath reads a jobs.InlineItem by its id.
-func InlineItemPath(group api.GroupID, job, item string) string {
-	return groupPath(group, fmt.Sprintf("inline/%s/item?%s", url.PathEscape(job), url.Values{"id": {item}}.Encode()))
+func InlineItemPath(group api.GroupID, tenant api.TenantID, job, item string) string {
+	query := url.Values{"id": {item}, ParameterTenant: {string(tenant)}}
+	return groupPath(group, fmt.Sprintf("inline/%s/item?%s", url.PathEscape(job), query.Encode()))
 }
 
 func groupPath(group api.GroupID, rest string) string {
--- a/jobs/inline.go
+++ b/jobs/inline.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"time"
+
+	"github.com/dykewing/dykewing/api"
 )
 
 // An inline job brings its items with its submission and lists their results in
@@ -20,7 +22,9 @@
 
 // SubmitInline creates a job. The same ID sent again has no second effect.
 type SubmitInline struct {
-	Job       JobID         `json:"job"`
+	Job JobID `json:"job"`
+	// Tenant alone may read and end the job; empty: everybody may.
+	Tenant    api.TenantID  `json:"tenant,omitempty"`
 	Host      string        `json:"host"` // of the route that took it
 	Queue     QueueName     `json:"queue,omitempty"`
 	Items     []InlineItem  `json:"items"`
@@ -61,7 +65,8 @@
 
 // EndInline ends a job: nothing more of it is listed.
 type EndInline struct {
-	Job JobID `json:"job"`
+	Job    JobID        `json:"job"`
+	Tenant api.TenantID `json:"tenant,omitempty"`
 }
 
 // ExpireInline forgets jobs whose time of retention has passed at Before.
@@ -90,6 +95,7 @@
 // InlineJob is a job without its items.
 type InlineJob struct {
 	ID        JobID         `json:"id"`
+	Tenant    api.TenantID  `json:"tenant,omitempty"`
 	Host      string        `json:"host"`
 	Queue     QueueName     `json:"queue,omitempty"` // that its items wait in
 	Created   time.Time     `json:"created"`
@@ -104,6 +110,9 @@
 // Due is when all results are due.
 func (j InlineJob) Due() time.Time { return j.Created.Add(j.RunTarget) }
 
+// Of tells whether a tenant may see the job.
+func (j InlineJob) Of(tenant api.TenantID) bool { return j.Tenant == "" || j.Tenant == tenant }
+
 // Open tells whether items may still be listed.
 func (j InlineJob) Open() bool { return !j.Ended && j.Listed < j.Total }
 
@@ -129,6 +138,9 @@
 
 func (c *change) submitInline(command SubmitInline) Result {
 	if known, ok := c.inlineJob(command.Job); ok {
+		if !known.Of(command.Tenant) {
+			return failure(api.CodeConflict, "batch job %s is another tenant's", command.Job)
+		}
 		return Result{Inline: &known, Duplicate: true}
 	}
 	retain := command.Retain
@@ -136,7 +148,7 @@
 		retain = defaultRetain
 	}
 	job := InlineJob{
-		ID: command.Job, Host: command.Host, Queue: command.Queue, Created: c.now, RunTarget: command.RunTarget, Keep: command.Keep,
+		ID: command.Job, Tenant: command.Tenant, Host: command.Host, Queue: command.Queue, Created: c.now, RunTarget: command.RunTarget, Keep: command.Keep,
 		Until: c.now.Add(retain), Total: len(command.Items),
 	}
 	c.put(inlineJobKey(job.ID), job)
@@ -208,7 +220,7 @@
 
 func (c *change) endInline(command EndInline) Result {
 	job, ok := c.inlineJob(command.Job)
-	if !ok {
+	if !ok || !job.Of(command.Tenant) {
 		return failure(codeNoInlineJob, "no batch job %s", command.Job)
 	}
 	if job.Ended {
--- a/jobs/inline_test.go
+++ b/jobs/inline_test.go
@@ -56,7 +56,7 @@
 
 func (s *inlineState) page(job string, from int) InlinePage {
 	s.t.Helper()
-	page, found, err := s.state.InlineResults(JobID(job), from, 1<<20)
+	page, found, err := s.state.InlineResults(JobID(job), "", from, 1<<20)
 	if err != nil || !found {
 		s.t.Fatalf("read %s: %t %v", job, found, err)
 	}
@@ -85,7 +85,7 @@
 	if page := s.page("j", 2); len(page.Results) != 0 || page.Next != 2 {
 		t.Errorf("beyond the end: %+v", page)
 	}
-	item, found, _ := s.state.InlineItemByID("j", "item1")
+	item, found, _ := s.state.InlineItemByID("j", "", "item1")
 	if !found || string(item.Body) != "body1" {
 		t.Errorf("%+v", item)
 	}
@@ -100,7 +100,7 @@
 	for index := range 3 {
 		s.list("j", index, "some text")
 	}
-	page, _, _ := s.state.InlineResults("j", 1, 1)
+	page, _, _ := s.state.InlineResults("j", "", 1, 1)
 	if len(page.Results) != 1 || page.Next != 2 {
 		t.Errorf("%+v", page)
 	}
--- a/jobs/read_inline.go
+++ b/jobs/read_inline.go
@@ -47,11 +47,11 @@
 	return partial, err
 }
 
-// InlineItemByID finds an item of a job by its ID.
-func (s *State) InlineItemByID(id JobID, itemID string) (item InlineItem, found bool, err error) {
+// InlineItemByID finds an item of a tenant's job by its ID.
+func (s *State) InlineItemByID(id JobID, tenant api.TenantID, itemID string) (item InlineItem, found bool, err error) {
 	err = s.storage.View(func(r Reader) error {
 		var job InlineJob
-		if known, err := get(r, inlineJobKey(id), &job); err != nil || !known {
+		if known, err := get(r, inlineJobKey(id), &job); err != nil || !known || !job.Of(tenant) {
 			return err
 		}
 		for index := range job.Total {
@@ -68,14 +68,16 @@
 	return item, found, err
 }
 
-// InlineResults reads a job's list from a position on: at least one result if
+// InlineResults reads the list of a tenant's job from a position on: at least one result if
 // there is one, and then as many as fit in about bytes of text.
-func (s *State) InlineResults(id JobID, from, maximumBytes int) (page InlinePage, found bool, err error) {
+func (s *State) InlineResults(id JobID, tenant api.TenantID, from, maximumBytes int) (page InlinePage, found bool, err error) {
 	err = s.storage.View(func(r Reader) error {
 		var job InlineJob
-		if found, err = get(r, inlineJobKey(id), &job); err != nil || !found {
+		known, err := get(r, inlineJobKey(id), &job)
+		if err != nil || !known || !job.Of(tenant) {
 			return err
 		}
+		found = true
 		page = InlinePage{Total: job.Total, Next: from}
 		size := 0
 		for position := from; position < job.Listed; position++ {
--- a/route/route.go
+++ b/route/route.go
@@ -39,17 +39,23 @@
 	GapTarget time.Duration // longest pause between events that is in time
 	RunTarget time.Duration // batch: within which all results are due, from the submission
 	Keep      time.Duration // batch: after which an item may be given up; 0: never
-	// MaxQueuedTokens is how many tokens may wait on a batch route, of all callers
-	// together; 0: no bound.
+	// MaxQueuedTokens is how many tokens of a tenant may wait on a batch route, or of
+	// all callers together where there are no tenants; 0: no bound.
 	MaxQueuedTokens int64
 	MaxAttempts     int  // workers that may run one request; at least 1
 	Priority        int  // 0 is the highest
 	Resumable       bool // a stream may go on at another worker
+	Public          bool // requests need no key
 }
 
-// Queue names what waits on a batch route; it stays when the route's service,
-// bounds or name change.
-func (r Route) Queue() string { return r.Host + r.Prefix }
+// Queue names what waits on a batch route of one tenant, or of all where tenant is
+// empty; it stays when the route's service, bounds or name change.
+func (r Route) Queue(tenant string) string {
+	if tenant == "" {
+		return r.Host + r.Prefix
+	}
+	return r.Host + r.Prefix + " " + tenant
+}
 
 // Repeatable tells whether a request may run more than once.
 func (r Route) Repeatable() bool {
@@ -105,9 +111,12 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	Problems []error // that it was read with; what they name is left out
 
 	byHost   map[string][]int // indexes of Routes, longest prefix first
 	services map[string]int
+	tenants  []Tenant
+	byKey    map[Key]int // indexes of tenants, or nobody
 }
 
 // New indexes a configuration.
@@ -148,6 +157,13 @@
 	return Route{}, false
 }
 
+// TakesPublicJobs tells whether a host has a route that takes batch jobs without a key.
+func (c *Configuration) TakesPublicJobs(host string) bool {
+	return slices.ContainsFunc(c.byHost[host], func(index int) bool {
+		return c.Routes[index].Kind == KindBatch && c.Routes[index].Public
+	})
+}
+
 // BatchServices lists the services of batch routes, by name.
 func (c *Configuration) BatchServices() []string {
 	var names []string
--- /dev/null
+++ b/route/tenant_test.go
@@ -0,0 +1,46 @@
+package route
+
+import "testing"
+
+func TestTenantsAreFoundByTheirKeys(t *testing.T) {
+	a, b := KeyOf("secret a"), KeyOf("secret b")
+	tests := []struct {
+		name     string
+		tenants  []Tenant
+		key      Key
+		want     string // tenant; empty: nobody
+		problems int
+	}{
+		{"a key of one", []Tenant{{Name: "x", Keys: []Key{a, b}}}, b, "x", 0},
+		{"an unknown key", []Tenant{{Name: "x", Keys: []Key{a}}}, b, "", 0},
+		{"a key of two", []Tenant{{Name: "x", Keys: []Key{a}}, {Name: "y", Keys: []Key{a, b}}}, a, "", 1},
+		{"the other key of the second", []Tenant{{Name: "x", Keys: []Key{a}}, {Name: "y", Keys: []Key{a, b}}}, b, "y", 1},
+		{"a key of three", []Tenant{{Name: "x", Keys: []Key{a}}, {Name: "y", Keys: []Key{a}}, {Name: "z", Keys: []Key{a}}}, a, "", 2},
+		{"a key that stands twice", []Tenant{{Name: "x", Keys: []Key{a, a}}}, a, "x", 0},
+		{"an empty key", []Tenant{{Name: "x", Keys: []Key{KeyOf("")}}}, KeyOf(""), "", 1},
+		{"a tenant without a name", []Tenant{{Keys: []Key{a}}, {Name: "y", Keys: []Key{b}}}, a, "", 1},
+		{"a tenant beside it", []Tenant{{Keys: []Key{a}}, {Name: "y", Keys: []Key{b}}}, b, "y", 1},
+		{"a tenant that stands twice", []Tenant{{Name: "x", Keys: []Key{a}}, {Name: "x", Keys: []Key{b}}}, b, "x", 1},
+		{"no tenants", nil, a, "", 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := New(1, nil, nil, Limits{})
+			problems := c.WithTenants(test.tenants)
+			got, found := c.Identify(test.key)
+			if got.Name != test.want || found != (test.want != "") || len(problems) != test.problems {
+				t.Errorf("tenant %q, found %t, problems %v", got.Name, found, problems)
+			}
+		})
+	}
+}
+
+func TestNegativeFiguresOfATenantCountAsAbsent(t *testing.T) {
+	c := New(1, nil, nil, Limits{})
+	key := KeyOf("a")
+	problems := c.WithTenants([]Tenant{{Name: "x", Keys: []Key{key}, Limit: Limit{Rate: -1, Burst: -2}}})
+	got, found := c.Identify(key)
+	if !found || got.Limit != (Limit{}) || got.Limit.Bounded() || len(problems) != 2 {
+		t.Errorf("%+v, %v", got, problems)
+	}
+}
