--- a/internal/batchrun/leader_test.go
+++ b/internal/batchrun/leader_test.go
@@ -55,6 +55,7 @@
 		changes = append(changes, catalog.Change{ID: id, Worker: worker.Worker{ID: id, Service: "lm", Address: "127.0.0.1:1", Slots: 12}})
 	}
 	s.pool.WorkersChanged(changes)
+	s.places = newPlaces(s)
 	s.occupancy.Put(time.Now(), occupancy.Report{Node: "front"})
 	l := newLeader(s, 0, state, nil)
 	t.Cleanup(l.cancel)
