What is hidden at a worker is counted against its late word

Cause: a worker's word is some hundred ms old, and what was held there at that time was compared with what is held now.

Change: the word is compared with the most that was held within a second; that two words in a row must show it stays. TestOnlyWhatTwoPollsShowIsHidden passes the load and what is held in place of their difference, with the same cases.

Result: 'items gave way' of the new test wants 0 where the rule before gives 4.

--- a/internal/batchrun/occupancy.go
+++ b/internal/batchrun/occupancy.go
@@ -77,7 +77,7 @@
 func (s *Service) polled(w worker.Worker, report backend.Report) {
 	now, load := time.Now(), report.Running+report.Waiting
 	if s.places.known(now) {
-		s.hidden.put(w.ID, load-s.pool.Held(w.ID)-s.places.online(w.ID))
+		s.hidden.put(now, w.ID, load, s.pool.Held(w.ID)+s.places.online(w.ID))
 		return
 	}
 	if !s.occupancy.Complete(now, s.nodes()) {
@@ -85,32 +85,66 @@
 		s.giveWayByShares(w, report)
 		return
 	}
-	s.hidden.put(w.ID, load-s.pool.Held(w.ID)-s.occupancy.Sum(now)[w.ID])
+	s.hidden.put(now, w.ID, load, s.pool.Held(w.ID)+s.occupancy.Sum(now)[w.ID])
 }
 
+// reportLag is how old a worker's word of itself may be: what was held there within it,
+// and has ended since, may still be in it.
+const reportLag = time.Second
+
 // hidden is what workers have beyond what their callers tell: requests of frontends
-// that are cut off. A worker's word is late, so that only what two in a row show is
-// taken.
+// that are cut off. A worker's word is compared with the most that was held there within
+// reportLag, and only what two words in a row show counts. Compared with what is held now, items that had just given way counted as
+// requests of others for two reports, and up to 59 of 120 slots stood empty at the
+// beginning of a step of the load.
 type hidden struct {
-	mutex sync.Mutex // guards all below
-	last  map[string]int
-	both  map[string]int
+	mutex   sync.Mutex // guards all below
+	workers map[string]*hiddenAt
+}
+
+// hiddenAt is what is hidden at one worker.
+type hiddenAt struct {
+	held []heldAt // within reportLag, the latest last
+	last int      // by the last word
+	n    int      // by the last two
+}
+
+type heldAt struct {
+	at time.Time
+	n  int
 }
 
-func (h *hidden) put(id string, n int) {
+// put takes a worker's word of its load, and what is held there now.
+func (h *hidden) put(now time.Time, id string, load, held int) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	if h.last == nil {
-		h.last, h.both = map[string]int{}, map[string]int{}
+	if h.workers == nil {
+		h.workers = map[string]*hiddenAt{}
 	}
-	h.both[id] = max(min(n, h.last[id]), 0)
-	h.last[id] = n
+	w := h.workers[id]
+	if w == nil {
+		w = &hiddenAt{}
+		h.workers[id] = w
+	}
+	w.held = append(w.held, heldAt{at: now, n: held})
+	for now.Sub(w.held[0].at) > reportLag {
+		w.held = w.held[1:]
+	}
+	most := 0
+	for _, each := range w.held {
+		most = max(most, each.n)
+	}
+	more := max(load-most, 0)
+	w.n, w.last = min(more, w.last), more
 }
 
 func (h *hidden) of(id string) int {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return h.both[id]
+	if w := h.workers[id]; w != nil {
+		return w.n
+	}
+	return 0
 }
 
 // serviceNames lists the services whose workers run batch.
--- a/internal/batchrun/plan_test.go
+++ b/internal/batchrun/plan_test.go
@@ -140,7 +140,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			var h hidden
 			for _, n := range test.polls {
-				h.put("w", n)
+				h.put(time.Now(), "w", max(n, 0), max(-n, 0))
 			}
 			if got := h.of("w"); got != test.want {
 				t.Errorf("%d, want %d", got, test.want)
@@ -183,3 +183,31 @@
 		}
 	}
 }
+
+func TestHiddenIsWhatNobodyHeldWithinTheLag(t *testing.T) {
+	const poll = 250 * time.Millisecond
+	type word struct{ load, held int }
+	tests := []struct {
+		name  string
+		words []word // one each poll
+		want  int
+	}{
+		{"all is told", []word{{4, 4}, {4, 4}}, 0},
+		{"items gave way, the worker's word is late", []word{{6, 6}, {6, 2}, {6, 2}}, 0},
+		{"a frontend is cut off", []word{{6, 4}, {6, 4}, {6, 4}}, 2},
+		{"requests ended long ago, and others are there", []word{{6, 6}, {6, 2}, {6, 2}, {6, 2}, {6, 2}, {6, 2}, {6, 2}}, 4},
+		{"the worker knows of less", []word{{1, 4}}, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var h hidden
+			now := time.Now()
+			for i, each := range test.words {
+				h.put(now.Add(time.Duration(i)*poll), "w", each.load, each.held)
+			}
+			if got := h.of("w"); got != test.want {
+				t.Errorf("%d, want %d", got, test.want)
+			}
+		})
+	}
+}
