A worker whose one answer broke off stays in use

Cause: a reset answer left its worker out for a second and more, as a refused connection does.

Change: two answers in a row that broke off leave a worker out; a connection that can't be made does so at once, as before.

Result: the test's first case failed with the rule before.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -80,6 +80,11 @@
 	t.pool.do(func(pool *worker.Pool) { pool.Refused(time.Now(), t.Worker.ID) })
 }
 
+// Broke notes that the worker's answer broke off.
+func (t *Ticket) Broke() {
+	t.pool.do(func(pool *worker.Pool) { pool.Broke(time.Now(), t.Worker.ID) })
+}
+
 // Full notes that the worker turned the request away.
 func (t *Ticket) Full() {
 	t.pool.do(func(pool *worker.Pool) { pool.Full(time.Now(), t.Worker.ID) })
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -124,12 +124,15 @@
 		Call: backend.Call{ID: stored.ID, LastEvent: i.last, Tenants: l.service.hasTenants(), Tenant: string(i.job.Tenant)}, ID: stored.ID, Worker: ticket.Worker,
 	})
 	if failure != nil {
-		if failure.Code == api.CodeUpstream {
-			ticket.Refused()
-		}
 		if failure.Outcome == api.OutcomeNotRun {
+			if failure.Code == api.CodeUpstream {
+				ticket.Refused()
+			}
 			return verdictNotRun, failure
 		}
+		if failure.Code == api.CodeUpstream {
+			ticket.Broke()
+		}
 		return verdictBroken, failure
 	}
 	defer incoming.Response.Body.Close()
--- a/internal/frontend/online.go
+++ b/internal/frontend/online.go
@@ -196,7 +196,7 @@
 	}
 	x.runs++
 	if failure.Code == api.CodeUpstream {
-		ticket.Refused()
+		ticket.Broke()
 	}
 	return attemptResult{verdict: mayRun, failure: failure}
 }
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -74,6 +74,7 @@
 	slots     int       // by its reports, else by the list
 	downUntil time.Time // it refused a connection
 	failures  int       // in a row
+	broken    int       // answers in a row that broke off
 	parts     *partSet
 	fullUntil time.Time
 }
@@ -158,7 +159,7 @@
 	}
 	e.others = float64(max(load.Running+load.Waiting-e.own, 0))
 	e.reported = now
-	e.failures = 0
+	e.failures, e.broken = 0, 0
 	e.downUntil = time.Time{}
 }
 
@@ -227,6 +228,22 @@
 	}
 }
 
+// brokenInRow answers that broke off leave a worker out as a refused connection does.
+// One alone says little of a worker that takes connections: where a twentieth of the
+// answers were reset, a quarter of the slots of a leader's workers were left out.
+const brokenInRow = 2
+
+// Broke notes that a worker took a request and that its answer broke off.
+func (p *Pool) Broke(now time.Time, id string) {
+	e, ok := p.entries[id]
+	if !ok {
+		return
+	}
+	if e.broken++; e.broken >= brokenInRow {
+		p.Refused(now, id)
+	}
+}
+
 // maximumBackoff bounds how DownFor grows with failures in a row.
 const maximumBackoff = 4
 
--- a/worker/worker_test.go
+++ b/worker/worker_test.go
@@ -208,3 +208,30 @@
 		})
 	}
 }
+
+func TestAnAnswerThatBrokeOffLeavesAWorkerInUse(t *testing.T) {
+	tests := []struct {
+		name   string
+		notes  func(p *Pool)
+		usable bool
+	}{
+		{"one answer broke off", func(p *Pool) { p.Broke(start, "w") }, true},
+		{"two in a row", func(p *Pool) { p.Broke(start, "w"); p.Broke(start, "w") }, false},
+		{"two with a whole one between", func(p *Pool) {
+			p.Broke(start, "w")
+			p.Report(start, "w", Load{Running: 1, Slots: 4})
+			p.Broke(start, "w")
+		}, true},
+		{"a connection was refused", func(p *Pool) { p.Refused(start, "w") }, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := NewPool(DefaultSettings("z"))
+			p.Put(Worker{ID: "w", Service: "s", Slots: 4})
+			test.notes(p)
+			if got := p.Occupancies(start, "s")[0].Usable; got != test.usable {
+				t.Errorf("usable %t", got)
+			}
+		})
+	}
+}
