Leaders give places at every size; what frontends told each other before goes

Cause: two mechanisms for one question, switched at 16 frontends: leaders were told each 100 ms what up to 16 frontends hold, and above that kept fixed shares of slots.

Change: frontends ask leaders for places on every fleet.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -106,22 +106,16 @@
 	return list
 }
 
-// SetOthers takes what others hold at workers.
-func (p *Pool) SetOthers(others map[string]worker.Others) {
+// SetOthers takes how many requests others hold at workers.
+func (p *Pool) SetOthers(held map[string]int) {
 	now := time.Now()
 	p.do(func(pool *worker.Pool) {
-		for id, each := range others {
-			pool.SetOthers(now, id, each)
+		for id, n := range held {
+			pool.SetOthers(now, id, n)
 		}
 	})
 }
 
-// AllFull tells whether a bounded query finds no worker only since all are full.
-func (p *Pool) AllFull(query worker.Query) (full bool) {
-	p.do(func(pool *worker.Pool) { full = pool.AllFull(time.Now(), query) })
-	return full
-}
-
 // Occupancies lists what is believed of a service's workers.
 func (p *Pool) Occupancies(service string) (list []worker.Occupancy) {
 	p.do(func(pool *worker.Pool) { list = pool.Occupancies(time.Now(), service) })
@@ -140,24 +134,12 @@
 	return p.pool.Choose(time.Now(), query, p.random)
 }
 
-// SetPeers tells how many other processes send requests to the same workers, and how
-// old what they hold is at most when it is told.
-func (p *Pool) SetPeers(n int, age time.Duration) {
-	p.do(func(pool *worker.Pool) { pool.SetPeers(n, age) })
-}
-
 // Held is how many requests of this process a worker has.
 func (p *Pool) Held(id string) (n int) {
 	p.do(func(pool *worker.Pool) { n = pool.Held(id) })
 	return n
 }
 
-// HeldByWorker is how many requests of this process each worker has.
-func (p *Pool) HeldByWorker() (held map[string]int) {
-	p.do(func(pool *worker.Pool) { held = pool.HeldByWorker() })
-	return held
-}
-
 func (p *Pool) do(change func(*worker.Pool)) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/internal/batchrun/dispatch.go
+++ b/internal/batchrun/dispatch.go
@@ -11,7 +11,7 @@
 
 // mine tells whether this group's items fill a worker. Each worker is filled by one
 // group, so that one leader sees all batch that it holds, asks for its load and
-// makes items give way; only urgent items go elsewhere.
+// makes items give way.
 func (l *Leader) mine(workerID string) bool {
 	return placement.WorkerGroup(workerID, l.service.groups) == l.group
 }
@@ -79,9 +79,7 @@
 // items still sends its heartbeats in time on a small processor.
 func (l *Leader) dispatch() (started int) {
 	now := time.Now()
-	if l.service.places.known(now) {
-		l.service.places.kick(now)
-	}
+	l.service.places.kick(now)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	room := newRooms()
--- /dev/null
+++ b/internal/batchrun/hidden.go
@@ -0,0 +1,98 @@
+package batchrun
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/dykewing/dykewing/internal/backend"
+	"github.com/dykewing/dykewing/worker"
+)
+
+func (s *Service) led() []*Leader {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	leaders := make([]*Leader, 0, len(s.leaders))
+	for leader := range s.leaders {
+		leaders = append(leaders, leader)
+	}
+	return leaders
+}
+
+// filled tells whether one of the leaders fills a worker.
+func filled(leaders []*Leader, id string) bool {
+	return slices.ContainsFunc(leaders, func(leader *Leader) bool { return leader.mine(id) })
+}
+
+// polled takes a worker's own word: what is more than is known to be there is hidden.
+func (s *Service) polled(w worker.Worker, report backend.Report) {
+	s.hidden.put(time.Now(), w.ID, report.Running+report.Waiting, s.pool.Held(w.ID)+s.places.online(w.ID))
+}
+
+// reportLag is how old a worker's word of itself may be: what was held there within it,
+// and has ended since, may still be in it.
+const reportLag = time.Second
+
+// hidden is what workers have beyond what their callers tell: requests of frontends
+// that are cut off. A worker's word is compared with the most that was held there within
+// reportLag, and only what two words in a row show counts. Compared with what is held now, items that had just given way counted as
+// requests of others for two reports, and up to 59 of 120 slots stood empty at the
+// beginning of a step of the load.
+type hidden struct {
+	mutex   sync.Mutex // guards all below
+	workers map[string]*hiddenAt
+}
+
+// hiddenAt is what is hidden at one worker.
+type hiddenAt struct {
+	held []heldAt // within reportLag, the latest last
+	last int      // by the last word
+	n    int      // by the last two
+}
+
+type heldAt struct {
+	at time.Time
+	n  int
+}
+
+// put takes a worker's word of its load, and what is held there now.
+func (h *hidden) put(now time.Time, id string, load, held int) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.workers == nil {
+		h.workers = map[string]*hiddenAt{}
+	}
+	w := h.workers[id]
+	if w == nil {
+		w = &hiddenAt{}
+		h.workers[id] = w
+	}
+	w.held = append(w.held, heldAt{at: now, n: held})
+	for now.Sub(w.held[0].at) > reportLag {
+		w.held = w.held[1:]
+	}
+	most := 0
+	for _, each := range w.held {
+		most = max(most, each.n)
+	}
+	more := max(load-most, 0)
+	w.n, w.last = min(more, w.last), more
+}
+
+func (h *hidden) of(id string) int {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if w := h.workers[id]; w != nil {
+		return w.n
+	}
+	return 0
+}
+
+// serviceNames lists the services whose workers run batch.
+func (s *Service) serviceNames() []string {
+	configuration := s.catalog.Configuration()
+	if configuration == nil {
+		return nil
+	}
+	return configuration.BatchServices()
+}
--- a/internal/batchrun/places.go
+++ b/internal/batchrun/places.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -15,19 +14,13 @@
 	"github.com/dykewing/dykewing/worker"
 )
 
-const (
-	// maximumPlaceBytes of a frontend's message: an entry a worker, and a prompt's parts.
-	maximumPlaceBytes = 1 << 20
-	// askedLife is how long after the last message of a frontend what they hold is taken
-	// for known.
-	askedLife = time.Second
-)
+// maximumPlaceBytes of a frontend's message: an entry a worker, and a prompt's parts.
+const maximumPlaceBytes = 1 << 20
 
 // places gives places at the workers that this process fills to the frontends that ask
 // for them.
 type places struct {
 	service *Service
-	asked   atomic.Int64 // when a frontend last sent a message, in Unix nanoseconds
 
 	mutex  sync.Mutex // guards all below; leaders' mutexes are taken after it
 	book   *reservation.Book
@@ -40,12 +33,6 @@
 	return &places{service: service, book: reservation.New(), queues: map[string]*reservation.Queue{}}
 }
 
-// known tells whether frontends ask this process for places, so that it knows what
-// they hold.
-func (p *places) known(now time.Time) bool {
-	return now.Sub(time.Unix(0, p.asked.Load())) < askedLife
-}
-
 // waiting is how many requests of a service wait here.
 func (p *places) waiting(service string) int {
 	if n, ok := p.counts.Load(service); ok {
@@ -75,7 +62,6 @@
 	}
 	p := s.places
 	now := time.Now()
-	p.asked.Store(now.UnixNano())
 	waits, answer := p.take(now, leaders, message)
 	if waits != nil {
 		answer = p.await(r, waits, message.Ask.Wait)
@@ -183,11 +169,11 @@
 
 // spread lets choices of workers see what frontends hold; the mutex is held.
 func (p *places) spread(leaders []*Leader) {
-	held := map[string]worker.Others{}
+	held := map[string]int{}
 	for _, name := range p.service.serviceNames() {
 		for _, w := range p.service.pool.Workers(name) {
 			if filled(leaders, w.ID) {
-				held[w.ID] = worker.Others{Held: p.book.Online(w.ID) + p.service.hidden.of(w.ID)}
+				held[w.ID] = p.book.Online(w.ID) + p.service.hidden.of(w.ID)
 			}
 		}
 	}
@@ -212,7 +198,7 @@
 	grant := p.book.Give(now, waits.Node, id)
 	p.queue(waits.Ask.Service).Placed(now)
 	p.service.pool.Read(id, waits.Ask.Parts)
-	p.service.pool.SetOthers(map[string]worker.Others{id: {Held: p.book.Online(id) + p.service.hidden.of(id)}})
+	p.service.pool.SetOthers(map[string]int{id: p.book.Online(id) + p.service.hidden.of(id)})
 	return reservation.Answer{Worker: id, Grant: grant}, true
 }
 
--- a/internal/batchrun/plan.go
+++ b/internal/batchrun/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -17,10 +16,8 @@
 	// roomMemory is over how long the room of batch is averaged.
 	roomMemory   = 10 * time.Second
 	tellInterval = time.Second
-	// blindTime is how long a new leader waits at most for frontends' reports.
+	// blindTime is how long a new leader waits for frontends' reports.
 	blindTime = 500 * time.Millisecond
-	// elsewhereMargin of the slots of other groups' workers is left to their leaders.
-	elsewhereMargin = 0.1
 	// leastPart of an item's time is expected to be left while it runs.
 	leastPart = 0.1
 	// textShare of a new item's text in the average length.
@@ -45,29 +42,23 @@
 // rooms is what is left for items to start.
 type rooms struct {
 	seen map[string]bool // services that were looked at
-	free map[string]int  // items that may start at a worker
-	high map[string]int  // the same for pressed items
-	own  map[string]bool // workers that this group's items fill
+	free map[string]int  // items that may start at a worker; it has to run now or not
 	left map[string]int  // items that may start beside the reserve, by service
 }
 
 func newRooms() rooms {
-	return rooms{seen: map[string]bool{}, free: map[string]int{}, high: map[string]int{}, own: map[string]bool{}, left: map[string]int{}}
+	return rooms{seen: map[string]bool{}, free: map[string]int{}, left: map[string]int{}}
 }
 
 // allows tells whether an item may start at a worker: pressed ones do not mind the
-// reserve and may go to workers of other groups.
+// reserve.
 func (r rooms) allows(id, service string, pressed bool) bool {
-	if pressed {
-		return r.high[id] > 0
-	}
-	return r.own[id] && r.free[id] > 0 && r.left[service] > 0
+	return r.free[id] > 0 && (pressed || r.left[service] > 0)
 }
 
 // take takes a slot of a worker.
 func (r rooms) take(id, service string) {
 	r.free[id]--
-	r.high[id]--
 	r.left[service]--
 }
 
@@ -81,32 +72,20 @@
 	if l.blind(now) {
 		return
 	}
-	if !l.informed(now) {
-		l.lookByShares(service, into)
-		return
-	}
-	told := l.service.occupancy.Sum(now)
 	var own []fill.Worker
 	var ids []string
 	slots, online := 0, 0
 	for _, seen := range l.service.pool.Occupancies(service) {
-		if !seen.Usable {
+		if !seen.Usable || !l.mine(seen.ID) {
 			continue
 		}
 		w := fill.Worker{Slots: seen.Slots, Online: seen.Others, Batch: seen.Taken}
-		if !l.mine(seen.ID) {
-			if l.service.places.known(now) {
-				continue // only its leader knows what is held there
-			}
-			l.lookElsewhere(seen.ID, w, told[seen.ID], into)
-			continue
-		}
-		into.free[seen.ID], into.high[seen.ID], into.own[seen.ID] = w.Free(), w.Free(), true
+		into.free[seen.ID] = w.Free()
 		own, ids = append(own, w), append(ids, seen.ID)
 		slots += w.Slots
 		online += w.Online
 	}
-	waiting := l.waitingFor(now, service)
+	waiting := l.service.places.waiting(service)
 	reserve := l.plan.reserve(now, service, online+waiting, slots)
 	l.tell(now, service, planned{slots: slots, online: online, waiting: waiting, reserve: reserve})
 	l.plan.average(now, service, max(float64(slots-online)-reserve, 1))
@@ -118,42 +97,9 @@
 	}
 }
 
-// lookElsewhere looks at a worker that another group's leader fills: pressed items
-// may go there while it has room beyond a margin, and give way to what frontends tell
-// that they hold.
-func (l *Leader) lookElsewhere(id string, w fill.Worker, told int, into rooms) {
-	w.Online = max(w.Online, told)
-	into.high[id] = w.Free() - int(math.Ceil(elsewhereMargin*float64(w.Slots)))
-	if excess := min(told+w.Batch-w.Slots, w.Batch); excess > 0 {
-		l.giveWayLocked(id, excess, true)
-	}
-}
-
 // blind tells that this leader has just begun and does not know yet what frontends
 // hold: nothing is started on a guess.
-func (l *Leader) blind(now time.Time) bool {
-	return now.Sub(l.began) < blindTime && !l.service.occupancy.Complete(now, l.service.nodes())
-}
-
-// waitingFor is this group's part of the requests that wait at frontends.
-func (l *Leader) waitingFor(now time.Time, service string) int {
-	if l.service.places.known(now) {
-		return l.service.places.waiting(service)
-	}
-	groups := l.service.groups
-	return (l.service.occupancy.Waiting(now, service) + groups - 1) / groups
-}
-
-// yielding is how many items at each worker give way to requests.
-func (l *Leader) yielding() map[string]int {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	yielding := map[string]int{}
-	for i := range l.running {
-		yielding[i.worker]++
-	}
-	return yielding
-}
+func (l *Leader) blind(now time.Time) bool { return now.Sub(l.began) < blindTime }
 
 // reserve is how many slots online requests keep.
 func (p *plan) reserve(now time.Time, service string, online, slots int) float64 {
@@ -223,11 +169,7 @@
 		byService[i.service] = append(byService[i.service], i)
 	}
 	for service, items := range byService {
-		if l.informed(now) {
-			l.standIn(now, items, l.plan.room[service])
-		} else {
-			l.standByShares(now, items)
-		}
+		l.standIn(now, items, l.plan.room[service])
 	}
 	l.sortWaiting()
 }
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -18,7 +18,6 @@
 	"github.com/dykewing/dykewing/internal/dispatch"
 	"github.com/dykewing/dykewing/internal/limiter"
 	"github.com/dykewing/dykewing/internal/node"
-	"github.com/dykewing/dykewing/internal/occupancy"
 	"github.com/dykewing/dykewing/internal/store"
 	"github.com/dykewing/dykewing/internal/storeclient"
 	"github.com/dykewing/dykewing/internal/transport"
@@ -42,9 +41,8 @@
 	caller   *backend.Caller
 	metrics  *metrics
 
-	occupancy occupancy.Table
-	hidden    hidden
-	places    *places
+	hidden hidden
+	places *places
 
 	mutex   sync.Mutex // guards leaders
 	leaders map[*Leader]bool
@@ -66,7 +64,6 @@
 		Nodes: func() []api.Node { return s.members.With(common.Nodes()) },
 	}
 	common.Mux.Handle("POST "+limiter.PathTokens, limiter.NewOwner(common.Settings.Tenants.Tolerance(), common.ID(), common.Nodes))
-	common.Mux.HandleFunc("POST "+occupancy.Path, s.serveOccupancy)
 	common.Mux.HandleFunc("POST "+reservation.Path, s.servePlaces)
 	common.Mux.HandleFunc("GET "+catalog.PathConfiguration, s.catalog.ServeConfiguration)
 	return s
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -60,9 +60,7 @@
 	metrics  *metrics
 	port     string // of Address, alike on all machines
 
-	holding  *holding
 	patience patience
-	sharing  *sharing
 	places   *places
 
 	samples *rate.Limiter // of lines about ordinary successes
@@ -103,12 +101,12 @@
 		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		samples: rate.NewLimiter(servedLinesPerSecond, servedLinesPerSecond),
 	}
-	f.holding, f.sharing, f.places = newHolding(f), newSharing(f), newPlaces(f)
+	f.places = newPlaces(f)
 	f.ending, f.endAll = context.WithCancel(context.Background())
 	registered := &storeclient.Registered{}
 	f.stores = &storeclient.Client{HTTP: newStoreClient(), AttemptTimeout: storeAttempt, Nodes: func() []api.Node { return registered.With(common.Nodes()) }}
 	f.limiter = limiter.New(common.Settings.Tenants.Tolerance(), func() []api.Node { return registered.With(common.Nodes()) }, f.holders, common.Logger("limits"), common.Registry)
-	f.pool = backend.NewPool(worker.DefaultSettings(common.Settings.Node.Zone), f.holding.kick)
+	f.pool = backend.NewPool(worker.DefaultSettings(common.Settings.Node.Zone), nil)
 	f.catalog = catalog.New(source, common.KeyValue, common.Logger("catalog"), f.pool)
 	f.catalog.Freshness(common.Settings.Platform.Freshness)
 	f.catalog.Also(common.Settings.KeyValueService.Prefix+storeclient.PrefixStores, registered)
@@ -175,8 +173,6 @@
 	var running sync.WaitGroup
 	running.Go(func() { f.catalog.Run(background) })
 	running.Go(func() { f.catalog.AskPeers(background, f.node) })
-	running.Go(func() { f.sharing.run(background) })
-	running.Go(func() { f.holding.run(background) })
 	running.Go(func() { f.places.run(background) })
 	failed := make(chan error, len(f.listeners))
 	for _, each := range f.listeners {
--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -16,7 +16,6 @@
 	running    prometheus.Gauge
 	registries prometheus.Counter
 	held       prometheus.Histogram   // seconds that requests waited here for a slot
-	shares     *prometheus.CounterVec // exchanges of occupancy, by outcome
 	places     *prometheus.CounterVec // questions for places, by outcome
 }
 
@@ -42,16 +41,13 @@
 			Name: "dykewing_frontend_registry_answers_total", Help: "Answers of the registry.",
 		}),
 	}
-	m.shares = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "dykewing_frontend_occupancy_shares_total", Help: "Exchanges of occupancy with leaders, by outcome.",
-	}, []string{"outcome"})
 	m.places = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "dykewing_frontend_places_total", Help: "Questions to leaders for a place at a worker, by outcome.",
 	}, []string{"outcome"})
 	m.held = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "dykewing_frontend_held_seconds", Help: "Time that requests waited for a free slot.", Buckets: buckets,
 	})
-	registry.MustRegister(m.held, m.places, m.shares, m.requests, m.firstByte, m.duration, m.attempts, m.running, m.registries)
+	registry.MustRegister(m.held, m.places, m.requests, m.firstByte, m.duration, m.attempts, m.running, m.registries)
 	return m
 }
 
--- a/internal/frontend/online.go
+++ b/internal/frontend/online.go
@@ -74,7 +74,6 @@
 		}
 		x.sends++
 		room.sends--
-		x.frontend.sharing.noteFull(ticket)
 		last = x.attempt(ctx, ticket)
 		f.metrics.attempts.WithLabelValues(last.verdict.String()).Inc()
 		if last.verdict == done {
@@ -109,30 +108,25 @@
 // take chooses a worker that was not tried, or, for what may be repeated, any.
 func (x *exchange) take(ctx context.Context) (*backend.Ticket, bool) {
 	since := time.Now()
-	if x.frontend.places.give(x.service) {
-		return x.takePlace(ctx, since)
-	}
-	ticket, ok := x.frontend.holding.take(ctx, x.query(), x.order())
-	if !ok && ctx.Err() == nil && len(x.tried) > 0 && x.route.Repeatable() {
-		x.tried = nil
-		ticket, ok = x.frontend.holding.take(ctx, x.query(), x.order())
-	}
-	x.noteHeld(since, ok)
-	return ticket, ok
-}
-
-// takePlace asks the leaders of the service's workers for a place.
-func (x *exchange) takePlace(ctx context.Context, since time.Time) (*backend.Ticket, bool) {
-	ticket, refusal := x.frontend.places.take(ctx, x.query(), x.order())
+	ticket, refusal := x.place(ctx)
 	if ticket == nil && refusal == nil && ctx.Err() == nil && len(x.tried) > 0 && x.route.Repeatable() {
 		x.tried = nil
-		ticket, refusal = x.frontend.places.take(ctx, x.query(), x.order())
+		ticket, refusal = x.place(ctx)
 	}
 	x.refusal = refusal
 	x.noteHeld(since, ticket != nil)
 	return ticket, ticket != nil
 }
 
+// place takes a worker, with its leader's word where the service runs batch.
+func (x *exchange) place(ctx context.Context) (*backend.Ticket, *api.Error) {
+	if x.frontend.places.give(x.service) {
+		return x.frontend.places.take(ctx, x.query(), x.order())
+	}
+	ticket, _ := x.frontend.pool.Take(x.query())
+	return ticket, nil
+}
+
 func (x *exchange) query() worker.Query {
 	return worker.Query{Service: x.service, Parts: x.request.Parts, Tokens: x.request.PromptTokens, Excluded: x.tried}
 }
@@ -151,7 +145,6 @@
 
 // attempt sends the request to the ticket's worker and relays its answer.
 func (x *exchange) attempt(ctx context.Context, ticket *backend.Ticket) attemptResult {
-	defer x.frontend.holding.kick()
 	defer ticket.End()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/frontend/places.go
+++ b/internal/frontend/places.go
@@ -90,7 +90,7 @@
 // batch.
 func (p *places) give(service string) bool {
 	configuration := p.frontend.catalog.Configuration()
-	return configuration != nil && configuration.RunsBatch(service) && p.frontend.sharing.peers() >= mostShared
+	return configuration != nil && configuration.RunsBatch(service) && p.frontend.node.Settings.Store.Groups > 0
 }
 
 // take gives a place at a worker: the one that this frontend would choose, or another
--- a/worker/choose.go
+++ b/worker/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -20,10 +21,6 @@
 	// Limit leaves out workers that hold more than this share of their slots;
 	// 0 is no limit.
 	Limit float64
-	// Bounded leaves out workers that are full with more than Over requests waiting
-	// there, as far as others tell what they hold.
-	Bounded bool
-	Over    int
 	// Zone that the request comes from; empty: the pool's.
 	Zone string
 }
@@ -59,76 +56,31 @@
 	}
 	agreed := agreedWorker(query.Parts, candidates)
 	zone := cmp.Or(query.Zone, p.settings.Zone)
-	options := make([]option, 0, len(candidates))
+	best, least := Choice{}, math.Inf(1)
 	for _, e := range candidates {
 		choice := p.consider(now, e, query)
-		ties := tieCost * random.Float64()
-		each := option{entry: e, choice: choice, agreed: e == agreed, zone: zone, ties: ties}
-		each.cost = p.cost(each, choice) + ties
-		options = append(options, each)
-	}
-	p.noteChoice(now, query.Service)
-	return p.after(options, random.IntN(p.unseen(now, query.Service, candidates)+1)), true
-}
-
-// option is a worker that may be chosen.
-type option struct {
-	entry  *entry
-	choice Choice
-	agreed bool
-	zone   string // that the request comes from
-	ties   float64
-	cost   float64
-	taken  int // by others, in after
-}
-
-// after gives the best option when so many other requests have gone to the best ones
-// before: processes that choose by the same word of loads would else all choose the
-// same worker.
-func (p *Pool) after(options []option, others int) Choice {
-	for ; ; others-- {
-		best := &options[0]
-		for i := range options {
-			if options[i].cost < best.cost {
-				best = &options[i]
-			}
+		cost := p.cost(e, choice, e == agreed, zone) + tieCost*random.Float64()
+		if cost < least {
+			best, least = choice, cost
 		}
-		if others == 0 {
-			return best.choice
-		}
-		later := best.choice
-		later.Load += float64(best.taken + 1)
-		best.taken++
-		best.cost = p.cost(*best, later) + best.ties
-	}
-}
-
-// AllFull tells whether a bounded query finds no worker only since all are full.
-func (p *Pool) AllFull(now time.Time, query Query) bool {
-	if !query.Bounded || len(p.candidates(now, query)) > 0 {
-		return false
 	}
-	query.Bounded = false
-	return len(p.candidates(now, query)) > 0
+	return best, true
 }
 
 func (p *Pool) candidates(now time.Time, query Query) []*entry {
 	var usable, doubtful []*entry
-	bounded := false
 	for _, e := range p.services[query.Service] {
 		switch {
 		case e.Leaving || slices.Contains(query.Excluded, e.ID):
 		case query.Only != nil && !query.Only(e.ID):
 		case query.Limit > 0 && p.loadOf(now, e)+1 > query.Limit*float64(e.slots):
-		case query.Bounded && p.full(now, e, query.Over):
-			bounded = true
 		case now.Before(e.downUntil) || now.Before(e.fullUntil):
 			doubtful = append(doubtful, e)
 		default:
 			usable = append(usable, e)
 		}
 	}
-	if len(usable) == 0 && query.Limit == 0 && !bounded {
+	if len(usable) == 0 && query.Limit == 0 {
 		return doubtful
 	}
 	return usable
@@ -152,9 +104,9 @@
 }
 
 // cost adds up what makes a worker a worse choice.
-func (p *Pool) cost(o option, choice Choice) float64 {
-	e, unread := o.entry, float64(choice.Unread)
-	if o.agreed {
+func (p *Pool) cost(e *entry, choice Choice, agreed bool, zone string) float64 {
+	unread := float64(choice.Unread)
+	if agreed {
 		unread *= agreedDiscount
 	}
 	slots := float64(max(choice.Slots, 1))
@@ -162,7 +114,7 @@
 	if over := choice.Load + 1 - slots; over > 0 {
 		cost += queueCost * over / slots
 	}
-	if e.Zone != o.zone {
+	if e.Zone != zone {
 		cost += otherZoneCost
 	}
 	if e.ColdFor > 0 {
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -40,26 +40,21 @@
 	DownFor time.Duration
 	// LoadLife is how long others' share of a reported load is believed.
 	LoadLife time.Duration
-	// ToldLife is how long what others told bounds what is sent.
-	ToldLife time.Duration
 	// CacheShare of an engine's memory is thought to keep parts of prompts.
 	CacheShare float64
 }
 
 // DefaultSettings suit a fleet whose requests take around a second.
 func DefaultSettings(zone string) Settings {
-	return Settings{Zone: zone, DownFor: time.Second, LoadLife: 3 * time.Second, ToldLife: time.Second, CacheShare: 0.5}
+	return Settings{Zone: zone, DownFor: time.Second, LoadLife: 3 * time.Second, CacheShare: 0.5}
 }
 
 // Pool is the set of workers. It is not safe for concurrent use.
 type Pool struct {
-	settings   Settings
-	entries    map[string]*entry
-	services   map[string][]*entry // sorted by id
-	capacity   map[string]int      // tokens of an engine's memory, by service
-	peers      int                 // other processes that send requests
-	tellingAge time.Duration       // of what they hold when it is told
-	rates      map[string]*rate    // of this process, by service
+	settings Settings
+	entries  map[string]*entry
+	services map[string][]*entry // sorted by id
+	capacity map[string]int      // tokens of an engine's memory, by service
 }
 
 // entry is one worker with what this process knows of it.
@@ -69,8 +64,6 @@
 	ownTokens int // of prompts, sent by this process and not yet read
 	others    float64
 	reported  time.Time // when others was learned
-	yielding  int       // of others, those that give way to any request
-	toldAt    time.Time // when those who hold them last told of others
 	slots     int       // by its reports, else by the list
 	downUntil time.Time // it refused a connection
 	failures  int       // in a row
@@ -82,7 +75,7 @@
 // NewPool gives an empty pool.
 func NewPool(settings Settings) *Pool {
 	return &Pool{
-		settings: settings, entries: map[string]*entry{}, services: map[string][]*entry{}, capacity: map[string]int{}, rates: map[string]*rate{},
+		settings: settings, entries: map[string]*entry{}, services: map[string][]*entry{}, capacity: map[string]int{},
 	}
 }
 
@@ -163,29 +156,12 @@
 	e.downUntil = time.Time{}
 }
 
-// Others is what others hold at a worker, as those who hold it tell.
-type Others struct {
-	Held     int `json:"held"`               // in all
-	Yielding int `json:"yielding,omitempty"` // of them, those that give way to any request
-}
-
-// SetOthers takes what others hold at a worker.
-func (p *Pool) SetOthers(now time.Time, id string, others Others) {
+// SetOthers takes how many requests others hold at a worker, by their own word.
+func (p *Pool) SetOthers(now time.Time, id string, held int) {
 	if e, ok := p.entries[id]; ok {
-		e.others = float64(others.Held)
-		e.yielding = others.Yielding
-		e.reported, e.toldAt = now, now
-	}
-}
-
-// full tells whether a worker has no slot, nor one that gives way, for a request
-// more, with over requests waiting there at most. Without word of others it never
-// is.
-func (p *Pool) full(now time.Time, e *entry, over int) bool {
-	if e.toldAt.IsZero() || now.Sub(e.toldAt) > p.settings.ToldLife {
-		return false
+		e.others = float64(held)
+		e.reported = now
 	}
-	return e.own+int(e.others)-e.yielding+1 > e.slots+over
 }
 
 // Occupancy is what is believed of one worker of a service.
@@ -208,18 +184,6 @@
 	return list
 }
 
-// HeldByWorker is how many requests of this process each worker has; those that
-// have none are left out.
-func (p *Pool) HeldByWorker() map[string]int {
-	held := map[string]int{}
-	for id, e := range p.entries {
-		if e.own > 0 {
-			held[id] = e.own
-		}
-	}
-	return held
-}
-
 // Refused notes that no connection could be made, or that one hung.
 func (p *Pool) Refused(now time.Time, id string) {
 	if e, ok := p.entries[id]; ok {
