--- a/worker/choose.go
+++ b/worker/choose.go
@@ -41,6 +41,7 @@
 	queueCost     = 6000.0 // and for each slot's worth beyond that, over the slots
 	otherZoneCost = 60.0
 	coldCost      = 3000.0
+	brokenCost    = 1500.0 // for each answer in a row that broke off
 	// sharedMinimum is the size from which a part that nobody here has sent yet
 	// is sent to the worker that every process agrees on.
 	sharedMinimum  = 400
@@ -117,6 +118,7 @@
 	if e.Zone != zone {
 		cost += otherZoneCost
 	}
+	cost += brokenCost * float64(e.broken)
 	if e.ColdFor > 0 {
 		cost += coldCost
 	}
--- a/worker/worker_test.go
+++ b/worker/worker_test.go
@@ -165,6 +165,10 @@
 			if got := p.Occupancies(start, "s")[0].Usable; got != test.usable {
 				t.Errorf("usable %t", got)
 			}
+			p.Put(Worker{ID: "other", Service: "s", Slots: 4})
+			if choice, _ := p.Choose(start, Query{Service: "s"}, random()); choice.Worker.ID != "other" {
+				t.Error("it is preferred to one whose answers are whole")
+			}
 		})
 	}
 }
