--- a/ratelimit/simulation_test.go
+++ b/ratelimit/simulation_test.go
@@ -29,6 +29,7 @@
 	hotAt    time.Duration
 	hotFor   time.Duration
 	one      bool // the hot requests come to one holder
+	steps    bool // the rate is 0.391 and 1.91 of the usual by turns, for 3.6 and 2.4 s
 	troubles []trouble
 	fault    Fault
 	length   time.Duration
@@ -93,6 +94,11 @@
 		if hot {
 			rate *= p.hot
 		}
+		if p.steps && now%(6*time.Second) < 3600*time.Millisecond {
+			rate *= 0.391
+		} else if p.steps {
+			rate *= 1.91
+		}
 		for range poisson(random, rate*step.Seconds()) {
 			holder := random.IntN(p.holders)
 			if hot && p.one {
@@ -174,6 +180,8 @@
 	hot.hot, hot.hotAt, hot.hotFor = 7.5, 20*time.Second, 12*time.Second
 	one := hot
 	one.one = true
+	steps := usual
+	steps.steps = true
 	with := func(p play, troubles ...trouble) play {
 		p.troubles = troubles
 		return p
@@ -181,6 +189,7 @@
 	const s = time.Second
 	return map[string]play{
 		"usual":                        usual,
+		"usual, in steps":              steps,
 		"usual, killed":                with(usual, trouble{"killed", 0, 22 * s, 2 * s, 0}),
 		"usual, a third cut off":       with(usual, trouble{"cut", 0, 10 * s, 12 * s, 0.35}, trouble{"cut", 1, 10 * s, 12 * s, 0.35}, trouble{"cut", 2, 10 * s, 12 * s, 0.35}, trouble{"cut", 3, 10 * s, 12 * s, 0.35}),
 		"hot everywhere":               hot,
@@ -223,7 +232,7 @@
 	tests := []struct {
 		name string
 		most float64 // share of what is asked
-	}{{"usual", 0}, {"usual, killed", 0.03}, {"usual, a third cut off", 0.1}}
+	}{{"usual", 0}, {"usual, in steps", 0.01}, {"usual, killed", 0.03}, {"usual, a third cut off", 0.1}}
 	for _, test := range tests {
 		for _, rate := range []float64{3, 7.5, 30, 120} {
 			asked, refused := 0, 0
