Log why a worker went from the list, and how old what a process knows is

Cause: after a request to a worker that had left, the logs could not tell an entry that was kept after an outage from one whose change was never heard, nor how old the process's knowledge was when it chose.

--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -58,6 +58,7 @@
 	s.pool = backend.NewPool(worker.DefaultSettings(common.Settings.Node.Zone), s.wakeAll)
 	s.catalog = catalog.New(source, common.KeyValue, common.Logger("catalog"), s.pool)
 	s.catalog.Freshness(common.Settings.Platform.Freshness)
+	common.Registry.MustRegister(s.catalog.Metrics()...)
 	s.catalog.Also(common.Settings.KeyValueService.Prefix+storeclient.PrefixStores, s.members)
 	s.stores = &storeclient.Client{
 		HTTP: transport.NewClient(storeConnections), AttemptTimeout: storeAttempt,
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
 	"github.com/dykewing/dykewing/internal/kv"
@@ -39,8 +40,20 @@
 	ID     string
 	Worker worker.Worker
 	Gone   bool
+	reason reason
 }
 
+// reason is why the list of workers changed.
+type reason string
+
+// The reasons.
+const (
+	entryWritten   reason = "entry_written"
+	entryRemoved   reason = "entry_removed"    // a change says that it went
+	entryNotListed reason = "entry_not_listed" // a whole state that was read lacks it
+	entryNotBack   reason = "entry_not_back"   // it was kept after an outage, in vain
+)
+
 // Listener is told of changes, in order; it must not block.
 type Listener interface {
 	ConfigurationChanged(configuration *route.Configuration)
@@ -53,6 +66,7 @@
 	service  kv.Service
 	log      *logrus.Entry
 	listener Listener
+	metrics  metrics
 
 	views         []prefixed
 	failing       bool // the service does not answer; only for follow
@@ -60,13 +74,16 @@
 	configuration atomic.Pointer[route.Configuration]
 	raw           atomic.Pointer[[]byte] // of the configuration in force
 	changedAt     atomic.Int64           // Unix nanoseconds
-	contactAt     atomic.Int64           // of the service's last word, in Unix nanoseconds
+	contactAt     atomic.Int64           // of the service's last word, in Unix nanoseconds; 0 before the first
+	startedAt     time.Time
 	adopting      sync.Mutex
 }
 
 // New gives a catalog that tells listener.
 func New(source Source, service kv.Service, log *logrus.Entry, listener Listener) *Catalog {
 	c := &Catalog{source: source, service: service, log: log, listener: listener}
+	c.startedAt = time.Now()
+	c.metrics = newMetrics(c.ContactAge)
 	c.Also(source.ConfigurationPrefix, &configurationView{catalog: c})
 	c.Also(source.WorkerPrefix, &workerView{catalog: c, revisions: map[string]int64{}, lapsed: map[string]bool{}})
 	return c
@@ -100,6 +117,19 @@
 	return c.outages.freshness > 0 && silent > c.outages.freshness+quietMargin
 }
 
+// ContactAge is the time since the service's last word; what is known here may be
+// that old. It is the time since New before the first.
+func (c *Catalog) ContactAge() time.Duration {
+	at := c.contactAt.Load()
+	if at == 0 {
+		return time.Since(c.startedAt)
+	}
+	return time.Since(time.Unix(0, at))
+}
+
+// Metrics are for the process's registry.
+func (c *Catalog) Metrics() []prometheus.Collector { return c.metrics.all() }
+
 // Run watches until ctx ends.
 func (c *Catalog) Run(ctx context.Context) { c.follow(ctx) }
 
@@ -197,11 +227,13 @@
 }
 
 func (c *Catalog) contact() {
-	c.outages.answered(time.Now())
+	if c.outages.answered(time.Now()) {
+		c.metrics.outages.Inc()
+	}
 	c.contactAt.Store(time.Now().UnixNano())
 	if c.failing {
 		c.failing = false
-		c.log.WithField("event", "dependency_regained").Info("The key-value service answers again.")
+		c.log.WithFields(logrus.Fields{"event": "dependency_regained", "away_ms": c.outages.away.Milliseconds()}).Info("The key-value service answers again.")
 	}
 }
 
@@ -290,7 +322,7 @@
 	}
 	for key := range v.revisions {
 		if !found[key] {
-			changes = v.remove(changes, key)
+			changes = v.remove(changes, key, entryNotListed)
 		}
 	}
 	v.tell(changes)
@@ -304,7 +336,7 @@
 	for _, event := range batch.Events {
 		if event.Deleted {
 			if event.Pair.Revision >= v.revisions[event.Pair.Key] {
-				changes = v.remove(changes, event.Pair.Key)
+				changes = v.remove(changes, event.Pair.Key, entryRemoved)
 			}
 			continue
 		}
@@ -324,25 +356,27 @@
 	}
 	v.revisions[pair.Key] = pair.Revision
 	delete(v.lapsed, pair.Key)
-	return append(changes, Change{ID: decoded.ID, Worker: decoded})
+	return append(changes, Change{ID: decoded.ID, Worker: decoded, reason: entryWritten})
 }
 
 // remove takes an entry out; just after an outage it stays in force for a while,
 // since its worker may only have been unable to renew it.
-func (v *workerView) remove(changes []Change, key string) []Change {
+func (v *workerView) remove(changes []Change, key string, why reason) []Change {
 	delete(v.revisions, key)
 	if kept := v.catalog.outages.keeps(time.Now()); kept > 0 {
-		v.lapse(key, kept)
+		v.lapse(key, kept, why)
 		return changes
 	}
-	return append(changes, v.gone(key))
+	return append(changes, v.gone(key, why))
 }
 
 // lapse keeps an entry in force for a time; the mutex is held.
-func (v *workerView) lapse(key string, kept time.Duration) {
+func (v *workerView) lapse(key string, kept time.Duration, why reason) {
 	v.lapsed[key] = true
+	v.catalog.metrics.lapsed.Inc()
 	v.catalog.log.WithFields(logrus.Fields{
-		"event": "worker_lapsed", "worker": v.id(key), "kept_ms": kept.Milliseconds(),
+		"event": "worker_lapsed", "worker": v.id(key), "reason": why, "kept_ms": kept.Milliseconds(),
+		"away_ms": v.catalog.outages.away.Milliseconds(), "regained_ms": time.Since(v.catalog.outages.regainedAt).Milliseconds(),
 	}).Info("A worker's entry went while the service was away; it may come back.")
 	if v.expiry == nil {
 		v.expiry = time.AfterFunc(kept, v.expire)
@@ -356,7 +390,7 @@
 	v.expiry = nil
 	var changes []Change
 	for _, key := range slices.Sorted(maps.Keys(v.lapsed)) {
-		changes = append(changes, v.gone(key))
+		changes = append(changes, v.gone(key, entryNotBack))
 	}
 	clear(v.lapsed)
 	v.tell(changes)
@@ -366,8 +400,8 @@
 	return strings.TrimPrefix(key, v.catalog.source.WorkerPrefix)
 }
 
-func (v *workerView) gone(key string) Change {
-	return Change{ID: v.id(key), Gone: true}
+func (v *workerView) gone(key string, why reason) Change {
+	return Change{ID: v.id(key), Gone: true, reason: why}
 }
 
 func (v *workerView) tell(changes []Change) {
@@ -377,7 +411,7 @@
 	for _, change := range changes {
 		v.catalog.log.WithFields(logrus.Fields{
 			"event": "worker_changed", "worker": change.ID, "service": change.Worker.Service, "address": change.Worker.Address,
-			"leaving": change.Worker.Leaving, "gone": change.Gone,
+			"leaving": change.Worker.Leaving, "gone": change.Gone, "reason": change.reason,
 		}).Info("The list of workers changed.")
 	}
 	v.catalog.listener.WorkersChanged(changes)
--- a/internal/catalog/lapse.go
+++ b/internal/catalog/lapse.go
@@ -21,6 +21,7 @@
 	answeredAt time.Time
 	failedAt   time.Time // zero while calls succeed
 	regainedAt time.Time
+	away       time.Duration // without an answer before regainedAt
 }
 
 // failed notes a call that failed; the first of some is kept.
@@ -30,14 +31,16 @@
 	}
 }
 
-// answered notes an answer, and whether the service had been away until then.
-func (o *outages) answered(now time.Time) {
+// answered notes an answer, and tells whether the service had been away until then.
+func (o *outages) answered(now time.Time) bool {
 	failing := !o.failedAt.IsZero() && now.Sub(o.failedAt) >= shortestOutage
 	silent := o.freshness > 0 && !o.answeredAt.IsZero() && now.Sub(o.answeredAt) > o.freshness+quietMargin
-	if failing || silent {
-		o.regainedAt = now
+	returned := failing || silent
+	if returned {
+		o.regainedAt, o.away = now, now.Sub(o.answeredAt)
 	}
 	o.answeredAt, o.failedAt = now, time.Time{}
+	return returned
 }
 
 // keeps tells for how much longer entries that went stay in force; 0: not at all.
--- /dev/null
+++ b/internal/catalog/metrics.go
@@ -0,0 +1,32 @@
+package catalog
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// metrics of a catalog.
+type metrics struct {
+	age     prometheus.GaugeFunc
+	lapsed  prometheus.Counter
+	outages prometheus.Counter
+}
+
+func newMetrics(age func() time.Duration) metrics {
+	return metrics{
+		age: prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "dykewing_catalog_contact_age_seconds", Help: "Time since the key-value service's last word; configuration and workers may be known as they were then.",
+		}, func() float64 { return age().Seconds() }),
+		lapsed: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "dykewing_catalog_workers_lapsed_total", Help: "Entries of workers that went just after an outage and were kept for a while.",
+		}),
+		outages: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "dykewing_catalog_outages_total", Help: "Returns of the key-value service after a time in which this process had no answer.",
+		}),
+	}
+}
+
+func (m metrics) all() []prometheus.Collector {
+	return []prometheus.Collector{m.age, m.lapsed, m.outages}
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -109,6 +109,7 @@
 	f.places = newPlaces(f)
 	f.catalog = catalog.New(source, common.KeyValue, common.Logger("catalog"), f.pool)
 	f.catalog.Freshness(common.Settings.Platform.Freshness)
+	common.Registry.MustRegister(f.catalog.Metrics()...)
 	f.catalog.Also(common.Settings.KeyValueService.Prefix+storeclient.PrefixStores, registered)
 	common.Mux.HandleFunc("GET "+catalog.PathConfiguration, f.catalog.ServeConfiguration)
 	if err := f.listen(); err != nil {
--- a/internal/frontend/serve.go
+++ b/internal/frontend/serve.go
@@ -199,6 +199,7 @@
 		"event": event, "request": x.request.ID, "route": x.route.Name, "service": x.service, "tenant": x.identity.tenant.Name, "version": x.version,
 		"sends": x.sends, "runs": x.runs, "events": x.events,
 		"age_ms": time.Since(x.arrived).Milliseconds(), "left_ms": time.Until(x.deadline).Milliseconds(),
+		"known_ms": x.frontend.catalog.ContactAge().Milliseconds(),
 	})
 	if failure != nil {
 		entry = entry.WithFields(logrus.Fields{"code": failure.Code, "outcome": failure.Outcome, "peer": failure.Peer, "step": failure.Step})
