Word of watchers that have no contact counts as a call that found no way

Cause: processes that learn changes from watchers ask the service itself only each two seconds during its outage, so that with the time of keeping now bound to the last call that found no way, entries that an outage removed would go up to two seconds sooner there than where the service is asked. Change: a watch ends with kv.ErrNoContact when a watcher says so; the catalog notes it as a call without a way, without a pause and without a line (one of two watchers may be cut off, while the other tells all).

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -115,8 +115,9 @@
 	return result, err
 }
 
-// Watch delivers changes of all keys after a revision until the service itself fails
-// or changes are missed; the watchers' failures are followed by other questions.
+// Watch delivers changes of all keys after a revision until the service itself fails,
+// changes are missed, or a watcher says that it has no contact with the service
+// (kv.ErrNoContact); other failures of watchers are followed by other questions.
 func (r *Relay) Watch(ctx context.Context, prefix string, revision int64, deliver func(kv.Batch)) error {
 	if prefix != "" {
 		return r.Service.Watch(ctx, prefix, revision, deliver)
@@ -134,7 +135,7 @@
 			return ctx.Err()
 		}
 		r.ended(question, batch.Revision, err)
-		if errors.Is(err, kv.ErrCompacted) || err != nil && question.OfService() {
+		if errors.Is(err, kv.ErrCompacted) || errors.Is(err, kv.ErrNoContact) || err != nil && question.OfService() {
 			return err
 		}
 		if err != nil {
@@ -175,16 +176,13 @@
 	return min(2*next, lastGatherPause)
 }
 
-// errBehind says that a peer has no contact with the service.
-var errBehind = errors.New("the peer has no contact with the service")
-
 // ended tells the chooser how a question ended and logs another source.
 func (r *Relay) ended(question feed.Question, revision int64, err error) {
 	outcome, label := feed.Unreachable, "failed"
 	switch {
 	case err == nil || errors.Is(err, kv.ErrCompacted):
 		outcome, label = feed.Answered, "answered"
-	case errors.Is(err, errBehind):
+	case errors.Is(err, kv.ErrNoContact):
 		outcome, label = feed.Behind, "behind"
 	}
 	r.chooser.Ended(time.Now(), question, outcome)
@@ -248,7 +246,7 @@
 	err := transport.Get(ctx, r.client, "ask for changes", peer.Address, path, into)
 	var failure *api.Error
 	if errors.As(err, &failure) && failure.Code == api.CodeNoContact {
-		return fmt.Errorf("%w: %w", errBehind, err)
+		return fmt.Errorf("%w: %w", kv.ErrNoContact, err)
 	}
 	return err
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -47,6 +47,8 @@
 	server *httptest.Server
 	frozen atomic.Bool
 	asked  atomic.Int64 // by other members
+	// noContact counts the watches that ended with a watcher's word of no contact.
+	noContact atomic.Int64
 
 	mutex    sync.Mutex
 	revision int64
@@ -139,6 +141,9 @@
 		n.mutex.Unlock()
 		err := n.relay.Watch(ctx, "", revision, n.take)
 		whole = errors.Is(err, kv.ErrCompacted)
+		if errors.Is(err, kv.ErrNoContact) {
+			n.noContact.Add(1)
+		}
 		time.Sleep(time.Millisecond)
 	}
 }
@@ -263,6 +268,19 @@
 	}
 }
 
+// Who asks a watcher without contact is told so: the service may have been away.
+func TestAWatchersWordOfNoContactEndsAWatch(t *testing.T) {
+	z := newZone(t, members)
+	z.start()
+	z.store.Put("op/config", []byte("1"))
+	z.allKnow("op/config", "1")
+	for i := range z.nodes {
+		z.refuse.Store(z.nodes[i].id, true)
+	}
+	last := z.nodes[members-1]
+	z.await("word of no contact", func() bool { return last.noContact.Load() > 0 })
+}
+
 // A member that asks for changes that the watcher has forgotten reads everything.
 func TestWhoIsFarBehindReadsTheWholeState(t *testing.T) {
 	const changes = 3000 // more than a watcher keeps
