An older state of a watcher is not taken for the newest

Change: a watcher whose whole state has an earlier revision than is known here is passed over like one without contact. Result: TestAnOlderStateIsNotTaken fails on the code before (revision 9 where 10 was known) and passes.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -101,6 +101,9 @@
 	question := r.chooser.Next(time.Now())
 	if !question.OfService() {
 		result, err := r.wholeOf(ctx, question.Peer)
+		if known := r.mirror.after(0).revision; err == nil && result.Revision < known {
+			err = fmt.Errorf("%w: %s knows revision %d, this process %d", errOlder, question.Peer.Address, result.Revision, known)
+		}
 		r.ended(question, result.Revision, err)
 		if err == nil {
 			r.mirror.reset(result, false, time.Now())
@@ -176,13 +179,17 @@
 	return min(2*next, lastGatherPause)
 }
 
+// errOlder says that a peer's state is older than what is known here: workers that have
+// left would be listed again.
+var errOlder = errors.New("the peer's state is an older one")
+
 // ended tells the chooser how a question ended and logs another source.
 func (r *Relay) ended(question feed.Question, revision int64, err error) {
 	outcome, label := feed.Unreachable, "failed"
 	switch {
 	case err == nil || errors.Is(err, kv.ErrCompacted):
 		outcome, label = feed.Answered, "answered"
-	case errors.Is(err, kv.ErrNoContact):
+	case errors.Is(err, kv.ErrNoContact) || errors.Is(err, errOlder):
 		outcome, label = feed.Behind, "behind"
 	}
 	r.chooser.Ended(time.Now(), question, outcome)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -281,6 +281,32 @@
 	z.await("word of no contact", func() bool { return last.noContact.Load() > 0 })
 }
 
+// A watcher whose state is older than what a member knows is not believed: a worker that
+// has left would be listed again.
+func TestAnOlderStateIsNotTaken(t *testing.T) {
+	z := newZone(t, members)
+	const changes = 10
+	for i := range changes {
+		z.store.Put("op/config", []byte(fmt.Sprint(i)))
+	}
+	var tells atomic.Int64 // the revision that watchers tell
+	for i := range watchers {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprintf(w, `{"revision":%d,"pairs":[{"Key":"servers/a","Revision":%d}]}`, tells.Load(), tells.Load())
+		}))
+		t.Cleanup(server.Close)
+		z.members[i].Address = strings.TrimPrefix(server.URL, "http://")
+	}
+	follower := z.nodes[members-1].relay
+	for _, test := range []struct{ tells, want int64 }{{changes, changes}, {changes - 1, changes}, {changes + 5, changes + 5}} {
+		tells.Store(test.tells)
+		result, err := follower.Range(t.Context(), "")
+		if err != nil || result.Revision != test.want {
+			t.Errorf("watchers tell revision %d: got %d (%v), want %d", test.tells, result.Revision, err, test.want)
+		}
+	}
+}
+
 // A member that asks for changes that the watcher has forgotten reads everything.
 func TestWhoIsFarBehindReadsTheWholeState(t *testing.T) {
 	const changes = 3000 // more than a watcher keeps
