Revert: word of watchers that have no contact counts as a call that found no way

Cause: a watcher's word says that its way is blocked, not that of the process that asks it. A process that can reach the service, behind two watchers that cannot, would take their word for an outage of its own and keep a worker that left just then for up to 1.8 s after it had learned so, over two seconds in all. Result: by arithmetic, after an outage that removed entries, a follower keeps them until 0.4 to 2.7 s after the return, while workers are back within one heartbeat (1.2 s): about one pair of follower and worker in nine lacks the worker, for 0.3 s on average. Not measured.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -161,9 +161,6 @@
 			whole, delay = true, firstRetryDelay // the service answers
 		}
 		c.lostContact(err)
-		if errors.Is(err, kv.ErrNoContact) {
-			continue // the next question goes elsewhere, or later
-		}
 		pause(ctx, delay/2+rand.N(delay))
 		delay = min(2*delay, lastRetryDelay)
 	}
@@ -229,7 +226,7 @@
 		return
 	}
 	c.outages.failed(c.askedAt, time.Now())
-	if !c.failing && !errors.Is(err, kv.ErrNoContact) {
+	if !c.failing {
 		c.failing = true
 		c.log.WithField("event", "dependency_lost").WithError(err).Warn("The key-value service does not answer; what is known stays in force.")
 	}
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -19,10 +19,6 @@
 // call not through; it had no effect.
 var ErrLimited = errors.New("key-value service: rate limit reached")
 
-// ErrNoContact says that a process that tells others what the service told it has had
-// no answer of the service itself for a while; ask again at once.
-var ErrNoContact = errors.New("key-value service: no contact")
-
 // Pair is a key with its value and modification revision.
 type Pair struct {
 	Key      string
