Log and count choices of workers without a known leader

Neither a log line nor a metric tells whether frontends know the leaders then. Change: leader_unknown, leader_known with unknown_ms, and places_total{unknown}.

--- a/internal/frontend/places.go
+++ b/internal/frontend/places.go
@@ -29,6 +29,9 @@
 	lastLeaderPause = 2400 * time.Millisecond
 	// fullMemory is how long a leader that had no slot is not asked for one at once.
 	fullMemory = 30 * time.Millisecond
+	// knownFor is how long no choice may be without a known leader before this is logged
+	// as over.
+	knownFor = time.Second
 	// longestPlaceWait of one question: the leader may change meanwhile.
 	longestPlaceWait = time.Second
 	// releaseDelay is how long word of requests that ended waits for a question to the
@@ -57,6 +60,9 @@
 	sequence uint64     // of the last report; begins with the time of the start
 	leaders  map[api.NodeID]*leader
 	held     map[string]int // requests at workers, by worker
+	// Choices without a known leader: since when, and the last one; zero without any.
+	unknownSince time.Time
+	unknownAt    time.Time
 }
 
 // leader is what is known of one process that gives places.
@@ -135,6 +141,7 @@
 			}
 		}
 		peer, known := p.leaderOf(ticket.Worker.ID)
+		p.noteKnown(known)
 		if !known || p.silent(peer.ID) {
 			return p.keep(ticket), nil
 		}
@@ -158,6 +165,26 @@
 	return nil, nil
 }
 
+// noteKnown counts choices without a known leader, and logs when they begin and end.
+func (p *places) noteKnown(known bool) {
+	if !known {
+		p.metrics.places.WithLabelValues("unknown").Inc()
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	now := time.Now()
+	switch {
+	case !known && p.unknownSince.IsZero():
+		p.unknownSince = now
+		p.log.WithField("event", "leader_unknown").Info("The leader of a worker's group is not known; the frontend chooses by itself.")
+	case !known:
+		p.unknownAt = now
+	case !p.unknownSince.IsZero() && now.Sub(p.unknownAt) >= knownFor:
+		p.log.WithFields(logrus.Fields{"event": "leader_known", "unknown_ms": p.unknownAt.Sub(p.unknownSince).Milliseconds()}).Info("The leaders of all workers that are chosen are known.")
+		p.unknownSince = time.Time{}
+	}
+}
+
 // noPlaceInTime is the refusal of a request for which the leader where the fewest wait
 // has no slot in time.
 func noPlaceInTime(peer api.Node, answer reservation.Answer) *api.Error {
