The line leader_known tells how long leaders were unknown

Cause: with a single choice without a leader it told a time before the process's start. Change: the first such choice is also the last one so far; a test on a virtual clock. Result: the test fails on the code before (a negative time) and passes.

--- a/internal/frontend/places.go
+++ b/internal/frontend/places.go
@@ -175,7 +175,7 @@
 	now := time.Now()
 	switch {
 	case !known && p.unknownSince.IsZero():
-		p.unknownSince = now
+		p.unknownSince, p.unknownAt = now, now
 		p.log.WithField("event", "leader_unknown").Info("The leader of a worker's group is not known; the frontend chooses by itself.")
 	case !known:
 		p.unknownAt = now
--- a/internal/frontend/places_test.go
+++ b/internal/frontend/places_test.go
@@ -3,16 +3,19 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/hold"
@@ -147,6 +150,28 @@
 	}
 }
 
+// Choices without a known leader are told once, and how long they lasted.
+func TestChoicesWithoutALeaderAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		logger, hook := test.NewNullLogger()
+		p := &places{log: logrus.NewEntry(logger), metrics: newMetrics(prometheus.NewRegistry())}
+		for _, step := range []struct {
+			known bool
+			after time.Duration
+		}{{false, 0}, {true, 10 * time.Millisecond}, {false, 300 * time.Millisecond}, {true, knownFor / 2}, {true, knownFor}, {true, knownFor}} {
+			time.Sleep(step.after)
+			p.noteKnown(step.known)
+		}
+		var told []string
+		for _, entry := range hook.AllEntries() {
+			told = append(told, fmt.Sprint(entry.Data["event"], " ", entry.Data["unknown_ms"]))
+		}
+		if want := "leader_unknown <nil>, leader_known 310"; strings.Join(told, ", ") != want {
+			t.Errorf("told %q, want %q", told, want)
+		}
+	})
+}
+
 func ignoreDropped(*backend.Ticket) {}
 
 // Symptom: none was seen; found when a request to a worker that had left was traced to
