Leaders publish themselves, and frontends that have just started know them

Change: a group's record in the key-value service, which every process reads with the configuration, names the leader with its term; the leader writes it when its term begins, again each 500 ms until it is written. The newer term of record and view is taken. One write and one event at every watch for a change of a leader.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -62,6 +62,7 @@
 
 	patience patience
 	places   *places
+	leaders  *storeclient.Leaders
 
 	samples *rate.Limiter // of lines about ordinary successes
 
@@ -103,6 +104,7 @@
 	}
 	f.ending, f.endAll = context.WithCancel(context.Background())
 	registered := &storeclient.Registered{}
+	f.leaders = &storeclient.Leaders{Prefix: common.Settings.KeyValueService.Prefix}
 	f.stores = &storeclient.Client{HTTP: newStoreClient(), AttemptTimeout: storeAttempt, Nodes: func() []api.Node { return registered.With(common.Nodes()) }}
 	f.limiter = limiter.New(common.Settings.Tenants.Tolerance(), func() []api.Node { return owners(common.Nodes(), registered.With) }, f.holders, common.Logger("limits"), common.Registry)
 	f.pool = backend.NewPool(worker.DefaultSettings(common.Settings.Node.Zone), nil)
@@ -111,6 +113,7 @@
 	f.catalog.Freshness(common.Settings.Platform.Freshness)
 	common.Registry.MustRegister(f.catalog.Metrics()...)
 	f.catalog.Also(common.Settings.KeyValueService.Prefix+storeclient.PrefixStores, registered)
+	f.catalog.Also(common.Settings.KeyValueService.Prefix+storeclient.PrefixGroups, f.leaders)
 	common.Mux.HandleFunc("GET "+catalog.PathConfiguration, f.catalog.ServeConfiguration)
 	if err := f.listen(); err != nil {
 		f.closeListeners()
--- a/internal/frontend/places.go
+++ b/internal/frontend/places.go
@@ -11,7 +11,6 @@
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/hold"
 	"github.com/dykewing/dykewing/internal/backend"
-	"github.com/dykewing/dykewing/internal/storeclient"
 	"github.com/dykewing/dykewing/internal/transport"
 	"github.com/dykewing/dykewing/placement"
 	"github.com/dykewing/dykewing/reservation"
@@ -88,7 +87,7 @@
 
 // leaderOf is the process that leads the group that fills a worker, if it is known.
 func (f *Frontend) leaderOf(id string) (api.Node, bool) {
-	return storeclient.Leader(f.node.Nodes(), placement.WorkerGroup(id, f.node.Settings.Store.Groups))
+	return f.leaders.Of(f.node.Nodes(), placement.WorkerGroup(id, f.node.Settings.Store.Groups))
 }
 
 // state is what is known of a leader; the mutex is held.
--- a/internal/store/bootstrap.go
+++ b/internal/store/bootstrap.go
@@ -19,7 +19,7 @@
 // Keys under the service's prefix.
 const (
 	prefixStores       = storeclient.PrefixStores
-	prefixGroups       = "groups/"
+	prefixGroups       = storeclient.PrefixGroups
 	bootstrapInterval  = 500 * time.Millisecond
 	publishingInterval = 10 * time.Second // once all groups are formed
 )
@@ -33,6 +33,8 @@
 	First   replication.Members `json:"first"`
 	Members replication.Members `json:"members"`
 	Index   uint64              `json:"index"` // of the entry that made Members
+	// Leader is told for processes that start: it is who led when it was written.
+	Leader storeclient.GroupLeader `json:"leader,omitzero"`
 }
 
 // meetOtherStores registers this store, forms groups that are missing, starts
@@ -73,8 +75,9 @@
 		if err := s.startFirst(id, record); err != nil {
 			s.log.WithError(err).WithField("group", id).Error("The group could not be started.")
 		}
-		if err := s.publish(ctx, id, record, revisions[id]); err != nil {
-			return true, err
+		published, err := s.publish(ctx, id, record, revisions[id])
+		if !published || err != nil {
+			return false, err
 		}
 	}
 	return true, nil
@@ -106,7 +109,7 @@
 func (s *Store) key(rest string) string { return s.node.Settings.KeyValueService.Prefix + rest }
 
 func (s *Store) groupRecordKey(id api.GroupID) string {
-	return s.key(fmt.Sprintf("%s%d", prefixGroups, id))
+	return s.key(storeclient.GroupKey(id))
 }
 
 func (s *Store) readGroups(ctx context.Context) (map[api.GroupID]groupRecord, map[api.GroupID]int64, error) {
@@ -226,22 +229,34 @@
 	return s.startGroup(id, record.First)
 }
 
-// publish tells the service what the group has committed, if this store leads.
-func (s *Store) publish(ctx context.Context, id api.GroupID, record groupRecord, revision int64) error {
+// publish tells the service what the group has committed and who leads it, if this store
+// does; false where the record has changed meanwhile.
+func (s *Store) publish(ctx context.Context, id api.GroupID, record groupRecord, revision int64) (published bool, err error) {
 	group, ok := s.group(id)
-	if !ok || !group.leads() {
-		return nil
+	if !ok {
+		return true, nil
 	}
-	at := group.members()
-	if at.MembersIndex <= record.Index {
-		return nil
+	term, leads := group.leadingTerm()
+	if !leads {
+		return true, nil
+	}
+	next := record
+	if at := group.members(); at.MembersIndex > record.Index {
+		next.Members, next.Index = at.Members, at.MembersIndex
+	}
+	if term > record.Leader.Term {
+		next.Leader = storeclient.GroupLeader{Node: s.node.ID(), Address: s.node.Address(), Term: term}
+	}
+	if next.Index == record.Index && next.Leader == record.Leader {
+		return true, nil
 	}
-	value, err := json.Marshal(groupRecord{First: record.First, Members: at.Members, Index: at.MembersIndex})
+	value, err := json.Marshal(next)
 	if err != nil {
-		return err
+		return false, err
 	}
-	if _, err := s.node.KeyValue.Swap(ctx, kv.Swap{Key: s.groupRecordKey(id), Value: value, Expected: revision}); err != nil {
-		return fmt.Errorf("publish members of group %d: %w", id, err)
+	result, err := s.node.KeyValue.Swap(ctx, kv.Swap{Key: s.groupRecordKey(id), Value: value, Expected: revision})
+	if err != nil {
+		return false, fmt.Errorf("publish group %d: %w", id, err)
 	}
-	return nil
+	return result.Succeeded, nil
 }
--- a/internal/store/group.go
+++ b/internal/store/group.go
@@ -45,6 +45,7 @@
 	metrics         *metrics
 	log             *logrus.Entry
 	inline          StartInlineRunner // nil: inline jobs are kept, not run
+	led             func()            // a group is led here from now on; must not block
 }
 
 // group runs one replica: its log, its applied state and, while it leads, its
@@ -287,6 +288,13 @@
 	return g.leading != nil
 }
 
+// leadingTerm is the term in which this replica leads; false when it does not.
+func (g *group) leadingTerm() (term uint64, leads bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.role.Term, g.leading != nil
+}
+
 // leadingSince tells when this replica began to lead.
 func (g *group) leadingSince() time.Time {
 	g.mutex.Lock()
--- a/internal/store/leadership.go
+++ b/internal/store/leadership.go
@@ -33,6 +33,7 @@
 		leading.SetServices(g.services)
 	}
 	g.log.WithField("term", g.role.Term).Info("This replica leads the group.")
+	g.led()
 }
 
 // endLeading ends what only a leader does; the mutex is held.
--- a/internal/store/members.go
+++ b/internal/store/members.go
@@ -112,6 +112,11 @@
 	}
 	group.log.WithField("voters", change.Voters).WithField("learners", change.Learners).Info("The group's members changed.")
 	s.unregisterRemoved(ctx, at.Members, change)
+	s.publishSoon()
+}
+
+// publishSoon lets what is published of the groups be looked at.
+func (s *Store) publishSoon() {
 	select {
 	case s.changed <- struct{}{}:
 	default:
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -41,7 +41,7 @@
 	cancel     context.CancelFunc
 	background sync.WaitGroup
 	failure    chan error    // a write failed for good
-	changed    chan struct{} // members changed here: they are to be published
+	changed    chan struct{} // members or a leader changed here: they are to be published
 
 	mutex   sync.Mutex // guards all below
 	groups  map[api.GroupID]*group
@@ -111,7 +111,7 @@
 	peers := newPeers(settings.ReplaceAfter)
 	s.shared = parts{
 		settings: settings, heapBytes: s.node.Settings.Node.HeapBytes(),
-		electionTimeout: settings.ElectionTimeoutAt(s.node.Settings.Node.ProcessorShare), database: database, peers: peers, metrics: metrics, log: s.log, inline: s.inline,
+		electionTimeout: settings.ElectionTimeoutAt(s.node.Settings.Node.ProcessorShare), database: database, peers: peers, metrics: metrics, log: s.log, inline: s.inline, led: s.publishSoon,
 		sender: newSender(database.identity, s.node.Address(), peers, metrics),
 	}
 	s.shared.writer = newWriter(database, metrics, s.writeFailed, s.writeRecovered)
--- a/internal/storeclient/paths.go
+++ b/internal/storeclient/paths.go
@@ -78,16 +78,20 @@
 
 // Leader finds the store that says it leads the group, by the highest term.
 func Leader(nodes []api.Node, group api.GroupID) (api.Node, bool) {
-	var leader api.Node
-	term, found := uint64(0), false
+	found, _, ok := leader(nodes, group)
+	return found, ok
+}
+
+// leader is Leader with the term.
+func leader(nodes []api.Node, group api.GroupID) (found api.Node, term uint64, ok bool) {
 	for _, node := range nodes {
 		for _, summary := range node.Summary.Groups {
-			if summary.Group == group && summary.Leading && (!found || summary.Term > term) {
-				leader, term, found = node, summary.Term, true
+			if summary.Group == group && summary.Leading && (!ok || summary.Term > term) {
+				found, term, ok = node, summary.Term, true
 			}
 		}
 	}
-	return leader, found
+	return found, term, ok
 }
 
 // LinesPage is a page of a file.
