A machine is emptied only once as many copies stand elsewhere

Cause: a replica on a machine that is to be emptied counted as lost; beside one that was, the order of their names decided which of the two went first. Gone first, the machine was reported empty with one copy too few. Change: lost replicas go first; one that is to leave goes when as many healthy ones as wanted are there without it, and is a copy until then.

--- a/placement/groups.go
+++ b/placement/groups.go
@@ -89,20 +89,25 @@
 	Replicas int                                      // voters wanted
 }
 
-// NextChange gives the next members of a group that has lost a replica, one step
-// at a time: a newcomer learns, votes once it has caught up, and only then the
-// lost one goes, so that no step leaves fewer copies than the one before. It is
-// false when nothing is to be done or can be done.
+// NextChange gives the next members of a group that has lost a replica or has one on a
+// machine that is to be emptied, one step at a time: a newcomer learns, votes once it
+// has caught up, and only then the lost one goes, so that no step leaves fewer copies than
+// the one before. A replica that is to leave goes last, when enough others have a copy. It
+// is false when nothing is to be done or can be done.
 func NextChange(view GroupView) (replication.Members, bool) {
-	lost := filter(view.Members.Voters, view.goes)
-	healthy := len(view.Members.Voters) - len(lost)
+	lost := filter(view.Members.Voters, view.Lost)
+	leaving := filter(view.Members.Voters, func(replica replication.ReplicaID) bool { return view.Leaving(replica) && !view.Lost(replica) })
+	healthy := len(view.Members.Voters) - len(lost) - len(leaving)
 	if len(view.Members.Learners) > 0 {
 		return view.settleLearner(healthy)
 	}
 	switch {
 	case len(view.Members.Voters) > view.Replicas && len(lost) > 0:
 		return view.without(lost[0]), true
-	case len(view.Members.Voters) > view.Replicas:
+	case len(view.Members.Voters) > view.Replicas && len(leaving) > 0 && healthy >= view.Replicas:
+		// It is a copy until then: one that left while a lost one stayed would leave too few.
+		return view.without(leaving[0]), true
+	case len(view.Members.Voters) > view.Replicas && len(leaving) == 0:
 		return view.without(view.surplus()), true
 	case healthy < view.Replicas:
 		return view.withLearner()
