--- a/worker/worker.go
+++ b/worker/worker.go
@@ -20,6 +20,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Pace is how long work takes there now, as a multiple of the usual time: its
+	// machine is shared. 0 when not told.
+	Pace float64
 }
 
 // Worker is one incarnation of a back end as its platform lists it.
