One wait: overload decides, leaders and frontends ask it

Cause: a request waited as long as its deadline allowed, by an estimate from places given lately, so that in a lasting shortage nearly all were late. Change: package overload decides by the slots that come free (slots over the time that one is held), those ahead, those who come, and those told to return; leaders observe and refuse at once; frontends without a leader ask the same decision.

--- a/hold/hold.go
+++ b/hold/hold.go
@@ -28,6 +28,8 @@
 	Begin time.Time
 	// Last is when it must begin at the latest to be answered at all.
 	Last time.Time
+	// Promised is the slot that it was told to return for; zero without one.
+	Promised time.Time
 }
 
 // Class is how soon a request is to be taken; the least goes first.
@@ -35,7 +37,8 @@
 
 // The classes.
 const (
-	Expiring Class = iota // late already, and soon too late to be answered at all
+	Promised Class = iota // was told to return, and the slot it was told of is due
+	Expiring              // late already, and soon too late to be answered at all
 	InTime                // can still be in time
 	Late                  // can't be in time any more
 )
@@ -46,6 +49,8 @@
 // Class tells how a request stands now.
 func (r Request) Class(now time.Time) Class {
 	switch {
+	case !r.Promised.IsZero() && !now.Before(r.Promised):
+		return Promised
 	case !now.After(r.Begin):
 		return InTime
 	case now.Add(lastCall).After(r.Last):
@@ -61,7 +66,10 @@
 }
 
 func compareIn(class Class, a, b Request) int {
-	if class == InTime {
+	switch class {
+	case Promised:
+		return a.Promised.Compare(b.Promised)
+	case InTime:
 		return a.Begin.Compare(b.Begin)
 	}
 	return a.Last.Compare(b.Last)
--- a/internal/batchrun/places.go
+++ b/internal/batchrun/places.go
@@ -14,6 +14,11 @@
 	"github.com/dykewing/dykewing/worker"
 )
 
+// observeInterval is between two counts of slots, holdings and ends, and between two
+// looks at whether those that wait have hope: a tenth of the time that a request which
+// is refused may have waited.
+const observeInterval = 10 * time.Millisecond
+
 // maximumPlaceBytes of a frontend's message: an entry a worker, and a prompt's parts.
 const maximumPlaceBytes = 1 << 20
 
@@ -25,6 +30,7 @@
 	mutex  sync.Mutex // guards all below; leaders' mutexes are taken after it
 	book   *reservation.Book
 	queues map[string]*reservation.Queue // by service
+	seenAt time.Time                     // when slots were last counted
 
 	counts sync.Map // of requests that wait, by service; for readers without the mutex
 }
@@ -86,20 +92,22 @@
 	ask := *message.Ask
 	queue := p.queue(ask.Service)
 	waits := reservation.Wait(now, message.Report.Node, ask)
+	if ask.Wait > 0 {
+		queue.Arrived(now, waits)
+	}
 	if queue.Len() == 0 {
 		if answer, ok := p.place(now, leaders, waits); ok {
+			if ask.Wait <= 0 {
+				queue.Arrived(now, waits)
+			}
 			return nil, answer
 		}
 	}
-	if until := queue.Until(now, waits); until > ask.Last {
-		p.service.log.WithFields(logrus.Fields{
-			"event": "place_refused", "peer": waits.Node, "service": ask.Service, "waiting": queue.Len(),
-			"until_ms": until.Milliseconds(), "last_ms": ask.Last.Milliseconds(),
-		}).Info("A request can't have a place in time.")
-		return nil, reservation.Answer{Hopeless: true, RetryAfter: until, Waiting: queue.Len()}
-	}
 	if ask.Wait <= 0 {
-		return nil, reservation.Answer{Full: true, Waiting: queue.Len()}
+		return nil, queue.Full(now, waits)
+	}
+	if verdict := queue.Decide(now, waits); verdict.Refuse {
+		return nil, p.refuse(now, reservation.Refused{Waiting: waits, Verdict: verdict})
 	}
 	queue.Add(waits)
 	p.counts.Store(ask.Service, queue.Len())
@@ -109,6 +117,19 @@
 	return waits, reservation.Answer{}
 }
 
+// refuse answers a request that can't have a place in time; the mutex is held.
+func (p *places) refuse(now time.Time, r reservation.Refused) reservation.Answer {
+	queue := p.queue(r.Ask.Service)
+	p.service.metrics.refused.Inc()
+	p.service.log.WithFields(logrus.Fields{
+		"event": "place_refused", "peer": r.Node, "service": r.Ask.Service, "waiting": queue.Len(), "ahead": r.Verdict.Ahead, "told": r.Verdict.Told,
+		"rate": r.Verdict.PerSecond, "until_ms": r.Verdict.Until.Milliseconds(), "begin_ms": r.Order.Begin.Sub(now).Milliseconds(),
+		"last_ms": r.Order.Last.Sub(now).Milliseconds(), "waited_ms": now.Sub(r.Since).Milliseconds(), "returned": r.Ask.Returned,
+		"promised": !r.Order.Promised.IsZero(), "return_ms": r.Verdict.Return.Milliseconds(),
+	}).Info("A request can't have a place in time.")
+	return reservation.Answer{Hopeless: true, RetryAfter: r.Verdict.Return, Waiting: queue.Len(), Until: r.Verdict.Until}
+}
+
 // await gives the place of a request that waits, as soon as there is one.
 func (p *places) await(r *http.Request, waits *reservation.Waiting, longest time.Duration) reservation.Answer {
 	timer := time.NewTimer(longest)
@@ -126,7 +147,7 @@
 		return <-waits.Place
 	}
 	p.counts.Store(waits.Ask.Service, queue.Len())
-	return reservation.Answer{Full: true, Waiting: queue.Len()}
+	return queue.Full(time.Now(), waits)
 }
 
 func (p *places) queue(service string) *reservation.Queue {
@@ -151,6 +172,7 @@
 // placeWaiting gives places to those that wait, in their order; the mutex is held.
 func (p *places) placeWaiting(now time.Time, leaders []*Leader) {
 	p.spread(leaders)
+	observed := p.observe(now, leaders)
 	for service, queue := range p.queues {
 		if queue.Len() == 0 {
 			continue
@@ -163,10 +185,40 @@
 			queue.Remove(waits)
 			waits.Place <- answer
 		}
+		if observed {
+			for _, refused := range queue.Refuse(now) {
+				refused.Place <- p.refuse(now, refused)
+			}
+		}
 		p.counts.Store(service, queue.Len())
 	}
 }
 
+// observe counts slots, what requests hold of them and what has ended, for the decisions
+// about waits; false when it did so a moment ago. The mutex is held.
+func (p *places) observe(now time.Time, leaders []*Leader) bool {
+	if now.Sub(p.seenAt) < observeInterval {
+		return false
+	}
+	p.seenAt = now
+	ended := p.book.Ended()
+	for _, name := range p.service.serviceNames() {
+		slots, held, ends := 0, 0, 0
+		for _, seen := range p.service.pool.Occupancies(name) {
+			if !filled(leaders, seen.ID) {
+				continue
+			}
+			ends += ended[seen.ID]
+			if seen.Usable {
+				slots += seen.Slots
+				held += min(p.book.Online(seen.ID), seen.Slots)
+			}
+		}
+		p.queue(name).Line.Observe(now, slots, held, ends)
+	}
+	return true
+}
+
 // spread lets choices of workers see what frontends hold; the mutex is held.
 func (p *places) spread(leaders []*Leader) {
 	held := map[string]int{}
@@ -196,7 +248,7 @@
 		}
 	}
 	grant := p.book.Give(now, waits.Node, id)
-	p.queue(waits.Ask.Service).Placed(now)
+	p.queue(waits.Ask.Service).Placed(now, waits)
 	p.service.pool.Read(id, waits.Ask.Parts)
 	p.service.pool.SetOthers(map[string]int{id: p.book.Online(id) + p.service.hidden.of(id)})
 	return reservation.Answer{Worker: id, Grant: grant}, true
--- a/internal/batchrun/places_test.go
+++ b/internal/batchrun/places_test.go
@@ -93,9 +93,6 @@
 func TestThoseThatWaitGetPlacesInTheirOrder(t *testing.T) {
 	l := testLeader(t, 0, 1)
 	p, now := l.service.places, time.Now()
-	for range 20 {
-		p.queue("lm").Placed(now)
-	}
 	full := holding(1, map[string]int{"w0": 12})
 	late, inTime, urgent := asked("w0", time.Minute), asked("w0", time.Minute), asked("w0", time.Minute)
 	late.Begin = -time.Millisecond
@@ -126,7 +123,11 @@
 	l := testLeader(t, 0, 1)
 	ask := asked("w0", time.Minute)
 	ask.Last = 10 * time.Millisecond
-	waits, got := l.service.places.take(time.Now(), l.service.led(), reservation.Message{Report: holding(1, map[string]int{"w0": 12}), Ask: ask})
+	now := time.Now()
+	for i := range 20 { // twelve slots a second come free
+		l.service.places.queue("lm").Line.Observe(now.Add(time.Duration(i-20)*time.Second/12), 12, 12, 1)
+	}
+	waits, got := l.service.places.take(now, l.service.led(), reservation.Message{Report: holding(1, map[string]int{"w0": 12}), Ask: ask})
 	if waits != nil || !got.Hopeless || got.RetryAfter <= ask.Last {
 		t.Errorf("%+v", got)
 	}
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -198,6 +198,7 @@
 	waiting  prometheus.Gauge
 	running  prometheus.Gauge
 	yielded  prometheus.Counter
+	refused  prometheus.Counter   // requests that can't have a place in time
 	seconds  prometheus.Histogram // of a whole item, from its submission
 }
 
@@ -214,11 +215,14 @@
 		yielded: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "dykewing_batch_items_yielded_total", Help: "Items stopped because requests waited at their worker.",
 		}),
+		refused: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "dykewing_places_refused_total", Help: "Requests refused a place since there will be none in time.",
+		}),
 		seconds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "dykewing_batch_item_seconds", Help: "Time from a job's submission to an item's result.",
 			Buckets: prometheus.ExponentialBuckets(0.25, 2, 12),
 		}),
 	}
-	registry.MustRegister(m.items, m.attempts, m.waiting, m.running, m.yielded, m.seconds)
+	registry.MustRegister(m.items, m.attempts, m.waiting, m.running, m.yielded, m.refused, m.seconds)
 	return m
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -64,6 +64,7 @@
 
 	patience patience
 	places   *places
+	rooms    rooms
 	leaders  *storeclient.Leaders
 
 	samples *rate.Limiter // of lines about ordinary successes
--- a/internal/frontend/online.go
+++ b/internal/frontend/online.go
@@ -55,6 +55,7 @@
 	x.lastEvent = x.request.LastEvent
 	last := attemptResult{failure: api.NewError("choose worker", "", api.CodeNoCapacity, api.OutcomeNotRun, "no worker of %s takes it", x.service)}
 	room := roomWait{sends: maximumSends}
+	defer x.leaveRoom(&room)
 	for {
 		// Also before a place is waited for: the answer is final and comes at once.
 		if refusal := x.quarantined(ctx); refusal != nil {
@@ -82,7 +83,9 @@
 		}
 		x.sends++
 		room.sends--
+		f.rooms.began(time.Now(), x.service)
 		last = x.attempt(ctx, ticket)
+		f.rooms.ended(time.Now(), x.service, last.verdict != notRun)
 		x.noteRun(ticket, last)
 		f.metrics.attempts.WithLabelValues(last.verdict.String()).Inc()
 		if last.verdict == done {
@@ -139,7 +142,7 @@
 // place takes a worker, with its leader's word where the service runs batch.
 func (x *exchange) place(ctx context.Context) (*backend.Ticket, *api.Error) {
 	if x.frontend.givesPlaces(x.service) {
-		return x.frontend.places.take(ctx, x.query(), x.order(), x.noteDropped)
+		return x.frontend.places.take(ctx, x.query(), x.order(), x.returned(), x.noteDropped)
 	}
 	ticket, _ := x.frontend.pool.Take(x.query())
 	return ticket, nil
--- a/internal/frontend/order.go
+++ b/internal/frontend/order.go
@@ -15,6 +15,9 @@
 	beginMargin = 100 * time.Millisecond
 	// answerShare of what is left when a request arrives is kept for its answer.
 	answerShare = 0.4
+	// returnedFrom is how long a caller has waited, at least, who was turned away before:
+	// less is the time that a connection takes.
+	returnedFrom = 50 * time.Millisecond
 	// heldFrom is the wait for a place from which it is worth a line.
 	heldFrom = 10 * time.Millisecond
 )
@@ -36,9 +39,17 @@
 	if x.request.Left <= 0 {
 		return 0
 	}
-	return max(x.frontend.patience.first(x.route.Name, x.request.Left)-x.request.Left, 0)
+	left := x.request.Left
+	if x.route.Timeout > 0 { // who waits longer than the route allows tells nothing of others
+		left = min(left, x.route.Timeout)
+	}
+	return x.frontend.patience.first(x.route.Name, left) - left
 }
 
+// returned tells whether its caller was turned away before, as far as the time that it
+// has left tells: each attempt has an id of its own.
+func (x *exchange) returned() bool { return x.waited() >= returnedFrom }
+
 // noteHeld logs a request that has waited here.
 func (x *exchange) noteHeld(since time.Time, ok bool) {
 	waited := time.Since(since)
--- a/internal/frontend/places.go
+++ b/internal/frontend/places.go
@@ -1,8 +1,11 @@
 package frontend
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -70,9 +73,10 @@
 	silentUntil time.Time
 	pause       time.Duration // after its last silence; 0 once it has answered
 	fullUntil   time.Time
-	waiting     int       // requests there when it was full
-	toldAt      time.Time // of the last report
-	dirty       bool      // a report is due
+	waiting     int           // requests there when it was full
+	until       time.Duration // the wait that was expected there then; 0: not known
+	toldAt      time.Time     // of the last report
+	dirty       bool          // a report is due
 }
 
 func newPlaces(f *Frontend) *places {
@@ -113,9 +117,9 @@
 //
 // A worker may leave while its leader is asked, for up to longestPlaceWait: it would
 // be sent the request on knowledge of that age. dropped is told, and another is taken.
-func (p *places) take(ctx context.Context, query worker.Query, order hold.Request, dropped func(*backend.Ticket)) (*backend.Ticket, *api.Error) {
+func (p *places) take(ctx context.Context, query worker.Query, order hold.Request, returned bool, dropped func(*backend.Ticket)) (*backend.Ticket, *api.Error) {
 	for {
-		ticket, refusal := p.takeOnce(ctx, query, order)
+		ticket, refusal := p.takeOnce(ctx, query, order, returned)
 		if ticket == nil || p.pool.Accepts(ticket.Worker.ID) {
 			return ticket, refusal
 		}
@@ -125,7 +129,8 @@
 }
 
 // takeOnce is take without a look at what has changed meanwhile.
-func (p *places) takeOnce(ctx context.Context, query worker.Query, order hold.Request) (*backend.Ticket, *api.Error) {
+func (p *places) takeOnce(ctx context.Context, query worker.Query, order hold.Request, returned bool) (*backend.Ticket, *api.Error) {
+	again := false
 	full := map[api.NodeID]bool{}
 	for ctx.Err() == nil {
 		ticket, ok := p.choose(query, full)
@@ -144,7 +149,7 @@
 		if !known || p.silent(peer.ID) {
 			return p.keep(ticket), nil
 		}
-		answer, err := p.ask(ctx, peer, ticket, query, order, wait)
+		answer, err := p.ask(ctx, peer, ticket, query, order, reservation.Ask{Wait: wait, Returned: returned, Again: again})
 		switch {
 		case err != nil || answer.Blind:
 			if ctx.Err() != nil {
@@ -160,6 +165,12 @@
 		}
 		ticket.End()
 		full[peer.ID] = true
+		if wait > 0 {
+			again = true
+			if answer.Promise != nil {
+				order.Promised = time.Now().Add(*answer.Promise)
+			}
+		}
 	}
 	return nil, nil
 }
@@ -213,21 +224,22 @@
 	return p.pool.Take(query)
 }
 
-// chooseQueue takes a worker of the leader where the fewest wait, and how long to wait
-// there; false when the request can't wait any more.
+// chooseQueue takes a worker of the leader where the wait is the shortest, and how long
+// to wait there; false when the request can't wait any more. Where the fewest wait need
+// not be it: a leader that has lost its workers refuses all, and nobody waits there.
 func (p *places) chooseQueue(query worker.Query, full map[api.NodeID]bool, order hold.Request) (*backend.Ticket, time.Duration, bool) {
 	wait := min(time.Until(order.Last), longestPlaceWait)
 	if wait <= 0 {
 		return nil, 0, false
 	}
-	least, waiting := api.NodeID(""), 0
 	p.mutex.Lock()
-	for id := range full {
-		if known := p.state(id); least == "" || known.waiting < waiting || known.waiting == waiting && id < least {
-			least, waiting = id, known.waiting
-		}
-	}
-	p.state(least).waiting++ // until its next word
+	least := slices.MinFunc(slices.Collect(maps.Keys(full)), func(a, b api.NodeID) int {
+		x, y := p.state(a), p.state(b)
+		return cmp.Or(cmp.Compare(x.until, y.until), cmp.Compare(x.waiting, y.waiting), cmp.Compare(a, b))
+	})
+	known := p.state(least)
+	known.waiting++ // until its next word
+	known.until += known.until / time.Duration(known.waiting)
 	p.mutex.Unlock()
 	query.Only = func(id string) bool {
 		peer, known := p.leaderOf(id)
@@ -248,10 +260,13 @@
 }
 
 // ask asks a leader for a place.
-func (p *places) ask(ctx context.Context, peer api.Node, ticket *backend.Ticket, query worker.Query, order hold.Request, wait time.Duration) (reservation.Answer, error) {
-	ask := reservation.Ask{
-		Service: query.Service, Worker: ticket.Worker.ID, Parts: query.Parts, Tokens: query.Tokens, Excluded: query.Excluded,
-		Zone: p.zone, Rank: order.Rank, Begin: time.Until(order.Begin), Last: time.Until(order.Last), Wait: wait,
+func (p *places) ask(ctx context.Context, peer api.Node, ticket *backend.Ticket, query worker.Query, order hold.Request, ask reservation.Ask) (reservation.Answer, error) {
+	wait := ask.Wait
+	ask.Service, ask.Worker, ask.Parts, ask.Tokens, ask.Excluded = query.Service, ticket.Worker.ID, query.Parts, query.Tokens, query.Excluded
+	ask.Zone, ask.Rank, ask.Begin, ask.Last = p.zone, order.Rank, time.Until(order.Begin), time.Until(order.Last)
+	if !order.Promised.IsZero() {
+		due := time.Until(order.Promised)
+		ask.Promise = &due
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+placeTimeout)
 	defer cancel()
@@ -272,12 +287,13 @@
 	case err != nil:
 		p.metrics.places.WithLabelValues("silent").Inc()
 	case answer.Worker != "":
-		known.waiting = 0
+		known.waiting, known.until = 0, 0
 		p.metrics.places.WithLabelValues("given").Inc()
 	case answer.Full || answer.Hopeless && wait == 0:
-		known.fullUntil, known.waiting = time.Now().Add(fullMemory), answer.Waiting
+		known.fullUntil, known.waiting, known.until = time.Now().Add(fullMemory), answer.Waiting, answer.Until
 		p.metrics.places.WithLabelValues("full").Inc()
 	case answer.Hopeless:
+		known.fullUntil, known.waiting, known.until = time.Now().Add(fullMemory), answer.Waiting, answer.Until
 		p.metrics.places.WithLabelValues("hopeless").Inc()
 	case answer.Blind:
 		p.metrics.places.WithLabelValues("blind").Inc()
@@ -292,21 +308,6 @@
 	return answer, err
 }
 
-func (p *places) report(peer api.Node) reservation.Report {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	known := p.state(peer.ID)
-	known.dirty, known.toldAt = false, time.Now()
-	p.sequence++
-	report := reservation.Report{Node: p.self, Sequence: p.sequence, Seen: known.seen, Held: map[string]int{}}
-	for id, n := range p.held {
-		if other, ok := p.leaderOf(id); ok && other.ID == peer.ID {
-			report.Held[id] = n
-		}
-	}
-	return report
-}
-
 // placed takes a place that a leader gave. A worker that this frontend does not know,
 // or may not use, is not taken; the frontend's own choice stands.
 func (p *places) placed(peer api.Node, ticket *backend.Ticket, query worker.Query, answer reservation.Answer) *backend.Ticket {
@@ -338,78 +339,3 @@
 	ticket.OnEnd(func() { p.ended(id) })
 	return ticket
 }
-
-// ended lets a worker's leader know soon that a request has left it: at once while
-// others wait there.
-func (p *places) ended(id string) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if p.held[id]--; p.held[id] <= 0 {
-		delete(p.held, id)
-	}
-	peer, ok := p.leaderOf(id)
-	if !ok {
-		return
-	}
-	known := p.state(peer.ID)
-	if known.dirty {
-		return
-	}
-	known.dirty = true
-	delay := releaseDelay
-	if known.waiting > 0 {
-		delay = 0
-	}
-	time.AfterFunc(delay, func() { p.release(peer) })
-}
-
-// release tells a leader what is held unless a question has done so.
-func (p *places) release(peer api.Node) {
-	p.mutex.Lock()
-	due := p.state(peer.ID).dirty
-	p.mutex.Unlock()
-	if !due {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), placeTimeout)
-	defer cancel()
-	if _, err := p.send(ctx, peer, nil); err != nil {
-		p.metrics.places.WithLabelValues("unreported").Inc()
-		p.log.WithFields(logrus.Fields{"event": "places_not_told", "peer": peer.ID}).WithError(err).Debug("A leader was not told of requests that ended; the next message tells.")
-	}
-}
-
-// run reports what is held while nothing changes, until ctx ends.
-func (p *places) run(ctx context.Context) {
-	defer p.client.CloseIdleConnections()
-	ticker := time.NewTicker(refreshInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-		for _, peer := range p.stale(time.Now()) {
-			go p.release(peer)
-		}
-	}
-}
-
-// stale lists the leaders of workers where something is held that have not been told
-// for a while, and lets a report be due.
-func (p *places) stale(now time.Time) (list []api.Node) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	for id := range p.held {
-		peer, ok := p.leaderOf(id)
-		if !ok {
-			continue
-		}
-		if known := p.state(peer.ID); now.Sub(known.toldAt) >= refreshInterval && !known.dirty {
-			known.dirty = true
-			list = append(list, peer)
-		}
-	}
-	return list
-}
--- a/internal/frontend/places_test.go
+++ b/internal/frontend/places_test.go
@@ -133,7 +133,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			p := leadersOf(t, &answers{rule: test.a}, &answers{rule: test.b})
-			ticket, refusal := p.take(t.Context(), worker.Query{Service: "s"}, toBegin(test.within), ignoreDropped)
+			ticket, refusal := p.take(t.Context(), worker.Query{Service: "s"}, toBegin(test.within), false, ignoreDropped)
 			switch {
 			case test.want == "":
 				if ticket != nil || refusal == nil || refusal.Outcome != api.OutcomeNotRun {
@@ -201,7 +201,7 @@
 			}
 			p.pool.WorkersChanged([]catalog.Change{{ID: "wb", Gone: true}}) // until wa was chosen
 			var dropped []string
-			ticket, refusal := p.take(t.Context(), worker.Query{Service: "s"}, toBegin(time.Minute), func(ticket *backend.Ticket) {
+			ticket, refusal := p.take(t.Context(), worker.Query{Service: "s"}, toBegin(time.Minute), false, func(ticket *backend.Ticket) {
 				dropped = append(dropped, ticket.Worker.ID)
 				p.pool.WorkersChanged([]catalog.Change{{ID: "wb", Worker: worker.Worker{ID: "wb", Service: "s", Zone: "z", Slots: 4}}})
 			})
@@ -219,7 +219,7 @@
 
 func TestWithoutAWorkerThereIsNoPlace(t *testing.T) {
 	p := leadersOf(t, &answers{rule: gives("wa")}, &answers{rule: gives("wb")})
-	if ticket, refusal := p.take(t.Context(), worker.Query{Service: "unknown"}, toBegin(time.Minute), ignoreDropped); ticket != nil || refusal != nil {
+	if ticket, refusal := p.take(t.Context(), worker.Query{Service: "unknown"}, toBegin(time.Minute), false, ignoreDropped); ticket != nil || refusal != nil {
 		t.Errorf("%v, %v", ticket, refusal)
 	}
 }
@@ -228,7 +228,7 @@
 func TestReportsTellOfPlaces(t *testing.T) {
 	a, b := &answers{rule: gives("wa")}, &answers{rule: gives("wa")}
 	p := leadersOf(t, a, b)
-	ticket, _ := p.take(t.Context(), worker.Query{Service: "s", Excluded: []string{"wb"}}, toBegin(time.Minute), ignoreDropped)
+	ticket, _ := p.take(t.Context(), worker.Query{Service: "s", Excluded: []string{"wb"}}, toBegin(time.Minute), false, ignoreDropped)
 	peer, _ := p.leaderOf("wa")
 	report := p.report(peer)
 	if report.Seen != 7 || report.Held["wa"] != 1 || report.Held["wb"] != 0 {
@@ -249,7 +249,7 @@
 	a, b := &answers{rule: breaks}, &answers{rule: breaks}
 	p := leadersOf(t, a, b)
 	query := worker.Query{Service: "s", Excluded: []string{"wb"}}
-	p.take(t.Context(), query, toBegin(time.Minute), ignoreDropped)
+	p.take(t.Context(), query, toBegin(time.Minute), false, ignoreDropped)
 	peer, _ := p.leaderOf("wa")
 	known := p.state(peer.ID)
 	if known.pause != leaderPause || known.silentUntil.IsZero() {
@@ -257,7 +257,7 @@
 	}
 	known.silentUntil = time.Now().Add(time.Hour) // the verdict does not depend on the clock
 	for range 10 {
-		if ticket, refusal := p.take(t.Context(), query, toBegin(time.Minute), ignoreDropped); ticket == nil {
+		if ticket, refusal := p.take(t.Context(), query, toBegin(time.Minute), false, ignoreDropped); ticket == nil {
 			t.Fatalf("no worker: %v", refusal)
 		}
 	}
@@ -265,7 +265,7 @@
 		t.Errorf("a leader that does not answer was asked %d times", n)
 	}
 	known.silentUntil = time.Time{}
-	p.take(t.Context(), query, toBegin(time.Minute), ignoreDropped)
+	p.take(t.Context(), query, toBegin(time.Minute), false, ignoreDropped)
 	if known.pause != 2*leaderPause {
 		t.Errorf("paused for %v after the second silence", known.pause)
 	}
@@ -275,7 +275,7 @@
 	p := leadersOf(t, &answers{rule: gives("wa")}, &answers{rule: gives("wb")})
 	ctx, leave := context.WithCancel(t.Context())
 	leave()
-	if ticket, refusal := p.take(ctx, worker.Query{Service: "s"}, toBegin(time.Minute), ignoreDropped); ticket != nil || refusal != nil {
+	if ticket, refusal := p.take(ctx, worker.Query{Service: "s"}, toBegin(time.Minute), false, ignoreDropped); ticket != nil || refusal != nil {
 		t.Errorf("%v, %v", ticket, refusal)
 	}
 	if held := p.pool.Held("wa") + p.pool.Held("wb"); held != 0 {
--- a/internal/frontend/serve.go
+++ b/internal/frontend/serve.go
@@ -36,6 +36,7 @@
 		return
 	}
 	x := &exchange{frontend: f, w: w, r: r, arrived: time.Now(), request: f.protocol.ReadRequest(r.Header)}
+	x.deadline = x.arrived.Add(x.left()) // until its route may set another
 	configuration := f.catalog.Configuration()
 	if configuration == nil {
 		x.refuse(api.NewError("match route", "", api.CodeNoTable, api.OutcomeNotRun, "no configuration is known yet"))
--- a/reservation/queue.go
+++ b/reservation/queue.go
@@ -1,18 +1,19 @@
 package reservation
 
 import (
-	"math"
 	"slices"
 	"time"
 
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/hold"
+	"github.com/dykewing/dykewing/overload"
 )
 
 // Waiting is one request that waits for a place.
 type Waiting struct {
 	Node  api.NodeID
 	Ask   Ask
+	Since time.Time
 	Order hold.Request
 	// Place gets the answer once there is one; it has room for it.
 	Place chan Answer
@@ -20,25 +21,52 @@
 
 // Wait makes a request wait from now on.
 func Wait(now time.Time, node api.NodeID, ask Ask) *Waiting {
-	return &Waiting{
-		Node: node, Ask: ask, Place: make(chan Answer, 1),
+	w := &Waiting{
+		Node: node, Ask: ask, Since: now, Place: make(chan Answer, 1),
 		Order: hold.Request{Rank: ask.Rank, Begin: now.Add(ask.Begin), Last: now.Add(ask.Last)},
 	}
+	if ask.Promise != nil {
+		w.Order.Promised = now.Add(*ask.Promise)
+	}
+	return w
 }
 
-// rateMemory is over how long the rate of places is averaged.
-const rateMemory = time.Second
-
-// Queue is the requests of one service that wait, and how often a place was given.
+// Queue is the requests of one service that wait, and what decides how long.
 type Queue struct {
-	list    []*Waiting
-	rate    float64 // of places, a second
-	placeAt time.Time
+	Line overload.Line
+	list []*Waiting
 }
 
 // Len is how many wait.
 func (q *Queue) Len() int { return len(q.list) }
 
+// Arrived notes a request that is to be placed or to wait here. One that was told to
+// return is found out, and goes before new ones of its rank.
+func (q *Queue) Arrived(now time.Time, w *Waiting) {
+	switch {
+	case w.Ask.Again:
+	case w.Ask.Returned:
+		w.Order.Promised, _ = q.Line.Claim(now, w.Ask.Rank, w.Ask.Last)
+	default:
+		q.Line.Arrived(now, w.Ask.Rank)
+	}
+}
+
+// Placed notes that a request got a place.
+func (q *Queue) Placed(now time.Time, w *Waiting) {
+	q.Line.Placed(now, w.Order.Rank, w.Order.Class(now) == hold.InTime)
+}
+
+// Full answers a request that has no slot, and waits no longer here.
+func (q *Queue) Full(now time.Time, w *Waiting) Answer {
+	answer := Answer{Full: true, Waiting: q.Len(), Until: q.Line.Look(now, use(now, w, false), q.ahead(now, w)).Until}
+	if !w.Order.Promised.IsZero() {
+		due := w.Order.Promised.Sub(now)
+		answer.Promise = &due
+	}
+	return answer
+}
+
 // Add lets a request wait.
 func (q *Queue) Add(w *Waiting) { q.list = append(q.list, w) }
 
@@ -55,32 +83,44 @@
 	return slices.Clone(q.list)
 }
 
-// Placed notes that a place was given.
-func (q *Queue) Placed(now time.Time) {
-	q.decay(now)
-	q.rate += 1 / rateMemory.Seconds()
+// Decide decides for a request that finds no slot: it waits, or is refused.
+func (q *Queue) Decide(now time.Time, w *Waiting) overload.Verdict {
+	return q.Line.Decide(now, use(now, w, false), q.ahead(now, w))
 }
 
-func (q *Queue) decay(now time.Time) {
-	if passed := now.Sub(q.placeAt).Seconds(); passed > 0 {
-		q.rate *= math.Exp(-passed / rateMemory.Seconds())
-		q.placeAt = now
+func (q *Queue) ahead(now time.Time, w *Waiting) (ahead int) {
+	for _, other := range q.list {
+		if other != w && hold.Compare(now, other.Order, w.Order) <= 0 {
+			ahead++
+		}
 	}
+	return ahead
 }
 
-// leastRate is what the rate of places, a second, is taken for at least: where none
-// was needed lately, nothing is known of it.
-const leastRate = 5
+// Refused is a request that waits no longer, with why.
+type Refused struct {
+	*Waiting
+	Verdict overload.Verdict
+}
 
-// Until estimates when a request that comes now would be placed: after those that go
-// before it, at the late rate of places.
-func (q *Queue) Until(now time.Time, w *Waiting) time.Duration {
-	q.decay(now)
-	ahead := 1
-	for _, other := range q.list {
-		if hold.Compare(now, other.Order, w.Order) <= 0 {
-			ahead++
+// Refuse takes out those that can't have a slot in time any more, as is known now:
+// nobody waits on for what won't come.
+func (q *Queue) Refuse(now time.Time) (refused []Refused) {
+	ahead := 0
+	for _, w := range q.Sorted(now) {
+		if verdict := q.Line.Decide(now, use(now, w, true), ahead); verdict.Refuse {
+			q.Remove(w)
+			refused = append(refused, Refused{Waiting: w, Verdict: verdict})
+			continue
 		}
+		ahead++
+	}
+	return refused
+}
+
+func use(now time.Time, w *Waiting, waits bool) overload.Use {
+	return overload.Use{
+		Rank: w.Order.Rank, Begin: w.Order.Begin.Sub(now), Last: w.Order.Last.Sub(now), Waits: waits,
+		Promised: !w.Order.Promised.IsZero(), Due: w.Order.Promised.Sub(now),
 	}
-	return time.Duration(float64(ahead) / max(q.rate, leastRate) * float64(time.Second))
 }
--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -8,6 +8,7 @@
 package reservation
 
 import (
+	"maps"
 	"time"
 
 	"github.com/dykewing/dykewing/api"
@@ -42,6 +43,13 @@
 	Last  time.Duration `json:"last"`
 	// Wait is how long it waits for a place; 0: not at all.
 	Wait time.Duration `json:"wait,omitempty"`
+	// Returned: its caller was turned away before, as far as the time it has left
+	// tells. Again: this attempt has waited here or at another leader before.
+	Returned bool `json:"returned,omitempty"`
+	Again    bool `json:"again,omitempty"`
+	// Promise is the time until the slot that it was told to return for; it stays with
+	// an attempt that asks again.
+	Promise *time.Duration `json:"promise,omitempty"`
 }
 
 // Message is what a frontend sends: a report, and a question or none.
@@ -60,6 +68,10 @@
 	// Full: there is no slot; Waiting requests wait for one.
 	Full    bool `json:"full,omitempty"`
 	Waiting int  `json:"waiting,omitempty"`
+	// Until is when this request would have a slot there, with Full; 0: not known.
+	Until time.Duration `json:"until,omitempty"`
+	// Promise is as in Ask.
+	Promise *time.Duration `json:"promise,omitempty"`
 	// Hopeless: there will be no slot in time; the request is best sent again after
 	// RetryAfter.
 	Hopeless   bool          `json:"hopeless,omitempty"`
@@ -79,6 +91,7 @@
 type Book struct {
 	nodes  map[api.NodeID]*holder
 	online map[string]int // by worker
+	ended  map[string]int // by worker, since it was last asked for
 	grants uint64
 }
 
@@ -97,7 +110,17 @@
 }
 
 // New gives an empty book.
-func New() *Book { return &Book{nodes: map[api.NodeID]*holder{}, online: map[string]int{}} }
+func New() *Book {
+	return &Book{nodes: map[api.NodeID]*holder{}, online: map[string]int{}, ended: map[string]int{}}
+}
+
+// Ended gives how many requests ended at each worker since it was last called, as far
+// as reports show.
+func (b *Book) Ended() map[string]int {
+	ended := b.ended
+	b.ended = map[string]int{}
+	return ended
+}
 
 // Online is how many requests are at a worker, or on their way to it.
 func (b *Book) Online(worker string) int { return b.online[worker] }
@@ -112,12 +135,31 @@
 	if report.Sequence <= h.sequence {
 		return
 	}
+	b.end(h, report)
 	b.count(h.held, -1)
 	b.count(report.Held, 1)
 	h.at, h.sequence, h.held = now, report.Sequence, report.Held
 	b.drop(h, func(g given) bool { return g.grant <= report.Seen })
 }
 
+// end counts those of a frontend that a new report shows no more.
+func (b *Book) end(h *holder, report Report) {
+	had := maps.Clone(h.held)
+	if had == nil {
+		had = map[string]int{}
+	}
+	for _, g := range h.given {
+		if g.grant <= report.Seen {
+			had[g.worker]++
+		}
+	}
+	for worker, n := range had {
+		if n > report.Held[worker] {
+			b.ended[worker] += n - report.Held[worker]
+		}
+	}
+}
+
 // Give notes a place for a frontend and gives its number.
 func (b *Book) Give(now time.Time, node api.NodeID, worker string) uint64 {
 	h := b.nodes[node]
--- a/reservation/reservation_test.go
+++ b/reservation/reservation_test.go
@@ -105,8 +105,8 @@
 func TestAQueueEstimatesByThoseAhead(t *testing.T) {
 	const ms = time.Millisecond
 	var q Queue
-	for i := range 100 {
-		q.Placed(start.Add(time.Duration(i) * 10 * ms))
+	for i := range 101 { // a hundred slots a second come free
+		q.Line.Observe(start.Add(time.Duration(i)*10*ms), 100, 100, 1)
 	}
 	now := start.Add(time.Second)
 	wait := func(rank int, begin time.Duration) *Waiting {
@@ -126,7 +126,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			if got := q.Until(now, test.waits); got < test.least || got > test.most {
+			if got := q.Decide(now, test.waits).Until; got < test.least || got > test.most {
 				t.Errorf("%v", got)
 			}
 		})
