Tests of one wait: the decision, the book of returns, a replay with its plant

Cause: none of it was tested. Change: table tests, a replay of four loads against six ways, tests of the leader's refusals.

--- a/reservation/replay_test.go
+++ b/reservation/replay_test.go
@@ -362,10 +362,45 @@
 	{"delay controlled", controlled}, {"newest first", newestFirst}, {"least time left first", byTimeLeft},
 }
 
-func TestTable(t *testing.T) {
+// TestWaysOfWaiting prints what docs/design/overload.md says of each way.
+func TestWaysOfWaiting(t *testing.T) {
 	for _, l := range loads {
 		for _, w := range ways {
-			t.Logf("%s | %s | %v", l.name, w.name, replay(l, w, 1))
+			t.Logf("| %s | %s | %v |", l.name, w.name, replay(l, w, 1))
+		}
+	}
+}
+
+// needs is what callers need in each load, in its order.
+var needs = []struct {
+	first, all float64       // at least
+	median     time.Duration // of refused ones' waits, at most
+}{
+	{0.55, 0.66, 100 * time.Millisecond},
+	{0.83, 0.99, time.Hour}, // few are refused
+	{0.42, 0.49, 100 * time.Millisecond},
+	{0.99, 1, time.Hour},
+}
+
+func unmet(o outcome, i int) bool {
+	return o.first < needs[i].first || o.all < needs[i].all || o.median > needs[i].median
+}
+
+func TestCallersAreServedInTimeOrToldAtOnce(t *testing.T) {
+	for i, l := range loads {
+		for seed := uint64(1); seed <= 4; seed++ {
+			if o := replay(l, way{"", theQueue}, seed); unmet(o, i) {
+				t.Errorf("%s, seed %d: %v", l.name, seed, o)
+			}
+		}
+	}
+}
+
+// An estimate from places given lately is the plant that the needs must catch.
+func TestTheNeedsCatchAnEstimateByPlaces(t *testing.T) {
+	for _, i := range []int{0, 2} {
+		if o := replay(loads[i], way{"", byPlaces}, 1); !unmet(o, i) {
+			t.Errorf("%s: %v", loads[i].name, o)
 		}
 	}
 }
--- a/reservation/reservation_test.go
+++ b/reservation/reservation_test.go
@@ -140,3 +140,122 @@
 		t.Errorf("%d wait", q.Len())
 	}
 }
+
+func TestTheBookTellsWhatEnded(t *testing.T) {
+	tests := []struct {
+		name  string
+		given int // places at w, of which the report counts as many as it has seen
+		seen  int
+		held  map[string]int
+		want  int
+	}{
+		{"nothing", 0, 0, map[string]int{"w": 3}, 0},
+		{"one of three", 0, 0, map[string]int{"w": 2}, 1},
+		{"all", 0, 0, nil, 3},
+		{"one was given, one has ended", 1, 1, map[string]int{"w": 3}, 1},
+		{"one was given that the report does not count", 1, 0, map[string]int{"w": 3}, 0},
+		{"it chose one by itself", 0, 0, map[string]int{"w": 4}, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := New()
+			b.Report(start, Report{Node: "f", Sequence: 1, Held: map[string]int{"w": 3}})
+			seen := uint64(0)
+			for i := range test.given {
+				if grant := b.Give(start, "f", "w"); i < test.seen {
+					seen = grant
+				}
+			}
+			b.Report(start, Report{Node: "f", Sequence: 2, Seen: seen, Held: test.held})
+			if got := b.Ended()["w"]; got != test.want {
+				t.Errorf("%d ended", got)
+			}
+			if got := b.Ended()["w"]; got != 0 {
+				t.Errorf("%d ended once more", got)
+			}
+		})
+	}
+}
+
+// fullQueue is a queue before a hundred slots that are all held, for a second each, and
+// to which as many a second come.
+func fullQueue(comes int) (*Queue, time.Time) {
+	q := &Queue{}
+	now := start
+	for i := range 1500 {
+		now = start.Add(time.Duration(i) * 10 * time.Millisecond)
+		q.Line.Observe(now, 100, 100, 1)
+		for n := i * comes / 100; n < (i+1)*comes/100; n++ {
+			q.Line.Arrived(now, hold.Rank{})
+		}
+		q.Line.Placed(now, hold.Rank{}, true)
+	}
+	return q, now
+}
+
+// Those for whom there is no hope any more wait no longer; the others stay.
+func TestThoseWithoutHopeWaitNoLonger(t *testing.T) {
+	q, now := fullQueue(200)
+	for range 30 {
+		q.Add(Wait(now, "f", Ask{Begin: 200 * time.Millisecond, Last: 3 * time.Second}))
+	}
+	refused := q.Refuse(now)
+	if q.Len() < 18 || q.Len() > 20 || len(refused)+q.Len() != 30 {
+		t.Errorf("%d wait, %d are refused", q.Len(), len(refused))
+	}
+	for _, r := range refused {
+		if r.Verdict.Return <= 0 {
+			t.Errorf("%+v", r.Verdict)
+		}
+	}
+	if refused := q.Refuse(now.Add(201 * time.Millisecond)); len(refused) == 0 || q.Len() != 0 {
+		t.Errorf("%d wait on, late and with no slot left for late ones", q.Len())
+	}
+}
+
+// A caller that was told to return goes before new ones once its slot is due, also when
+// its attempt asks again.
+func TestOneToldToReturnGoesFirst(t *testing.T) {
+	q, now := fullQueue(200)
+	for range 30 {
+		q.Add(Wait(now, "f", Ask{Begin: 200 * time.Millisecond, Last: 3 * time.Second}))
+	}
+	verdict := q.Decide(now, Wait(now, "f", Ask{Begin: 200 * time.Millisecond, Last: 3 * time.Second}))
+	if !verdict.Refuse || verdict.Return <= 0 {
+		t.Fatalf("%+v", verdict)
+	}
+	later := now.Add(verdict.Return)
+	back := Wait(later, "f", Ask{Begin: -time.Millisecond, Last: 2 * time.Second, Returned: true})
+	q.Arrived(later, back)
+	if v := q.Decide(later, back); v.Refuse {
+		t.Fatalf("%+v", v)
+	}
+	q.Add(back)
+	q.Add(Wait(later, "f", Ask{Begin: time.Millisecond, Last: 3 * time.Second}))
+	if q.Sorted(later)[0] != back {
+		t.Error("a new one goes first")
+	}
+	answer := q.Full(later, back)
+	if answer.Promise == nil {
+		t.Fatalf("%+v", answer)
+	}
+	again := Wait(later, "f", Ask{Begin: -time.Millisecond, Last: time.Second, Returned: true, Again: true, Promise: answer.Promise})
+	q.Arrived(later, again)
+	if again.Order.Promised != back.Order.Promised {
+		t.Errorf("promised %v, was %v", again.Order.Promised, back.Order.Promised)
+	}
+}
+
+// An attempt that asks again, or a probe that finds none, is no new caller.
+func TestOnlyNewCallersAreCounted(t *testing.T) {
+	q, now := fullQueue(50)
+	before := q.Line.Look(now, use(now, Wait(now, "f", Ask{Rank: hold.Rank{Route: 1}, Begin: time.Second, Last: time.Second}), false), 0).PerSecond
+	for range 100 {
+		q.Arrived(now, Wait(now, "f", Ask{Again: true, Begin: time.Second, Last: time.Second}))
+		q.Full(now, Wait(now, "f", Ask{Begin: time.Second, Last: time.Second}))
+	}
+	after := q.Line.Look(now, use(now, Wait(now, "f", Ask{Rank: hold.Rank{Route: 1}, Begin: time.Second, Last: time.Second}), false), 0).PerSecond
+	if before != after || before < 40 || before > 60 {
+		t.Errorf("%.1f a second are left, were %.1f", after, before)
+	}
+}
