--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -15,8 +15,11 @@
 	attempts   *prometheus.CounterVec   // sends to workers, by outcome
 	running    prometheus.Gauge
 	registries prometheus.Counter
-	held       prometheus.Histogram   // seconds that requests waited here for a slot
-	places     *prometheus.CounterVec // questions for places, by outcome
+	held       prometheus.Histogram // seconds that requests waited here for a slot
+	// refusedAfter is seconds from the arrival to a refusal that promises that it has
+	// not run.
+	refusedAfter prometheus.Histogram
+	places       *prometheus.CounterVec // questions for places, by outcome
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -47,7 +50,10 @@
 	m.held = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "dykewing_frontend_held_seconds", Help: "Time that requests waited for a free slot.", Buckets: buckets,
 	})
-	registry.MustRegister(m.held, m.places, m.requests, m.firstByte, m.duration, m.attempts, m.running, m.registries)
+	m.refusedAfter = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "dykewing_frontend_refused_after_seconds", Help: "Time from a request's arrival to a refusal that promises that it has not run.", Buckets: buckets,
+	})
+	registry.MustRegister(m.held, m.refusedAfter, m.places, m.requests, m.firstByte, m.duration, m.attempts, m.running, m.registries)
 	return m
 }
 
--- a/internal/frontend/places_test.go
+++ b/internal/frontend/places_test.go
@@ -282,3 +282,60 @@
 		t.Errorf("%d requests are noted at workers", held)
 	}
 }
+
+// A leader that has lost its workers refuses all, so that nobody waits there: requests
+// wait where the wait is the shortest.
+func TestARequestWaitsWhereTheWaitIsTheShortest(t *testing.T) {
+	full := func(waiting int, until time.Duration) func(reservation.Ask) (reservation.Answer, bool) {
+		return func(ask reservation.Ask) (reservation.Answer, bool) {
+			if ask.Wait > 0 {
+				return reservation.Answer{Worker: ask.Worker, Grant: 1}, true
+			}
+			return reservation.Answer{Full: true, Waiting: waiting, Until: until}, true
+		}
+	}
+	tests := []struct {
+		name string
+		a, b func(reservation.Ask) (reservation.Answer, bool)
+		want string
+	}{
+		{"nobody waits where the wait is long", full(0, 3*time.Second), full(40, 100*time.Millisecond), "wb"},
+		{"no wait is known: where the fewest wait", full(5, 0), full(2, 0), "wb"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := leadersOf(t, &answers{rule: test.a}, &answers{rule: test.b})
+			ticket, refusal := p.take(t.Context(), worker.Query{Service: "s"}, toBegin(time.Minute), false, ignoreDropped)
+			if ticket == nil || ticket.Worker.ID != test.want {
+				t.Errorf("%+v, %v", ticket, refusal)
+			}
+		})
+	}
+}
+
+// What a leader says of a promise stays with the attempt that asks again, which is told
+// apart from a new caller.
+func TestAnAttemptThatAsksAgainKeepsItsPromise(t *testing.T) {
+	due := 300 * time.Millisecond
+	var asks []reservation.Ask
+	a := &answers{rule: func(ask reservation.Ask) (reservation.Answer, bool) {
+		if ask.Wait > 0 {
+			asks = append(asks, ask)
+		}
+		if len(asks) < 2 {
+			return reservation.Answer{Full: true, Promise: &due}, true
+		}
+		return reservation.Answer{Worker: "wa", Grant: 1}, true
+	}}
+	p := leadersOf(t, a, &answers{rule: gives("wb")})
+	p.take(t.Context(), worker.Query{Service: "s", Excluded: []string{"wb"}}, toBegin(time.Minute), true, ignoreDropped)
+	if len(asks) != 2 {
+		t.Fatalf("%d questions", len(asks))
+	}
+	if first := asks[0]; !first.Returned || first.Again || first.Promise != nil {
+		t.Errorf("first: %+v", first)
+	}
+	if second := asks[1]; !second.Again || second.Promise == nil || *second.Promise > due {
+		t.Errorf("second: %+v", second)
+	}
+}
--- a/internal/frontend/serve.go
+++ b/internal/frontend/serve.go
@@ -165,18 +165,23 @@
 // refuse answers with a failure of this system's own, at once.
 func (x *exchange) refuse(failure *api.Error) {
 	f := x.frontend
-	x.note("request_refused", failure).Warn("A request was not served.")
+	entry := x.note("request_refused", failure)
 	f.metrics.requests.WithLabelValues(string(x.route.Kind), string(failure.Code)).Inc()
 	status := failure.Code.HTTPStatus()
 	header := x.w.Header()
 	promised := failure.Outcome == api.OutcomeNotRun && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests)
+	if promised {
+		f.metrics.refusedAfter.Observe(time.Since(x.arrived).Seconds())
+	}
 	if promised || failure.Code == api.CodeQuarantined {
 		pause := failure.RetryAfter
 		if pause <= 0 {
 			pause = f.settings.RetryAfter
 		}
+		entry = entry.WithField("return_ms", pause.Milliseconds())
 		f.protocol.WriteRetryAfter(header, pause)
 	}
+	entry.Warn("A request was not served.")
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	x.w.WriteHeader(status)
 	_, _ = io.WriteString(x.w, failure.Error()+"\n")
