A worker's start is told apart; entries of other writers name no worker

Cause: a worker may start again under the id that it had. What was believed of the start before outlived it: kept prompt parts, requests in hand, failures in a row, its load, what is hidden there, leaders' books, a lapsed entry, a guard's evidence.

Change: worker.Incarnation (id and start) from the entry's and the report's born. Pool.Put begins anew with a later start and ignores an earlier one; a ticket of an earlier start changes nothing; reports to leaders tell the start of each worker and the book drops what is of an earlier one; a worker's own word of a later start comes before its entry; the guard counts two starts as two ends, also where the next one listens already. The catalog takes no word of an earlier start.

Workers that tell no start are believed as before.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -48,6 +48,7 @@
 
 // Report is a worker's state when asked for it.
 type Report struct {
+	Born        time.Time // when the worker started; zero when not told
 	Running     int
 	Waiting     int
 	UsedTokens  int
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -56,7 +56,7 @@
 		return
 	}
 	t.started = true
-	t.pool.do(func(pool *worker.Pool) { pool.Started(t.Worker.ID, t.unread) })
+	t.do(func(pool *worker.Pool) { pool.Started(t.Worker.ID, t.unread) })
 }
 
 // End notes that the request has left the worker.
@@ -66,38 +66,57 @@
 	}
 	t.ended = true
 	t.Started()
-	t.pool.do(func(pool *worker.Pool) { pool.End(t.Worker.ID) })
+	t.do(func(pool *worker.Pool) { pool.End(t.Worker.ID) })
 	if t.onEnd != nil {
 		t.onEnd()
 	}
 }
 
 // Report takes a load that the worker told.
-func (t *Ticket) Report(load worker.Load) { t.pool.Report(t.Worker.ID, load) }
+func (t *Ticket) Report(load worker.Load) {
+	t.do(func(pool *worker.Pool) { pool.Report(time.Now(), t.Worker.ID, load) })
+}
+
+// do changes what is believed of the ticket's worker, unless the worker has started again
+// since: what ends now is of the start before.
+func (t *Ticket) do(change func(*worker.Pool)) {
+	t.pool.do(func(pool *worker.Pool) {
+		if current, ok := pool.Current(t.Worker.ID); ok && current != t.Worker.Incarnation() {
+			return
+		}
+		change(pool)
+	})
+}
 
 // Refused notes that no connection could be made.
 func (t *Ticket) Refused() {
-	t.pool.do(func(pool *worker.Pool) { pool.Refused(time.Now(), t.Worker.ID) })
+	t.do(func(pool *worker.Pool) { pool.Refused(time.Now(), t.Worker.ID) })
 }
 
 // Broke notes that the worker's answer broke off.
 func (t *Ticket) Broke() {
-	t.pool.do(func(pool *worker.Pool) { pool.Broke(time.Now(), t.Worker.ID) })
+	t.do(func(pool *worker.Pool) { pool.Broke(time.Now(), t.Worker.ID) })
 }
 
 // Full notes that the worker turned the request away.
 func (t *Ticket) Full() {
-	t.pool.do(func(pool *worker.Pool) { pool.Full(time.Now(), t.Worker.ID) })
+	t.do(func(pool *worker.Pool) { pool.Full(time.Now(), t.Worker.ID) })
 }
 
 // Moved notes that another worker has the address.
 func (t *Ticket) Moved() {
-	t.pool.do(func(pool *worker.Pool) { pool.Remove(t.Worker.ID) })
+	t.do(func(pool *worker.Pool) { pool.Remove(t.Worker.ID) })
+}
+
+// Put takes what a worker says of itself before its list does.
+func (p *Pool) Put(w worker.Worker) {
+	p.do(func(pool *worker.Pool) { pool.Put(w) })
 }
 
-// Report takes a load that a worker told.
-func (p *Pool) Report(id string, load worker.Load) {
-	p.do(func(pool *worker.Pool) { pool.Report(time.Now(), id, load) })
+// Current gives the incarnation of a worker that is listed.
+func (p *Pool) Current(id string) (current worker.Incarnation, ok bool) {
+	p.do(func(pool *worker.Pool) { current, ok = pool.Current(id) })
+	return current, ok
 }
 
 // Accepts tells whether a worker is listed and does not leave.
--- a/internal/batchrun/hidden.go
+++ b/internal/batchrun/hidden.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/dykewing/dykewing/internal/backend"
 	"github.com/dykewing/dykewing/worker"
 )
@@ -24,9 +26,21 @@
 	return slices.ContainsFunc(leaders, func(leader *Leader) bool { return leader.mine(id) })
 }
 
-// polled takes a worker's own word: what is more than is known to be there is hidden.
+// polled takes a worker's own word: what is more than is known to be there is hidden. A
+// word of a later start than the listed one is the first news of it; one of an earlier
+// start says nothing.
 func (s *Service) polled(w worker.Worker, report backend.Report) {
-	s.hidden.put(time.Now(), w.ID, report.Running+report.Waiting, s.pool.Held(w.ID)+s.places.online(w.ID))
+	told := worker.Incarnation{ID: w.ID, Born: report.Born}
+	if told.Before(w.Incarnation()) {
+		return
+	}
+	if told.Succeeds(w.Incarnation()) {
+		w.Born = told.Born
+		s.pool.Put(w)
+		s.log.WithFields(logrus.Fields{"event": "worker_restarted", "worker": w.ID, "service": w.Service, "born": told.Born}).
+			Info("A worker has started again under its id; what was believed of it is over.")
+	}
+	s.hidden.put(time.Now(), w.Incarnation(), report.Running+report.Waiting, s.pool.Held(w.ID)+s.places.online(w.ID))
 }
 
 // reportLag is how old a worker's word of itself may be: what was held there within it,
@@ -45,6 +59,7 @@
 
 // hiddenAt is what is hidden at one worker.
 type hiddenAt struct {
+	of   worker.Incarnation
 	held []heldAt // within reportLag, the latest last
 	last int      // by the last word
 	n    int      // by the last two
@@ -56,16 +71,16 @@
 }
 
 // put takes a worker's word of its load, and what is held there now.
-func (h *hidden) put(now time.Time, id string, load, held int) {
+func (h *hidden) put(now time.Time, of worker.Incarnation, load, held int) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if h.workers == nil {
 		h.workers = map[string]*hiddenAt{}
 	}
-	w := h.workers[id]
-	if w == nil {
-		w = &hiddenAt{}
-		h.workers[id] = w
+	w := h.workers[of.ID]
+	if w == nil || w.of != of {
+		w = &hiddenAt{of: of}
+		h.workers[of.ID] = w
 	}
 	w.held = append(w.held, heldAt{at: now, n: held})
 	for now.Sub(w.held[0].at) > reportLag {
--- a/internal/batchrun/places.go
+++ b/internal/batchrun/places.go
@@ -173,6 +173,7 @@
 	for _, name := range p.service.serviceNames() {
 		for _, w := range p.service.pool.Workers(name) {
 			if filled(leaders, w.ID) {
+				p.book.Began(w.Incarnation())
 				held[w.ID] = p.book.Online(w.ID) + p.service.hidden.of(w.ID)
 			}
 		}
--- a/internal/batchrun/plan_test.go
+++ b/internal/batchrun/plan_test.go
@@ -7,6 +7,7 @@
 	"github.com/dykewing/dykewing/fill"
 	"github.com/dykewing/dykewing/internal/backend"
 	"github.com/dykewing/dykewing/reservation"
+	"github.com/dykewing/dykewing/worker"
 )
 
 // TestANewLeaderStartsNothingOnAGuess: after all processes were killed, a new leader
@@ -130,7 +131,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			var h hidden
 			for _, n := range test.polls {
-				h.put(time.Now(), "w", max(n, 0), max(-n, 0))
+				h.put(time.Now(), worker.Incarnation{ID: "w"}, max(n, 0), max(-n, 0))
 			}
 			if got := h.of("w"); got != test.want {
 				t.Errorf("%d, want %d", got, test.want)
@@ -172,7 +173,7 @@
 			var h hidden
 			now := time.Now()
 			for i, each := range test.words {
-				h.put(now.Add(time.Duration(i)*poll), "w", each.load, each.held)
+				h.put(now.Add(time.Duration(i)*poll), worker.Incarnation{ID: "w"}, each.load, each.held)
 			}
 			if got := h.of("w"); got != test.want {
 				t.Errorf("%d, want %d", got, test.want)
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -63,7 +63,7 @@
 	s.catalog.Freshness(common.Settings.Platform.Freshness)
 	s.guard = guard.New(guard.Settings{
 		Self: common.ID(), Owners: func() []api.Node { return storeclient.Owners(common.Nodes(), s.members.With) },
-		Accepts: s.pool.Accepts, Blind: s.catalog.OutOfContact, Granted: s.wakeAll, KeyValue: common.KeyValue,
+		Accepts: s.pool.Accepts, Current: s.pool.Current, Blind: s.catalog.OutOfContact, Granted: s.wakeAll, KeyValue: common.KeyValue,
 		Prefix: common.Settings.KeyValueService.Prefix, Log: common.Logger("guard"), Registry: common.Registry,
 	})
 	if source.EvacuationPrefix != "" {
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -73,7 +73,7 @@
 	c.startedAt, c.renew = clock.Now(), make(chan struct{}, 1)
 	c.metrics = newMetrics(c.ContactAge)
 	c.Also(source.ConfigurationPrefix, &configurationView{catalog: c})
-	c.Also(source.WorkerPrefix, &workerView{catalog: c, revisions: map[string]int64{}, lapsed: map[string]bool{}})
+	c.Also(source.WorkerPrefix, &workerView{catalog: c, revisions: map[string]int64{}, starts: map[string]time.Time{}, lapsed: map[string]bool{}})
 	return c
 }
 
--- a/internal/catalog/metrics.go
+++ b/internal/catalog/metrics.go
@@ -11,6 +11,7 @@
 	age     prometheus.GaugeFunc
 	lapsed  prometheus.Counter
 	outages prometheus.Counter
+	refused prometheus.Counter
 }
 
 func newMetrics(age func() time.Duration) metrics {
@@ -24,9 +25,12 @@
 		outages: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "dykewing_catalog_outages_total", Help: "Returns of the key-value service after a time in which this process had no answer.",
 		}),
+		refused: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "dykewing_catalog_entries_refused_total", Help: "Workers' entries that could not be read and name no worker.",
+		}),
 	}
 }
 
 func (m metrics) all() []prometheus.Collector {
-	return []prometheus.Collector{m.age, m.lapsed, m.outages}
+	return []prometheus.Collector{m.age, m.lapsed, m.outages, m.refused}
 }
--- a/internal/catalog/workers.go
+++ b/internal/catalog/workers.go
@@ -31,6 +31,7 @@
 	entryRemoved   reason = "entry_removed"    // a change says that it went
 	entryNotListed reason = "entry_not_listed" // a whole state that was read lacks it
 	entryNotBack   reason = "entry_not_back"   // it was kept after an outage, in vain
+	entryRefused   reason = "entry_refused"    // what stands there now names no worker
 )
 
 // workerView keeps the list of workers: their entries, and those that an outage may have
@@ -38,10 +39,12 @@
 type workerView struct {
 	catalog *Catalog
 
-	mutex     sync.Mutex       // guards all below
-	revisions map[string]int64 // of the keys that are there
-	lapsed    map[string]bool  // keys that went just after an outage, still in force
-	expiry    *time.Timer      // of lapsed; nil without one
+	mutex     sync.Mutex           // guards all below
+	revisions map[string]int64     // of the keys that are there
+	starts    map[string]time.Time // of the workers that are there and tell it, by key
+	lapsed    map[string]bool      // keys that went just after an outage, still in force
+	expiry    *time.Timer          // of lapsed; nil without one
+	refusals  refusals
 }
 
 // Whole brings the list to a state that was read; what is not in it is gone.
@@ -85,18 +88,62 @@
 	}
 	decoded, err := v.catalog.source.DecodeWorker(pair.Key, pair.Value)
 	if err != nil {
-		v.catalog.log.WithField("event", "worker_refused").WithError(err).Error("A worker's entry could not be read.")
-		return changes
+		return v.refuse(changes, pair, err)
 	}
 	v.revisions[pair.Key] = pair.Revision
+	if decoded.Born.Before(v.starts[pair.Key]) && !decoded.Born.IsZero() {
+		v.catalog.log.WithFields(logrus.Fields{
+			"event": "worker_outdated", "worker": decoded.ID, "born": decoded.Born, "known_born": v.starts[pair.Key], "revision": pair.Revision,
+		}).Info("A word of a worker's earlier start changes nothing.")
+		return changes
+	}
+	if !decoded.Born.IsZero() {
+		v.starts[pair.Key] = decoded.Born
+	}
 	delete(v.lapsed, pair.Key)
 	return append(changes, Change{ID: decoded.ID, Worker: decoded, reason: entryWritten})
 }
 
+// refuse takes an entry that names no worker: one that stood there before is gone.
+func (v *workerView) refuse(changes []Change, pair kv.Pair, err error) []Change {
+	v.catalog.metrics.refused.Inc()
+	if untold, due := v.refusals.tell(clock.Now()); due {
+		v.catalog.log.WithFields(logrus.Fields{
+			"event": "worker_refused", "worker": v.id(pair.Key), "revision": pair.Revision, "bytes": len(pair.Value), "untold": untold,
+		}).WithError(err).Error("A worker's entry could not be read; it names no worker.")
+	}
+	if _, there := v.revisions[pair.Key]; there {
+		changes = v.remove(changes, pair.Key, entryRefused)
+	}
+	v.revisions[pair.Key] = pair.Revision // what is older says nothing
+	return changes
+}
+
+// refusalInterval is between two lines on entries that were refused: a writer gone wrong
+// writes many.
+const refusalInterval = time.Second
+
+// refusals bounds the lines on entries that were refused.
+type refusals struct {
+	toldAt time.Time
+	untold int
+}
+
+// tell says whether a line is due, and how many were left out since the last one.
+func (r *refusals) tell(now time.Time) (untold int, due bool) {
+	if !r.toldAt.IsZero() && now.Sub(r.toldAt) < refusalInterval {
+		r.untold++
+		return 0, false
+	}
+	untold, r.toldAt, r.untold = r.untold, now, 0
+	return untold, true
+}
+
 // remove takes an entry out; just after an outage it stays in force for a while,
 // since its worker may only have been unable to renew it.
 func (v *workerView) remove(changes []Change, key string, why reason) []Change {
 	delete(v.revisions, key)
+	delete(v.starts, key)
 	if kept := v.catalog.outages.keeps(clock.Now()); kept > 0 {
 		v.lapse(key, kept, why)
 		return changes
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -117,7 +117,7 @@
 	common.Registry.MustRegister(f.catalog.Metrics()...)
 	f.guard = guard.New(guard.Settings{
 		Self: common.ID(), Owners: func() []api.Node { return storeclient.Owners(common.Nodes(), registered.With) },
-		Accepts: f.pool.Accepts, Blind: f.catalog.OutOfContact, KeyValue: common.KeyValue,
+		Accepts: f.pool.Accepts, Current: f.pool.Current, Blind: f.catalog.OutOfContact, KeyValue: common.KeyValue,
 		Prefix: common.Settings.KeyValueService.Prefix, Log: common.Logger("guard"), Registry: common.Registry,
 	})
 	if source.EvacuationPrefix != "" {
--- a/internal/frontend/places.go
+++ b/internal/frontend/places.go
@@ -58,7 +58,7 @@
 	mutex    sync.Mutex // guards all below
 	sequence uint64     // of the last report; begins with the time of the start
 	leaders  map[api.NodeID]*leader
-	held     map[string]int // requests at workers, by worker
+	held     map[worker.Incarnation]int // requests at workers
 	// Choices without a known leader: since when, and the last one; zero without any.
 	unknownSince time.Time
 	unknownAt    time.Time
@@ -78,7 +78,7 @@
 func newPlaces(f *Frontend) *places {
 	return &places{
 		self: f.node.ID(), zone: f.node.Settings.Node.Zone, pool: f.pool, log: f.log, metrics: f.metrics, leaderOf: f.leaderOf,
-		sequence: uint64(time.Now().UnixNano()), leaders: map[api.NodeID]*leader{}, held: map[string]int{},
+		sequence: uint64(time.Now().UnixNano()), leaders: map[api.NodeID]*leader{}, held: map[worker.Incarnation]int{},
 		client: transport.NewProbingClient(transport.Options{
 			ConnectionsPerHost: placeConnections, DialTimeout: placeTimeout, IdleLifetime: storeIdleLifetime, SilenceLimit: placeSilence,
 		}),
@@ -299,10 +299,14 @@
 	known.dirty, known.toldAt = false, time.Now()
 	p.sequence++
 	report := reservation.Report{Node: p.self, Sequence: p.sequence, Seen: known.seen, Held: map[string]int{}}
-	for id, n := range p.held {
-		if other, ok := p.leaderOf(id); ok && other.ID == peer.ID {
-			report.Held[id] = n
+	for w, n := range p.held {
+		if other, ok := p.leaderOf(w.ID); !ok || other.ID != peer.ID {
+			continue
+		}
+		if current, ok := p.pool.Current(w.ID); ok && current != w {
+			continue // it has started again since
 		}
+		report.Add(w, n)
 	}
 	return report
 }
@@ -320,7 +324,7 @@
 	p.mutex.Lock()
 	known := p.state(peer.ID)
 	known.seen = max(known.seen, answer.Grant)
-	p.held[ticket.Worker.ID]++ // with seen: no report may tell of the one without the other
+	p.held[ticket.Worker.Incarnation()]++ // with seen: no report may tell of the one without the other
 	p.mutex.Unlock()
 	return p.endWith(ticket)
 }
@@ -328,26 +332,26 @@
 // keep counts a place that the frontend chose by itself until its request ends.
 func (p *places) keep(ticket *backend.Ticket) *backend.Ticket {
 	p.mutex.Lock()
-	p.held[ticket.Worker.ID]++
+	p.held[ticket.Worker.Incarnation()]++
 	p.mutex.Unlock()
 	return p.endWith(ticket)
 }
 
 func (p *places) endWith(ticket *backend.Ticket) *backend.Ticket {
-	id := ticket.Worker.ID
-	ticket.OnEnd(func() { p.ended(id) })
+	w := ticket.Worker.Incarnation()
+	ticket.OnEnd(func() { p.ended(w) })
 	return ticket
 }
 
 // ended lets a worker's leader know soon that a request has left it: at once while
 // others wait there.
-func (p *places) ended(id string) {
+func (p *places) ended(w worker.Incarnation) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.held[id]--; p.held[id] <= 0 {
-		delete(p.held, id)
+	if p.held[w]--; p.held[w] <= 0 {
+		delete(p.held, w)
 	}
-	peer, ok := p.leaderOf(id)
+	peer, ok := p.leaderOf(w.ID)
 	if !ok {
 		return
 	}
@@ -401,8 +405,8 @@
 func (p *places) stale(now time.Time) (list []api.Node) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	for id := range p.held {
-		peer, ok := p.leaderOf(id)
+	for w := range p.held {
+		peer, ok := p.leaderOf(w.ID)
 		if !ok {
 			continue
 		}
--- a/internal/frontend/places_test.go
+++ b/internal/frontend/places_test.go
@@ -82,7 +82,7 @@
 	return &places{
 		self: "front", zone: "z", pool: pool, client: &http.Client{}, log: logrus.NewEntry(logger), metrics: newMetrics(prometheus.NewRegistry()),
 		leaderOf: func(id string) (api.Node, bool) { node, ok := leaders[id]; return node, ok },
-		sequence: 1, leaders: map[api.NodeID]*leader{}, held: map[string]int{},
+		sequence: 1, leaders: map[api.NodeID]*leader{}, held: map[worker.Incarnation]int{},
 	}
 }
 
@@ -210,7 +210,7 @@
 			}
 			p.mutex.Lock()
 			defer p.mutex.Unlock()
-			if p.held["wa"] != 0 || p.held["wb"] != 1 {
+			if p.held[worker.Incarnation{ID: "wa"}] != 0 || p.held[worker.Incarnation{ID: "wb"}] != 1 {
 				t.Errorf("held: %v", p.held)
 			}
 		})
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -27,10 +27,12 @@
 
 // Settings of a Guard.
 type Settings struct {
-	Self     api.NodeID
-	Owners   func() []api.Node        // stores that may gather reports
-	Accepts  func(worker string) bool // it is listed and does not leave; else it ends as planned
-	Blind    func() bool              // what others publish can't be learned now
+	Self    api.NodeID
+	Owners  func() []api.Node        // stores that may gather reports
+	Accepts func(worker string) bool // it is listed and does not leave; else it ends as planned
+	// Current is the incarnation of a worker that is listed; nil: not known here.
+	Current  func(worker string) (worker.Incarnation, bool)
+	Blind    func() bool // what others publish can't be learned now
 	KeyValue kv.Service
 	Prefix   string // of the key-value service's keys
 	Log      *logrus.Entry
@@ -45,6 +47,7 @@
 	self      api.NodeID
 	owners    func() []api.Node
 	accepts   func(worker string) bool
+	current   func(worker string) (worker.Incarnation, bool)
 	blind     func() bool
 	granted   func()
 	log       *logrus.Entry
@@ -58,7 +61,7 @@
 	cancel    context.CancelFunc
 
 	mutex  sync.Mutex // guards all below
-	broken map[string]*broken
+	broken map[worker.Incarnation]*broken
 	well   map[quarantine.Digest]time.Time // runs that ended well, while Watching
 	pruned time.Time                       // when the old ones of these were last dropped
 	book   *quarantine.Book                // of this process's own reports
@@ -90,12 +93,12 @@
 // New gives a guard; Run it.
 func New(settings Settings) *Guard {
 	g := &Guard{
-		self: settings.Self, owners: settings.Owners, accepts: settings.Accepts, blind: settings.Blind, granted: settings.Granted,
+		self: settings.Self, owners: settings.Owners, accepts: settings.Accepts, current: settings.Current, blind: settings.Blind, granted: settings.Granted,
 		log: settings.Log, metrics: newMetrics(settings.Registry), wake: make(chan struct{}, 1),
 		client: transport.NewProbingClient(transport.Options{
 			ConnectionsPerHost: connections, DialTimeout: dialTimeout, IdleLifetime: connectionLifetime, SilenceLimit: silenceLimit,
 		}),
-		broken: map[string]*broken{}, well: map[quarantine.Digest]time.Time{}, book: quarantine.New(quarantine.Settings{}),
+		broken: map[worker.Incarnation]*broken{}, well: map[quarantine.Digest]time.Time{}, book: quarantine.New(quarantine.Settings{}),
 		told: map[quarantine.Digest]time.Time{}, asks: map[quarantine.Digest]ask{}, grants: map[quarantine.Digest]bool{},
 	}
 	g.published = newPublished(settings.KeyValue, settings.Prefix, settings.Log, g.publishedChanged)
@@ -147,10 +150,10 @@
 	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	known := g.broken[w.ID]
+	known := g.broken[w.Incarnation()]
 	if known == nil {
 		known = &broken{worker: w, at: clock.Now(), requests: map[quarantine.Digest]bool{}}
-		g.broken[w.ID] = known
+		g.broken[w.Incarnation()] = known
 		g.watch(known.at)
 		go g.look(known)
 	}
@@ -159,7 +162,7 @@
 
 // loss is the worker's end with the requests that this process had there.
 func (b *broken) loss(now time.Time) quarantine.Loss {
-	loss := quarantine.Loss{Worker: b.worker.ID, Age: now.Sub(b.at)}
+	loss := quarantine.Loss{Worker: b.worker.Incarnation().String(), Age: now.Sub(b.at)}
 	for _, request := range slices.Sorted(maps.Keys(b.requests)) {
 		switch {
 		case len(loss.Requests)+len(loss.Answered) >= maximumRequests:
@@ -178,11 +181,11 @@
 	if !pause.For(g.ctx, lookPause) {
 		return
 	}
-	ended = ended || !listening(g.ctx, known.worker.Address)
+	ended = ended || !listening(g.ctx, known.worker.Address) || g.restarted(known.worker)
 	now := clock.Now()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	delete(g.broken, known.worker.ID)
+	delete(g.broken, known.worker.Incarnation())
 	loss := known.loss(now)
 	if ended && len(known.requests) > 0 {
 		g.book.Lost(now, loss)
@@ -202,6 +205,16 @@
 	entry.Warn("A worker ended under requests.")
 }
 
+// restarted tells whether a later start of a worker is known: it has ended, though its next
+// start listens at the same address.
+func (g *Guard) restarted(w worker.Worker) bool {
+	if g.current == nil {
+		return false
+	}
+	current, ok := g.current(w.ID)
+	return ok && current.Succeeds(w.Incarnation())
+}
+
 // Survived notes that a run of a request came to an end with its worker still there: what
 // ended under it before was ended by something else.
 func (g *Guard) Survived(request quarantine.Digest) {
--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -8,6 +8,7 @@
 package reservation
 
 import (
+	"maps"
 	"time"
 
 	"github.com/dykewing/dykewing/api"
@@ -25,6 +26,23 @@
 	Sequence uint64         `json:"sequence"`       // grows with each report, also over restarts
 	Seen     uint64         `json:"seen,omitempty"` // the newest grant that Held counts
 	Held     map[string]int `json:"held,omitempty"` // requests, by worker
+	// Born is when the workers of Held started, of those that tell it.
+	Born map[string]time.Time `json:"born,omitempty"`
+}
+
+// Add counts n requests at a worker.
+func (r *Report) Add(w worker.Incarnation, n int) {
+	if r.Held == nil {
+		r.Held = map[string]int{}
+	}
+	r.Held[w.ID] += n
+	if w.Born.IsZero() {
+		return
+	}
+	if r.Born == nil {
+		r.Born = map[string]time.Time{}
+	}
+	r.Born[w.ID] = w.Born
 }
 
 // Ask asks for a place at a worker of a service.
@@ -79,6 +97,7 @@
 type Book struct {
 	nodes  map[api.NodeID]*holder
 	online map[string]int // by worker
+	born   map[string]time.Time
 	grants uint64
 }
 
@@ -87,7 +106,8 @@
 	at       time.Time
 	sequence uint64
 	held     map[string]int
-	given    []given // not yet in held
+	born     map[string]time.Time // of the workers of held that tell it
+	given    []given              // not yet in held
 }
 
 type given struct {
@@ -97,7 +117,35 @@
 }
 
 // New gives an empty book.
-func New() *Book { return &Book{nodes: map[api.NodeID]*holder{}, online: map[string]int{}} }
+func New() *Book {
+	return &Book{nodes: map[api.NodeID]*holder{}, online: map[string]int{}, born: map[string]time.Time{}}
+}
+
+// Began notes when a worker started: what was held there by an earlier start is held no
+// more.
+func (b *Book) Began(w worker.Incarnation) {
+	if !w.Born.After(b.born[w.ID]) {
+		return
+	}
+	_, restarted := b.born[w.ID]
+	b.born[w.ID] = w.Born
+	for _, h := range b.nodes {
+		if b.outlived(h.born, w.ID) {
+			b.add(w.ID, -h.held[w.ID])
+			delete(h.held, w.ID)
+		}
+		if restarted {
+			b.drop(h, func(g given) bool { return g.worker == w.ID })
+		}
+	}
+}
+
+// outlived tells whether what is told of a worker is of an earlier start than the known
+// one.
+func (b *Book) outlived(told map[string]time.Time, worker string) bool {
+	at, ok := told[worker]
+	return ok && at.Before(b.born[worker])
+}
 
 // Online is how many requests are at a worker, or on their way to it.
 func (b *Book) Online(worker string) int { return b.online[worker] }
@@ -112,9 +160,11 @@
 	if report.Sequence <= h.sequence {
 		return
 	}
+	held := maps.Clone(report.Held)
+	maps.DeleteFunc(held, func(worker string, _ int) bool { return b.outlived(report.Born, worker) })
 	b.count(h.held, -1)
-	b.count(report.Held, 1)
-	h.at, h.sequence, h.held = now, report.Sequence, report.Held
+	b.count(held, 1)
+	h.at, h.sequence, h.held, h.born = now, report.Sequence, held, report.Born
 	b.drop(h, func(g given) bool { return g.grant <= report.Seen })
 }
 
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -28,6 +28,7 @@
 // Worker is one incarnation of a back end as its platform lists it.
 type Worker struct {
 	ID      string
+	Born    time.Time // when it started, by its own clock; zero when not told
 	Service string
 	Address string // host:port
 	Zone    string
@@ -87,9 +88,17 @@
 // SetCapacity tells the memory, in tokens, of each engine of a service.
 func (p *Pool) SetCapacity(service string, tokens int) { p.capacity[service] = tokens }
 
-// Put adds a worker or replaces what is listed of it.
+// Put adds a worker or replaces what is listed of it. A later start of a worker begins with
+// nothing that was believed of the one before; an earlier start changes nothing.
 func (p *Pool) Put(w Worker) {
-	if listed, ok := p.entries[w.ID]; ok && listed.Service == w.Service {
+	listed, ok := p.entries[w.ID]
+	if ok && w.Incarnation().Before(listed.Incarnation()) {
+		return
+	}
+	if ok && listed.Service == w.Service && !w.Incarnation().Succeeds(listed.Incarnation()) {
+		if w.Born.IsZero() {
+			w.Born = listed.Born
+		}
 		listed.Worker = w
 		if w.Slots > 0 {
 			listed.slots = w.Slots
@@ -114,6 +123,15 @@
 	p.services[known.Service] = slices.DeleteFunc(p.services[known.Service], func(e *entry) bool { return e.ID == id })
 }
 
+// Current gives the incarnation of a worker that is listed.
+func (p *Pool) Current(id string) (Incarnation, bool) {
+	e, ok := p.entries[id]
+	if !ok {
+		return Incarnation{}, false
+	}
+	return e.Incarnation(), true
+}
+
 // Accepts tells whether a worker is listed and may get requests: it does not leave, and
 // its zone is not evacuated.
 func (p *Pool) Accepts(id string) bool {
