--- a/internal/frontend/held.go
+++ b/internal/frontend/held.go
@@ -8,6 +8,7 @@
 
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/reservation"
+	"github.com/dykewing/dykewing/worker"
 )
 
 // report is what is held at a leader's workers, with the newest place that it counts.
@@ -18,23 +19,27 @@
 	known.dirty, known.toldAt = false, time.Now()
 	p.sequence++
 	report := reservation.Report{Node: p.self, Sequence: p.sequence, Seen: known.seen, Held: map[string]int{}}
-	for id, n := range p.held {
-		if other, ok := p.leaderOf(id); ok && other.ID == peer.ID {
-			report.Held[id] = n
+	for w, n := range p.held {
+		if other, ok := p.leaderOf(w.ID); !ok || other.ID != peer.ID {
+			continue
+		}
+		if current, ok := p.pool.Current(w.ID); ok && current != w {
+			continue // it has started again since
 		}
+		report.Add(w, n)
 	}
 	return report
 }
 
 // ended lets a worker's leader know soon that a request has left it: at once while
 // others wait there.
-func (p *places) ended(id string) {
+func (p *places) ended(w worker.Incarnation) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.held[id]--; p.held[id] <= 0 {
-		delete(p.held, id)
+	if p.held[w]--; p.held[w] <= 0 {
+		delete(p.held, w)
 	}
-	peer, ok := p.leaderOf(id)
+	peer, ok := p.leaderOf(w.ID)
 	if !ok {
 		return
 	}
@@ -88,8 +93,8 @@
 func (p *places) stale(now time.Time) (list []api.Node) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	for id := range p.held {
-		peer, ok := p.leaderOf(id)
+	for w := range p.held {
+		peer, ok := p.leaderOf(w.ID)
 		if !ok {
 			continue
 		}
--- a/internal/frontend/places.go
+++ b/internal/frontend/places.go
@@ -61,7 +61,7 @@
 	mutex    sync.Mutex // guards all below
 	sequence uint64     // of the last report; begins with the time of the start
 	leaders  map[api.NodeID]*leader
-	held     map[string]int // requests at workers, by worker
+	held     map[worker.Incarnation]int // requests at workers
 	// Choices without a known leader: since when, and the last one; zero without any.
 	unknownSince time.Time
 	unknownAt    time.Time
@@ -82,7 +82,7 @@
 func newPlaces(f *Frontend) *places {
 	return &places{
 		self: f.node.ID(), zone: f.node.Settings.Node.Zone, pool: f.pool, log: f.log, metrics: f.metrics, leaderOf: f.leaderOf,
-		sequence: uint64(time.Now().UnixNano()), leaders: map[api.NodeID]*leader{}, held: map[string]int{},
+		sequence: uint64(time.Now().UnixNano()), leaders: map[api.NodeID]*leader{}, held: map[worker.Incarnation]int{},
 		client: transport.NewProbingClient(transport.Options{
 			ConnectionsPerHost: placeConnections, DialTimeout: placeTimeout, IdleLifetime: storeIdleLifetime, SilenceLimit: placeSilence,
 		}),
@@ -321,7 +321,7 @@
 	p.mutex.Lock()
 	known := p.state(peer.ID)
 	known.seen = max(known.seen, answer.Grant)
-	p.held[ticket.Worker.ID]++ // with seen: no report may tell of the one without the other
+	p.held[ticket.Worker.Incarnation()]++ // with seen: no report may tell of the one without the other
 	p.mutex.Unlock()
 	return p.endWith(ticket)
 }
@@ -329,13 +329,13 @@
 // keep counts a place that the frontend chose by itself until its request ends.
 func (p *places) keep(ticket *backend.Ticket) *backend.Ticket {
 	p.mutex.Lock()
-	p.held[ticket.Worker.ID]++
+	p.held[ticket.Worker.Incarnation()]++
 	p.mutex.Unlock()
 	return p.endWith(ticket)
 }
 
 func (p *places) endWith(ticket *backend.Ticket) *backend.Ticket {
-	id := ticket.Worker.ID
-	ticket.OnEnd(func() { p.ended(id) })
+	w := ticket.Worker.Incarnation()
+	ticket.OnEnd(func() { p.ended(w) })
 	return ticket
 }
