One wait: who waits for a promised slot counts as ahead of new ones

Cause: a promise that was claimed before its time left the book and stood behind new requests until it was due, so that it was counted nowhere. Change: it counts as ahead of whom it will go before.

--- a/reservation/queue.go
+++ b/reservation/queue.go
@@ -88,9 +88,12 @@
 	return q.Line.Decide(now, use(now, w, false), q.ahead(now, w))
 }
 
+// ahead is how many that wait go before a request, or will once their slots are due
+// while it can be in time.
 func (q *Queue) ahead(now time.Time, w *Waiting) (ahead int) {
 	for _, other := range q.list {
-		if other != w && hold.Compare(now, other.Order, w.Order) <= 0 {
+		due := !other.Order.Promised.IsZero() && !other.Order.Promised.After(w.Order.Begin) && other.Order.Rank.Compare(w.Order.Rank) <= 0
+		if other != w && (due || hold.Compare(now, other.Order, w.Order) <= 0) {
 			ahead++
 		}
 	}
--- a/reservation/reservation_test.go
+++ b/reservation/reservation_test.go
@@ -230,7 +230,11 @@
 	if v := q.Decide(later, back); v.Refuse {
 		t.Fatalf("%+v", v)
 	}
+	early := q.ahead(now, Wait(now, "f", Ask{Begin: verdict.Return + time.Second, Last: 3 * time.Second}))
 	q.Add(back)
+	if q.ahead(now, Wait(now, "f", Ask{Begin: verdict.Return + time.Second, Last: 3 * time.Second})) != early+1 {
+		t.Error("one whose slot is due in time for another does not count as ahead of it")
+	}
 	q.Add(Wait(later, "f", Ask{Begin: time.Millisecond, Last: 3 * time.Second}))
 	if q.Sorted(later)[0] != back {
 		t.Error("a new one goes first")
