One wait: the rate is no more than was given; one more leader before a refusal

Change: while requests wait, the rate is at most that of slots given; a request is offered to one more leader, and the first promises nothing; a later ask of one attempt is no new caller.

--- a/internal/batchrun/places.go
+++ b/internal/batchrun/places.go
@@ -92,24 +92,28 @@
 	ask := *message.Ask
 	queue := p.queue(ask.Service)
 	waits := reservation.Wait(now, message.Report.Node, ask)
-	if ask.Wait > 0 {
-		queue.Arrived(now, waits)
+	if ask.Wait > 0 && ask.Returned {
+		queue.Arrived(now, waits) // its promise counts
 	}
 	if queue.Len() == 0 {
 		if answer, ok := p.place(now, leaders, waits); ok {
-			if ask.Wait <= 0 {
-				queue.Arrived(now, waits)
-			}
+			p.arrived(now, queue, waits)
 			return nil, answer
 		}
 	}
 	if ask.Wait <= 0 {
 		return nil, queue.Full(now, waits)
 	}
-	if verdict := queue.Decide(now, waits); verdict.Refuse {
+	verdict := queue.Decide(now, waits)
+	if verdict.Refuse && ask.Elsewhere {
+		return nil, reservation.Answer{Hopeless: true, Waiting: queue.Len(), Until: verdict.Until}
+	}
+	p.arrived(now, queue, waits)
+	if verdict.Refuse {
 		return nil, p.refuse(now, reservation.Refused{Waiting: waits, Verdict: verdict})
 	}
 	queue.Add(waits)
+	queue.Line.Waits(now, true)
 	p.counts.Store(ask.Service, queue.Len())
 	for _, leader := range leaders {
 		leader.wakeUp()
@@ -117,6 +121,13 @@
 	return waits, reservation.Answer{}
 }
 
+// arrived notes a request where it is placed, waits or is refused for good, once.
+func (p *places) arrived(now time.Time, queue *reservation.Queue, waits *reservation.Waiting) {
+	if !waits.Ask.Returned || waits.Ask.Wait <= 0 {
+		queue.Arrived(now, waits)
+	}
+}
+
 // refuse answers a request that can't have a place in time; the mutex is held.
 func (p *places) refuse(now time.Time, r reservation.Refused) reservation.Answer {
 	queue := p.queue(r.Ask.Service)
@@ -175,6 +186,7 @@
 	observed := p.observe(now, leaders)
 	for service, queue := range p.queues {
 		if queue.Len() == 0 {
+			queue.Line.Waits(now, false)
 			continue
 		}
 		for _, waits := range queue.Sorted(now) {
@@ -186,6 +198,7 @@
 			waits.Place <- answer
 		}
 		if observed {
+			queue.Line.Waits(now, queue.Len() > 0)
 			for _, refused := range queue.Refuse(now) {
 				refused.Place <- p.refuse(now, refused)
 			}
--- a/internal/batchrun/refuse_test.go
+++ b/internal/batchrun/refuse_test.go
@@ -98,3 +98,18 @@
 		}
 	}
 }
+
+// A leader promises nothing to a request that another leader will be asked for.
+func TestNothingIsPromisedToOneThatGoesElsewhere(t *testing.T) {
+	l, now, full := shortLeader(t)
+	ask := hurried(-time.Millisecond, 3*time.Second)
+	ask.Elsewhere = true
+	line := &l.service.places.queue("lm").Line
+	if waits, got := l.service.places.take(now, l.service.led(), reservation.Message{Report: full, Ask: ask}); waits != nil || !got.Hopeless || line.Told() != 0 {
+		t.Errorf("%+v, %d promises", got, line.Told())
+	}
+	ask.Elsewhere = false
+	if waits, got := l.service.places.take(now, l.service.led(), reservation.Message{Report: full, Ask: ask}); waits != nil || !got.Hopeless || line.Told() != 1 {
+		t.Errorf("%+v, %d promises", got, line.Told())
+	}
+}
--- a/internal/frontend/online.go
+++ b/internal/frontend/online.go
@@ -142,7 +142,7 @@
 // place takes a worker, with its leader's word where the service runs batch.
 func (x *exchange) place(ctx context.Context) (*backend.Ticket, *api.Error) {
 	if x.frontend.givesPlaces(x.service) {
-		return x.frontend.places.take(ctx, x.query(), x.order(), x.returned(), x.noteDropped)
+		return x.frontend.places.take(ctx, x.query(), x.order(), asking{returned: x.returned(), again: x.sends > 0}, x.noteDropped)
 	}
 	ticket, _ := x.frontend.pool.Take(x.query())
 	return ticket, nil
--- a/internal/frontend/places.go
+++ b/internal/frontend/places.go
@@ -110,6 +110,12 @@
 	return configuration != nil && configuration.RunsBatch(service) && f.node.Settings.Store.Groups > 0
 }
 
+// asking is what a leader is told of an attempt.
+type asking struct {
+	returned bool // its caller was turned away before
+	again    bool // a place was given to it before
+}
+
 // take gives a place at a worker: the one that this frontend would choose, or another
 // that its leader knows to have a slot. Where all are full it waits for one as long as
 // that can be in time; the error then says when to come back. Without word of a leader
@@ -117,9 +123,9 @@
 //
 // A worker may leave while its leader is asked, for up to longestPlaceWait: it would
 // be sent the request on knowledge of that age. dropped is told, and another is taken.
-func (p *places) take(ctx context.Context, query worker.Query, order hold.Request, returned bool, dropped func(*backend.Ticket)) (*backend.Ticket, *api.Error) {
+func (p *places) take(ctx context.Context, query worker.Query, order hold.Request, asked asking, dropped func(*backend.Ticket)) (*backend.Ticket, *api.Error) {
 	for {
-		ticket, refusal := p.takeOnce(ctx, query, order, returned)
+		ticket, refusal := p.takeOnce(ctx, query, order, asked)
 		if ticket == nil || p.pool.Accepts(ticket.Worker.ID) {
 			return ticket, refusal
 		}
@@ -129,8 +135,9 @@
 }
 
 // takeOnce is take without a look at what has changed meanwhile.
-func (p *places) takeOnce(ctx context.Context, query worker.Query, order hold.Request, returned bool) (*backend.Ticket, *api.Error) {
-	again := false
+func (p *places) takeOnce(ctx context.Context, query worker.Query, order hold.Request, asked asking) (*backend.Ticket, *api.Error) {
+	again := asked.again
+	var hopeless api.NodeID // a leader that has no place in time; one more is asked
 	full := map[api.NodeID]bool{}
 	for ctx.Err() == nil {
 		ticket, ok := p.choose(query, full)
@@ -139,7 +146,7 @@
 		}
 		wait := time.Duration(0)
 		if !ok {
-			ticket, wait, ok = p.chooseQueue(query, full, order)
+			ticket, wait, ok = p.chooseQueue(query, full, order, hopeless)
 			if !ok {
 				return nil, api.NewError("wait for a place", "", api.CodeNoCapacity, api.OutcomeNotRun, "no slot came free in time")
 			}
@@ -149,7 +156,9 @@
 		if !known || p.silent(peer.ID) {
 			return p.keep(ticket), nil
 		}
-		answer, err := p.ask(ctx, peer, ticket, query, order, reservation.Ask{Wait: wait, Returned: returned, Again: again})
+		answer, err := p.ask(ctx, peer, ticket, query, order, reservation.Ask{
+			Wait: wait, Returned: asked.returned, Again: again, Elsewhere: wait > 0 && hopeless == "" && len(full) > 1,
+		})
 		switch {
 		case err != nil || answer.Blind:
 			if ctx.Err() != nil {
@@ -159,6 +168,10 @@
 			return p.keep(ticket), nil
 		case answer.Worker != "":
 			return p.placed(peer, ticket, query, answer), nil
+		case answer.Hopeless && wait > 0 && hopeless == "" && answer.RetryAfter == 0: // without a promise
+			hopeless = peer.ID
+			ticket.End()
+			continue
 		case answer.Hopeless && wait > 0:
 			ticket.End()
 			return nil, noPlaceInTime(peer, answer)
@@ -227,7 +240,7 @@
 // chooseQueue takes a worker of the leader where the wait is the shortest, and how long
 // to wait there; false when the request can't wait any more. Where the fewest wait need
 // not be it: a leader that has lost its workers refuses all, and nobody waits there.
-func (p *places) chooseQueue(query worker.Query, full map[api.NodeID]bool, order hold.Request) (*backend.Ticket, time.Duration, bool) {
+func (p *places) chooseQueue(query worker.Query, full map[api.NodeID]bool, order hold.Request, hopeless api.NodeID) (*backend.Ticket, time.Duration, bool) {
 	wait := min(time.Until(order.Last), longestPlaceWait)
 	if wait <= 0 {
 		return nil, 0, false
@@ -235,6 +248,12 @@
 	p.mutex.Lock()
 	least := slices.MinFunc(slices.Collect(maps.Keys(full)), func(a, b api.NodeID) int {
 		x, y := p.state(a), p.state(b)
+		switch hopeless {
+		case a:
+			return 1
+		case b:
+			return -1
+		}
 		return cmp.Or(cmp.Compare(x.until, y.until), cmp.Compare(x.waiting, y.waiting), cmp.Compare(a, b))
 	})
 	known := p.state(least)
--- a/internal/frontend/places_test.go
+++ b/internal/frontend/places_test.go
@@ -133,7 +133,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			p := leadersOf(t, &answers{rule: test.a}, &answers{rule: test.b})
-			ticket, refusal := p.take(t.Context(), worker.Query{Service: "s"}, toBegin(test.within), false, ignoreDropped)
+			ticket, refusal := p.take(t.Context(), worker.Query{Service: "s"}, toBegin(test.within), asking{}, ignoreDropped)
 			switch {
 			case test.want == "":
 				if ticket != nil || refusal == nil || refusal.Outcome != api.OutcomeNotRun {
@@ -201,7 +201,7 @@
 			}
 			p.pool.WorkersChanged([]catalog.Change{{ID: "wb", Gone: true}}) // until wa was chosen
 			var dropped []string
-			ticket, refusal := p.take(t.Context(), worker.Query{Service: "s"}, toBegin(time.Minute), false, func(ticket *backend.Ticket) {
+			ticket, refusal := p.take(t.Context(), worker.Query{Service: "s"}, toBegin(time.Minute), asking{}, func(ticket *backend.Ticket) {
 				dropped = append(dropped, ticket.Worker.ID)
 				p.pool.WorkersChanged([]catalog.Change{{ID: "wb", Worker: worker.Worker{ID: "wb", Service: "s", Zone: "z", Slots: 4}}})
 			})
@@ -219,7 +219,7 @@
 
 func TestWithoutAWorkerThereIsNoPlace(t *testing.T) {
 	p := leadersOf(t, &answers{rule: gives("wa")}, &answers{rule: gives("wb")})
-	if ticket, refusal := p.take(t.Context(), worker.Query{Service: "unknown"}, toBegin(time.Minute), false, ignoreDropped); ticket != nil || refusal != nil {
+	if ticket, refusal := p.take(t.Context(), worker.Query{Service: "unknown"}, toBegin(time.Minute), asking{}, ignoreDropped); ticket != nil || refusal != nil {
 		t.Errorf("%v, %v", ticket, refusal)
 	}
 }
@@ -228,7 +228,7 @@
 func TestReportsTellOfPlaces(t *testing.T) {
 	a, b := &answers{rule: gives("wa")}, &answers{rule: gives("wa")}
 	p := leadersOf(t, a, b)
-	ticket, _ := p.take(t.Context(), worker.Query{Service: "s", Excluded: []string{"wb"}}, toBegin(time.Minute), false, ignoreDropped)
+	ticket, _ := p.take(t.Context(), worker.Query{Service: "s", Excluded: []string{"wb"}}, toBegin(time.Minute), asking{}, ignoreDropped)
 	peer, _ := p.leaderOf("wa")
 	report := p.report(peer)
 	if report.Seen != 7 || report.Held["wa"] != 1 || report.Held["wb"] != 0 {
@@ -249,7 +249,7 @@
 	a, b := &answers{rule: breaks}, &answers{rule: breaks}
 	p := leadersOf(t, a, b)
 	query := worker.Query{Service: "s", Excluded: []string{"wb"}}
-	p.take(t.Context(), query, toBegin(time.Minute), false, ignoreDropped)
+	p.take(t.Context(), query, toBegin(time.Minute), asking{}, ignoreDropped)
 	peer, _ := p.leaderOf("wa")
 	known := p.state(peer.ID)
 	if known.pause != leaderPause || known.silentUntil.IsZero() {
@@ -257,7 +257,7 @@
 	}
 	known.silentUntil = time.Now().Add(time.Hour) // the verdict does not depend on the clock
 	for range 10 {
-		if ticket, refusal := p.take(t.Context(), query, toBegin(time.Minute), false, ignoreDropped); ticket == nil {
+		if ticket, refusal := p.take(t.Context(), query, toBegin(time.Minute), asking{}, ignoreDropped); ticket == nil {
 			t.Fatalf("no worker: %v", refusal)
 		}
 	}
@@ -265,7 +265,7 @@
 		t.Errorf("a leader that does not answer was asked %d times", n)
 	}
 	known.silentUntil = time.Time{}
-	p.take(t.Context(), query, toBegin(time.Minute), false, ignoreDropped)
+	p.take(t.Context(), query, toBegin(time.Minute), asking{}, ignoreDropped)
 	if known.pause != 2*leaderPause {
 		t.Errorf("paused for %v after the second silence", known.pause)
 	}
@@ -275,7 +275,7 @@
 	p := leadersOf(t, &answers{rule: gives("wa")}, &answers{rule: gives("wb")})
 	ctx, leave := context.WithCancel(t.Context())
 	leave()
-	if ticket, refusal := p.take(ctx, worker.Query{Service: "s"}, toBegin(time.Minute), false, ignoreDropped); ticket != nil || refusal != nil {
+	if ticket, refusal := p.take(ctx, worker.Query{Service: "s"}, toBegin(time.Minute), asking{}, ignoreDropped); ticket != nil || refusal != nil {
 		t.Errorf("%v, %v", ticket, refusal)
 	}
 	if held := p.pool.Held("wa") + p.pool.Held("wb"); held != 0 {
@@ -305,7 +305,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			p := leadersOf(t, &answers{rule: test.a}, &answers{rule: test.b})
-			ticket, refusal := p.take(t.Context(), worker.Query{Service: "s"}, toBegin(time.Minute), false, ignoreDropped)
+			ticket, refusal := p.take(t.Context(), worker.Query{Service: "s"}, toBegin(time.Minute), asking{}, ignoreDropped)
 			if ticket == nil || ticket.Worker.ID != test.want {
 				t.Errorf("%+v, %v", ticket, refusal)
 			}
@@ -328,7 +328,7 @@
 		return reservation.Answer{Worker: "wa", Grant: 1}, true
 	}}
 	p := leadersOf(t, a, &answers{rule: gives("wb")})
-	p.take(t.Context(), worker.Query{Service: "s", Excluded: []string{"wb"}}, toBegin(time.Minute), true, ignoreDropped)
+	p.take(t.Context(), worker.Query{Service: "s", Excluded: []string{"wb"}}, toBegin(time.Minute), asking{returned: true}, ignoreDropped)
 	if len(asks) != 2 {
 		t.Fatalf("%d questions", len(asks))
 	}
@@ -339,3 +339,43 @@
 		t.Errorf("second: %+v", second)
 	}
 }
+
+// A request that the first leader can't place in time is offered to one more; the last
+// word is that one's, with when to return.
+func TestOneMoreLeaderIsAskedBeforeARefusal(t *testing.T) {
+	var asks []reservation.Ask
+	rule := func(waits reservation.Answer) func(reservation.Ask) (reservation.Answer, bool) {
+		return func(ask reservation.Ask) (reservation.Answer, bool) {
+			if ask.Wait <= 0 {
+				return reservation.Answer{Full: true, Until: time.Second}, true
+			}
+			asks = append(asks, ask)
+			return waits, true
+		}
+	}
+	hopeless := reservation.Answer{Hopeless: true, RetryAfter: 300 * time.Millisecond}
+	tests := []struct {
+		name string
+		b    reservation.Answer
+		want string
+	}{
+		{"the other has a place", reservation.Answer{Worker: "wb", Grant: 1}, "wb"},
+		{"none has", hopeless, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			asks = nil
+			p := leadersOf(t, &answers{rule: rule(reservation.Answer{Hopeless: true})}, &answers{rule: rule(test.b)})
+			ticket, refusal := p.take(t.Context(), worker.Query{Service: "s"}, toBegin(time.Minute), asking{}, ignoreDropped)
+			if (ticket != nil) != (test.want != "") || (refusal != nil) != (test.want == "") {
+				t.Fatalf("%+v, %v", ticket, refusal)
+			}
+			if refusal != nil && refusal.RetryAfter != hopeless.RetryAfter {
+				t.Errorf("return after %v", refusal.RetryAfter)
+			}
+			if len(asks) != 2 || !asks[0].Elsewhere || asks[1].Elsewhere {
+				t.Errorf("%+v", asks)
+			}
+		})
+	}
+}
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -21,6 +21,9 @@
 	// holdingMemory is over how long the time that a slot is held is averaged: some
 	// holdings, so that it follows workers that turn slow.
 	holdingMemory = 2 * time.Second
+	// leastWaited is how long requests have waited, within momentMemory, from when on the
+	// slots that they were given tell the rate.
+	leastWaited = 200 * time.Millisecond
 	// leastEnds is from how many ends on, within holdingMemory, that time is known.
 	leastEnds = 4
 	// momentMemory of who comes says what requests that come later will take now.
@@ -45,6 +48,11 @@
 	area  float64  // slot-seconds held, within holdingMemory
 	ends  float64  // within holdingMemory
 	ranks []ranked // ascending
+
+	waits    bool // since waitedAt
+	waitedAt time.Time
+	waited   float64 // seconds in which requests waited, within momentMemory
+	given    float64 // slots given then
 }
 
 // ranked is what is known of one rank: its first tries, and those told to return.
@@ -54,8 +62,8 @@
 	returns        returns
 }
 
-// Observe takes how many slots there are, how many of them requests hold, and how many
-// requests have ended since the last time.
+// Observe takes how many slots there are, how many of them requests hold, and how
+// many requests have ended since the last time.
 func (l *Line) Observe(now time.Time, slots, held, ended int) {
 	passed := now.Sub(l.at)
 	if l.at.IsZero() {
@@ -72,13 +80,33 @@
 	l.at, l.held = now, held
 }
 
+// Waits notes whether requests wait from now on.
+func (l *Line) Waits(now time.Time, waits bool) {
+	passed := max(now.Sub(l.waitedAt), 0)
+	if l.waitedAt.IsZero() {
+		passed = 0
+	}
+	fade := fading(passed, momentMemory)
+	l.waited, l.given = l.waited*fade, l.given*fade
+	if l.waits {
+		l.waited += passed.Seconds()
+	}
+	l.waits, l.waitedAt = waits, now
+}
+
 // Rate is how many slots come free a second when all are held (Little's law: slots over
-// the time that one is held); false while too little has been seen: unknown, not small.
+// the time that one is held), and no more than were given while requests waited: some
+// slots come free that can't be given. False while too little has been seen: unknown, not
+// small.
 func (l *Line) Rate() (float64, bool) {
 	if l.ends < leastEnds || l.area <= 0 {
 		return 0, false
 	}
-	return l.slots * l.ends / l.area, true
+	rate := l.slots * l.ends / l.area
+	if l.waited >= leastWaited.Seconds() {
+		rate = min(rate, max(l.given, 1)/l.waited)
+	}
+	return rate, true
 }
 
 // Arrived notes a first try.
@@ -91,6 +119,9 @@
 	if inTime {
 		l.of(now, rank).season.add(now, seasonMemory)
 	}
+	if l.waits {
+		l.given++
+	}
 }
 
 // Claim gives the slot that one who returns was told of, if that is before its last
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -199,3 +199,35 @@
 		t.Errorf("%d ranks are kept", n)
 	}
 }
+
+// What was given while requests waited bounds the rate: slots that come free and can't be
+// given are none for those that wait.
+func TestTheRateIsNoMoreThanWasGiven(t *testing.T) {
+	tests := []struct {
+		name        string
+		waits       bool
+		given       int // each 100 ms
+		least, most float64
+	}{
+		{"nobody waits: a few were given", false, 1, 99, 101},
+		{"as many as come free", true, 10, 85, 101},
+		{"half of what comes free", true, 5, 45, 56},
+		{"none for a while", true, 0, 0.5, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l := Line{}
+			for i := range 100 {
+				now := start.Add(time.Duration(i) * 100 * ms)
+				l.Observe(now, 100, 100, 10)
+				l.Waits(now, test.waits)
+				for range test.given {
+					l.Placed(now, hold.Rank{}, true)
+				}
+			}
+			if got, _ := l.Rate(); got < test.least || got > test.most {
+				t.Errorf("%.1f", got)
+			}
+		})
+	}
+}
--- a/reservation/queue.go
+++ b/reservation/queue.go
@@ -85,6 +85,9 @@
 
 // Decide decides for a request that finds no slot: it waits, or is refused.
 func (q *Queue) Decide(now time.Time, w *Waiting) overload.Verdict {
+	if w.Ask.Elsewhere {
+		return q.Line.Look(now, use(now, w, false), q.ahead(now, w))
+	}
 	return q.Line.Decide(now, use(now, w, false), q.ahead(now, w))
 }
 
--- a/reservation/replay_test.go
+++ b/reservation/replay_test.go
@@ -258,6 +258,7 @@
 		for _, c := range waiting {
 			q.Add(c.Waiting)
 		}
+		q.Line.Waits(now, len(waiting) > 0)
 		for _, r := range q.Refuse(now) {
 			i := slices.IndexFunc(waiting, func(c *caller) bool { return c.Waiting == r.Waiting })
 			list = append(list, dropped{waiting[i], r.Verdict.Return})
--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -64,6 +64,9 @@
 	// tells. Again: this attempt has waited here or at another leader before.
 	Returned bool `json:"returned,omitempty"`
 	Again    bool `json:"again,omitempty"`
+	// Elsewhere: another leader is asked if this one has no place in time, so that it
+	// promises none for a return.
+	Elsewhere bool `json:"elsewhere,omitempty"`
 	// Promise is the time until the slot that it was told to return for; it stays with
 	// an attempt that asks again.
 	Promise *time.Duration `json:"promise,omitempty"`
