--- a/hold/hold.go
+++ b/hold/hold.go
@@ -1,7 +1,8 @@
 // Package hold orders requests for which no worker has a slot: the more urgent ones by
-// their tenant and route, then those that can still be in time, the one that must begin soonest in front; those that can't
-// wait until nothing else does, or until their deadline is near. It has no input or
-// output and no clock.
+// their tenant and route, then those that were told to return for a slot that is due, then
+// those that can still be in time, the one that must begin soonest in front; those that
+// can't wait until nothing else does, also when their last moment is near: each would take
+// the slot of one that can be in time. It has no input or output and no clock.
 package hold
 
 import (
@@ -38,14 +39,10 @@
 // The classes.
 const (
 	Promised Class = iota // was told to return, and the slot it was told of is due
-	Expiring              // late already, and soon too late to be answered at all
 	InTime                // can still be in time
 	Late                  // can't be in time any more
 )
 
-// lastCall is how long before Last a late request goes before all others.
-const lastCall = 300 * time.Millisecond
-
 // Class tells how a request stands now.
 func (r Request) Class(now time.Time) Class {
 	switch {
@@ -53,8 +50,6 @@
 		return Promised
 	case !now.After(r.Begin):
 		return InTime
-	case now.Add(lastCall).After(r.Last):
-		return Expiring
 	}
 	return Late
 }
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -124,10 +124,10 @@
 	}
 }
 
-// Claim gives the slot that one who returns was told of, if that is before its last
-// moment; the promise is taken.
+// Claim gives the slot that one who returns was told of, if that is well before its
+// last moment; the promise is taken.
 func (l *Line) Claim(now time.Time, rank hold.Rank, last time.Duration) (time.Time, bool) {
-	return l.of(now, rank).returns.claim(now, now.Add(last))
+	return l.of(now, rank).returns.claim(now, now.Add(last-claimMargin))
 }
 
 // Told is how many promises are kept.
--- a/overload/returns.go
+++ b/overload/returns.go
@@ -14,6 +14,9 @@
 	// promiseLife is how long after its time a promise is kept: the way back of a caller
 	// that opens a connection to another frontend.
 	promiseLife = 500 * time.Millisecond
+	// claimMargin is how long before the last moment of one who returns its slot must be
+	// due: it goes first from then on, and waits for the next slot that comes free.
+	claimMargin = 200 * time.Millisecond
 	// leastReturn is the least pause that is told: below it a return only adds work.
 	leastReturn = 50 * time.Millisecond
 	// unknownReturn is told where nothing is known of slots: callers' own next tries
