Pressure: what a frontend holds for callers and workers is bounded by its memory

Cause: one answer may take 64 MiB and one body 4 MiB, nothing bounded their sum; callers that read slowly ended the process with all its requests.

Change: package pressure (pure) keeps a budget of bytes by use, from node.memory_mb. New bodies are refused before they are read, the largest and the least urgent first; answers wait for bytes (their workers are slowed); the answer left unread longest is cut when others wait and 2 s have passed; answers that hold each other up are given up, the smallest first. Answers are kept in pieces, and each is given back once its caller has it. Without the setting all is held as before.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -60,7 +60,8 @@
 	limiter  *limiter.Limiter
 	guard    *guard.Guard
 	metrics  *metrics
-	port     string // of Address, alike on all machines
+	memory   *memory // that is held for callers and workers
+	port     string  // of Address, alike on all machines
 
 	patience patience
 	places   *places
@@ -104,6 +105,7 @@
 		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		samples: rate.NewLimiter(servedLinesPerSecond, servedLinesPerSecond),
 	}
+	f.memory = newMemory(common.Settings.Node.HeapBytes(), common.Logger("memory"), common.Registry)
 	f.ending, f.endAll = context.WithCancel(context.Background())
 	registered := &storeclient.Registered{}
 	f.leaders = &storeclient.Leaders{Prefix: common.Settings.KeyValueService.Prefix}
--- a/internal/frontend/online.go
+++ b/internal/frontend/online.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -13,6 +14,7 @@
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/internal/backend"
 	"github.com/dykewing/dykewing/internal/engine"
+	"github.com/dykewing/dykewing/pressure"
 	"github.com/dykewing/dykewing/route"
 	"github.com/dykewing/dykewing/worker"
 )
@@ -41,7 +43,7 @@
 	verdict verdict
 	failure *api.Error        // with notRun and mayRun
 	failed  *backend.Incoming // with refused
-	body    []byte            // with refused
+	body    net.Buffers       // with refused
 }
 
 // online sends the request to workers until one has answered it, or it may not
@@ -190,12 +192,12 @@
 	}
 	x.runs++
 	if status := incoming.Response.StatusCode; status < 200 || status > 299 || !incoming.Stamped {
-		return x.failedAnswer(ticket, incoming)
+		return x.failedAnswer(ctx, ticket, incoming)
 	}
 	if x.route.Kind == route.KindStream && isEventStream(incoming.Response.Header) {
-		return x.relayStream(ticket, incoming)
+		return x.relayStream(ctx, ticket, incoming)
 	}
-	return x.relayWhole(ticket, incoming)
+	return x.relayWhole(ctx, ticket, incoming)
 }
 
 func isEventStream(header http.Header) bool {
@@ -230,34 +232,53 @@
 
 // failedAnswer reads a worker's own failure whole: it is passed on unless
 // another worker may be tried.
-func (x *exchange) failedAnswer(ticket *backend.Ticket, incoming *backend.Incoming) attemptResult {
-	body, err := io.ReadAll(io.LimitReader(incoming.Response.Body, maximumAnswerBytes))
+func (x *exchange) failedAnswer(ctx context.Context, ticket *backend.Ticket, incoming *backend.Incoming) attemptResult {
+	pieces, err := x.hold().readAnswer(ctx, incoming.Response.Body, maximumAnswerBytes)
 	failure := api.NewError("read answer", ticket.Worker.ID, api.CodeUpstream, api.OutcomeUnknown, "status %d", incoming.Response.StatusCode)
 	if err != nil {
 		failure.Err = err
 		return attemptResult{verdict: mayRun, failure: failure}
 	}
-	return attemptResult{verdict: refused, failure: failure, failed: incoming, body: body}
+	return attemptResult{verdict: refused, failure: failure, failed: incoming, body: pieces}
 }
 
 // relayWhole reads the whole answer before a byte goes to the caller.
-func (x *exchange) relayWhole(ticket *backend.Ticket, incoming *backend.Incoming) attemptResult {
-	body, err := io.ReadAll(io.LimitReader(incoming.Response.Body, maximumAnswerBytes))
+func (x *exchange) relayWhole(ctx context.Context, ticket *backend.Ticket, incoming *backend.Incoming) attemptResult {
+	pieces, err := x.hold().readAnswer(ctx, incoming.Response.Body, maximumAnswerBytes)
 	if err != nil {
 		failure := api.NewError("read answer", ticket.Worker.ID, api.CodeUpstream, api.OutcomeUnknown, "%w", err)
 		return attemptResult{verdict: mayRun, failure: failure}
 	}
 	ticket.End()
-	x.answer(incoming, body)
+	x.answer(incoming, pieces)
 	return attemptResult{verdict: done}
 }
 
-// answer passes a worker's status, header and whole body on.
-func (x *exchange) answer(incoming *backend.Incoming, body []byte) {
+// hold gives what the exchange holds of an answer, anew for each send.
+func (x *exchange) hold() held {
+	x.answerHeld.end()
+	x.answerHeld, _ = x.frontend.memory.begin(pressure.Answer, 0)
+	return x.answerHeld
+}
+
+// answer passes a worker's status, header and whole body on, and gives back what the caller
+// has taken.
+func (x *exchange) answer(incoming *backend.Incoming, body net.Buffers) {
 	x.copyHeader(incoming.Response.Header)
-	x.w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+	length := 0
+	for _, piece := range body {
+		length += len(piece)
+	}
+	x.w.Header().Set("Content-Length", fmt.Sprint(length))
 	x.begin(incoming.Response.StatusCode)
-	_, _ = x.w.Write(body)
+	controller := http.NewResponseController(x.w)
+	x.answerHeld.writing(func() { _ = controller.SetWriteDeadline(time.Now()) })
+	for _, piece := range body {
+		if _, err := x.w.Write(piece); err != nil {
+			x.gone("write answer", err)
+		}
+		x.answerHeld.written(len(piece))
+	}
 }
 
 func (x *exchange) copyHeader(from http.Header) {
--- a/internal/frontend/serve.go
+++ b/internal/frontend/serve.go
@@ -13,6 +13,7 @@
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/internal/backend"
 	"github.com/dykewing/dykewing/internal/transport"
+	"github.com/dykewing/dykewing/pressure"
 	"github.com/dykewing/dykewing/quarantine"
 	"github.com/dykewing/dykewing/route"
 )
@@ -53,6 +54,7 @@
 		x.refuse(f.unknownKey(x.request))
 		return
 	}
+	defer x.giveBack()
 	if !x.readBody(configuration.Limits.BodyBytes) {
 		return
 	}
@@ -98,6 +100,8 @@
 	// refusal says why there is no place at a worker, and when there may be one.
 	refusal *api.Error
 
+	bodyHeld, answerHeld held // of memory
+
 	begun     bool   // a byte of the answer has gone to the caller
 	lastEvent string // id of the last whole event that went to the caller
 	events    int
@@ -126,9 +130,12 @@
 	if x.r.ContentLength == 0 {
 		return true
 	}
+	if !x.holdBody(limit) {
+		return false
+	}
 	controller := http.NewResponseController(x.w)
 	_ = controller.SetReadDeadline(x.arrived.Add(max(x.left(), minimumBodyTimeout)))
-	body, err := readAll(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength)
+	body, err := x.readAll(http.MaxBytesReader(x.w, x.r.Body, limit))
 	if err != nil {
 		x.bodyFailed(err)
 		return false
@@ -138,13 +145,48 @@
 	return true
 }
 
-func readAll(body io.Reader, length int64) ([]byte, error) {
-	if length < 0 || length > defaultBodyBytes {
-		return io.ReadAll(body)
+// holdBody takes memory for a body before it is read; false when there is none and the
+// request has been answered. One that does not tell its length takes it piece by piece.
+func (x *exchange) holdBody(limit int64) (ok bool) {
+	use, length := pressure.Body, min(x.r.ContentLength, limit)
+	if x.route.Kind == route.KindBatch {
+		use = pressure.Job
+	}
+	if length < 0 {
+		length = heldStep
+	}
+	if x.bodyHeld, ok = x.frontend.memory.begin(use, length); !ok {
+		x.refuse(memoryShort(length))
+	}
+	return ok
+}
+
+// giveBack gives back all memory that is held for the request.
+func (x *exchange) giveBack() {
+	x.bodyHeld.end()
+	x.answerHeld.end()
+}
+
+func (x *exchange) readAll(body io.Reader) ([]byte, error) {
+	if length := x.r.ContentLength; length >= 0 && length <= defaultBodyBytes {
+		read := make([]byte, length)
+		_, err := io.ReadFull(body, read)
+		return read, err
+	}
+	var read []byte
+	for {
+		piece, err := readPiece(body, heldStep)
+		read = append(read, piece...)
+		if err == io.EOF {
+			return read, nil
+		}
+		if err != nil {
+			return read, err
+		}
+		if x.r.ContentLength < 0 && !x.bodyHeld.growNow(heldStep) {
+			return nil, errMemory
+		}
 	}
-	read := make([]byte, length)
-	_, err := io.ReadFull(body, read)
-	return read, err
 }
 
 func (x *exchange) bodyFailed(err error) {
@@ -153,6 +195,10 @@
 		x.refuse(api.NewError("read body", "", api.CodeRequestTimeout, api.OutcomeNotRun, "%w", err))
 		return
 	}
+	if errors.Is(err, errMemory) {
+		x.refuse(memoryShort(int64(heldStep)))
+		return
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		x.refuse(transport.BodyError("read body", err))
--- a/internal/frontend/stream.go
+++ b/internal/frontend/stream.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/internal/backend"
@@ -12,9 +14,14 @@
 
 // relayStream passes whole events on as they come. The answer's head waits for
 // the first one, so that a stream that breaks before it leaves no trace.
-func (x *exchange) relayStream(ticket *backend.Ticket, incoming *backend.Incoming) attemptResult {
+func (x *exchange) relayStream(ctx context.Context, ticket *backend.Ticket, incoming *backend.Incoming) attemptResult {
+	hold, controller := x.hold(), http.NewResponseController(x.w)
+	if err := hold.grow(ctx, streamBytes); err != nil {
+		failure := api.NewError("relay stream", ticket.Worker.ID, api.CodeUpstream, api.OutcomeUnknown, "%w", err)
+		return attemptResult{verdict: mayRun, failure: failure}
+	}
 	events := engine.NewEventReader(incoming.Response.Body)
-	controller := http.NewResponseController(x.w)
+	cut := func() { _ = controller.SetWriteDeadline(time.Now()) }
 	for {
 		event, err := events.Next()
 		if err == io.EOF && !events.Cut() {
@@ -33,12 +40,16 @@
 			_ = controller.SetWriteDeadline(x.deadline)
 			x.begin(incoming.Response.StatusCode)
 		}
+		if err := hold.event(ctx, len(event), cut); err != nil {
+			x.gone("relay stream", err)
+		}
 		if _, err := x.w.Write(event); err != nil {
 			x.gone("relay stream", err)
 		}
 		if err := controller.Flush(); err != nil {
 			x.gone("relay stream", err)
 		}
+		hold.eventRead()
 		x.events++
 		if id, ok := eventID(event); ok {
 			x.lastEvent = id
