--- a/reservation/queue.go
+++ b/reservation/queue.go
@@ -124,9 +124,11 @@
 	return refused
 }
 
+// use is what a wait is worth. One that returns is taken as one that waits: it has no
+// further try, as far as is known, and is let go only without hope.
 func use(now time.Time, w *Waiting, waits bool) overload.Use {
 	return overload.Use{
-		Rank: w.Order.Rank, Begin: w.Order.Begin.Sub(now), Last: w.Order.Last.Sub(now), Waits: waits,
+		Rank: w.Order.Rank, Begin: w.Order.Begin.Sub(now), Last: w.Order.Last.Sub(now), Waits: waits || w.Ask.Returned,
 		Promised: !w.Order.Promised.IsZero(), Due: w.Order.Promised.Sub(now),
 	}
 }
--- a/reservation/reservation_test.go
+++ b/reservation/reservation_test.go
@@ -263,3 +263,24 @@
 		t.Errorf("%.1f a second are left, were %.1f", after, before)
 	}
 }
+
+// One that returns has no further try: it waits where a new one is refused, as long as
+// there is hope.
+func TestOneThatReturnsWaitsWhileThereIsHope(t *testing.T) {
+	q, now := fullQueue(50) // fifty a second are left
+	for range 50 {
+		q.Add(Wait(now, "f", Ask{Begin: time.Millisecond, Last: 3 * time.Second}))
+	}
+	late := func(returned bool) bool {
+		return q.Decide(now, Wait(now, "f", Ask{Begin: -time.Millisecond, Last: 1500 * time.Millisecond, Returned: returned})).Refuse
+	}
+	if !late(false) || late(true) {
+		t.Errorf("refused: a new one %t, one that returns %t", late(false), late(true))
+	}
+	for range 50 {
+		q.Add(Wait(now, "f", Ask{Begin: time.Millisecond, Last: 3 * time.Second}))
+	}
+	if !late(true) {
+		t.Error("one that returns waits without hope")
+	}
+}
