A question for tokens that reaches its owner by two ways counts once

Cause: a holder whose owner is silent will ask it through a peer as well, while the straight question may still arrive; each copy took tokens of its own.

--- a/ratelimit/owner.go
+++ b/ratelimit/owner.go
@@ -21,6 +21,7 @@
 type Owner struct {
 	tolerance Tolerance
 	buckets   map[string]*bucket
+	answered  answered
 	sweptAt   time.Time
 	fault     Fault
 }
@@ -33,6 +34,7 @@
 	FaultNone           Fault = ""
 	FaultNewOwnerBursts Fault = "a new owner gives the burst"
 	FaultElsewhereFree  Fault = "what was spent elsewhere does not count"
+	FaultCopiesCount    Fault = "each copy of a question takes tokens"
 )
 
 // bucket holds a tenant's tokens. Its level is negative after more was spent elsewhere
@@ -47,7 +49,7 @@
 
 // NewOwner has no buckets.
 func NewOwner(tolerance Tolerance) *Owner {
-	return &Owner{tolerance: tolerance, buckets: map[string]*bucket{}}
+	return &Owner{tolerance: tolerance, buckets: map[string]*bucket{}, answered: answered{grants: map[question]Grant{}}}
 }
 
 // sweep forgets buckets that nobody asks for.
@@ -64,9 +66,25 @@
 }
 
 // Step answers an ask; deputy: another process is the tenant's owner as far as this
-// one knows.
+// one knows. A copy of a question that was answered lately has the same answer and takes
+// nothing.
 func (o *Owner) Step(now time.Time, ask Ask, deputy bool) Grant {
 	o.sweep(now)
+	name := question{holder: ask.Holder, tenant: ask.Tenant, sequence: ask.Sequence}
+	named := ask.Holder != "" && o.fault != FaultCopiesCount
+	if named {
+		if grant, known := o.answered.find(now, name); known {
+			return grant
+		}
+	}
+	grant := o.grant(now, ask, deputy)
+	if named {
+		o.answered.keep(now, name, grant)
+	}
+	return grant
+}
+
+func (o *Owner) grant(now time.Time, ask Ask, deputy bool) Grant {
 	b := o.bucket(now, ask)
 	share := 1.0
 	if deputy {
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -50,6 +50,11 @@
 	// Elsewhere are tokens that the holder has spent without this owner since it last
 	// asked it.
 	Elsewhere int `json:"elsewhere,omitempty"`
+	// Holder and Sequence name the question: one that reaches an owner by two ways counts
+	// once. Sequence grows with each question of a holder, also over its restarts; without
+	// a Holder each copy counts.
+	Holder   string `json:"holder,omitempty"`
+	Sequence uint64 `json:"sequence,omitempty"`
 }
 
 // Grant answers an Ask.
