--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -62,7 +62,8 @@
 	limiter  *limiter.Limiter
 	guard    *guard.Guard
 	metrics  *metrics
-	port     string // of Address, alike on all machines
+	memory   *memory // that is held for callers and workers
+	port     string  // of Address, alike on all machines
 
 	patience patience
 	places   *places
@@ -106,6 +107,7 @@
 		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		samples: rate.NewLimiter(servedLinesPerSecond, servedLinesPerSecond),
 	}
+	f.memory = newMemory(common.Settings.Node.HeapBytes(), common.Logger("memory"), common.Registry)
 	f.ending, f.endAll = context.WithCancel(context.Background())
 	registered := &storeclient.Registered{}
 	f.leaders = &storeclient.Leaders{Prefix: common.Settings.KeyValueService.Prefix}
@@ -123,7 +125,7 @@
 	common.Registry.MustRegister(f.catalog.Metrics()...)
 	f.guard = guard.New(guard.Settings{
 		Self: common.ID(), Owners: func() []api.Node { return storeclient.Owners(common.Nodes(), registered.With) },
-		Accepts: f.pool.Accepts, Blind: f.catalog.OutOfContact, KeyValue: common.KeyValue,
+		Accepts: f.pool.Accepts, Current: f.pool.Current, Blind: f.catalog.OutOfContact, KeyValue: common.KeyValue,
 		Prefix: common.Settings.KeyValueService.Prefix, Log: common.Logger("guard"), Registry: common.Registry,
 	})
 	if source.EvacuationPrefix != "" {
