--- a/detour/detour.go
+++ b/detour/detour.go
@@ -82,7 +82,7 @@
 	failedAt time.Time // when the straight way last failed; zero: it did not since it worked
 	trialAt  time.Time // when it is tried again
 	via      api.NodeID
-	viaAt    time.Time // since when
+	changed  time.Time // when the way last changed; zero: never
 	cut      map[api.NodeID]*pause
 	usedAt   time.Time
 }
@@ -192,8 +192,8 @@
 			return false
 		}
 		if t.via == "" || q.ways.peers[t.via].holds(now) || t.cut[t.via].holds(now) {
-			t.via, t.viaAt = way.Via, now
-			return !t.failedAt.IsZero()
+			t.via = way.Via
+			return t.change(now, !t.failedAt.IsZero())
 		}
 	case Unreached:
 		q.unreached++
@@ -209,13 +209,20 @@
 	failed := !t.failedAt.IsZero()
 	if result == Answered {
 		t.failedAt, t.via = time.Time{}, ""
-		return failed
+		return t.change(now, failed)
 	}
 	t.failedAt = now
 	if !failed {
 		t.trialAt = now.Add(trialInterval)
 	}
-	return !failed
+	return t.change(now, !failed)
+}
+
+func (t *target) change(now time.Time, changed bool) bool {
+	if changed {
+		t.changed = now
+	}
+	return changed
 }
 
 // Reaches tells whether the straight way to a process is thought to work: a question of
@@ -226,19 +233,29 @@
 	return t == nil || t.failedAt.IsZero() || now.Sub(t.failedAt) > trialInterval
 }
 
-// Passed takes what became of a question of another process that was passed on.
-func (w *Ways) Passed(now time.Time, id api.NodeID, result Result) {
-	w.straight(now, w.target(now, id), result)
+// Passed takes what became of a question of another process that was passed on, and tells
+// as Ended does.
+func (w *Ways) Passed(now time.Time, id api.NodeID, result Result) (changed bool) {
+	return w.straight(now, w.target(now, id), result)
 }
 
-// Via is the peer through which a process is reached at present, and since when; empty:
-// straight, or not at all.
-func (w *Ways) Via(id api.NodeID) (api.NodeID, time.Time) {
+// Via is the peer through which a process is reached at present; empty: straight, or not
+// at all.
+func (w *Ways) Via(id api.NodeID) api.NodeID {
 	t := w.targets[id]
 	if t == nil || t.failedAt.IsZero() {
-		return "", time.Time{}
+		return ""
+	}
+	return t.via
+}
+
+// Changed is when the way to a process last changed; zero: not that is known.
+func (w *Ways) Changed(id api.NodeID) time.Time {
+	t := w.targets[id]
+	if t == nil {
+		return time.Time{}
 	}
-	return t.via, t.viaAt
+	return t.changed
 }
 
 func (p *pause) holds(now time.Time) bool { return p != nil && now.Before(p.until) }
--- a/detour/detour_test.go
+++ b/detour/detour_test.go
@@ -272,7 +272,7 @@
 		} else {
 			t.Fatalf("%v: the straight way is not tried after 2 s", way)
 		}
-		if via, _ := w.Via("store"); via != "" {
+		if via := w.Via("store"); via != "" {
 			t.Fatalf("still through %s", via)
 		}
 	})
--- a/detour/replay_test.go
+++ b/detour/replay_test.go
@@ -164,8 +164,7 @@
 		result.took += took
 		now = start.Add(at + result.took)
 		if ok {
-			via, _ := by.ways.Via(owner.ID)
-			result.straight = via == ""
+			result.straight = by.ways.Via(owner.ID) == ""
 			result.admitted = by.holder.Granted(now, string(owner.ID), question, grant, 1) == 1
 			return result
 		}
--- a/internal/relayed/relayed.go
+++ b/internal/relayed/relayed.go
@@ -143,7 +143,7 @@
 	r.mutex.Lock()
 	r.machine = r.ways.Begin(clock.Now(), r.question.Target.ID, r.question.Repeatable)
 	r.mutex.Unlock()
-	var last error
+	var failed error // of all ways that ended
 	more := r.next()
 	for {
 		var due <-chan time.Time
@@ -156,19 +156,19 @@
 			if end.err == nil {
 				return end, nil
 			}
-			last = end.err
+			failed = errors.Join(failed, end.err)
 			if more = more && r.mayGoOn(end); more {
 				more = r.next()
 			}
 		case <-due:
 			more = r.next()
 		case <-r.ctx.Done():
-			return outcome{}, errors.Join(last, api.NewError(r.question.Step, r.question.Target.Address, api.CodeDeadline, api.OutcomeUnknown, "no answer by any way within %v", r.question.Within))
+			return outcome{}, errors.Join(failed, api.NewError(r.question.Step, r.question.Target.Address, api.CodeDeadline, api.OutcomeUnknown, "no answer by any way within %v", r.question.Within))
 		case <-caller.Done():
 			return outcome{}, caller.Err()
 		}
 		if r.open == 0 && !more {
-			return outcome{}, last
+			return outcome{}, failed
 		}
 	}
 }
@@ -205,14 +205,26 @@
 // note takes the end of one way.
 func (r *asking) note(end outcome) {
 	r.open--
-	r.mutex.Lock()
-	changed := r.machine.Ended(clock.Now(), end.way, end.result)
-	r.mutex.Unlock()
-	if changed {
-		r.settings.Log.WithFields(logrus.Fields{
-			"event": "way_changed", "target": r.question.Target.ID, "via": end.way.Via, "answered": end.result == detour.Answered,
-		}).Info("A process is asked by another way than before.")
+	r.changed(r.question.Target.ID, end, func(now time.Time) bool { return r.machine.Ended(now, end.way, end.result) })
+}
+
+// changed logs it when what a way's end tells changes the way to a process.
+func (a *Asker) changed(target api.NodeID, end outcome, take func(now time.Time) bool) {
+	now := clock.Now()
+	a.mutex.Lock()
+	before := a.ways.Changed(target)
+	changed := take(now)
+	a.mutex.Unlock()
+	if !changed {
+		return
+	}
+	entry := a.settings.Log.WithFields(logrus.Fields{
+		"event": "way_changed", "target": target, "via": end.way.Via, "answered": end.result == detour.Answered,
+	})
+	if !before.IsZero() {
+		entry = entry.WithField("age_ms", now.Sub(before).Milliseconds())
 	}
+	entry.Info("A process is asked by another way than before.")
 }
 
 // finish takes the ends of the ways that were not waited for.
--- a/internal/relayed/serve.go
+++ b/internal/relayed/serve.go
@@ -105,10 +105,9 @@
 	return reply
 }
 
+// passed takes what became of a question that was passed on.
 func (a *Asker) passed(target api.NodeID, result detour.Result) {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	a.ways.Passed(clock.Now(), target, result)
+	a.changed(target, outcome{result: result}, func(now time.Time) bool { return a.ways.Passed(now, target, result) })
 }
 
 // outcomeOf reads an error's outcome; unknown where it tells none.
