--- a/detour/replay_test.go
+++ b/detour/replay_test.go
@@ -22,8 +22,6 @@
 	view      []api.Node // all of them
 	stores    []api.Node
 	owners    map[api.NodeID]*ratelimit.Owner
-	cut       int // frontends, from cutAt to cutTo
-	now       time.Duration
 	sequence  uint64
 }
 
