--- a/api/node.go
+++ b/api/node.go
@@ -29,6 +29,9 @@
 	Replica string `json:"replica,omitempty"`
 	// DiskFull: the store takes no new jobs and files.
 	DiskFull bool `json:"disk_full,omitempty"`
+	// Apart: a frontend does not reach the stores itself; callers are better off at
+	// another one.
+	Apart bool `json:"apart,omitempty"`
 }
 
 // ServiceSummary is one row's load at one home router.
--- a/detour/detour.go
+++ b/detour/detour.go
@@ -80,6 +80,7 @@
 // target is a process that is asked.
 type target struct {
 	failedAt time.Time // when the straight way last failed; zero: it did not since it worked
+	workedAt time.Time // when it last worked
 	trialAt  time.Time // when it is tried again
 	via      api.NodeID
 	changed  time.Time // when the way last changed; zero: never
@@ -208,7 +209,7 @@
 func (w *Ways) straight(now time.Time, t *target, result Result) (changed bool) {
 	failed := !t.failedAt.IsZero()
 	if result == Answered {
-		t.failedAt, t.via = time.Time{}, ""
+		t.failedAt, t.workedAt, t.via = time.Time{}, now, ""
 		return t.change(now, failed)
 	}
 	t.failedAt = now
@@ -258,6 +259,25 @@
 	return t.changed
 }
 
+// apartTime is for how long a straight way that worked, or failed, counts for Apart: over
+// the time between two trials.
+const apartTime = 2 * trialInterval
+
+// Apart tells whether this process reaches none of those that it asks: at least two
+// straight ways failed in the last moments, and none worked.
+func (w *Ways) Apart(now time.Time) bool {
+	failed := 0
+	for _, t := range w.targets {
+		switch {
+		case !t.failedAt.IsZero() && now.Sub(t.failedAt) < apartTime:
+			failed++
+		case now.Sub(t.workedAt) < apartTime:
+			return false
+		}
+	}
+	return failed >= 2
+}
+
 func (p *pause) holds(now time.Time) bool { return p != nil && now.Before(p.until) }
 
 // longer is the pause after one more failure.
--- a/detour/detour_test.go
+++ b/detour/detour_test.go
@@ -207,7 +207,7 @@
 	}
 }
 
-func TestPeersOfTheOwnZoneAreFirst(t *testing.T) {
+func TestPeersOfTheOwnZoneAndOfOthersByTurns(t *testing.T) {
 	at := func(region, zone string) api.Location {
 		return api.Location{Region: api.RegionName(region), Zone: api.ZoneName(zone)}
 	}
@@ -221,6 +221,18 @@
 	if got := Peers(self, view); !slices.Equal(got, []api.NodeID{"near", "next", "far"}) {
 		t.Errorf("%v", got)
 	}
+	zones := map[api.NodeID]string{}
+	var two []api.Node
+	for i := range 4 {
+		near, next := node(fmt.Sprint("near-", i), at("r", "a")), node(fmt.Sprint("next-", i), at("r", "b"))
+		two = append(two, next, near)
+		zones[near.ID], zones[next.ID] = "near", "next"
+	}
+	for i, id := range Peers(self, two) {
+		if want := []string{"near", "next"}[i%2]; zones[id] != want {
+			t.Errorf("%s at %d", id, i)
+		}
+	}
 	// Those that are cut off together ask different peers first.
 	var zone []api.Node
 	for i := range 12 {
@@ -278,6 +290,40 @@
 	})
 }
 
+func TestAProcessThatReachesNobodyIsApart(t *testing.T) {
+	type end struct {
+		at     time.Duration
+		target api.NodeID
+		result Result
+	}
+	tests := []struct {
+		name string
+		ends []end
+		at   time.Duration
+		want bool
+	}{
+		{"nothing is known", nil, 0, false},
+		{"one that does not answer", []end{{0, "a", Silent}, {0, "a", Silent}}, 0, false},
+		{"two that don't", []end{{0, "a", Silent}, {0, "b", Silent}}, 0, true},
+		{"a third one answers", []end{{0, "a", Silent}, {0, "b", Silent}, {0, "c", Answered}}, 0, false},
+		{"it answered long ago", []end{{0, "c", Answered}, {2500 * ms, "a", Silent}, {2500 * ms, "b", Silent}}, 2500 * ms, true},
+		{"one answers again", []end{{0, "a", Silent}, {0, "b", Silent}, {500 * ms, "a", Answered}}, 500 * ms, false},
+		{"long ago", []end{{0, "a", Silent}, {0, "b", Silent}}, 2500 * ms, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := New()
+			for _, e := range test.ends {
+				now := start.Add(e.at)
+				w.Begin(now, e.target, true).Ended(now, Way{}, e.result)
+			}
+			if got := w.Apart(start.Add(test.at)); got != test.want {
+				t.Errorf("%t", got)
+			}
+		})
+	}
+}
+
 func TestWhatIsNotUsedIsForgotten(t *testing.T) {
 	w := New()
 	for i := range 500 {
--- a/detour/replay_test.go
+++ b/detour/replay_test.go
@@ -42,7 +42,7 @@
 
 var tolerance = ratelimit.Tolerance{Window: 5 * time.Second, Overshoot: 0.1, Allowance: 20}
 
-func newFleet(seed uint64, fault Fault) *fleet {
+func newFleet(seed uint64, cut func(i int) bool, fault Fault) *fleet {
 	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), owners: map[api.NodeID]*ratelimit.Owner{}}
 	for i := range 8 {
 		node := api.Node{ID: api.NodeID(fmt.Sprint("store-", i)), Role: api.RoleStore}
@@ -53,7 +53,7 @@
 		zone := api.ZoneName(fmt.Sprint(i % 3))
 		each := &frontend{
 			node: api.Node{ID: api.NodeID(fmt.Sprint("frontend-", i)), Role: api.RoleFrontend, Location: api.Location{Zone: zone}},
-			cut:  i < 10, ways: New(), holder: ratelimit.NewHolder(tolerance),
+			cut:  cut(i), ways: New(), holder: ratelimit.NewHolder(tolerance),
 		}
 		each.ways.fault = fault
 		f.frontends = append(f.frontends, each)
@@ -196,17 +196,26 @@
 // tenant stays within its bound, and all go straight again soon after.
 func TestACutFromTheOwnersIsPassedRound(t *testing.T) {
 	limit := route.Limit{Rate: 12.8, Burst: 12.8}
+	anywhere := func(i int) bool { return i < 10 }
+	zone := func(i int) bool { return i%3 == 0 }
 	tests := []struct {
+		name  string
+		cut   func(i int) bool
 		fault Fault
 		seen  string // what the plant shows
-	}{{fault: FaultNone}, {FaultNoPeer, "alone"}, {FaultNoTrial, "straight"}}
+	}{
+		{"a third of each zone", anywhere, FaultNone, ""},
+		{"a whole zone", zone, FaultNone, ""},
+		{"planted: no peer", anywhere, FaultNoPeer, "alone"},
+		{"planted: no trial", anywhere, FaultNoTrial, "straight"},
+	}
 	for _, test := range tests {
-		t.Run(string(test.fault), func(t *testing.T) {
+		t.Run(test.name, func(t *testing.T) {
 			during, alone, refused, late, bent := 0, 0, 0, 0, 0
 			worst := 0
 			for seed := range uint64(3) {
 				var hot []time.Duration
-				for _, each := range newFleet(seed, test.fault).run() {
+				for _, each := range newFleet(seed, test.cut, test.fault).run() {
 					if each.took > 2*within {
 						t.Errorf("decided after %v", each.took)
 					}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -116,6 +116,7 @@
 		Self: f.self, Nodes: common.Nodes, Paths: []string{limiter.PathTokens}, Log: common.Logger("relayed"), Registry: common.Registry,
 	})
 	common.Mux.Handle("POST "+relayed.Path, f.asker)
+	common.SetSummary(func() api.Summary { return api.Summary{Apart: f.asker.Apart()} })
 	f.limiter = limiter.New(common.Settings.Tenants.Tolerance(), common.ID(), f.asker, func() []api.Node { return storeclient.Owners(common.Nodes(), registered.With) }, f.holders, common.Logger("limits"), common.Registry)
 	f.pool = backend.NewPool(worker.DefaultSettings(common.Settings.Node.Zone), nil)
 	f.places = newPlaces(f)
--- a/internal/frontend/registry.go
+++ b/internal/frontend/registry.go
@@ -52,7 +52,7 @@
 }
 
 func (f *Frontend) addressesFor(zone api.ZoneName) []string {
-	near, far := f.frontends(zone, func(node api.Node) bool { return !node.Suspected })
+	near, far := f.frontends(zone, withoutApart(f.node.Nodes(), func(node api.Node) bool { return !node.Suspected }))
 	if len(near)+len(far) == 0 {
 		near, far = f.frontends(zone, func(api.Node) bool { return true })
 	}
@@ -63,6 +63,30 @@
 	return near[:min(len(near), maximumAddresses)]
 }
 
+// mostApart is the largest part of a zone's frontends that is left out because they don't
+// reach the stores. With more of them it is the stores that are out of reach, and the
+// others would have to take twice their load and more.
+const mostApart = 0.5
+
+// withoutApart is keep without those that say that they don't reach the stores, in zones
+// where they are no more than mostApart of those that keep lets through.
+func withoutApart(nodes []api.Node, keep func(api.Node) bool) func(api.Node) bool {
+	all, apart := map[api.Location]int{}, map[api.Location]int{}
+	for _, node := range nodes {
+		if node.Role != api.RoleFrontend || node.Leaving || !keep(node) {
+			continue
+		}
+		all[node.Location]++
+		if node.Summary.Apart {
+			apart[node.Location]++
+		}
+	}
+	return func(node api.Node) bool {
+		few := float64(apart[node.Location]) <= mostApart*float64(all[node.Location])
+		return keep(node) && !(node.Summary.Apart && few)
+	}
+}
+
 // frontends lists the addresses of those that take requests and that keep lets
 // through, of the zone and of others.
 func (f *Frontend) frontends(zone api.ZoneName, keep func(api.Node) bool) (near, far []string) {
--- a/internal/relayed/relayed.go
+++ b/internal/relayed/relayed.go
@@ -86,6 +86,13 @@
 // Close ends idle connections.
 func (a *Asker) Close() { a.client.CloseIdleConnections() }
 
+// Apart tells whether this process reaches none of those that it asks straight.
+func (a *Asker) Apart() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.ways.Apart(clock.Now())
+}
+
 // outcome is what one way brought.
 type outcome struct {
 	way    detour.Way
