Entries travel packed and a text once; frames carry data as it is

Cause: an item's text crossed to each replica twice (parts as they come, then the result), each time as base64 in JSON.

Processes say what they read in each body; one that says nothing gets plain JSON, and is sent no packed entry.

--- a/internal/batchrun/commit.go
+++ b/internal/batchrun/commit.go
@@ -27,6 +27,9 @@
 		return
 	}
 	result := jobs.InlineResult{Job: i.job.ID, Index: i.index, Item: stored.ID, Outcome: outcome, Text: text}
+	i.received.Lock()
+	result.Kept = min(i.lasting, len(text))
+	i.received.Unlock()
 	select {
 	case l.results <- result:
 	case <-l.ctx.Done():
@@ -43,7 +46,7 @@
 		case <-l.ctx.Done():
 			return
 		}
-		l.commit(jobs.Command{CompleteInline: &jobs.CompleteInline{Results: gathered}})
+		l.commitResults(gathered)
 		for _, result := range gathered {
 			l.service.metrics.items.WithLabelValues(string(result.Outcome)).Inc()
 		}
@@ -63,15 +66,36 @@
 	return gathered
 }
 
-// commit proposes a command until it is committed or the leadership ends. It has
-// no second effect.
-func (l *Leader) commit(command jobs.Command) {
+// commitResults lists results. Where one was not listed over the parts that it names, all
+// of them are proposed whole: what is listed already is passed over.
+func (l *Leader) commitResults(results []jobs.InlineResult) {
+	listed, committed := l.commit(jobs.Command{CompleteInline: &jobs.CompleteInline{Results: results}})
+	if !committed || listed.Accepted >= len(results) {
+		return
+	}
+	named := 0
+	for i := range results {
+		named += results[i].Kept
+		results[i].Kept = 0
+	}
+	if named == 0 {
+		return // each is listed already, or its job has ended
+	}
+	l.log.WithFields(logrus.Fields{
+		"event": "results_whole", "results": len(results), "listed": listed.Accepted, "kept_bytes": named,
+	}).Info("Results are proposed whole: some were not listed over their parts.")
+	l.commit(jobs.Command{CompleteInline: &jobs.CompleteInline{Results: results}})
+}
+
+// commit proposes a command until it is committed or the leadership ends; false where it
+// has ended. It has no second effect.
+func (l *Leader) commit(command jobs.Command) (jobs.Result, bool) {
 	for l.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(l.ctx, proposeTimeout)
-		_, failure := l.propose(ctx, command)
+		result, failure := l.propose(ctx, command)
 		cancel()
 		if failure == nil {
-			return
+			return result, true
 		}
 		l.log.WithField("event", "results_not_committed").WithError(failure).Warn("Results were not committed yet.")
 		select {
@@ -79,6 +103,7 @@
 		case <-l.ctx.Done():
 		}
 	}
+	return jobs.Result{}, false
 }
 
 // expireLoop forgets jobs whose time of retention has passed.
--- a/internal/batchrun/dispatch.go
+++ b/internal/batchrun/dispatch.go
@@ -166,7 +166,7 @@
 	if err != nil {
 		return false
 	}
-	i.text, i.last, i.kept = []byte(partial.Text), partial.Last, len(partial.Text)
+	i.text, i.last, i.kept, i.lasting = []byte(partial.Text), partial.Last, len(partial.Text), len(partial.Text)
 	i.failures, i.keptFailures = partial.Failures, partial.Failures
 	i.path, i.host, i.parts, i.tokens = stored.Path, i.job.Host, request.Parts, request.PromptTokens
 	i.digest = quarantine.Identity{Tenant: string(i.job.Tenant), Host: i.host, Target: stored.Path, Body: stored.Body}.Digest()
--- a/internal/batchrun/keep.go
+++ b/internal/batchrun/keep.go
@@ -33,21 +33,35 @@
 		case <-l.ctx.Done():
 			return
 		}
-		if parts := l.newParts(time.Now()); len(parts) > 0 {
-			l.commit(jobs.Command{KeepInline: &jobs.KeepInline{Parts: parts}})
+		if parts, of := l.newParts(time.Now()); len(parts) > 0 {
+			if _, committed := l.commit(jobs.Command{KeepInline: &jobs.KeepInline{Parts: parts}}); committed {
+				keptFor(parts, of)
+			}
 		}
 	}
 }
 
-func (l *Leader) newParts(now time.Time) []jobs.InlinePart {
+// keptFor notes that parts of items are committed: what lists these items later need not
+// repeat them.
+func keptFor(parts []jobs.InlinePart, of []*item) {
+	for n, part := range parts {
+		of[n].received.Lock()
+		of[n].lasting = max(of[n].lasting, part.Offset+len(part.Text))
+		of[n].received.Unlock()
+	}
+}
+
+// newParts gives the parts that are due, and the item of each.
+func (l *Leader) newParts(now time.Time) ([]jobs.InlinePart, []*item) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	var parts []jobs.InlinePart
+	var of []*item
 	n := 0
 	every := keepEvery(len(l.running), l.service.core)
 	add := func(i *item) {
 		if part, ok := i.newPart(now, every, n < keptAtOnce); ok {
-			parts = append(parts, part)
+			parts, of = append(parts, part), append(of, i)
 			n += len(part.Text)
 		}
 	}
@@ -57,7 +71,7 @@
 	for _, i := range l.waiting {
 		add(i)
 	}
-	return parts
+	return parts, of
 }
 
 // keepEvery is the time between two parts of one item among so many that run, on so
--- a/internal/batchrun/leader.go
+++ b/internal/batchrun/leader.go
@@ -41,11 +41,12 @@
 	service      string
 	sends        int        // in all
 	notUntil     time.Time  // it waits before it is sent again
-	received     sync.Mutex // guards the next five while the item runs
+	received     sync.Mutex // guards the next six while the item runs
 	failures     int        // answers that say that its run failed, at all leaders
 	text         []byte     // of whole events so far
 	last         string     // id of the last whole event
 	kept         int        // bytes of text that other leaders know of
+	lasting      int        // of kept, those that are known to be committed
 	keptAt       time.Time  // when that was
 	keptFailures int        // failures that other leaders know of
 	avoid        string     // the worker that it was lost at
--- /dev/null
+++ b/internal/store/form.go
@@ -0,0 +1,163 @@
+package store
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/internal/logform"
+	"github.com/dykewing/dykewing/internal/transport"
+	"github.com/dykewing/dykewing/jobs"
+	"github.com/dykewing/dykewing/replication"
+)
+
+// contentFrame names a body whose entries' data lies behind its JSON, as it is: in JSON
+// it would take a third more.
+const contentFrame = "application/x-dykewing-log"
+
+var errFrame = errors.New("the frame is broken")
+
+// frame is the JSON of a framed body. Its messages carry no data of entries, and neither
+// of the replicas that the body names already.
+type frame struct {
+	messageBatch
+	To    replication.ReplicaID `json:"to"`
+	Sizes []int                 `json:"sizes,omitempty"` // of each entry's data, in order
+}
+
+// frameBatch writes the length of the JSON, the JSON, and the data of all entries.
+func frameBatch(to replication.ReplicaID, batch messageBatch) ([]byte, error) {
+	framed := frame{messageBatch: batch, To: to}
+	framed.Messages = make([]replication.WireMessage, len(batch.Messages))
+	var data [][]byte
+	total := 0
+	for i, message := range batch.Messages {
+		if message.From == batch.From {
+			message.From = ""
+		}
+		if message.To == to {
+			message.To = ""
+		}
+		entries := make([]replication.Entry, len(message.Entries))
+		for j, entry := range message.Entries {
+			framed.Sizes = append(framed.Sizes, len(entry.Data))
+			data = append(data, entry.Data)
+			total += len(entry.Data)
+			entry.Data = nil
+			entries[j] = entry
+		}
+		message.Entries = entries
+		framed.Messages[i] = message
+	}
+	head, err := json.Marshal(framed)
+	if err != nil {
+		return nil, err
+	}
+	body := make([]byte, 0, binary.MaxVarintLen64+len(head)+total)
+	body = binary.AppendUvarint(body, uint64(len(head)))
+	body = append(body, head...)
+	for _, each := range data {
+		body = append(body, each...)
+	}
+	return body, nil
+}
+
+// openFrame reads what frameBatch wrote; the entries share body's memory. Every byte must
+// be accounted for: entries are taken whole or not at all.
+func openFrame(body []byte) (messageBatch, error) {
+	size, n := binary.Uvarint(body)
+	if n <= 0 || size > uint64(len(body)-n) {
+		return messageBatch{}, errFrame
+	}
+	var framed frame
+	if err := json.Unmarshal(body[n:n+int(size)], &framed); err != nil {
+		return messageBatch{}, fmt.Errorf("%w: %w", errFrame, err)
+	}
+	rest, sizes := body[n+int(size):], framed.Sizes
+	for i := range framed.Messages {
+		message := &framed.Messages[i]
+		if message.From == "" {
+			message.From = framed.From
+		}
+		if message.To == "" {
+			message.To = framed.To
+		}
+		for j := range message.Entries {
+			if len(sizes) == 0 || sizes[0] < 0 || sizes[0] > len(rest) {
+				return messageBatch{}, errFrame
+			}
+			if sizes[0] > 0 {
+				// A copy: the log keeps an entry for longer than its neighbours' bytes.
+				message.Entries[j].Data = bytes.Clone(rest[:sizes[0]])
+			}
+			rest, sizes = rest[sizes[0]:], sizes[1:]
+		}
+	}
+	if len(rest) > 0 || len(sizes) > 0 {
+		return messageBatch{}, errFrame
+	}
+	return framed.messageBatch, nil
+}
+
+// readBatch reads a body in any form.
+func readBatch(w http.ResponseWriter, r *http.Request) (messageBatch, *api.Error) {
+	const step = "receive log messages"
+	var batch messageBatch
+	if r.Header.Get("Content-Type") != contentFrame {
+		return batch, transport.ReadJSON(w, r, step, maximumMessagesBytes, &batch)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maximumMessagesBytes))
+	if err == nil {
+		batch, err = openFrame(body)
+	}
+	if err != nil {
+		return batch, transport.BodyError(step, err)
+	}
+	return batch, nil
+}
+
+// writeCommand gives a command as an entry's data: packed where all members read it.
+// Only there may results name what is kept in place of repeating it.
+func writeCommand(command jobs.Command, packed bool) ([]byte, error) {
+	if packed {
+		command = command.Shortened()
+	}
+	data, err := json.Marshal(command)
+	if err != nil || !packed {
+		return data, err
+	}
+	return logform.Pack(data), nil
+}
+
+func readCommand(data []byte) (command jobs.Command, err error) {
+	plain, err := logform.Open(data)
+	if err != nil {
+		return command, err
+	}
+	err = json.Unmarshal(plain, &command)
+	return command, err
+}
+
+// membersRead tells whether the processes of all members of the group read a level.
+func (g *group) membersRead(level logform.Level) bool {
+	members := g.members().Members
+	self := g.database.identity
+	return g.peers.allRead(self, level, members.Voters...) && g.peers.allRead(self, level, members.Learners...)
+}
+
+// readable tells whether a message may be sent to its replica: one whose process does not
+// read an entry would take it for a command without effect, and its state would part
+// from the others'. It is sent once that process has said that it reads it.
+func (g *group) readable(message replication.WireMessage) bool {
+	for _, entry := range message.Entries {
+		if entry.Kind == replication.EntryCommand && logform.IsPacked(entry.Data) {
+			return g.peers.level(message.To) >= logform.Packed
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/store/form_test.go
@@ -0,0 +1,160 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/dykewing/dykewing/internal/logform"
+	"github.com/dykewing/dykewing/jobs"
+	"github.com/dykewing/dykewing/replication"
+)
+
+func testBatch() messageBatch {
+	text := strings.Repeat("monthly payments rise ", 400)
+	keep, _ := writeCommand(jobs.Command{KeepInline: &jobs.KeepInline{Parts: []jobs.InlinePart{{Job: "j", Text: text}}}}, true)
+	return messageBatch{
+		From: "one", Address: "10.0.0.1:1", Reads: logform.Newest, Members: map[replication.ReplicaID]string{"three": "10.0.0.3:1"},
+		Messages: []replication.WireMessage{
+			{Type: replication.MessageAppend, Group: 1, From: "one", To: "two", Term: 3, Index: 6, Entries: []replication.Entry{
+				{Index: 7, Term: 3, Data: keep}, {Index: 8, Term: 3, Kind: replication.EntryNoop}, {Index: 9, Term: 3, Data: []byte(`{"end_inline":{"job":"j"}}`)},
+			}},
+			{Type: replication.MessageAppend, Group: 2, From: "one", To: "two", Term: 4, Index: 1, Commit: 1},
+			{Type: replication.MessageSnapshot, Group: 3, From: "one", To: "two", Snapshot: &replication.Snapshot{Index: 4, Data: []byte("state")}},
+		},
+	}
+}
+
+func TestAFramedBatchIsReadBackWhole(t *testing.T) {
+	batch := testBatch()
+	body, err := frameBatch("two", batch)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := openFrame(body); err != nil || !reflect.DeepEqual(got, batch) {
+		t.Errorf("%v\ngot  %+v\nwant %+v", err, got, batch)
+	}
+	plain, _ := json.Marshal(batch)
+	if len(body) >= len(plain) {
+		t.Errorf("%d bytes framed, %d plain", len(body), len(plain))
+	}
+}
+
+func TestABrokenFrameIsNoBatch(t *testing.T) {
+	body, _ := frameBatch("two", testBatch())
+	for cut := range body {
+		if _, err := openFrame(body[:cut]); err == nil {
+			t.Fatalf("cut at %d of %d it was read", cut, len(body))
+		}
+	}
+	if _, err := openFrame(append(bytes.Clone(body), 'x')); err == nil {
+		t.Error("a byte too much was passed over")
+	}
+	for _, head := range []string{`{"to":"two","messages":[{"entries":[{"index":1}]}]}`, `{"to":"two","messages":[],"sizes":[0]}`, `{"to":"two","messages":[{"entries":[{"index":1}]}],"sizes":[-1]}`} {
+		if _, err := openFrame(append([]byte{byte(len(head))}, head...)); err == nil {
+			t.Errorf("%s was read", head)
+		}
+	}
+}
+
+// TestEachProcessIsSentWhatItReads: a process of the version before, which decodes JSON
+// only, gets plain bodies until it says that it reads more, and again once it was put back.
+func TestEachProcessIsSentWhatItReads(t *testing.T) {
+	var reads logform.Level
+	forms := make(chan string, 8)
+	peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		forms <- r.Header.Get("Content-Type")
+		if reads >= logform.Packed {
+			if _, failure := readBatch(w, r); failure != nil {
+				t.Error(failure)
+			}
+		} else if json.NewDecoder(r.Body).Decode(&messageBatch{}) != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			_, _ = w.Write([]byte(`{"error":{"code":"bad_request"},"outcome":"not_run"}`))
+		}
+	}))
+	defer peer.Close()
+	p := newPeers(time.Minute)
+	p.heard(time.Now(), "two", peer.Listener.Addr().String())
+	s := newSender("one", "10.0.0.1:1", p, newMetrics(prometheus.NewRegistry()))
+	defer s.close()
+	for _, step := range []struct {
+		name  string
+		reads logform.Level
+		told  bool // its own batch came before
+		want  string
+	}{
+		{"not heard yet", logform.Plain, false, "application/json"},
+		{"an older process", logform.Plain, true, "application/json"},
+		{"a new process", logform.Packed, true, contentFrame},
+		{"put back to the older, unheard", logform.Plain, false, contentFrame},
+		{"after its refusal", logform.Plain, false, "application/json"},
+	} {
+		reads = step.reads
+		if step.told {
+			p.saysReads("two", step.reads)
+		}
+		_ = s.exchange(context.Background(), "two", peer.Listener.Addr().String(), testBatch())
+		if got := <-forms; got != step.want {
+			t.Errorf("%s: sent as %s, want %s", step.name, got, step.want)
+		}
+	}
+}
+
+func TestACommandIsPackedOnlyWhereAllMembersReadIt(t *testing.T) {
+	text := strings.Repeat("monthly payments rise ", 100)
+	command := jobs.Command{CompleteInline: &jobs.CompleteInline{Results: []jobs.InlineResult{{Job: "j", Text: text, Kept: 2000}}}}
+	for _, test := range []struct {
+		name   string
+		levels map[replication.ReplicaID]logform.Level
+		want   bool
+	}{
+		{"nobody was heard", nil, false},
+		{"one is older", map[replication.ReplicaID]logform.Level{"two": logform.Packed, "three": logform.Plain}, false},
+		{"all are new", map[replication.ReplicaID]logform.Level{"two": logform.Packed, "three": logform.Packed}, true},
+	} {
+		p := newPeers(time.Minute)
+		for replica, level := range test.levels {
+			p.saysReads(replica, level)
+		}
+		packed := p.allRead("one", logform.Packed, "one", "two", "three")
+		data, err := writeCommand(command, packed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if packed != test.want || logform.IsPacked(data) != test.want {
+			t.Errorf("%s: packed %t", test.name, logform.IsPacked(data))
+		}
+		read, err := readCommand(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		// What an older process reads holds the whole text.
+		if got := len(read.CompleteInline.Results[0].Text); test.want && got != len(text)-2000 || !test.want && got != len(text) {
+			t.Errorf("%s: %d bytes of text travel", test.name, got)
+		}
+	}
+}
+
+// A replica whose process would pass over an entry must not be sent it: it lags instead.
+func TestAnEntryGoesOnlyToWhatReadsIt(t *testing.T) {
+	p := newPeers(time.Minute)
+	g := &group{parts: parts{peers: p}}
+	packed := replication.WireMessage{To: "two", Entries: []replication.Entry{{Data: logform.Pack([]byte(`{}`))}}}
+	plain := replication.WireMessage{To: "two", Entries: []replication.Entry{{Data: []byte(`{}`)}}}
+	if g.readable(packed) || !g.readable(plain) || !g.readable(replication.WireMessage{To: "two"}) {
+		t.Error("exactly the packed entry is to be held back")
+	}
+	p.saysReads("two", logform.Packed)
+	if !g.readable(packed) {
+		t.Error("a packed entry was held back from a process that reads it")
+	}
+}
--- a/internal/store/group.go
+++ b/internal/store/group.go
@@ -221,8 +221,8 @@
 }
 
 func (g *group) applyCommand(entry replication.Entry) jobs.Result {
-	var command jobs.Command
-	if err := json.Unmarshal(entry.Data, &command); err != nil {
+	command, err := readCommand(entry.Data)
+	if err != nil {
 		return jobs.Result{Code: api.CodeInternal, Message: err.Error()}
 	}
 	results, err := g.jobs.Apply(jobs.Entry{Index: entry.Index, Command: command})
--- a/internal/store/messages.go
+++ b/internal/store/messages.go
@@ -14,12 +14,13 @@
 // serveMessages takes a batch from another replica. It answers before anything
 // is on disk: acknowledgements travel as messages.
 func (s *Store) serveMessages(w http.ResponseWriter, r *http.Request) {
-	var batch messageBatch
-	if failure := transport.ReadJSON(w, r, "receive log messages", maximumMessagesBytes, &batch); failure != nil {
+	batch, failure := readBatch(w, r)
+	if failure != nil {
 		transport.WriteError(w, failure)
 		return
 	}
 	s.shared.peers.heard(time.Now(), batch.From, batch.Address)
+	s.shared.peers.saysReads(batch.From, batch.Reads)
 	s.shared.peers.told(batch.Members)
 	for _, message := range batch.Messages {
 		s.receive(message, batch.Address)
--- a/internal/store/peers.go
+++ b/internal/store/peers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/internal/logform"
 	"github.com/dykewing/dykewing/placement"
 	"github.com/dykewing/dykewing/replication"
 )
@@ -27,6 +28,9 @@
 	answered map[replication.ReplicaID]api.Node
 	replaced map[replication.ReplicaID]bool
 	emptying map[api.NodeID]bool // machines to be emptied
+	// reads is what each replica's process said that it reads, until one that says
+	// less answers in its place.
+	reads map[replication.ReplicaID]logform.Level
 }
 
 type sighting struct {
@@ -40,6 +44,7 @@
 		owners: map[replication.ReplicaID]api.NodeID{}, current: map[api.NodeID]replication.ReplicaID{},
 		avoided: map[replication.ReplicaID]time.Time{}, answered: map[replication.ReplicaID]api.Node{},
 		replaced: map[replication.ReplicaID]bool{}, emptying: map[api.NodeID]bool{},
+		reads: map[replication.ReplicaID]logform.Level{},
 	}
 }
 
@@ -139,6 +144,33 @@
 	p.heardOf[replica] = sighting{at: now, address: address}
 }
 
+// saysReads notes what a replica's process reads; an older one says nothing, which is
+// Plain.
+func (p *peers) saysReads(replica replication.ReplicaID, level logform.Level) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.reads[replica] = level
+}
+
+// level is what a replica's process is known to read; Plain before it was heard.
+func (p *peers) level(replica replication.ReplicaID) logform.Level {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.reads[replica]
+}
+
+// allRead tells whether the processes of all replicas but this one's read a level.
+func (p *peers) allRead(self replication.ReplicaID, level logform.Level, replicas ...replication.ReplicaID) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, replica := range replicas {
+		if replica != self && p.reads[replica] < level {
+			return false
+		}
+	}
+	return true
+}
+
 // heardAddresses lists the replicas that were heard lately, but one.
 func (p *peers) heardAddresses(now time.Time, but replication.ReplicaID) map[replication.ReplicaID]string {
 	p.mutex.Lock()
--- a/internal/store/persist.go
+++ b/internal/store/persist.go
@@ -71,7 +71,7 @@
 
 func (g *group) transmit(message replication.WireMessage) {
 	cut := g.database.hooks.cut
-	if g.halted.Load() || cut != nil && cut() {
+	if g.halted.Load() || cut != nil && cut() || !g.readable(message) {
 		return
 	}
 	g.sender.send(message)
--- a/internal/store/proposals.go
+++ b/internal/store/proposals.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"time"
 
 	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/internal/logform"
 	"github.com/dykewing/dykewing/jobs"
 	"github.com/dykewing/dykewing/replication"
 )
@@ -32,7 +32,7 @@
 func (g *group) propose(ctx context.Context, command jobs.Command) (jobs.Result, *api.Error) {
 	const step = "commit command"
 	command.Time = time.Now().UTC()
-	data, err := json.Marshal(command)
+	data, err := writeCommand(command, g.membersRead(logform.Packed))
 	if err != nil {
 		return jobs.Result{}, api.NewError(step, "", api.CodeInternal, api.OutcomeNotRun, "%w", err)
 	}
--- a/internal/store/sender.go
+++ b/internal/store/sender.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/internal/logform"
 	"github.com/dykewing/dykewing/internal/transport"
 	"github.com/dykewing/dykewing/replication"
 )
@@ -31,6 +32,8 @@
 	// Members are other replicas of the sender's groups with their addresses, now
 	// and then: followers that lose their leader have to reach each other.
 	Members map[replication.ReplicaID]string `json:"members,omitempty"`
+	// Reads is what the sender's process reads; an older one says nothing.
+	Reads logform.Level `json:"reads,omitempty"`
 }
 
 // tellInterval is the time between two lists of members to one replica.
@@ -142,18 +145,39 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, sendTimeout)
 	defer cancel()
-	body := messageBatch{From: s.self, Address: s.address, Messages: batch}
+	body := messageBatch{From: s.self, Address: s.address, Messages: batch, Reads: logform.Newest}
 	if now := time.Now(); now.Sub(queue.told) > tellInterval {
 		queue.told = now
 		body.Members = s.peers.heardAddresses(now, to)
 	}
-	if err := transport.Call(ctx, s.client, "send log messages", address, pathMessages, body, nil); err != nil {
+	if err := s.exchange(ctx, to, address, body); err != nil {
 		s.metrics.dropped.Add(float64(len(batch)))
 		return
 	}
 	s.metrics.sent.Add(float64(len(batch)))
 }
 
+// exchange sends a body in a form that its receiver reads. One that refuses a frame may
+// have been put back to an older version: it gets plain bodies until it says otherwise.
+func (s *sender) exchange(ctx context.Context, to replication.ReplicaID, address string, body messageBatch) error {
+	const step = "send log messages"
+	if s.peers.level(to) < logform.Packed {
+		return transport.Call(ctx, s.client, step, address, pathMessages, body, nil)
+	}
+	framed, err := frameBatch(to, body)
+	if err != nil {
+		return err
+	}
+	failure := transport.Post(ctx, s.client, step, address, pathMessages, contentFrame, framed)
+	if failure != nil && failure.Code == api.CodeBadRequest {
+		s.peers.saysReads(to, logform.Plain)
+	}
+	if failure != nil {
+		return failure
+	}
+	return nil
+}
+
 // close stops without sending what waits.
 func (s *sender) close() {
 	s.mutex.Lock()
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -39,6 +39,25 @@
 	return exchange(ctx, client, step, http.MethodPost, address, path, body, answer)
 }
 
+// Post sends a body of a content type of its own; what the answer holds is not read.
+func Post(ctx context.Context, client *http.Client, step, address, path, contentType string, body []byte) *api.Error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return api.NewError(step, address, api.CodeInternal, api.OutcomeNotRun, "%w", err)
+	}
+	request.Header.Set("Content-Type", contentType)
+	response, err := client.Do(request)
+	if err != nil {
+		return SendError(step, address, err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= 300 {
+		return ReadError(step, address, response)
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maximumErrorBytes))
+	return nil
+}
+
 // Get reads address+path and decodes the answer.
 func Get(ctx context.Context, client *http.Client, step, address, path string, answer any) error {
 	return exchange(ctx, client, step, http.MethodGet, address, path, nil, answer)
--- a/jobs/inline.go
+++ b/jobs/inline.go
@@ -90,6 +90,11 @@
 	Item    string        `json:"item"`  // its ID
 	Outcome InlineOutcome `json:"outcome"`
 	Text    string        `json:"text,omitempty"`
+	// Kept is how many bytes at the start of Text the parts of the item hold already.
+	// Only in a command; Command.Shortened takes them out of Text.
+	Kept int `json:"kept,omitempty"`
+	// Sum is the checksum of the whole text where Kept is left out of Text, else 0.
+	Sum uint32 `json:"sum,omitempty"`
 }
 
 // InlineJob is a job without its items.
@@ -182,6 +187,10 @@
 	if c.Get(listed) != nil && !c.faults.AcceptSecondResult {
 		return false
 	}
+	result, ok = c.wholeResult(result)
+	if !ok {
+		return false
+	}
 	c.Put(listed, []byte{1})
 	c.Delete(inlineKey(keyInlinePartial, job.ID, result.Index))
 	c.put(inlineKey(keyInlineResult, job.ID, job.Listed), result)
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -36,6 +36,7 @@
 	IgnoreEpoch        bool // a late start of an older grant is taken
 	ForgetReturned     bool // a returned item does not wait again
 	IgnoreQueueBound   bool // jobs are admitted to a full queue
+	TrustKept          bool // a result is listed over parts that are not its text's
 }
 
 // OpenState goes on from what the storage holds.
