A rolling restart of stores is tested over both forms of entries

Cause: nothing showed that stores of two versions work together while entries are packed.

Change: a store can be started as one of the version before (a hook of tests); three are replaced one after the other with loss of power, then all at once. Before the level of each process is looked at the test sees packed entries too early.

--- a/internal/store/form.go
+++ b/internal/store/form.go
@@ -105,10 +105,10 @@
 }
 
 // readBatch reads a body in any form.
-func readBatch(w http.ResponseWriter, r *http.Request) (messageBatch, *api.Error) {
+func readBatch(w http.ResponseWriter, r *http.Request, reads logform.Level) (messageBatch, *api.Error) {
 	const step = "receive log messages"
 	var batch messageBatch
-	if r.Header.Get("Content-Type") != contentFrame {
+	if r.Header.Get("Content-Type") != contentFrame || reads < logform.Packed {
 		return batch, transport.ReadJSON(w, r, step, maximumMessagesBytes, &batch)
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maximumMessagesBytes))
@@ -145,6 +145,9 @@
 
 // membersRead tells whether the processes of all members of the group read a level.
 func (g *group) membersRead(level logform.Level) bool {
+	if g.database.hooks.level() < level {
+		return false
+	}
 	members := g.members().Members
 	self := g.database.identity
 	return g.peers.allRead(self, level, members.Voters...) && g.peers.allRead(self, level, members.Learners...)
--- a/internal/store/form_test.go
+++ b/internal/store/form_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"reflect"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -73,7 +74,7 @@
 	peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		forms <- r.Header.Get("Content-Type")
 		if reads >= logform.Packed {
-			if _, failure := readBatch(w, r); failure != nil {
+			if _, failure := readBatch(w, r, reads); failure != nil {
 				t.Error(failure)
 			}
 		} else if json.NewDecoder(r.Body).Decode(&messageBatch{}) != nil {
@@ -84,7 +85,7 @@
 	defer peer.Close()
 	p := newPeers(time.Minute)
 	p.heard(time.Now(), "two", peer.Listener.Addr().String())
-	s := newSender("one", "10.0.0.1:1", p, newMetrics(prometheus.NewRegistry()))
+	s := newSender("one", "10.0.0.1:1", p, newMetrics(prometheus.NewRegistry()), logform.Newest)
 	defer s.close()
 	for _, step := range []struct {
 		name  string
@@ -158,3 +159,46 @@
 		t.Error("a packed entry was held back from a process that reads it")
 	}
 }
+
+// TestARollingRestartPacksOnceAllProcessesAreNew: stores of two versions work together,
+// nothing that was acknowledged is lost, and no entry is packed before all read it.
+func TestARollingRestartPacksOnceAllProcessesAreNew(t *testing.T) {
+	const stores, each = 3, 10
+	var packed atomic.Int64
+	c := newCluster(t, stores, nil)
+	c.stopAll()
+	c.hooks = hooks{older: true, proposed: func(data []byte) {
+		if logform.IsPacked(data) {
+			packed.Add(1)
+		}
+	}}
+	for _, m := range c.machines {
+		m.start()
+	}
+	c.awaitLeader()
+	c.createAll(0, each)
+	c.hooks.older = false
+	created := each
+	for _, m := range c.machines {
+		if packed.Load() > 0 {
+			t.Fatalf("%d commands were packed while a member's process reads plain ones only", packed.Load())
+		}
+		m.crash()
+		m.start()
+		c.awaitLeader()
+		c.createAll(created, each)
+		created += each
+	}
+	c.await("packed commands", func() bool {
+		c.createAll(created, 1)
+		created++
+		return packed.Load() > 0
+	})
+	// Those that start anew read what lies packed in their logs.
+	for _, m := range c.machines {
+		m.crash()
+		m.start()
+	}
+	c.awaitLeader()
+	c.mustHave(created)
+}
--- a/internal/store/hooks.go
+++ b/internal/store/hooks.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"github.com/dykewing/dykewing/internal/logform"
 	"github.com/dykewing/dykewing/replication"
 )
 
@@ -18,4 +19,14 @@
 	cut        func() bool           // while true no message leaves
 	wrap       func(http.HandlerFunc) http.HandlerFunc
 	freeBytes  func() (uint64, error) // in place of the file system's answer
+	older      bool                   // a process of the version before: it reads plain JSON only and says nothing
+	proposed   func(data []byte)      // before each command goes into the log
+}
+
+// level is what the process reads.
+func (h hooks) level() logform.Level {
+	if h.older {
+		return logform.Plain
+	}
+	return logform.Newest
 }
--- a/internal/store/messages.go
+++ b/internal/store/messages.go
@@ -14,7 +14,7 @@
 // serveMessages takes a batch from another replica. It answers before anything
 // is on disk: acknowledgements travel as messages.
 func (s *Store) serveMessages(w http.ResponseWriter, r *http.Request) {
-	batch, failure := readBatch(w, r)
+	batch, failure := readBatch(w, r, s.shared.database.hooks.level())
 	if failure != nil {
 		transport.WriteError(w, failure)
 		return
--- a/internal/store/proposals.go
+++ b/internal/store/proposals.go
@@ -36,6 +36,9 @@
 	if err != nil {
 		return jobs.Result{}, api.NewError(step, "", api.CodeInternal, api.OutcomeNotRun, "%w", err)
 	}
+	if observe := g.database.hooks.proposed; observe != nil {
+		observe(data)
+	}
 	token, answers, failure := g.enter(step)
 	if failure != nil {
 		return jobs.Result{}, failure
--- a/internal/store/sender.go
+++ b/internal/store/sender.go
@@ -47,6 +47,7 @@
 	client  *http.Client
 	peers   *peers
 	metrics *metrics
+	reads   logform.Level // that this process says it does
 
 	mutex  sync.Mutex // guards queues and closed
 	queues map[replication.ReplicaID]*sendQueue
@@ -63,11 +64,11 @@
 	told     time.Time // when members' addresses last went, only for the sending goroutine
 }
 
-func newSender(self replication.ReplicaID, address string, peers *peers, metrics *metrics) *sender {
+func newSender(self replication.ReplicaID, address string, peers *peers, metrics *metrics, reads logform.Level) *sender {
 	const connections = 2
 	ctx, cancel := context.WithCancel(context.Background())
 	return &sender{
-		self: self, address: address, client: transport.NewClient(connections), peers: peers, metrics: metrics,
+		self: self, address: address, client: transport.NewClient(connections), peers: peers, metrics: metrics, reads: reads,
 		queues: map[replication.ReplicaID]*sendQueue{}, ctx: ctx, cancel: cancel,
 	}
 }
@@ -145,7 +146,7 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, sendTimeout)
 	defer cancel()
-	body := messageBatch{From: s.self, Address: s.address, Messages: batch, Reads: logform.Newest}
+	body := messageBatch{From: s.self, Address: s.address, Messages: batch, Reads: s.reads}
 	if now := time.Now(); now.Sub(queue.told) > tellInterval {
 		queue.told = now
 		body.Members = s.peers.heardAddresses(now, to)
@@ -161,7 +162,7 @@
 // have been put back to an older version: it gets plain bodies until it says otherwise.
 func (s *sender) exchange(ctx context.Context, to replication.ReplicaID, address string, body messageBatch) error {
 	const step = "send log messages"
-	if s.peers.level(to) < logform.Packed {
+	if min(s.peers.level(to), s.reads) < logform.Packed {
 		return transport.Call(ctx, s.client, step, address, pathMessages, body, nil)
 	}
 	framed, err := frameBatch(to, body)
