--- a/cmd/dykewingctl/main.go
+++ b/cmd/dykewingctl/main.go
@@ -44,6 +44,7 @@
 	registerJobs(application, s, action)
 	registerQuarantine(application, s)
 	registerTable(application, s)
+	registerTraffic(application, s)
 	registerExplain(application)
 	kingpin.MustParse(application.Parse(os.Args[1:]))
 }
--- /dev/null
+++ b/cmd/dykewingctl/traffic.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/dykewing/dykewing/internal/transport"
+)
+
+// maximumMetricsBytes of a process's metrics that are read.
+const maximumMetricsBytes = 16 << 20
+
+func registerTraffic(application *kingpin.Application, s *session) {
+	application.Command("traffic", "Bytes of the connections that a node opened, by kind, direction and whether they cross zones.").Action(action(s.showTraffic))
+}
+
+// trafficRow is one series of the counter.
+type trafficRow struct {
+	Kind      string `json:"kind"`
+	Direction string `json:"direction"`
+	Crossing  string `json:"crossing"`
+	Bytes     int64  `json:"bytes"`
+}
+
+func (s *session) showTraffic() error {
+	if s.node == "" {
+		return errors.New("traffic: --node is missing")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), s.timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.node+"/metrics", nil)
+	if err != nil {
+		return err
+	}
+	response, err := s.client.Do(request)
+	if err != nil {
+		return fmt.Errorf("read metrics of %s: %w", s.node, err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("read metrics of %s: status %d", s.node, response.StatusCode)
+	}
+	found, err := readTraffic(io.LimitReader(response.Body, maximumMetricsBytes))
+	if err != nil {
+		return fmt.Errorf("read metrics of %s: %w", s.node, err)
+	}
+	rows := make([]string, 0, len(found))
+	for _, row := range found {
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%d", row.Kind, row.Direction, row.Crossing, row.Bytes))
+	}
+	return s.print(found, "KIND\tDIRECTION\tCROSSING\tBYTES", rows)
+}
+
+var labelPattern = regexp.MustCompile(`(\w+)="([^"]*)"`)
+
+// readTraffic finds the counter's series, the largest first.
+func readTraffic(metrics io.Reader) ([]trafficRow, error) {
+	rows := []trafficRow{}
+	lines := bufio.NewScanner(metrics)
+	for lines.Scan() {
+		labels, value, found := strings.Cut(strings.TrimPrefix(lines.Text(), transport.TrafficName+"{"), "} ")
+		if !found || !strings.HasPrefix(lines.Text(), transport.TrafficName+"{") {
+			continue
+		}
+		bytes, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			return nil, fmt.Errorf("value of %q: %w", lines.Text(), err)
+		}
+		row := trafficRow{Bytes: int64(bytes)}
+		for _, label := range labelPattern.FindAllStringSubmatch(labels, -1) {
+			switch label[1] {
+			case "kind":
+				row.Kind = label[2]
+			case "direction":
+				row.Direction = label[2]
+			case "crossing":
+				row.Crossing = label[2]
+			}
+		}
+		rows = append(rows, row)
+	}
+	slices.SortFunc(rows, func(a, b trafficRow) int {
+		return cmp.Or(cmp.Compare(b.Bytes, a.Bytes), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Direction, b.Direction), cmp.Compare(a.Crossing, b.Crossing))
+	})
+	return rows, lines.Err()
+}
--- a/internal/backend/caller.go
+++ b/internal/backend/caller.go
@@ -42,6 +42,12 @@
 	})}
 }
 
+// Count lets the bytes to and from workers be counted.
+func (c *Caller) Count(traffic *transport.Traffic) *Caller {
+	traffic.Count(c.client, transport.KindWorkers)
+	return c
+}
+
 // Outgoing is a request as a worker is to get it.
 type Outgoing struct {
 	Method string
@@ -65,6 +71,7 @@
 
 // Send sends a request once. An error says whether it can have run.
 func (c *Caller) Send(ctx context.Context, out Outgoing) (*Incoming, *api.Error) {
+	ctx = transport.WithPeerZone(ctx, out.Worker.Zone)
 	request, err := http.NewRequestWithContext(ctx, out.Method, "http://"+out.Worker.Address, bytes.NewReader(out.Body))
 	if err != nil {
 		return nil, api.NewError(stepSend, out.Worker.ID, api.CodeInternal, api.OutcomeNotRun, "%w", err)
@@ -113,6 +120,7 @@
 
 // Report asks a worker for its state.
 func (c *Caller) Report(ctx context.Context, w worker.Worker) (Report, error) {
+	ctx = transport.WithPeerZone(ctx, w.Zone)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+w.Address+c.Protocol.ReportPath(), nil)
 	if err != nil {
 		return Report{}, err
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -53,7 +53,7 @@
 // New gives a service that learns configuration and workers from source.
 func New(common *node.Node, protocol backend.Protocol, source catalog.Source) *Service {
 	s := &Service{
-		settings: common.Settings.Batch, groups: common.Settings.Store.Groups, core: common.Settings.Node.ProcessorShare, log: common.Logger("batch"), caller: backend.NewCaller(protocol),
+		settings: common.Settings.Batch, groups: common.Settings.Store.Groups, core: common.Settings.Node.ProcessorShare, log: common.Logger("batch"), caller: backend.NewCaller(protocol).Count(common.Traffic),
 		metrics: newMetrics(common.Registry), leaders: map[*Leader]bool{}, members: &storeclient.Registered{}, nodes: common.Nodes,
 	}
 	s.places = newPlaces(s)
@@ -75,7 +75,7 @@
 	common.Registry.MustRegister(s.catalog.Metrics()...)
 	s.catalog.Also(common.Settings.KeyValueService.Prefix+storeclient.PrefixStores, s.members)
 	s.stores = &storeclient.Client{
-		HTTP: transport.NewClient(storeConnections), AttemptTimeout: storeAttempt,
+		HTTP: common.Traffic.Count(transport.NewClient(storeConnections), transport.KindJobs), AttemptTimeout: storeAttempt,
 		Nodes: func() []api.Node { return s.members.With(common.Nodes()) },
 	}
 	common.Mux.Handle("POST "+limiter.PathTokens, limiter.NewOwner(common.Settings.Tenants.Tolerance(), common.ID(), common.Nodes))
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -100,14 +100,14 @@
 	}
 	f := &Frontend{
 		node: common, settings: settings, log: common.Logger("frontend"), protocol: protocol, port: port,
-		caller: backend.NewCaller(protocol), metrics: newMetrics(common.Registry),
+		caller: backend.NewCaller(protocol).Count(common.Traffic), metrics: newMetrics(common.Registry),
 		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		samples: rate.NewLimiter(servedLinesPerSecond, servedLinesPerSecond),
 	}
 	f.ending, f.endAll = context.WithCancel(context.Background())
 	registered := &storeclient.Registered{}
 	f.leaders = &storeclient.Leaders{Prefix: common.Settings.KeyValueService.Prefix}
-	f.stores = &storeclient.Client{HTTP: newStoreClient(), AttemptTimeout: storeAttempt, Nodes: func() []api.Node { return registered.With(common.Nodes()) }}
+	f.stores = &storeclient.Client{HTTP: common.Traffic.Count(newStoreClient(), transport.KindJobs), AttemptTimeout: storeAttempt, Nodes: func() []api.Node { return registered.With(common.Nodes()) }}
 	f.limiter = limiter.New(common.Settings.Tenants.Tolerance(), func() []api.Node { return storeclient.Owners(common.Nodes(), registered.With) }, f.holders, common.Logger("limits"), common.Registry)
 	f.pool = backend.NewPool(worker.DefaultSettings(common.Settings.Node.Zone), nil)
 	f.places = newPlaces(f)
--- a/internal/frontend/places.go
+++ b/internal/frontend/places.go
@@ -79,9 +79,9 @@
 	return &places{
 		self: f.node.ID(), zone: f.node.Settings.Node.Zone, pool: f.pool, log: f.log, metrics: f.metrics, leaderOf: f.leaderOf,
 		sequence: uint64(time.Now().UnixNano()), leaders: map[api.NodeID]*leader{}, held: map[string]int{},
-		client: transport.NewProbingClient(transport.Options{
+		client: f.node.Traffic.Count(transport.NewProbingClient(transport.Options{
 			ConnectionsPerHost: placeConnections, DialTimeout: placeTimeout, IdleLifetime: storeIdleLifetime, SilenceLimit: placeSilence,
-		}),
+		}), transport.KindPlaces),
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,8 +45,9 @@
 	Registry *prometheus.Registry
 	Mux      *http.ServeMux
 	System   *actor.ActorSystem
-	Control  *http.Client // for control messages only
-	KeyValue kv.Service   // nil when no endpoint is set
+	Control  *http.Client       // for control messages only
+	Traffic  *transport.Traffic // what clients exchange; count further ones with it
+	KeyValue kv.Service         // nil when no endpoint is set
 
 	listener   net.Listener
 	server     *http.Server
@@ -105,6 +106,10 @@
 		Name: "dykewing_node_panics_total", Help: "Panics of handlers of the internal protocol.",
 	})
 	node.Registry.MustRegister(node.panics)
+	node.Traffic = transport.NewTraffic(settings.Node.Zone, node.zoneOf)
+	node.Registry.MustRegister(node.Traffic)
+	node.Traffic.Count(node.Control, transport.KindControl)
+	node.Traffic.Count(node.gossip, transport.KindGossip)
 	node.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	node.tableMetrics = newTableMetrics(node.Registry)
 	for _, option := range options {
@@ -224,6 +229,7 @@
 	n.server.Handler = n.drainable(n.server.Handler)
 	n.background.Go(func() { n.heartbeat(background) })
 	n.background.Go(func() { n.watchTable(background) })
+	n.background.Go(func() { n.tellTraffic(background) })
 	failed := make(chan error, 1)
 	go func() { failed <- n.server.Serve(n.listener) }()
 	n.Logger("node").Infof("Serving on %s.", n.Address())
--- a/internal/store/form_test.go
+++ b/internal/store/form_test.go
@@ -85,7 +85,7 @@
 	defer peer.Close()
 	p := newPeers(time.Minute)
 	p.heard(time.Now(), "two", peer.Listener.Addr().String())
-	s := newSender("one", "10.0.0.1:1", p, newMetrics(prometheus.NewRegistry()), logform.Newest)
+	s := newSender("one", "10.0.0.1:1", p, newMetrics(prometheus.NewRegistry()), nil, logform.Newest)
 	defer s.close()
 	for _, step := range []struct {
 		name  string
--- a/internal/store/sender.go
+++ b/internal/store/sender.go
@@ -64,11 +64,11 @@
 	told     time.Time // when members' addresses last went, only for the sending goroutine
 }
 
-func newSender(self replication.ReplicaID, address string, peers *peers, metrics *metrics, reads logform.Level) *sender {
+func newSender(self replication.ReplicaID, address string, peers *peers, metrics *metrics, traffic *transport.Traffic, reads logform.Level) *sender {
 	const connections = 2
 	ctx, cancel := context.WithCancel(context.Background())
 	return &sender{
-		self: self, address: address, client: transport.NewClient(connections), peers: peers, metrics: metrics, reads: reads,
+		self: self, address: address, client: traffic.Count(transport.NewClient(connections), transport.KindLog), peers: peers, metrics: metrics, reads: reads,
 		queues: map[replication.ReplicaID]*sendQueue{}, ctx: ctx, cancel: cancel,
 	}
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -112,7 +112,7 @@
 	s.shared = parts{
 		settings: settings, heapBytes: s.node.Settings.Node.HeapBytes(),
 		electionTimeout: settings.ElectionTimeoutAt(s.node.Settings.Node.ProcessorShare), database: database, peers: peers, metrics: metrics, log: s.log, inline: s.inline, led: s.publishSoon,
-		sender: newSender(database.identity, s.node.Address(), peers, metrics, hooks.level()),
+		sender: newSender(database.identity, s.node.Address(), peers, metrics, s.node.Traffic, hooks.level()),
 	}
 	s.shared.writer = newWriter(database, metrics, s.writeFailed, s.writeRecovered)
 	s.space = &space{folder: settings.DataFolder, minimum: uint64(settings.MinimumFreeBytes), hooks: hooks, metrics: metrics}
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -82,6 +82,7 @@
 	net.Conn
 	attempted atomic.Int64
 	forbidden atomic.Bool
+	meter     *meter // nil: nobody asks for the count by kind
 }
 
 // Write counts before it writes, so that the count is never too low.
@@ -90,7 +91,16 @@
 	if c.forbidden.Load() {
 		return 0, errForbidden
 	}
-	return c.Conn.Write(data)
+	n, err := c.Conn.Write(data)
+	c.meter.sent(n)
+	return n, err
+}
+
+// Read counts what has come.
+func (c *countingConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.meter.received(n)
+	return n, err
 }
 
 // forbid refuses every later write.
