Voters of a group that has to outlive no zone keep to few zones

Cause: five voters were spread over as many zones as there are, also where the settings ask for no zone's loss to be borne, so that an entry crossed to 3 or 4 of them.

Change: placement.GatheredMembers, chosen where store.tolerated_losses names zones and regions and asks for none; newcomers stay near, groups that exist are not moved. Deployments that say nothing of zones, or ask for one, spread as before. An entry crosses to 2 or 3 of 5 voters; a majority outlives any 2 machines as before, and no longer a zone (test of the table).

--- a/config/config.go
+++ b/config/config.go
@@ -203,6 +203,12 @@
 	return 2*slices.Max(s.ToleratedLosses) + 1
 }
 
+// Gathered tells whether groups have to outlive machines, but no zone and nothing larger:
+// their voters then keep to few zones. Deployments that say nothing of zones spread them.
+func (s Store) Gathered() bool {
+	return len(s.ToleratedLosses) > 1 && slices.Max(s.ToleratedLosses[1:]) == 0
+}
+
 // fewVoters is up to which replicas one group is enough.
 const fewVoters = 3
 
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -47,3 +47,17 @@
 		}
 	}
 }
+
+func TestGroupsAreGatheredOnlyWhereNoZoneHasToBeOutlived(t *testing.T) {
+	for _, test := range []struct {
+		losses []int
+		want   bool
+	}{
+		{nil, false}, {[]int{2}, false}, {[]int{2, 0, 0}, true}, {[]int{1, 0}, true},
+		{[]int{1, 1, 0}, false}, {[]int{2, 0, 1}, false}, {[]int{0, 0, 0}, true},
+	} {
+		if got := (Store{ToleratedLosses: test.losses}).Gathered(); got != test.want {
+			t.Errorf("%v: gathered %t", test.losses, got)
+		}
+	}
+}
--- a/internal/store/bootstrap.go
+++ b/internal/store/bootstrap.go
@@ -154,7 +154,7 @@
 		for i := range candidates {
 			candidates[i].Groups = held[candidates[i].Replica]
 		}
-		first, ok := placement.FirstMembers(id, candidates, s.node.Settings.Store.Voters())
+		first, ok := s.firstMembers(id, candidates)
 		if !ok {
 			s.log.Debugf("%d of %d stores are there; the groups wait.", len(candidates), s.node.Settings.Store.Voters())
 			return nil
@@ -173,6 +173,15 @@
 	return nil
 }
 
+// firstMembers chooses a new group's voters by what they have to outlive.
+func (s *Store) firstMembers(id api.GroupID, candidates []placement.Store) (replication.Members, bool) {
+	settings := s.node.Settings.Store
+	if settings.Gathered() {
+		return placement.GatheredMembers(id, candidates, settings.Voters())
+	}
+	return placement.FirstMembers(id, candidates, settings.Voters())
+}
+
 // heldGroups counts the groups that each replica is of.
 func heldGroups(known map[api.GroupID]groupRecord) map[replication.ReplicaID]int {
 	held := map[replication.ReplicaID]int{}
--- a/internal/store/members.go
+++ b/internal/store/members.go
@@ -98,7 +98,7 @@
 	at, since := group.members(), group.leadingSince()
 	change, ok := placement.NextChange(placement.GroupView{
 		Group: group.id, Self: group.database.identity, Members: at.Members,
-		Stores: s.shared.peers.stores(time.Now()), Replicas: s.node.Settings.Store.Voters(),
+		Stores: s.shared.peers.stores(time.Now()), Replicas: s.node.Settings.Store.Voters(), Gathered: s.node.Settings.Store.Gathered(),
 		Lost:    func(replica replication.ReplicaID) bool { return s.lost(replica, since) },
 		Leaving: s.leaves,
 	})
--- a/placement/groups.go
+++ b/placement/groups.go
@@ -87,6 +87,7 @@
 	Lost     func(replica replication.ReplicaID) bool // gone for longer than is waited
 	Leaving  func(replica replication.ReplicaID) bool // its machine is to be emptied
 	Replicas int                                      // voters wanted
+	Gathered bool                                     // the group has to outlive no zone: newcomers stay near the others
 }
 
 // NextChange gives the next members of a group that has lost a replica or has one on a
@@ -155,7 +156,11 @@
 		return replication.Members{}, false
 	}
 	members := v.without("")
-	members.Learners = []replication.ReplicaID{best(v.Group, candidates, v.healthyZones(), true).Replica}
+	newcomer := best(v.Group, candidates, v.healthyZones(), true)
+	if v.Gathered {
+		newcomer = nearest(v.Group, candidates, v.healthyZones())
+	}
+	members.Learners = []replication.ReplicaID{newcomer.Replica}
 	return members, true
 }
 
@@ -170,17 +175,24 @@
 }
 
 // surplus is the voter to let go when all of too many are alive: never the
-// leader, and rather one that shares its zone with another.
+// leader, and rather one that shares its zone with another; of a gathered group rather
+// one that is alone.
 func (v GroupView) surplus() replication.ReplicaID {
 	zones := v.healthyZones()
 	locations := map[replication.ReplicaID]api.Location{}
 	for _, store := range v.Stores {
 		locations[store.Replica] = store.Location
 	}
+	shared := func(a, b replication.ReplicaID) int {
+		if v.Gathered {
+			a, b = b, a
+		}
+		return cmp.Compare(countOf(zones, locations[b]), countOf(zones, locations[a]))
+	}
 	others := filter(v.Members.Voters, func(id replication.ReplicaID) bool { return id != v.Self })
 	return slices.MinFunc(others, func(a, b replication.ReplicaID) int {
 		return cmp.Or(
-			cmp.Compare(countOf(zones, locations[b]), countOf(zones, locations[a])),
+			shared(a, b),
 			cmp.Compare(replicaScore(v.Group, a), replicaScore(v.Group, b)),
 			cmp.Compare(a, b))
 	})
