Items run in their leader's zone while that has room; pages of results are compressed

Cause: an item's text came from a worker of any zone, and went to readers as plain JSON.

Change: a leader takes a worker of its own zone first, unless the item has to run now to be in time; answers of stores over 1 KB are gzipped for callers that say that they read it (frontends' client does; older ones are answered as before).

--- a/internal/batchrun/dispatch.go
+++ b/internal/batchrun/dispatch.go
@@ -134,7 +134,7 @@
 	if i.avoid != "" {
 		query.Excluded = []string{i.avoid}
 	}
-	ticket, ok := l.service.pool.Take(query)
+	ticket, ok := l.take(now, i.standing, query)
 	if !ok {
 		i.avoid = ""
 		full[i.service] = i.standing != fill.Pressed
--- a/internal/batchrun/leader_test.go
+++ b/internal/batchrun/leader_test.go
@@ -56,7 +56,7 @@
 		changes = append(changes, catalog.Change{ID: id, Worker: worker.Worker{ID: id, Service: "lm", Address: "127.0.0.1:1", Slots: 12}})
 	}
 	s.pool.WorkersChanged(changes)
-	s.places = newPlaces(s)
+	s.places, s.near = newPlaces(s), newNearby("")
 	l := newLeader(s, 0, state, nil)
 	l.began = time.Now().Add(-2 * blindTime)
 	s.leaders[l] = true
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -45,6 +45,7 @@
 
 	hidden hidden
 	places *places
+	near   *nearby
 
 	mutex   sync.Mutex // guards leaders
 	leaders map[*Leader]bool
@@ -56,7 +57,7 @@
 		settings: common.Settings.Batch, groups: common.Settings.Store.Groups, core: common.Settings.Node.ProcessorShare, log: common.Logger("batch"), caller: backend.NewCaller(protocol).Count(common.Traffic),
 		metrics: newMetrics(common.Registry), leaders: map[*Leader]bool{}, members: &storeclient.Registered{}, nodes: common.Nodes,
 	}
-	s.places = newPlaces(s)
+	s.places, s.near = newPlaces(s), newNearby(common.Settings.Node.Zone)
 	s.pool = backend.NewPool(worker.DefaultSettings(common.Settings.Node.Zone), s.wakeAll)
 	s.catalog = catalog.New(source, common.KeyValue, common.Logger("catalog"), s.pool)
 	common.OnResume(s.catalog.Renew)
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -149,6 +149,7 @@
 func newStoreClient() *http.Client {
 	return transport.NewProbingClient(transport.Options{
 		ConnectionsPerHost: storeConnections, DialTimeout: storeDialTimeout, IdleLifetime: storeIdleLifetime, SilenceLimit: storeSilence,
+		Compressed: true,
 	})
 }
 
--- a/internal/store/files.go
+++ b/internal/store/files.go
@@ -16,5 +16,5 @@
 		limit = pageSize
 	}
 	list, more, err := group.jobs.Files(api.TenantID(query.Get("tenant")), jobs.FileID(query.Get("after")), limit)
-	writeRead(w, "list files", storeclient.FilesPage{Files: list, More: more}, err)
+	writeRead(w, r, "list files", storeclient.FilesPage{Files: list, More: more}, err)
 }
--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -134,7 +134,7 @@
 		limit = pageSize
 	}
 	list, more, err := group.jobs.Jobs(api.TenantID(query.Get("tenant")), jobs.JobID(query.Get("after")), limit)
-	writeRead(w, "list jobs", storeclient.JobsPage{Jobs: list, More: more}, err)
+	writeRead(w, r, "list jobs", storeclient.JobsPage{Jobs: list, More: more}, err)
 }
 
 func serveJob(w http.ResponseWriter, r *http.Request, group *group) {
@@ -142,13 +142,13 @@
 	if err == nil && !found {
 		err = notFound("batch", r.PathValue("id"))
 	}
-	writeRead(w, "read job", job, err)
+	writeRead(w, r, "read job", job, err)
 }
 
 func serveResults(w http.ResponseWriter, r *http.Request, group *group) {
 	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
 	results, next, err := group.jobs.Results(jobs.JobID(r.PathValue("id")), max(from, 0), pageSize)
-	writeRead(w, "read results", storeclient.ResultsPage{Results: results, Next: next}, err)
+	writeRead(w, r, "read results", storeclient.ResultsPage{Results: results, Next: next}, err)
 }
 
 func serveFile(w http.ResponseWriter, r *http.Request, group *group) {
@@ -156,19 +156,19 @@
 	if err == nil && !found {
 		err = notFound("file", r.PathValue("id"))
 	}
-	writeRead(w, "read file", file, err)
+	writeRead(w, r, "read file", file, err)
 }
 
 func serveLines(w http.ResponseWriter, r *http.Request, group *group) {
 	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
 	lines, next, err := group.jobs.Lines(jobs.FileID(r.PathValue("id")), max(from, 0), pageSize)
-	writeRead(w, "read lines", storeclient.LinesPage{Lines: lines, Next: next}, err)
+	writeRead(w, r, "read lines", storeclient.LinesPage{Lines: lines, Next: next}, err)
 }
 
-func writeRead(w http.ResponseWriter, step string, value any, err error) {
+func writeRead(w http.ResponseWriter, r *http.Request, step string, value any, err error) {
 	if err != nil {
 		transport.WriteError(w, api.AsError(step, err))
 		return
 	}
-	transport.WriteJSON(w, http.StatusOK, value)
+	transport.WriteCompactJSON(w, r, http.StatusOK, value)
 }
--- a/internal/store/inline.go
+++ b/internal/store/inline.go
@@ -32,7 +32,7 @@
 	if err == nil && !found {
 		err = notFound("batch", r.PathValue("id"))
 	}
-	writeRead(w, "read results", page, err)
+	writeRead(w, r, "read results", page, err)
 }
 
 func tenantOf(r *http.Request) api.TenantID {
@@ -44,5 +44,5 @@
 	if err == nil && !found {
 		err = notFound("item", r.URL.Query().Get("id"))
 	}
-	writeRead(w, "read item", item, err)
+	writeRead(w, r, "read item", item, err)
 }
