Fewer bytes around small messages of the log; parts of items five times a second

Change: bodies between stores leave out headers that nobody reads; parts of items are gathered for 200 ms, a third of the time between two parts of one item.

--- a/internal/batchrun/keep.go
+++ b/internal/batchrun/keep.go
@@ -12,9 +12,11 @@
 	// parts does not grow with them.
 	keepInterval = 600 * time.Millisecond
 	keepPerItem  = 16 * time.Millisecond
-	// keepTick is the time between two commands, and keptAtOnce the bytes from which
-	// one takes no further item: large ones would hold up heartbeats.
-	keepTick   = 100 * time.Millisecond
+	// keepTick is the time between two commands: a third of keepInterval, so that parts of
+	// many items share one, and a part waits 100 ms for its command in the mean. keptAtOnce
+	// are the bytes from which one takes no further item: large ones would hold up
+	// heartbeats.
+	keepTick   = 200 * time.Millisecond
 	keptAtOnce = 64 << 10
 	// leastKept bytes of an item are worth a part.
 	leastKept = 64
--- a/internal/store/messages.go
+++ b/internal/store/messages.go
@@ -25,6 +25,7 @@
 	for _, message := range batch.Messages {
 		s.receive(message, batch.Address)
 	}
+	w.Header()["Date"] = nil // nobody reads it: half of the answer
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -46,6 +46,8 @@
 		return api.NewError(step, address, api.CodeInternal, api.OutcomeNotRun, "%w", err)
 	}
 	request.Header.Set("Content-Type", contentType)
+	// Nobody reads net/http's own name: 36 bytes of a message of 500.
+	request.Header["User-Agent"] = nil
 	response, err := client.Do(request)
 	if err != nil {
 		return SendError(step, address, err)
