--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -45,6 +45,7 @@
 
 	hidden hidden
 	places *places
+	near   *nearby
 
 	mutex   sync.Mutex // guards leaders
 	leaders map[*Leader]bool
@@ -53,10 +54,10 @@
 // New gives a service that learns configuration and workers from source.
 func New(common *node.Node, protocol backend.Protocol, source catalog.Source) *Service {
 	s := &Service{
-		settings: common.Settings.Batch, groups: common.Settings.Store.Groups, core: common.Settings.Node.ProcessorShare, log: common.Logger("batch"), caller: backend.NewCaller(protocol),
+		settings: common.Settings.Batch, groups: common.Settings.Store.Groups, core: common.Settings.Node.ProcessorShare, log: common.Logger("batch"), caller: backend.NewCaller(protocol).Count(common.Traffic),
 		metrics: newMetrics(common.Registry), leaders: map[*Leader]bool{}, members: &storeclient.Registered{}, nodes: common.Nodes,
 	}
-	s.places = newPlaces(s)
+	s.places, s.near = newPlaces(s), newNearby(common.Settings.Node.Zone)
 	s.pool = backend.NewPool(worker.DefaultSettings(common.Settings.Node.Zone), s.wakeAll)
 	s.catalog = catalog.New(source, common.KeyValue, common.Logger("catalog"), s.pool)
 	common.OnResume(s.catalog.Renew)
@@ -75,7 +76,7 @@
 	common.Registry.MustRegister(s.catalog.Metrics()...)
 	s.catalog.Also(common.Settings.KeyValueService.Prefix+storeclient.PrefixStores, s.members)
 	s.stores = &storeclient.Client{
-		HTTP: transport.NewClient(storeConnections), AttemptTimeout: storeAttempt,
+		HTTP: common.Traffic.Count(transport.NewClient(storeConnections), transport.KindJobs), AttemptTimeout: storeAttempt,
 		Nodes: func() []api.Node { return s.members.With(common.Nodes()) },
 	}
 	common.Mux.Handle("POST "+limiter.PathTokens, limiter.NewOwner(common.Settings.Tenants.Tolerance(), common.ID(), common.Nodes))
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -104,7 +104,7 @@
 	}
 	f := &Frontend{
 		node: common, settings: settings, log: common.Logger("frontend"), protocol: protocol, port: port,
-		caller: backend.NewCaller(protocol), metrics: newMetrics(common.Registry),
+		caller: backend.NewCaller(protocol).Count(common.Traffic), metrics: newMetrics(common.Registry),
 		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		samples: rate.NewLimiter(servedLinesPerSecond, servedLinesPerSecond),
 	}
@@ -112,7 +112,7 @@
 	f.ending, f.endAll = context.WithCancel(context.Background())
 	registered := &storeclient.Registered{}
 	f.leaders = &storeclient.Leaders{Prefix: common.Settings.KeyValueService.Prefix}
-	f.stores = &storeclient.Client{HTTP: newStoreClient(), AttemptTimeout: storeAttempt, Nodes: func() []api.Node { return registered.With(common.Nodes()) }}
+	f.stores = &storeclient.Client{HTTP: common.Traffic.Count(newStoreClient(), transport.KindJobs), AttemptTimeout: storeAttempt, Nodes: func() []api.Node { return registered.With(common.Nodes()) }}
 	f.asker = relayed.New(relayed.Settings{
 		Self: f.self, Nodes: common.Nodes, Paths: []string{limiter.PathTokens}, Log: common.Logger("relayed"), Registry: common.Registry,
 	})
@@ -159,6 +159,7 @@
 func newStoreClient() *http.Client {
 	return transport.NewProbingClient(transport.Options{
 		ConnectionsPerHost: storeConnections, DialTimeout: storeDialTimeout, IdleLifetime: storeIdleLifetime, SilenceLimit: storeSilence,
+		Compressed: true,
 	})
 }
 
--- a/internal/store/group.go
+++ b/internal/store/group.go
@@ -67,8 +67,9 @@
 	snapshots snapshotTransfers
 	// logBytes is what was applied since the log was last compacted.
 	logBytes  atomic.Int64
-	compacted uint64 // only for maintain, like dropped
-	dropped   uint64 // one more than the generation before which none is left
+	packs     atomic.Bool // the last command was packed
+	compacted uint64      // only for maintain, like dropped
+	dropped   uint64      // one more than the generation before which none is left
 
 	mutex     sync.Mutex // guards all below
 	jobs      *jobs.State
@@ -221,8 +222,8 @@
 }
 
 func (g *group) applyCommand(entry replication.Entry) jobs.Result {
-	var command jobs.Command
-	if err := json.Unmarshal(entry.Data, &command); err != nil {
+	command, err := readCommand(entry.Data)
+	if err != nil {
 		return jobs.Result{Code: api.CodeInternal, Message: err.Error()}
 	}
 	results, err := g.jobs.Apply(jobs.Entry{Index: entry.Index, Command: command})
--- a/internal/store/proposals.go
+++ b/internal/store/proposals.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"time"
 
@@ -32,10 +31,14 @@
 func (g *group) propose(ctx context.Context, command jobs.Command) (jobs.Result, *api.Error) {
 	const step = "commit command"
 	command.Time = time.Now().UTC()
-	data, err := json.Marshal(command)
+	data, err := writeCommand(command, g.mayPack())
 	if err != nil {
 		return jobs.Result{}, api.NewError(step, "", api.CodeInternal, api.OutcomeNotRun, "%w", err)
 	}
+	g.metrics.commandBytes.Add(float64(len(data)))
+	if observe := g.database.hooks.proposed; observe != nil {
+		observe(data)
+	}
 	token, answers, failure := g.enter(step)
 	if failure != nil {
 		return jobs.Result{}, failure
