Batch under pressure: what begins, what gives way, a rise that is expected

Change: fill.Rhythm learns the period and height of online requests from a bounded window; fill.Start lets an item begin only if it ends or goes on beside the height that is expected, or is needed for batch to be in time; items that have to run now take the half of the reserve that nothing gives way for (RoomPressed) and give way only where requests wait; fill.Yields orders what gives way by standing, nearly done, how often it did, what it loses; fill.Lengths learns how long items run and where. Without a period what is free is filled as before.

The new tests fail on plants of the former rules.

--- a/fill/demand.go
+++ b/fill/demand.go
@@ -22,6 +22,7 @@
 // zero value has seen nothing.
 type Demand struct {
 	recent []observation // within reaction, the latest last
+	rhythm Rhythm
 }
 
 type observation struct {
@@ -31,12 +32,16 @@
 
 // Observe takes how many online requests the workers hold now.
 func (d *Demand) Observe(now time.Time, held int) {
+	d.rhythm.Observe(now, held)
 	d.recent = append(d.recent, observation{at: now, held: held})
 	for now.Sub(d.recent[0].at) > reaction {
 		d.recent = d.recent[1:]
 	}
 }
 
+// Rhythm is what was learned of its swings.
+func (d *Demand) Rhythm() *Rhythm { return &d.rhythm }
+
 // Reserve is how many of the slots are to stay free now: for as many requests more
 // as have come within the last reaction, and for what their number varies by.
 func (d *Demand) Reserve(slots int) float64 {
--- a/fill/fill_test.go
+++ b/fill/fill_test.go
@@ -56,7 +56,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			if got := Excess(test.workers, test.reserve, test.waiting); !slices.Equal(got, test.want) {
+			if got := Early(test.workers, test.reserve, test.waiting); !slices.Equal(got, test.want) {
 				t.Errorf("%v, want %v", got, test.want)
 			}
 		})
@@ -77,7 +77,7 @@
 		}
 		reserve := rapid.Float64Range(0, 40).Draw(t, "reserve")
 		waiting := rapid.IntRange(0, 30).Draw(t, "waiting")
-		excess := Excess(workers, reserve, waiting)
+		excess := Early(workers, reserve, waiting)
 		total, held, queued := 0, 0, 0
 		for i, w := range workers {
 			if excess[i] < 0 || excess[i] > w.Batch {
@@ -93,6 +93,25 @@
 		if total > queued && Room(workers, reserve, waiting) > 0 {
 			t.Fatalf("%d items may start while %d give way and %d wait", Room(workers, reserve, waiting), total, queued)
 		}
+		if total > queued && RoomPressed(workers, reserve, waiting) > 0 {
+			t.Fatalf("%d pressed items may start while %d give way and %d wait", RoomPressed(workers, reserve, waiting), total, queued)
+		}
+		must := Excess(workers, waiting)
+		for i := range must {
+			if must[i] > excess[i] {
+				t.Fatalf("worker %d gives way %d items, at once %d of them", i, excess[i], must[i])
+			}
+		}
+		begun := slices.Clone(workers)
+		for n := RoomPressed(workers, reserve, waiting); n > 0; n-- {
+			i := slices.IndexFunc(begun, func(w Worker) bool { return w.Free() > 0 })
+			begun[i].Batch++
+		}
+		for i, n := range Early(begun, reserve, waiting) {
+			if n > excess[i] {
+				t.Fatalf("worker %d: %d items give way after pressed ones began, %d before", i, n, excess[i])
+			}
+		}
 		if needed := int(reserve/2) + waiting + queued; total > needed {
 			t.Fatalf("%d items give way for %d slots", total, needed)
 		}
--- a/internal/batchrun/dispatch.go
+++ b/internal/batchrun/dispatch.go
@@ -92,6 +92,7 @@
 	clear(l.waiting[len(kept):])
 	l.waiting = kept
 	l.service.metrics.waiting.Set(float64(len(l.waiting)))
+	l.service.metrics.held.Set(float64(room.held()))
 	l.service.metrics.running.Set(float64(len(l.running)))
 	return started
 }
@@ -127,9 +128,15 @@
 	if full[i.service] && i.standing != fill.Pressed {
 		return false
 	}
+	left := l.left(i)
+	if room.holds(i.service, i.standing == fill.Pressed, left) {
+		return false
+	}
 	query := worker.Query{
 		Service: i.service, Parts: i.parts, Tokens: i.tokens,
-		Only: func(id string) bool { return room.allows(id, i.service, i.standing == fill.Pressed) },
+		Only: func(id string) bool {
+			return room.allows(id, i.service, i.standing == fill.Pressed, l.lengths.At(id, left))
+		},
 	}
 	if i.avoid != "" {
 		query.Excluded = []string{i.avoid}
--- a/internal/batchrun/leader.go
+++ b/internal/batchrun/leader.go
@@ -41,10 +41,11 @@
 	service      string
 	sends        int        // in all
 	notUntil     time.Time  // it waits before it is sent again
-	received     sync.Mutex // guards the next five while the item runs
+	received     sync.Mutex // guards the next six while the item runs
 	failures     int        // answers that say that its run failed, at all leaders
 	text         []byte     // of whole events so far
 	last         string     // id of the last whole event
+	lastAt       time.Time  // when that came
 	kept         int        // bytes of text that other leaders know of
 	keptAt       time.Time  // when that was
 	keptFailures int        // failures that other leaders know of
@@ -53,6 +54,7 @@
 	worker       string        // where it runs
 	since        time.Time     // when it was sent there
 	yielding     bool          // it was told to give way
+	cuts         int           // how often it was
 	standing     fill.Standing // to when its result is due
 }
 
@@ -76,20 +78,14 @@
 	ended   map[jobs.JobID]bool
 	queued  *queued
 	plan    *plan
-	runTime time.Duration // of a whole item, lately
+	lengths *fill.Lengths
 }
 
-// What is assumed of an item's run.
-const (
-	firstRunTime = 4 * time.Second // before one has ended
-	runTimeShare = 0.1             // of a new one in the average
-)
-
 func newLeader(service *Service, group api.GroupID, state *jobs.State, propose dispatch.Propose) *Leader {
 	l := &Leader{
 		service: service, group: group, state: state, propose: propose, log: service.log.WithField("group", group),
 		wake: make(chan struct{}, 1), failed: make(chan struct{}, 1), results: make(chan jobs.InlineResult, maximumGathered),
-		runTime: firstRunTime, began: time.Now(), running: map[*item]bool{}, ended: map[jobs.JobID]bool{}, queued: newQueued(), plan: newPlan(),
+		lengths: fill.NewLengths(), began: time.Now(), running: map[*item]bool{}, ended: map[jobs.JobID]bool{}, queued: newQueued(), plan: newPlan(),
 	}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	return l
@@ -196,35 +192,6 @@
 	l.log.WithFields(logrus.Fields{"event": "job_stopped", "request": id, "items_stopped": stopped}).Info("A job was ended; its items stop.")
 }
 
-// giveWayLocked stops items at a worker until count have been told to: those that
-// can't be in time first, those that have to run now to be in time last. Invariant:
-// with pressed, whatever its standing, an item gives way where a request waits. They go on elsewhere after their last event.
-func (l *Leader) giveWayLocked(workerID string, count int, pressed bool) {
-	var there []*item
-	for i := range l.running {
-		if i.worker != workerID {
-			continue
-		}
-		if i.yielding {
-			count--
-		} else if pressed || i.standing != fill.Pressed {
-			there = append(there, i)
-		}
-	}
-	slices.SortFunc(there, func(a, b *item) int {
-		return cmp.Or(cmp.Compare(b.standing, a.standing), b.job.Due().Compare(a.job.Due()), b.since.Compare(a.since))
-	})
-	for _, i := range there[:max(min(count, len(there)), 0)] {
-		i.yielding = true
-		i.cancel()
-		l.service.metrics.yielded.Inc()
-		l.log.WithFields(logrus.Fields{
-			"event": "item_gives_way", "request": i.job.ID, "index": i.index, "worker": workerID, "waiting": count,
-			"left_ms": time.Until(i.job.Due()).Milliseconds(),
-		}).Info("An item gives way to requests that wait.")
-	}
-}
-
 // missed is 1 for an item that can't be in time any more, else 0.
 func (i *item) missed() int {
 	if i.standing == fill.Missed {
--- a/internal/batchrun/plan.go
+++ b/internal/batchrun/plan.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/dykewing/dykewing/fill"
 )
 
@@ -18,48 +16,84 @@
 	tellInterval = time.Second
 	// blindTime is how long a new leader waits for frontends' reports.
 	blindTime = 500 * time.Millisecond
-	// leastPart of an item's time is expected to be left while it runs.
-	leastPart = 0.1
-	// textShare of a new item's text in the average length.
-	textShare = 0.1
 )
 
 // plan is what a leader decides by, from one look to the next; its leader's mutex
 // guards it.
 type plan struct {
-	demand    map[string]*fill.Demand // by service
-	room      map[string]float64      // slots that batch has on average, by service
-	roomAt    map[string]time.Time
-	stoodAt   time.Time
-	textBytes float64              // of a whole item, lately
-	toldAt    map[string]time.Time // when the log last told of a service
+	demand  map[string]*fill.Demand // by service
+	room    map[string]float64      // slots that batch has on average, by service
+	roomAt  map[string]time.Time
+	need    map[string]int // items that have to run at once, by service
+	stoodAt time.Time
+	toldAt  map[string]time.Time     // when the log last told of a service
+	period  map[string]time.Duration // that the log last told of, by service
 }
 
 func newPlan() *plan {
-	return &plan{demand: map[string]*fill.Demand{}, room: map[string]float64{}, roomAt: map[string]time.Time{}, toldAt: map[string]time.Time{}}
+	return &plan{
+		demand: map[string]*fill.Demand{}, room: map[string]float64{}, roomAt: map[string]time.Time{}, need: map[string]int{},
+		toldAt: map[string]time.Time{}, period: map[string]time.Duration{},
+	}
 }
 
 // rooms is what is left for items to start.
 type rooms struct {
-	seen map[string]bool // services that were looked at
-	free map[string]int  // items that may start at a worker; it has to run now or not
-	left map[string]int  // items that may start beside the reserve, by service
+	seen     map[string]bool       // services that were looked at
+	free     map[string]int        // slots that nothing takes, by worker
+	services map[string]*roomsLeft // by service
+}
+
+// roomsLeft is what is left of a service.
+type roomsLeft struct {
+	usual, pressed int // items that may start beside the reserve; that have to run now
+	running        int
+	start          fill.Start
+	held           int // items that wait for a rise to pass
 }
 
 func newRooms() rooms {
-	return rooms{seen: map[string]bool{}, free: map[string]int{}, left: map[string]int{}}
+	return rooms{seen: map[string]bool{}, free: map[string]int{}, services: map[string]*roomsLeft{}}
 }
 
-// allows tells whether an item may start at a worker: pressed ones do not mind the
-// reserve.
-func (r rooms) allows(id, service string, pressed bool) bool {
-	return r.free[id] > 0 && (pressed || r.left[service] > 0)
+// allows tells whether an item may start at a worker, where it will run for left.
+func (r rooms) allows(id, service string, pressed bool, left time.Duration) bool {
+	room := r.services[service]
+	if r.free[id] <= 0 || room == nil {
+		return false
+	}
+	if pressed {
+		return room.pressed > 0
+	}
+	return room.usual > 0 && room.start.Allows(room.running, left)
+}
+
+// holds tells whether an item that would run for left waits for a rise to pass though
+// there is room for it.
+func (r rooms) holds(service string, pressed bool, left time.Duration) bool {
+	room := r.services[service]
+	if room == nil || pressed || room.usual <= 0 || room.start.Allows(room.running, left) {
+		return false
+	}
+	room.held++
+	return true
+}
+
+// held counts the items that wait so.
+func (r rooms) held() (n int) {
+	for _, room := range r.services {
+		n += room.held
+	}
+	return n
 }
 
 // take takes a slot of a worker.
 func (r rooms) take(id, service string) {
 	r.free[id]--
-	r.left[service]--
+	room := r.services[service]
+	room.usual--
+	room.pressed--
+	room.running++
 }
 
 // look brings the plan up to date with what is believed of a service's workers,
@@ -74,7 +108,7 @@
 	}
 	var own []fill.Worker
 	var ids []string
-	slots, online := 0, 0
+	slots, online, running := 0, 0, 0
 	for _, seen := range l.service.pool.Occupancies(service) {
 		if !seen.Usable || !l.mine(seen.ID) {
 			continue
@@ -84,15 +118,27 @@
 		own, ids = append(own, w), append(ids, seen.ID)
 		slots += w.Slots
 		online += w.Online
+		running += w.Batch
 	}
 	waiting := l.service.places.waiting(service)
-	reserve := l.plan.reserve(now, service, online+waiting, slots)
-	l.tell(now, service, planned{slots: slots, online: online, waiting: waiting, reserve: reserve})
+	demand := l.plan.demandOf(service)
+	demand.Observe(now, online+waiting)
+	reserve := demand.Reserve(slots)
 	l.plan.average(now, service, max(float64(slots-online)-reserve, 1))
-	into.left[service] = fill.Room(own, reserve, waiting)
-	for i, excess := range fill.Excess(own, reserve, waiting) {
-		if excess > 0 {
-			l.giveWayLocked(ids[i], excess, true)
+	left := &roomsLeft{
+		usual: fill.Room(own, reserve, waiting), pressed: fill.RoomPressed(own, reserve, waiting), running: running,
+		start: demand.Start(now, slots, l.plan.need[service], l.plan.room[service]),
+	}
+	into.services[service] = left
+	l.tellRhythm(service, demand, online)
+	l.tell(now, service, planned{slots: slots, online: online, waiting: waiting, reserve: reserve, start: left.start})
+	must := fill.Excess(own, waiting)
+	for i, early := range fill.Early(own, reserve, waiting) {
+		if must[i] > 0 {
+			l.giveWayLocked(ids[i], must[i], true)
+		}
+		if early > must[i] {
+			l.giveWayLocked(ids[i], early, false)
 		}
 	}
 }
@@ -101,46 +147,13 @@
 // hold: nothing is started on a guess.
 func (l *Leader) blind(now time.Time) bool { return now.Sub(l.began) < blindTime }
 
-// reserve is how many slots online requests keep.
-func (p *plan) reserve(now time.Time, service string, online, slots int) float64 {
+func (p *plan) demandOf(service string) *fill.Demand {
 	demand := p.demand[service]
 	if demand == nil {
 		demand = &fill.Demand{}
 		p.demand[service] = demand
 	}
-	demand.Observe(now, online)
-	return demand.Reserve(slots)
-}
-
-// planned is what a look rests on.
-type planned struct {
-	slots, online, waiting int
-	reserve                float64
-}
-
-// tell logs what the plan rests on, once a second while there is batch.
-func (l *Leader) tell(now time.Time, service string, seen planned) {
-	if now.Sub(l.plan.toldAt[service]) < tellInterval || len(l.waiting)+len(l.running) == 0 {
-		return
-	}
-	l.plan.toldAt[service] = now
-	pressed := 0
-	for _, i := range l.waiting {
-		if i.standing == fill.Pressed {
-			pressed++
-		}
-	}
-	pressedRunning := 0
-	for i := range l.running {
-		if i.standing == fill.Pressed {
-			pressedRunning++
-		}
-	}
-	l.log.WithFields(logrus.Fields{
-		"event": "batch_plan", "service": service, "slots": seen.slots, "online": seen.online, "online_waiting": seen.waiting, "reserve": int(seen.reserve),
-		"running": len(l.running), "waiting": len(l.waiting), "pressed_waiting": pressed, "pressed_running": pressedRunning,
-		"room_mean": int(l.plan.room[service]), "run_ms": l.runTime.Milliseconds(),
-	}).Info("What batch has beside online requests.")
+	return demand
 }
 
 // average takes the room that batch has now into the mean.
@@ -161,6 +174,7 @@
 		return
 	}
 	l.plan.stoodAt = now
+	clear(l.plan.need)
 	byService := map[string][]*item{}
 	for _, i := range l.waiting {
 		byService[i.service] = append(byService[i.service], i)
@@ -169,12 +183,12 @@
 		byService[i.service] = append(byService[i.service], i)
 	}
 	for service, items := range byService {
-		l.standIn(now, items, l.plan.room[service])
+		l.standIn(now, service, items)
 	}
 	l.sortWaiting()
 }
 
-func (l *Leader) standIn(now time.Time, items []*item, room float64) {
+func (l *Leader) standIn(now time.Time, service string, items []*item) {
 	slices.SortFunc(items, func(a, b *item) int {
 		return cmp.Or(a.job.Due().Compare(b.job.Due()), cmp.Compare(a.job.ID, b.job.ID), cmp.Compare(a.index, b.index))
 	})
@@ -186,27 +200,17 @@
 		}
 		list = append(list, each)
 	}
-	for n, standing := range fill.Stand(now, list, room) {
+	l.plan.need[service] = fill.Need(now, list)
+	for n, standing := range fill.Stand(now, list, l.plan.room[service]) {
 		items[n].standing = standing
 	}
 }
 
-// left is how long an item still has to run, by the text that it has given.
+// left is how long an item still has to run at a usual worker, by the text that it has
+// given.
 func (l *Leader) left(i *item) time.Duration {
 	i.received.Lock()
 	given := len(i.text)
 	i.received.Unlock()
-	part := 1.0
-	if l.plan.textBytes > 0 {
-		part = max(1-float64(given)/l.plan.textBytes, leastPart)
-	}
-	return time.Duration(part * float64(l.runTime))
-}
-
-// ended takes a whole text into the average.
-func (p *plan) ended(text int) {
-	if p.textBytes == 0 {
-		p.textBytes = float64(text)
-	}
-	p.textBytes += textShare * (float64(text) - p.textBytes)
+	return l.lengths.Left(given)
 }
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -56,12 +56,12 @@
 			"load": ticket.Load, "load_age_ms": ticket.Age.Milliseconds(), "left_ms": time.Until(i.job.Due()).Milliseconds(),
 		}).WithError(err).Info("A send of an item ended without its whole output.")
 	}
-	l.settle(i, verdict, maximumFailures, ticket.Worker.ID)
+	l.settle(i, verdict, maximumFailures, ticket.Worker.ID, len(i.text)-sent)
 	l.wakeUp()
 }
 
-// settle lists an item or puts it back.
-func (l *Leader) settle(i *item, verdict verdict, maximumFailures int, workerID string) {
+// settle lists an item or puts it back; so many bytes came of its run.
+func (l *Leader) settle(i *item, verdict verdict, maximumFailures int, workerID string, came int) {
 	switch verdict {
 	case verdictDone:
 		l.service.metrics.seconds.Observe(time.Since(i.job.Created).Seconds())
@@ -75,12 +75,13 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	delete(l.running, i)
+	took := time.Since(i.since)
+	l.lengths.Ran(workerID, came, took)
 	if verdict == verdictDone {
-		l.plan.ended(len(i.text))
-	}
-	if verdict == verdictDone && i.sends == 1 {
-		took := time.Since(i.since)
-		l.runTime += time.Duration(runTimeShare * float64(took-l.runTime))
+		if i.sends != 1 {
+			took = 0 // not the whole item's
+		}
+		l.lengths.Whole(len(i.text), took)
 	}
 	i.worker, i.yielding = "", false
 	if verdict == verdictDone {
@@ -200,6 +201,7 @@
 func (i *item) take(event []byte) {
 	i.received.Lock()
 	defer i.received.Unlock()
+	i.lastAt = time.Now()
 	first := i.last == ""
 	for line := range bytes.Lines(event) {
 		line = bytes.TrimRight(line, "\r\n")
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -198,6 +198,8 @@
 	waiting  prometheus.Gauge
 	running  prometheus.Gauge
 	yielded  prometheus.Counter
+	lost     prometheus.Counter // seconds
+	held     prometheus.Gauge
 	seconds  prometheus.Histogram // of a whole item, from its submission
 }
 
@@ -214,11 +216,17 @@
 		yielded: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "dykewing_batch_items_yielded_total", Help: "Items stopped because requests waited at their worker.",
 		}),
+		lost: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "dykewing_batch_run_lost_seconds_total", Help: "Time that items that gave way had run since their last event.",
+		}),
+		held: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "dykewing_batch_items_held_back", Help: "Items that wait beside free slots for a rise of online requests that is expected.",
+		}),
 		seconds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "dykewing_batch_item_seconds", Help: "Time from a job's submission to an item's result.",
 			Buckets: prometheus.ExponentialBuckets(0.25, 2, 12),
 		}),
 	}
-	registry.MustRegister(m.items, m.attempts, m.waiting, m.running, m.yielded, m.seconds)
+	registry.MustRegister(m.items, m.attempts, m.waiting, m.running, m.yielded, m.lost, m.held, m.seconds)
 	return m
 }
