--- a/fill/rhythm.go
+++ b/fill/rhythm.go
@@ -55,9 +55,10 @@
 }
 
 // advance opens the bin of now. What was not looked at was as it was before; after a
-// whole window without a look nothing is known.
+// whole window without a look nothing is known. Before the first request nothing is
+// seen: the time of a fleet that has just started would hide the period of what follows.
 func (r *Rhythm) advance(now time.Time, n float64) {
-	if len(r.samples) == 0 || now.Sub(r.at) >= window {
+	if len(r.samples) == 0 || now.Sub(r.at) >= window || len(r.samples) == 1 && r.samples[0] == 0 {
 		*r = Rhythm{samples: []float64{n}, at: now}
 		return
 	}
--- a/fill/rhythm_test.go
+++ b/fill/rhythm_test.go
@@ -42,6 +42,12 @@
 		{"a slow growth", 30 * time.Second, func(at time.Duration) float64 { return 10 + 3*at.Seconds() }, 0},
 		{"steps, before the second rise", 10 * time.Second, stepped, 0},
 		{"steps, after it", 12 * time.Second, stepped, 6600 * time.Millisecond},
+		{"steps, after a time without any", 26 * time.Second, func(at time.Duration) float64 {
+			if at < 14*time.Second {
+				return 0
+			}
+			return stepped(at - 14*time.Second)
+		}, 6600 * time.Millisecond},
 		{"steps", 40 * time.Second, stepped, 6600 * time.Millisecond},
 		{"a wave", 40 * time.Second, func(at time.Duration) float64 { return 50 + 40*math.Sin(at.Seconds()*2*math.Pi/9) }, 9 * time.Second},
 		{"steps that have ended", 75 * time.Second, func(at time.Duration) float64 {
