A period is learned through a burst; the last item of a job is finished

Change: the latest three periods are compared, with 0.4 of the difference by chance as the bound; an item that is the last of its job gives way late.

--- a/fill/begin_test.go
+++ b/fill/begin_test.go
@@ -82,6 +82,7 @@
 		{"what can't be in time any more", with(func(r *Running) { r.Standing = Missed; r.Cuts = 9 }), usual},
 		{"what has to run now, last", with(func(r *Running) { r.Cuts = 9 }), with(func(r *Running) { r.Standing = Pressed })},
 		{"what is nearly done, late", with(func(r *Running) { r.Cuts = 9 }), with(func(r *Running) { r.Left = 100 * time.Millisecond })},
+		{"the last of its job, late", with(func(r *Running) { r.Cuts, r.Open = 9, 2 }), with(func(r *Running) { r.Open = 1 })},
 		{"what could not be in time then, late", with(func(r *Running) { r.Cuts = 9 }), with(func(r *Running) { r.Due = start.Add(3 * second) })},
 		{"what has given way less often", with(func(r *Running) { r.Lost = second }), with(func(r *Running) { r.Cuts = 1 })},
 		{"the least lost", usual, with(func(r *Running) { r.Lost = 150 * time.Millisecond; r.Since = start })},
--- a/fill/rhythm.go
+++ b/fill/rhythm.go
@@ -23,7 +23,9 @@
 	leastSwing = 4
 	// Of the square difference that two samples have by chance, one period apart have at
 	// most sameShare; samples between two swings have at least otherShare.
-	sameShare, otherShare = 0.25, 0.5
+	sameShare, otherShare = 0.4, 0.5
+	// comparedPeriods, the latest, are compared: a burst of one period is forgotten.
+	comparedPeriods = 3
 	// seenShare of the whole variance is in the samples that were seen to come again: else
 	// only what is between two rises has been compared.
 	seenShare = 0.5
@@ -123,15 +125,17 @@
 	}
 	differ, best, least := false, 0, sameShare
 	for lag := int(shortestPeriod / bin); float64(len(samples)-lag) >= leastOverlap*float64(lag); lag++ {
-		apart := difference(samples, lag) / (2 * variance)
-		differ = differ || apart >= otherShare
-		if _, seen := moments(samples[:len(samples)-lag]); !differ || seen < seenShare*variance {
+		differ = differ || difference(samples, lag) >= otherShare*2*variance
+		latest := samples[max(len(samples)-comparedPeriods*lag, 0):]
+		_, before := moments(latest[:len(latest)-lag])
+		_, after := moments(latest[lag:])
+		if !differ || min(before, after) < seenShare*variance {
 			continue
 		}
 		if best > 0 && lag > best+best/2 {
 			break // multiples say nothing new
 		}
-		if apart < least {
+		if apart := difference(latest, lag) / (before + after); apart < least {
 			best, least = lag, apart
 		}
 	}
--- a/fill/rhythm_test.go
+++ b/fill/rhythm_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -112,6 +113,67 @@
 	}
 }
 
+// TestRhythmOfRequests that come by chance and stay for 0.6 s, over 34 s: for which share of
+// the time the right period is known, and another one.
+func TestRhythmOfRequests(t *testing.T) {
+	steps := func(low, high float64) func(time.Duration) float64 {
+		return func(at time.Duration) float64 {
+			if at%(6600*time.Millisecond) >= 3800*time.Millisecond {
+				return high
+			}
+			return low
+		}
+	}
+	burst := func(rate func(time.Duration) float64) func(time.Duration) float64 {
+		return func(at time.Duration) float64 {
+			if at > 10*time.Second && at < 14*time.Second {
+				return 1.8 * rate(at)
+			}
+			return rate(at)
+		}
+	}
+	tests := []struct {
+		name  string
+		rate  func(time.Duration) float64 // a second
+		right float64
+		other float64
+	}{
+		{"many", steps(22, 110), 0.55, 0.05},
+		{"few", steps(6, 30), 0.55, 0.08},
+		{"many, one step nearly doubled", burst(steps(22, 110)), 0.3, 0.1},
+		{"steady", steps(60, 60), 0, 0.01},
+		{"steady, one burst", burst(steps(60, 60)), 0, 0.01},
+		{"steady and few", steps(5, 5), 0, 0.01},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			const seeds, tick = 6, 20 * time.Millisecond
+			looks, right, other := 0.0, 0.0, 0.0
+			for seed := range uint64(seeds) {
+				var r Rhythm
+				random := rand.New(rand.NewPCG(seed, 9))
+				var ends []time.Duration
+				for at := time.Duration(0); at < 34*time.Second; at += tick {
+					ends = slices.DeleteFunc(ends, func(end time.Duration) bool { return end <= at })
+					for left := random.ExpFloat64(); left < test.rate(at)*tick.Seconds(); left += random.ExpFloat64() {
+						ends = append(ends, at+time.Duration((0.3+0.3*random.ExpFloat64())*float64(time.Second)))
+					}
+					r.Observe(start.Add(at), len(ends))
+					looks++
+					if p := r.Period(); (p - 6600*time.Millisecond).Abs() <= 200*time.Millisecond {
+						right++
+					} else if p > 0 {
+						other++
+					}
+				}
+			}
+			if right/looks < test.right || other/looks > test.other {
+				t.Errorf("the right period is known for %.2f of the time, another for %.2f", right/looks, other/looks)
+			}
+		})
+	}
+}
+
 func BenchmarkLearn(b *testing.B) {
 	var r Rhythm
 	seenBy(&r, 0, 40*time.Second, stepped, rand.New(rand.NewPCG(1, 2)))
--- a/fill/yield.go
+++ b/fill/yield.go
@@ -13,6 +13,7 @@
 	Lost     time.Duration // run since its last event: gone when it gives way
 	Cuts     int           // how often it has given way
 	Since    time.Time     // when it began here
+	Open     int           // items of its job without a result, with it; 0: not known
 }
 
 const (
@@ -34,10 +35,10 @@
 	)
 }
 
-// holds is 1 for an item that is better finished: it ends soon, or could not be in
-// time if it gave way once more.
+// holds is 1 for an item that is better finished: it ends soon, its job ends with it, or
+// it could not be in time if it gave way once more.
 func (r Running) holds(now time.Time) int {
-	if r.Left <= nearlyDone || !r.Due.IsZero() && r.Due.Sub(now) < r.Left+r.Lost+cutCost {
+	if r.Left <= nearlyDone || r.Open == 1 || !r.Due.IsZero() && r.Due.Sub(now) < r.Left+r.Lost+cutCost {
 		return 1
 	}
 	return 0
--- a/internal/batchrun/leader.go
+++ b/internal/batchrun/leader.go
@@ -55,6 +55,7 @@
 	since        time.Time     // when it was sent there
 	yielding     bool          // it was told to give way
 	cuts         int           // how often it was
+	open         int           // items of its job without a result, at the last look
 	standing     fill.Standing // to when its result is due
 }
 
--- a/internal/batchrun/plan.go
+++ b/internal/batchrun/plan.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dykewing/dykewing/fill"
+	"github.com/dykewing/dykewing/jobs"
 )
 
 const (
@@ -175,20 +176,22 @@
 	}
 	l.plan.stoodAt = now
 	clear(l.plan.need)
-	byService := map[string][]*item{}
+	byService, open := map[string][]*item{}, map[jobs.JobID]int{}
 	for _, i := range l.waiting {
 		byService[i.service] = append(byService[i.service], i)
+		open[i.job.ID]++
 	}
 	for i := range l.running {
 		byService[i.service] = append(byService[i.service], i)
+		open[i.job.ID]++
 	}
 	for service, items := range byService {
-		l.standIn(now, service, items)
+		l.standIn(now, service, items, open)
 	}
 	l.sortWaiting()
 }
 
-func (l *Leader) standIn(now time.Time, service string, items []*item) {
+func (l *Leader) standIn(now time.Time, service string, items []*item, open map[jobs.JobID]int) {
 	slices.SortFunc(items, func(a, b *item) int {
 		return cmp.Or(a.job.Due().Compare(b.job.Due()), cmp.Compare(a.job.ID, b.job.ID), cmp.Compare(a.index, b.index))
 	})
@@ -202,7 +205,7 @@
 	}
 	l.plan.need[service] = fill.Need(now, list)
 	for n, standing := range fill.Stand(now, list, l.plan.room[service]) {
-		items[n].standing = standing
+		items[n].standing, items[n].open = standing, open[items[n].job.ID]
 	}
 }
 
--- a/internal/batchrun/yield.go
+++ b/internal/batchrun/yield.go
@@ -53,7 +53,7 @@
 	given, lastAt := len(i.text), i.lastAt
 	i.received.Unlock()
 	r := fill.Running{
-		Standing: i.standing, Left: l.lengths.At(i.worker, l.lengths.Left(given)), Cuts: i.cuts, Since: i.since, Lost: now.Sub(i.since),
+		Standing: i.standing, Left: l.lengths.At(i.worker, l.lengths.Left(given)), Cuts: i.cuts, Since: i.since, Open: i.open, Lost: now.Sub(i.since),
 	}
 	if lastAt.After(i.since) {
 		r.Lost = now.Sub(lastAt)
