--- a/internal/batchrun/dispatch.go
+++ b/internal/batchrun/dispatch.go
@@ -129,7 +129,8 @@
 		return false
 	}
 	left := l.left(i)
-	if room.holds(i.service, i.standing == fill.Pressed, left) {
+	held := room.holds(i.service, i.standing == fill.Pressed, left)
+	if held && len(room.trials) == 0 {
 		return false
 	}
 	query := worker.Query{
@@ -142,6 +143,9 @@
 		query.Excluded = []string{i.avoid}
 	}
 	ticket, ok := l.service.pool.Take(query)
+	if !ok && held {
+		return false
+	}
 	if !ok {
 		i.avoid = ""
 		full[i.service] = i.standing != fill.Pressed
--- a/internal/batchrun/leader.go
+++ b/internal/batchrun/leader.go
@@ -73,13 +73,14 @@
 	results chan jobs.InlineResult
 	failed  chan struct{} // the failures of an item are to be kept
 
-	mutex   sync.Mutex // guards all below
-	waiting []*item    // the most urgent first
-	running map[*item]bool
-	ended   map[jobs.JobID]bool
-	queued  *queued
-	plan    *plan
-	lengths *fill.Lengths
+	mutex    sync.Mutex // guards all below
+	waiting  []*item    // the most urgent first
+	running  map[*item]bool
+	ended    map[jobs.JobID]bool
+	queued   *queued
+	plan     *plan
+	lengths  *fill.Lengths
+	suspects suspects
 }
 
 func newLeader(service *Service, group api.GroupID, state *jobs.State, propose dispatch.Propose) *Leader {
--- a/internal/batchrun/plan.go
+++ b/internal/batchrun/plan.go
@@ -43,6 +43,7 @@
 	seen     map[string]bool       // services that were looked at
 	free     map[string]int        // slots that nothing takes, by worker
 	services map[string]*roomsLeft // by service
+	trials   map[string]string     // service of workers that one item may try
 }
 
 // roomsLeft is what is left of a service.
@@ -54,7 +55,7 @@
 }
 
 func newRooms() rooms {
-	return rooms{seen: map[string]bool{}, free: map[string]int{}, services: map[string]*roomsLeft{}}
+	return rooms{seen: map[string]bool{}, free: map[string]int{}, services: map[string]*roomsLeft{}, trials: map[string]string{}}
 }
 
 // allows tells whether an item may start at a worker, where it will run for left.
@@ -63,6 +64,9 @@
 	if r.free[id] <= 0 || room == nil {
 		return false
 	}
+	if r.trials[id] == service {
+		return true
+	}
 	if pressed {
 		return room.pressed > 0
 	}
@@ -91,6 +95,7 @@
 // take takes a slot of a worker.
 func (r rooms) take(id, service string) {
 	r.free[id]--
+	delete(r.trials, id)
 	room := r.services[service]
 	room.usual--
 	room.pressed--
@@ -117,6 +122,9 @@
 		w := fill.Worker{Slots: seen.Slots, Online: seen.Others, Batch: seen.Taken}
 		into.free[seen.ID] = w.Free()
 		own, ids = append(own, w), append(ids, seen.ID)
+		if w.Batch == 0 && l.suspects.suspect(now, seen.ID) {
+			into.trials[seen.ID] = service
+		}
 		slots += w.Slots
 		online += w.Online
 		running += w.Batch
--- a/internal/batchrun/pressure_test.go
+++ b/internal/batchrun/pressure_test.go
@@ -108,6 +108,51 @@
 	}
 }
 
+// TestASuspectedWorkerIsTriedByAnItem though items are held back before a rise: else the
+// requests of the rise find out one by one that it is broken.
+func TestASuspectedWorkerIsTriedByAnItem(t *testing.T) {
+	const ms = time.Millisecond
+	tests := []struct {
+		name  string
+		broke time.Duration // before now; below 0: never
+		event bool          // then an item got events there
+		want  int
+	}{
+		{"none", -ms, false, 0},
+		{"an answer broke off", 100 * ms, false, 1},
+		{"an answer broke off, another came", 100 * ms, true, 0},
+		{"an answer broke off long ago", suspectFor + time.Second, false, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l := testLeader(t, 30, 10)
+			now := time.Now()
+			l.mutex.Lock()
+			defer l.mutex.Unlock()
+			l.plan.demand["lm"] = risingDemand(now)
+			if test.broke >= 0 {
+				l.suspects.ended(now.Add(-test.broke), "w3", true)
+			}
+			if test.event {
+				l.suspects.ended(now, "w3", false)
+			}
+			room, full, n := newRooms(), map[string]bool{}, 0
+			l.look(now, "lm", room)
+			for _, i := range l.waiting {
+				if l.try(now, i, room, full) {
+					n++
+					if i.worker != "w3" {
+						t.Errorf("an item tries %s", i.worker)
+					}
+				}
+			}
+			if n != test.want {
+				t.Errorf("%d items began, want %d", n, test.want)
+			}
+		})
+	}
+}
+
 // TestWhatHasGivenWayOftenGoesOn while others run that have not.
 func TestWhatHasGivenWayOftenGoesOn(t *testing.T) {
 	l := testLeader(t, 2, 1)
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -77,6 +77,9 @@
 	delete(l.running, i)
 	took := time.Since(i.since)
 	l.lengths.Ran(workerID, came, took)
+	if verdict == verdictBroken || came > 0 {
+		l.suspects.ended(time.Now(), workerID, verdict == verdictBroken)
+	}
 	if verdict == verdictDone {
 		if i.sends != 1 {
 			took = 0 // not the whole item's
