What an older run gives doesn't clear a worker of suspicion

Change: only a run that began after the break clears it; a trial is an item that began then. Result: new rows of TestASuspectedWorkerIsTriedByAnItem.

--- a/internal/batchrun/dispatch.go
+++ b/internal/batchrun/dispatch.go
@@ -155,6 +155,7 @@
 	ctx, cancel := context.WithCancel(l.ctx)
 	i.cancel, i.worker, i.since = cancel, ticket.Worker.ID, now
 	l.running[i] = true
+	l.suspects.began(i.worker, i)
 	go l.run(ctx, i, matched.MaxAttempts, ticket)
 	return true
 }
--- a/internal/batchrun/plan.go
+++ b/internal/batchrun/plan.go
@@ -122,7 +122,7 @@
 		w := fill.Worker{Slots: seen.Slots, Online: seen.Others, Batch: seen.Taken}
 		into.free[seen.ID] = w.Free()
 		own, ids = append(own, w), append(ids, seen.ID)
-		if w.Batch == 0 && l.suspects.suspect(now, seen.ID) {
+		if l.suspects.wants(now, seen.ID) {
 			into.trials[seen.ID] = service
 		}
 		slots += w.Slots
--- a/internal/batchrun/pressure_test.go
+++ b/internal/batchrun/pressure_test.go
@@ -112,16 +112,35 @@
 // requests of the rise find out one by one that it is broken.
 func TestASuspectedWorkerIsTriedByAnItem(t *testing.T) {
 	const ms = time.Millisecond
+	first, second, third := &item{}, &item{}, &item{}
 	tests := []struct {
-		name  string
-		broke time.Duration // before now; below 0: never
-		event bool          // then an item got events there
-		want  int
+		name string
+		seen func(s *suspects, now time.Time)
+		want int
 	}{
-		{"none", -ms, false, 0},
-		{"an answer broke off", 100 * ms, false, 1},
-		{"an answer broke off, another came", 100 * ms, true, 0},
-		{"an answer broke off long ago", suspectFor + time.Second, false, 0},
+		{"none", func(*suspects, time.Time) {}, 0},
+		{"an answer broke off", func(s *suspects, now time.Time) { s.broke(now, "w3", first) }, 1},
+		{"then a trial got events", func(s *suspects, now time.Time) {
+			s.broke(now.Add(-ms), "w3", first)
+			second.since = now
+			s.began("w3", second)
+			s.ended("w3", second, true)
+		}, 0},
+		{"then a trial broke off", func(s *suspects, now time.Time) {
+			s.broke(now.Add(-ms), "w3", first)
+			s.began("w3", second)
+			s.broke(now, "w3", second)
+		}, 1},
+		{"a trial is there", func(s *suspects, now time.Time) {
+			s.broke(now.Add(-ms), "w3", first)
+			s.began("w3", second)
+		}, 0},
+		{"an older run got events", func(s *suspects, now time.Time) {
+			third.since = now.Add(-time.Second)
+			s.broke(now, "w3", first)
+			s.ended("w3", third, true)
+		}, 1},
+		{"long ago", func(s *suspects, now time.Time) { s.broke(now.Add(-suspectFor-ms), "w3", first) }, 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -130,12 +149,7 @@
 			l.mutex.Lock()
 			defer l.mutex.Unlock()
 			l.plan.demand["lm"] = risingDemand(now)
-			if test.broke >= 0 {
-				l.suspects.ended(now.Add(-test.broke), "w3", true)
-			}
-			if test.event {
-				l.suspects.ended(now, "w3", false)
-			}
+			test.seen(&l.suspects, now)
 			room, full, n := newRooms(), map[string]bool{}, 0
 			l.look(now, "lm", room)
 			for _, i := range l.waiting {
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -77,8 +77,10 @@
 	delete(l.running, i)
 	took := time.Since(i.since)
 	l.lengths.Ran(workerID, came, took)
-	if verdict == verdictBroken || came > 0 {
-		l.suspects.ended(time.Now(), workerID, verdict == verdictBroken)
+	if verdict == verdictBroken {
+		l.suspects.broke(time.Now(), workerID, i)
+	} else {
+		l.suspects.ended(workerID, i, came > 0)
 	}
 	if verdict == verdictDone {
 		if i.sends != 1 {
--- a/internal/batchrun/suspects.go
+++ b/internal/batchrun/suspects.go
@@ -13,28 +13,55 @@
 // were held back from such workers, 612 of 18,000 tries ended in 502 and not 100. The zero
 // value suspects none; its leader's mutex guards it.
 type suspects struct {
-	since map[string]time.Time // by worker
+	workers map[string]*suspect
 }
 
-// ended takes that an item's answer broke off at a worker, not by this process, or that
-// the worker gave events.
-func (s *suspects) ended(now time.Time, worker string, broke bool) {
-	if !broke {
-		delete(s.since, worker)
-		return
+type suspect struct {
+	since  time.Time // when an answer broke off last
+	trying *item
+}
+
+// began takes that an item begins at a worker.
+func (s *suspects) began(worker string, i *item) {
+	if w := s.workers[worker]; w != nil && w.trying == nil {
+		w.trying = i
 	}
-	for id, since := range s.since {
-		if now.Sub(since) > suspectFor {
-			delete(s.since, id)
+}
+
+// broke takes that an item's answer broke off at a worker, not by this process.
+func (s *suspects) broke(now time.Time, worker string, i *item) {
+	for id, w := range s.workers {
+		if now.Sub(w.since) > suspectFor {
+			delete(s.workers, id)
 		}
 	}
-	if s.since == nil {
-		s.since = map[string]time.Time{}
+	if s.workers == nil {
+		s.workers = map[string]*suspect{}
+	}
+	s.ended(worker, i, false)
+	w := s.workers[worker]
+	if w == nil {
+		w = &suspect{}
+		s.workers[worker] = w
+	}
+	w.since = now
+}
+
+// ended takes that an item's run at a worker ended, and whether it got events. Those of
+// a run that began before the break say nothing of what begins now.
+func (s *suspects) ended(worker string, i *item, events bool) {
+	w := s.workers[worker]
+	switch {
+	case w == nil:
+	case events && i.since.After(w.since):
+		delete(s.workers, worker)
+	case w.trying == i:
+		w.trying = nil
 	}
-	s.since[worker] = now
 }
 
-func (s *suspects) suspect(now time.Time, worker string) bool {
-	since, ok := s.since[worker]
-	return ok && now.Sub(since) <= suspectFor
+// wants tells whether an item is to try a worker.
+func (s *suspects) wants(now time.Time, worker string) bool {
+	w := s.workers[worker]
+	return w != nil && w.trying == nil && now.Sub(w.since) <= suspectFor
 }
