--- a/internal/batchrun/dispatch.go
+++ b/internal/batchrun/dispatch.go
@@ -151,6 +151,9 @@
 		full[i.service] = i.standing != fill.Pressed
 		return false
 	}
+	if room.trials[ticket.Worker.ID] == i.service {
+		l.tellTrial(now, i, ticket.Worker.ID, held)
+	}
 	room.take(ticket.Worker.ID, i.service)
 	ctx, cancel := context.WithCancel(l.ctx)
 	i.cancel, i.worker, i.since = cancel, ticket.Worker.ID, now
--- a/internal/batchrun/suspects.go
+++ b/internal/batchrun/suspects.go
@@ -65,3 +65,11 @@
 	w := s.workers[worker]
 	return w != nil && w.trying == nil && now.Sub(w.since) <= suspectFor
 }
+
+// since is when an answer broke off at a worker last.
+func (s *suspects) since(worker string) (at time.Time) {
+	if w := s.workers[worker]; w != nil {
+		at = w.since
+	}
+	return at
+}
--- a/internal/batchrun/tell.go
+++ b/internal/batchrun/tell.go
@@ -54,3 +54,11 @@
 		"need": l.plan.need[service], "room_mean": int(l.plan.room[service]),
 	}).Info("The period of online requests is believed to have changed.")
 }
+
+// tellTrial logs that an item tries a worker that is suspected; one at a time does.
+func (l *Leader) tellTrial(now time.Time, i *item, workerID string, held bool) {
+	l.log.WithFields(logrus.Fields{
+		"event": "item_tries_worker", "request": i.job.ID, "index": i.index, "worker": workerID, "held_back": held,
+		"age_ms": now.Sub(l.suspects.since(workerID)).Milliseconds(),
+	}).Info("An item tries a worker at which an answer broke off.")
+}
