--- a/internal/batchrun/leader.go
+++ b/internal/batchrun/leader.go
@@ -45,6 +45,7 @@
 	failures     int        // answers that say that its run failed, at all leaders
 	text         []byte     // of whole events so far
 	last         string     // id of the last whole event
+	lastAt       time.Time  // when that came
 	kept         int        // bytes of text that other leaders know of
 	lasting      int        // of kept, those that are known to be committed
 	keptAt       time.Time  // when that was
@@ -54,6 +55,8 @@
 	worker       string        // where it runs
 	since        time.Time     // when it was sent there
 	yielding     bool          // it was told to give way
+	cuts         int           // how often it was
+	open         int           // items of its job without a result, at the last look
 	standing     fill.Standing // to when its result is due
 }
 
@@ -71,26 +74,21 @@
 	results chan jobs.InlineResult
 	failed  chan struct{} // the failures of an item are to be kept
 
-	mutex   sync.Mutex // guards all below
-	waiting []*item    // the most urgent first
-	running map[*item]bool
-	ended   map[jobs.JobID]bool
-	queued  *queued
-	plan    *plan
-	runTime time.Duration // of a whole item, lately
+	mutex    sync.Mutex // guards all below
+	waiting  []*item    // the most urgent first
+	running  map[*item]bool
+	ended    map[jobs.JobID]bool
+	queued   *queued
+	plan     *plan
+	lengths  *fill.Lengths
+	suspects suspects
 }
 
-// What is assumed of an item's run.
-const (
-	firstRunTime = 4 * time.Second // before one has ended
-	runTimeShare = 0.1             // of a new one in the average
-)
-
 func newLeader(service *Service, group api.GroupID, state *jobs.State, propose dispatch.Propose) *Leader {
 	l := &Leader{
 		service: service, group: group, state: state, propose: propose, log: service.log.WithField("group", group),
 		wake: make(chan struct{}, 1), failed: make(chan struct{}, 1), results: make(chan jobs.InlineResult, maximumGathered),
-		runTime: firstRunTime, began: time.Now(), running: map[*item]bool{}, ended: map[jobs.JobID]bool{}, queued: newQueued(), plan: newPlan(),
+		lengths: fill.NewLengths(), began: time.Now(), running: map[*item]bool{}, ended: map[jobs.JobID]bool{}, queued: newQueued(), plan: newPlan(),
 	}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	return l
@@ -197,35 +195,6 @@
 	l.log.WithFields(logrus.Fields{"event": "job_stopped", "request": id, "items_stopped": stopped}).Info("A job was ended; its items stop.")
 }
 
-// giveWayLocked stops items at a worker until count have been told to: those that
-// can't be in time first, those that have to run now to be in time last. Invariant:
-// with pressed, whatever its standing, an item gives way where a request waits. They go on elsewhere after their last event.
-func (l *Leader) giveWayLocked(workerID string, count int, pressed bool) {
-	var there []*item
-	for i := range l.running {
-		if i.worker != workerID {
-			continue
-		}
-		if i.yielding {
-			count--
-		} else if pressed || i.standing != fill.Pressed {
-			there = append(there, i)
-		}
-	}
-	slices.SortFunc(there, func(a, b *item) int {
-		return cmp.Or(cmp.Compare(b.standing, a.standing), b.job.Due().Compare(a.job.Due()), b.since.Compare(a.since))
-	})
-	for _, i := range there[:max(min(count, len(there)), 0)] {
-		i.yielding = true
-		i.cancel()
-		l.service.metrics.yielded.Inc()
-		l.log.WithFields(logrus.Fields{
-			"event": "item_gives_way", "request": i.job.ID, "index": i.index, "worker": workerID, "waiting": count,
-			"left_ms": time.Until(i.job.Due()).Milliseconds(),
-		}).Info("An item gives way to requests that wait.")
-	}
-}
-
 // missed is 1 for an item that can't be in time any more, else 0.
 func (i *item) missed() int {
 	if i.standing == fill.Missed {
