worker: expected time by pace; a choice of two where many choose blindly

Cause: a slot of a slow worker counted as one of a fast one, and every chooser compared the same workers on what it knew of a few requests. Change: a pace is split into its machine's part and the moment's, aged and bounded; cost is multiplied by the expected pace together with the request's own work; pools of many choosers draw two candidates by speed. Pools without paces are as before.

--- a/worker/choose.go
+++ b/worker/choose.go
@@ -23,6 +23,8 @@
 	Limit float64
 	// Zone that the request comes from; empty: the pool's.
 	Zone string
+	// Patient: it has time, and leaves the fast workers to what must begin now.
+	Patient bool
 }
 
 // Choice is a worker with what its choice rested on.
@@ -33,6 +35,9 @@
 	Load   float64       // requests there, with those of this process
 	Slots  int           // of the worker
 	Age    time.Duration // of the load's report; negative without one
+	// Pace that was expected of it; without a source where nothing is known of any
+	// worker of the service.
+	Pace Pace
 }
 
 // What a cost is made of, in tokens of prompt.
@@ -47,20 +52,34 @@
 	sharedMinimum  = 400
 	agreedDiscount = 0.75
 	tieCost        = 40.0 // random, so that processes do not agree by chance
+	// workCost is what a request costs beside its prompt at the usual pace, so that an
+	// empty slow worker is not as good as an empty fast one: as much as all slots of a
+	// worker, taken. With it a fast worker is filled until the wait there outweighs an
+	// empty slow one.
+	workCost = 1500
 )
 
-// Choose gives the worker with the least cost. False when none can take it.
+// Choose gives the worker with the least cost: where workers tell their pace, with the
+// least expected time. False when none can take it.
 func (p *Pool) Choose(now time.Time, query Query, random *rand.Rand) (Choice, bool) {
+	p.see(now, query.Service)
 	candidates := p.candidates(now, query)
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
-	agreed := agreedWorker(query.Parts, candidates)
+	usual, paced := p.usual(now, query.Service)
+	if paced {
+		candidates = p.drawn(now, ramped(now, candidates, random), usual, query.Parts, random)
+	}
+	agreed := agreedWorker(query.Parts, candidates, sharedMinimum)
 	zone := cmp.Or(query.Zone, p.settings.Zone)
 	best, least := Choice{}, math.Inf(1)
 	for _, e := range candidates {
 		choice := p.consider(now, e, query)
-		cost := p.cost(e, choice, e == agreed, zone) + tieCost*random.Float64()
+		if paced {
+			choice.Pace = e.paceOf(now, usual)
+		}
+		cost := p.cost(e, choice, e == agreed, zone, query.Patient) + tieCost*random.Float64()
 		if cost < least {
 			best, least = choice, cost
 		}
@@ -104,8 +123,50 @@
 	}
 }
 
+// ramped leaves out of a choice the workers that are not offered to it, unless these
+// are all.
+func ramped(now time.Time, candidates []*entry, random *rand.Rand) []*entry {
+	kept := make([]*entry, 0, len(candidates))
+	for _, e := range candidates {
+		if part := e.offered(now); part >= 1 || random.Float64() < part {
+			kept = append(kept, e)
+		}
+	}
+	if len(kept) == 0 {
+		return candidates
+	}
+	return kept
+}
+
+// drawn draws the workers that a choice compares, each with a chance after its speed.
+// Processes that all compared the same workers, on what they knew of a few requests
+// each, would all choose the same ones. The worker that they agree on for a large part is
+// among them where reading that part takes longer than the request's own work.
+func (p *Pool) drawn(now time.Time, candidates []*entry, usual float64, parts []Part, random *rand.Rand) []*entry {
+	if p.settings.Draw == 0 || len(candidates) <= p.settings.Draw {
+		return candidates
+	}
+	upTo := make([]float64, len(candidates))
+	sum := 0.0
+	for i, e := range candidates {
+		sum += 1 / e.paceOf(now, usual).Slow
+		upTo[i] = sum
+	}
+	kept := make([]*entry, 0, p.settings.Draw+1)
+	if agreed := agreedWorker(parts, candidates, workCost); agreed != nil {
+		kept = append(kept, agreed)
+	}
+	for range p.settings.Draw {
+		i, _ := slices.BinarySearch(upTo, sum*random.Float64())
+		if e := candidates[min(i, len(candidates)-1)]; !slices.Contains(kept, e) {
+			kept = append(kept, e)
+		}
+	}
+	return kept
+}
+
 // cost adds up what makes a worker a worse choice.
-func (p *Pool) cost(e *entry, choice Choice, agreed bool, zone string) float64 {
+func (p *Pool) cost(e *entry, choice Choice, agreed bool, zone string, patient bool) float64 {
 	unread := float64(choice.Unread)
 	if agreed {
 		unread *= agreedDiscount
@@ -115,6 +176,9 @@
 	if over := choice.Load + 1 - slots; over > 0 {
 		cost += queueCost * over / slots
 	}
+	if choice.Pace.Source != PaceUnknown {
+		cost = atPace(cost, choice.Pace, patient)
+	}
 	if e.Zone != zone {
 		cost += otherZoneCost
 	}
@@ -125,10 +189,21 @@
 	return cost
 }
 
+// atPace is what a request costs with its own work, at a pace; that of the usual pace
+// stays as it is. One that has time pays what it takes from those that have none.
+func atPace(cost float64, pace Pace, patient bool) float64 {
+	factor := pace.Value
+	if patient {
+		factor = 1 / pace.Slow
+	}
+	return factor*(cost+workCost) - workCost
+}
+
 // agreedWorker is the same at every process that sees the same workers: the one
-// with the highest score for the longest shared part. Nil for short prompts.
-func agreedWorker(parts []Part, candidates []*entry) *entry {
-	id, tokens := "", sharedMinimum
+// with the highest score for the longest shared part. Nil where none is longer than a
+// minimum.
+func agreedWorker(parts []Part, candidates []*entry, minimum int) *entry {
+	id, tokens := "", minimum
 	for _, part := range parts[:max(len(parts)-1, 0)] {
 		if part.Tokens > tokens {
 			id, tokens = part.ID, part.Tokens
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -45,6 +45,9 @@
 	LoadLife time.Duration
 	// CacheShare of an engine's memory is thought to keep parts of prompts.
 	CacheShare float64
+	// Draw is how many workers are compared for a choice where they tell their paces, and
+	// many processes choose that each see a worker rarely; 0: all.
+	Draw int
 }
 
 // DefaultSettings suit a fleet whose requests take around a second.
@@ -60,6 +63,7 @@
 	capacity map[string]int      // tokens of an engine's memory, by service
 	// evacuated are zones whose workers are to get nothing.
 	evacuated map[string]bool
+	chosen    map[string]bool // services that a choice has looked at
 }
 
 // entry is one worker with what this process knows of it.
@@ -75,12 +79,16 @@
 	broken    int       // answers in a row that broke off
 	parts     *partSet
 	fullUntil time.Time
+	pace      paceBelief
+	seenAt    time.Time // by the first choice that looked at it
+	joined    bool      // other workers of its service had been chosen from before that
 }
 
 // NewPool gives an empty pool.
 func NewPool(settings Settings) *Pool {
 	return &Pool{
 		settings: settings, entries: map[string]*entry{}, services: map[string][]*entry{}, capacity: map[string]int{}, evacuated: map[string]bool{},
+		chosen: map[string]bool{},
 	}
 }
 
@@ -175,6 +183,9 @@
 	}
 	e.others = float64(max(load.Running+load.Waiting-e.own, 0))
 	e.reported = now
+	if load.Pace > 0 {
+		e.pace.tell(now, load.Pace, PaceTold)
+	}
 	e.failures, e.broken = 0, 0
 	e.downUntil = time.Time{}
 }
