Leaders gather workers' paces and place by them

Cause: a frontend sees each worker rarely and a leader took its choice, so that a told pace could not be used. Change: a report carries the words of paces that a frontend heard, with their age; the leader believes them for its workers and gives the place with the least expected time; its answers tell some of the gathered averages in turn, by which frontends draw. Answers to questions for a load tell the pace, too. Lines and metrics tell the source.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -52,6 +52,7 @@
 	Waiting     int
 	UsedTokens  int
 	TotalTokens int
+	Pace        float64 // of its answer's header; 0 when not told
 }
 
 // JobAction is what a call about a submitted job asks for.
--- a/internal/backend/caller.go
+++ b/internal/backend/caller.go
@@ -129,7 +129,12 @@
 	if response.StatusCode != http.StatusOK {
 		return Report{}, fmt.Errorf("ask worker %s: status %d", w.ID, response.StatusCode)
 	}
-	return c.Protocol.DecodeReport(raw)
+	report, err := c.Protocol.DecodeReport(raw)
+	if err != nil {
+		return Report{}, fmt.Errorf("ask worker %s: %w", w.ID, err)
+	}
+	report.Pace = c.Protocol.ReadAnswer(response.StatusCode, response.Header).Load.Pace
+	return report, nil
 }
 
 // Close ends idle connections.
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -100,6 +100,33 @@
 	p.do(func(pool *worker.Pool) { pool.Report(time.Now(), id, load) })
 }
 
+// TellPace takes a worker's word of its pace that another process heard at a moment.
+func (p *Pool) TellPace(at time.Time, id string, pace float64) {
+	p.do(func(pool *worker.Pool) { pool.TellPace(at, id, pace) })
+}
+
+// LearnPaces takes the stable parts of workers' paces that another process gathered.
+func (p *Pool) LearnPaces(slow map[string]float64) {
+	now := time.Now()
+	p.do(func(pool *worker.Pool) {
+		for id, pace := range slow {
+			pool.LearnPace(now, id, pace)
+		}
+	})
+}
+
+// Paced tells whether something is known of the pace of one of a service's workers.
+func (p *Pool) Paced(service string) (paced bool) {
+	p.do(func(pool *worker.Pool) { paced = pool.Paced(time.Now(), service) })
+	return paced
+}
+
+// PaceOf is what is believed of a worker's pace; false where nothing is known.
+func (p *Pool) PaceOf(id string) (pace worker.Pace, known bool) {
+	p.do(func(pool *worker.Pool) { pace, known = pool.PaceOf(time.Now(), id) })
+	return pace, known
+}
+
 // Accepts tells whether a worker is listed and does not leave.
 func (p *Pool) Accepts(id string) (accepts bool) {
 	p.do(func(pool *worker.Pool) { accepts = pool.Accepts(id) })
--- a/internal/batchrun/hidden.go
+++ b/internal/batchrun/hidden.go
@@ -26,6 +26,7 @@
 
 // polled takes a worker's own word: what is more than is known to be there is hidden.
 func (s *Service) polled(w worker.Worker, report backend.Report) {
+	s.pool.TellPace(time.Now(), w.ID, report.Pace)
 	s.hidden.put(time.Now(), w.ID, report.Running+report.Waiting, s.pool.Held(w.ID)+s.places.online(w.ID))
 }
 
--- /dev/null
+++ b/internal/batchrun/paces_test.go
@@ -0,0 +1,168 @@
+package batchrun
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
+
+	"github.com/dykewing/dykewing/internal/backend"
+	"github.com/dykewing/dykewing/internal/catalog"
+	"github.com/dykewing/dykewing/platform"
+	"github.com/dykewing/dykewing/reservation"
+	"github.com/dykewing/dykewing/worker"
+)
+
+// tellingPaces is a report that holds nothing.
+func tellingPaces(sequence uint64, words ...reservation.PaceWord) reservation.Report {
+	return reservation.Report{Node: "front", Sequence: sequence, Paces: words}
+}
+
+func TestALeaderChoosesByWhatFrontendsHeard(t *testing.T) {
+	long := time.Hour
+	tests := []struct {
+		name  string
+		words []reservation.PaceWord
+		held  map[string]int
+		want  string // w1 is the frontend's own choice
+	}{
+		{"nothing told", nil, nil, "w1"},
+		{"the frontend's is slow", []reservation.PaceWord{{Worker: "w0", Pace: 0.7}, {Worker: "w1", Pace: 1.7}}, nil, "w0"},
+		{"the frontend's is fast", []reservation.PaceWord{{Worker: "w0", Pace: 1.7}, {Worker: "w1", Pace: 0.7}}, nil, "w1"},
+		{"the fast one has no slot", []reservation.PaceWord{{Worker: "w0", Pace: 0.7}, {Worker: "w1", Pace: 1.7}}, map[string]int{"w0": 12}, "w1"},
+		{"too old", []reservation.PaceWord{{Worker: "w0", Pace: 0.7, Age: long}, {Worker: "w1", Pace: 1.7, Age: long}}, nil, "w1"},
+		{"of the future", []reservation.PaceWord{{Worker: "w0", Pace: 0.7, Age: -long}, {Worker: "w1", Pace: 1.7, Age: -long}}, nil, "w1"},
+		{"of workers that it does not have", []reservation.PaceWord{{Worker: "other", Pace: 0.7}}, nil, "w1"},
+		{"a pace that is none", []reservation.PaceWord{{Worker: "w0", Pace: -3}, {Worker: "w1"}}, nil, "w1"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l := testLeader(t, 0, 2)
+			report := tellingPaces(1, test.words...)
+			report.Held = test.held
+			_, got := l.service.places.take(time.Now(), l.service.led(), reservation.Message{Report: report, Ask: asked("w1", 0)})
+			if got.Worker != test.want {
+				t.Errorf("%+v", got)
+			}
+		})
+	}
+}
+
+func TestAnswersTellPacesInTurn(t *testing.T) {
+	l := testLeader(t, 0, 20)
+	p := l.service.places
+	if told := p.answerPaces(l.service.led(), "lm"); len(told) > 0 {
+		t.Fatalf("told %v, heard nothing", told)
+	}
+	var words []reservation.PaceWord
+	for i := range 20 {
+		words = append(words, reservation.PaceWord{Worker: fmt.Sprint("w", i), Pace: 0.5 + float64(i)/10})
+	}
+	p.take(time.Now(), l.service.led(), reservation.Message{Report: tellingPaces(1, words...)})
+	told := map[string]float64{}
+	for range 3 {
+		part := p.answerPaces(l.service.led(), "lm")
+		if len(part) != pacesPerAnswer {
+			t.Fatalf("%d in one answer", len(part))
+		}
+		for id, pace := range part {
+			told[id] = pace
+		}
+	}
+	if len(told) != 20 || told["w0"] != 0.5 || told["w19"] != 2.4 {
+		t.Errorf("three answers told %v", told)
+	}
+}
+
+func TestAReportOfTooManyPacesIsCut(t *testing.T) {
+	l := testLeader(t, 0, 100)
+	var words []reservation.PaceWord
+	for i := range 100 {
+		words = append(words, reservation.PaceWord{Worker: fmt.Sprint("w", i), Pace: 2})
+	}
+	l.service.places.take(time.Now(), l.service.led(), reservation.Message{Report: tellingPaces(1, words...)})
+	known := 0
+	for i := range 100 {
+		if _, ok := l.service.pool.PaceOf(fmt.Sprint("w", i)); ok {
+			known++
+		}
+	}
+	if known != reservation.MaximumPaceWords {
+		t.Errorf("%d taken", known)
+	}
+}
+
+// A line a change of what is believed, not one a word.
+func TestAChangedPaceIsLoggedOnce(t *testing.T) {
+	l := testLeader(t, 0, 1)
+	logger, hook := test.NewNullLogger()
+	l.service.log = logrus.NewEntry(logger)
+	p := l.service.places
+	lines := func() (n int) {
+		for _, line := range hook.AllEntries() {
+			if line.Data["event"] == "worker_pace" {
+				n++
+			}
+		}
+		return n
+	}
+	now := time.Now()
+	tell := func(sequence uint64, pace float64) {
+		p.take(now, l.service.led(), reservation.Message{Report: tellingPaces(sequence, reservation.PaceWord{Worker: "w0", Pace: pace})})
+		now = now.Add(paceLineInterval)
+		p.tellPaces(now, l.service.led(), "lm")
+	}
+	for n := range 5 {
+		tell(uint64(n+1), 1)
+	}
+	if n := lines(); n != 1 {
+		t.Fatalf("%d lines of a steady pace", n)
+	}
+	for n := range 5 {
+		tell(uint64(n+10), 1.7)
+	}
+	if n := lines(); n != 2 {
+		t.Errorf("%d lines of two paces", n)
+	}
+}
+
+// pacedProtocol tells the pace of an answer with a header "Pace".
+type pacedProtocol struct{ platform.Protocol }
+
+func (pacedProtocol) ReadAnswer(_ int, header http.Header) backend.Answer {
+	pace, err := strconv.ParseFloat(header.Get("Pace"), 64)
+	return backend.Answer{Load: worker.Load{Pace: pace}, Loaded: err == nil}
+}
+
+// A worker that is asked for its load tells its pace in the header of the answer.
+func TestAPolledWorkerTellsItsPace(t *testing.T) {
+	const telling, silent = "w0", "w1"
+	l := testLeader(t, 0, 0)
+	s := l.service
+	s.caller = backend.NewCaller(pacedProtocol{})
+	for id, header := range map[string]string{telling: "4.25", silent: ""} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if header != "" {
+				w.Header().Set("Pace", header)
+			}
+			_, _ = w.Write([]byte(`{"running": 1}`))
+		}))
+		defer server.Close()
+		each := worker.Worker{ID: id, Service: "lm", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 8}
+		s.pool.WorkersChanged([]catalog.Change{{ID: id, Worker: each}})
+		s.askLoad(context.Background(), each)
+	}
+	if pace, known := s.pool.PaceOf(telling); !known || pace.Value != 4.25 {
+		t.Errorf("%+v %t", pace, known)
+	}
+	if pace, known := s.pool.PaceOf(silent); known {
+		t.Errorf("told nothing: %+v", pace)
+	}
+}
--- a/internal/batchrun/places.go
+++ b/internal/batchrun/places.go
@@ -25,6 +25,7 @@
 	mutex  sync.Mutex // guards all below; leaders' mutexes are taken after it
 	book   *reservation.Book
 	queues map[string]*reservation.Queue // by service
+	paces  pacesGathered
 
 	counts sync.Map // of requests that wait, by service; for readers without the mutex
 }
@@ -66,6 +67,9 @@
 	if waits != nil {
 		answer = p.await(r, waits, message.Ask.Wait)
 	}
+	if message.Ask != nil {
+		answer.Paces = p.answerPaces(leaders, message.Ask.Service)
+	}
 	transport.WriteJSON(w, http.StatusOK, answer)
 }
 
@@ -74,6 +78,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.book.Report(now, message.Report)
+	p.takePaces(now, leaders, message.Report)
 	p.placeWaiting(now, leaders)
 	if message.Ask == nil {
 		return nil, reservation.Answer{}
@@ -223,18 +228,23 @@
 }
 
 // choose gives the worker that the frontend would choose if it is among the
-// candidates, else the best of these.
+// candidates, else the best of these. Where workers tell their pace the frontend has
+// only drawn a leader: this process knows all that is held at its workers and what all
+// frontends heard there, and chooses the one with the least expected time.
 func (p *places) choose(ask reservation.Ask, candidates map[string]bool) (string, bool) {
 	if len(candidates) == 0 {
 		return "", false
 	}
-	if candidates[ask.Worker] {
+	if candidates[ask.Worker] && !p.service.pool.Paced(ask.Service) {
 		return ask.Worker, true
 	}
 	choice, ok := p.service.pool.Prefer(worker.Query{
 		Service: ask.Service, Parts: ask.Parts, Tokens: ask.Tokens, Zone: ask.Zone,
 		Only: func(id string) bool { return candidates[id] },
 	})
+	if ok && choice.Pace.Source != worker.PaceUnknown {
+		p.service.metrics.placePace.Observe(choice.Pace.Value)
+	}
 	return choice.Worker.ID, ok
 }
 
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -199,6 +199,9 @@
 	running  prometheus.Gauge
 	yielded  prometheus.Counter
 	seconds  prometheus.Histogram // of a whole item, from its submission
+
+	paceWords prometheus.Counter   // of workers, that frontends passed on
+	placePace prometheus.Histogram // expected at the places that were given
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -219,6 +222,13 @@
 			Buckets: prometheus.ExponentialBuckets(0.25, 2, 12),
 		}),
 	}
-	registry.MustRegister(m.items, m.attempts, m.waiting, m.running, m.yielded, m.seconds)
+	m.paceWords = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "dykewing_batch_pace_words_total", Help: "Words of workers' paces that frontends passed on.",
+	})
+	m.placePace = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "dykewing_batch_place_pace", Help: "Pace expected of the workers where places were given, a multiple of the usual time.",
+		Buckets: []float64{0.5, 0.75, 1, 1.25, 1.5, 2, 3, 4, 6},
+	})
+	registry.MustRegister(m.paceWords, m.placePace, m.items, m.attempts, m.waiting, m.running, m.yielded, m.seconds)
 	return m
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -109,7 +109,7 @@
 	f.leaders = &storeclient.Leaders{Prefix: common.Settings.KeyValueService.Prefix}
 	f.stores = &storeclient.Client{HTTP: newStoreClient(), AttemptTimeout: storeAttempt, Nodes: func() []api.Node { return registered.With(common.Nodes()) }}
 	f.limiter = limiter.New(common.Settings.Tenants.Tolerance(), func() []api.Node { return storeclient.Owners(common.Nodes(), registered.With) }, f.holders, common.Logger("limits"), common.Registry)
-	f.pool = backend.NewPool(worker.DefaultSettings(common.Settings.Node.Zone), nil)
+	f.pool = backend.NewPool(worker.BlindSettings(common.Settings.Node.Zone), nil)
 	f.places = newPlaces(f)
 	f.catalog = catalog.New(source, common.KeyValue, common.Logger("catalog"), f.pool)
 	common.OnResume(f.catalog.Renew)
--- a/internal/frontend/online.go
+++ b/internal/frontend/online.go
@@ -97,7 +97,7 @@
 			break
 		}
 		x.note("request_retried", last.failure).WithField("worker", ticket.Worker.ID).WithField("load", ticket.Load).
-			WithField("load_age_ms", ticket.Age.Milliseconds()).Info("A request goes to another worker.")
+			WithField("load_age_ms", ticket.Age.Milliseconds()).WithFields(paceFields(ticket)).Info("A request goes to another worker.")
 	}
 	if x.refusal != nil && last.verdict != refused && x.runs == 0 {
 		last.failure = x.refusal
@@ -184,6 +184,9 @@
 	defer incoming.Response.Body.Close()
 	if incoming.Loaded {
 		ticket.Report(incoming.Load)
+		if x.frontend.givesPlaces(x.service) {
+			x.frontend.places.paces.note(time.Now(), ticket.Worker.ID, incoming.Load)
+		}
 	}
 	if incoming.NotRun {
 		return x.turnedAway(ticket, incoming)
@@ -320,7 +323,7 @@
 		return
 	}
 	x.note("request_served", nil).WithField("worker", ticket.Worker.ID).WithField("load", ticket.Load).WithField("unread", ticket.Unread).
-		WithField("load_age_ms", ticket.Age.Milliseconds()).WithField("first_ms", x.first.Milliseconds()).Info("A request was served.")
+		WithField("load_age_ms", ticket.Age.Milliseconds()).WithField("first_ms", x.first.Milliseconds()).WithFields(paceFields(ticket)).Info("A request was served.")
 }
 
 func (v verdict) String() string {
--- a/internal/frontend/places.go
+++ b/internal/frontend/places.go
@@ -55,6 +55,8 @@
 	// leaderOf is the process that gives places at a worker, if it is known.
 	leaderOf func(worker string) (api.Node, bool)
 
+	paces paces // that workers told, on their way to leaders
+
 	mutex    sync.Mutex // guards all below
 	sequence uint64     // of the last report; begins with the time of the start
 	leaders  map[api.NodeID]*leader
@@ -256,6 +258,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+placeTimeout)
 	defer cancel()
 	answer, err := p.send(ctx, peer, &ask)
+	p.pool.LearnPaces(answer.Paces)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	known := p.state(peer.ID)
@@ -304,6 +307,10 @@
 			report.Held[id] = n
 		}
 	}
+	report.Paces = p.paces.take(known.toldAt, func(id string) bool {
+		other, ok := p.leaderOf(id)
+		return ok && other.ID == peer.ID
+	})
 	return report
 }
 
--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -25,6 +25,20 @@
 	Sequence uint64         `json:"sequence"`       // grows with each report, also over restarts
 	Seen     uint64         `json:"seen,omitempty"` // the newest grant that Held counts
 	Held     map[string]int `json:"held,omitempty"` // requests, by worker
+	// Paces are what workers there told the frontend since its last report, if they tell
+	// a pace at all; at most MaximumPaceWords.
+	Paces []PaceWord `json:"paces,omitempty"`
+}
+
+// MaximumPaceWords of one report: more than a frontend hears from the workers of one
+// leader between two of its messages.
+const MaximumPaceWords = 64
+
+// PaceWord is what a worker told of its pace, so long ago.
+type PaceWord struct {
+	Worker string        `json:"worker"`
+	Pace   float64       `json:"pace"`
+	Age    time.Duration `json:"age,omitempty"`
 }
 
 // Ask asks for a place at a worker of a service.
@@ -64,6 +78,9 @@
 	// RetryAfter.
 	Hopeless   bool          `json:"hopeless,omitempty"`
 	RetryAfter time.Duration `json:"retry_after,omitempty"`
+	// Paces of some of the workers that the process fills, in turn: the part that is
+	// their machines', as all frontends' words tell it. It comes beside the others.
+	Paces map[string]float64 `json:"paces,omitempty"`
 }
 
 const (
--- a/worker/choose.go
+++ b/worker/choose.go
@@ -149,7 +149,11 @@
 	upTo := make([]float64, len(candidates))
 	sum := 0.0
 	for i, e := range candidates {
-		sum += 1 / e.paceOf(now, usual).Slow
+		slow := usual
+		if e.pace.known(now) {
+			slow = e.pace.slow
+		}
+		sum += 1 / slow
 		upTo[i] = sum
 	}
 	kept := make([]*entry, 0, p.settings.Draw+1)
--- a/worker/pace.go
+++ b/worker/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -48,7 +49,7 @@
 type Pace struct {
 	Value  float64       // expected for work that begins now
 	Slow   float64       // the part that is its machine's, stable over seconds
-	Age    time.Duration // of the newest word
+	Age    time.Duration // of the newest word; negative without one
 	Source PaceSource    // of the newest word
 }
 
@@ -79,10 +80,10 @@
 		weight = max(weight, 1-math.Exp(-float64(passed)/float64(paceMemory)))
 	}
 	b.slow += weight * (pace - b.slow)
-	if at.After(b.lastAt) {
+	if !at.Before(b.lastAt) {
 		b.last, b.lastAt = pace, at
 	}
-	if at.After(b.heardAt) {
+	if !at.Before(b.heardAt) {
 		b.heardAt, b.source = at, source
 	}
 }
@@ -117,16 +118,18 @@
 	}
 }
 
-// Paces gives what is believed of the paces of a service's workers, by id: those of
-// which something is known. Empty where workers tell none.
-func (p *Pool) Paces(now time.Time, service string) map[string]Pace {
-	paces := map[string]Pace{}
-	for _, e := range p.services[service] {
-		if e.pace.known(now) {
-			paces[e.ID] = e.pace.at(now)
-		}
+// Paced tells whether something is known of the pace of one of a service's workers.
+func (p *Pool) Paced(now time.Time, service string) bool {
+	return slices.ContainsFunc(p.services[service], func(e *entry) bool { return e.pace.known(now) })
+}
+
+// PaceOf is what is believed of a worker's pace; false where nothing is known.
+func (p *Pool) PaceOf(now time.Time, id string) (Pace, bool) {
+	e, ok := p.entries[id]
+	if !ok || !e.pace.known(now) {
+		return Pace{}, false
 	}
-	return paces
+	return e.pace.at(now), true
 }
 
 // usual is what a worker of a service is taken for of which nothing is known: the mean
@@ -150,7 +153,7 @@
 	if e.pace.known(now) {
 		return e.pace.at(now)
 	}
-	return Pace{Value: usual, Slow: usual, Age: -1, Source: PaceUsual}
+	return Pace{Value: usual, Slow: usual, Age: -time.Millisecond, Source: PaceUsual}
 }
 
 // see notes the workers of a service that a choice looks at for the first time.
--- a/worker/replay_test.go
+++ b/worker/replay_test.go
@@ -10,7 +10,8 @@
 )
 
 // The replay: workers of three speeds on shared machines, before requests that come in
-// steps. Times are those of a quarter of a second's first event and a stream of 19.
+// steps. Work is given at the usual
+// pace.
 const (
 	replayWorkers = 57
 	replaySlots   = 8
@@ -170,8 +171,10 @@
 		leader := r.leaders[(q.server.leader+n)%r.way.leaders]
 		if choice, ok := leader.Choose(now, Query{Service: "s", Tokens: 450, Limit: 1}, r.random); ok {
 			q.server = r.server(choice.Worker.ID)
-			for id, pace := range leader.Paces(now, "s") {
-				pool.LearnPace(now, id, pace.Slow)
+			for _, s := range r.servers {
+				if pace, known := leader.PaceOf(now, s.id); known {
+					pool.LearnPace(now, s.id, pace.Slow)
+				}
 			}
 			break
 		}
@@ -246,26 +249,64 @@
 	return o
 }
 
-func TestWeighWays(t *testing.T) {
-	whole := func(pace float64) float64 { return pace }
-	none := func(float64) float64 { return 0 }
+// whole and none are what choosers take of a told pace.
+func whole(pace float64) float64 { return pace }
+func none(float64) float64       { return 0 }
+
+// served is what a way has to reach under the steps: the first event in time for nearly
+// all, and less of the workers' time for the same requests.
+func (o outcome) served(least float64, longest time.Duration) error {
+	if o.inTime < least || o.whole > longest {
+		return fmt.Errorf("%v; wanted %.4f in time, whole %v", o, least, longest)
+	}
+	return nil
+}
+
+func TestUnequalWorkersUnderSteps(t *testing.T) {
+	tests := []struct {
+		way     way
+		plant   way // the same without word of paces
+		least   float64
+		longest time.Duration
+	}{
+		{way{"one chooser", 1, 0, whole, 0}, way{"one chooser, pace ignored", 1, 0, none, 0}, 0.999, 700 * time.Millisecond},
+		{way{"60 choosers, 7 leaders", 60, 7, whole, 2}, way{"60 choosers, 7 leaders, pace ignored", 60, 7, none, 2}, 0.9965, 720 * time.Millisecond},
+		{way{"60 choosers", 60, 0, whole, 2}, way{"60 choosers, pace ignored", 60, 0, none, 2}, 0.85, 900 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.way.name, func(t *testing.T) {
+			for seed := range uint64(2) {
+				if err := play(test.way, seed).served(test.least, test.longest); err != nil {
+					t.Errorf("seed %d: %v", seed, err)
+				}
+			}
+			if play(test.plant, 0).served(test.least, test.longest) == nil {
+				t.Error("served as well with the pace ignored: the replay can't tell")
+			}
+		})
+	}
+}
+
+// Ways that were weighed; -v shows them.
+func TestWeighedWays(t *testing.T) {
 	for _, w := range []way{
 		{"one chooser, pace ignored", 1, 0, none, 0},
-		{"one chooser, expected time", 1, 0, whole, 0},
-		{"one chooser, of two", 1, 0, whole, 2},
+		{"one chooser, least expected time", 1, 0, whole, 0},
+		{"one chooser, of two drawn", 1, 0, whole, 2},
 		{"60, pace ignored", 60, 0, none, 0},
-		{"60, expected time", 60, 0, whole, 0},
-		{"60, of two", 60, 0, whole, 2},
-		{"60, of three", 60, 0, whole, 3},
-		{"60, of one", 60, 0, whole, 1},
+		{"60, least expected time", 60, 0, whole, 0},
+		{"60, drawn by speed alone", 60, 0, whole, 1},
+		{"60, of two drawn", 60, 0, whole, 2},
+		{"60, of three drawn", 60, 0, whole, 3},
 		{"60, 7 leaders, pace ignored", 60, 7, none, 0},
-		{"60, 7 leaders, expected time", 60, 7, whole, 0},
-		{"60, 7 leaders, of two", 60, 7, whole, 2},
-		{"60, 7 leaders, of three", 60, 7, whole, 3},
-		{"60, 7 leaders, of one", 60, 7, whole, 1},
+		{"60, 7 leaders, least expected time", 60, 7, whole, 0},
+		{"60, 7 leaders, drawn by speed alone", 60, 7, whole, 1},
+		{"60, 7 leaders, of two drawn", 60, 7, whole, 2},
 	} {
-		for seed := range uint64(3) {
-			t.Logf("%-45s %v", w.name, play(w, seed))
+		o := play(w, 0)
+		t.Logf("%-36s %v", w.name, o)
+		if o.requests < 8000 {
+			t.Errorf("%s: %d requests have an end", w.name, o.requests)
 		}
 	}
 }
--- /dev/null
+++ b/worker/unpaced_test.go
@@ -0,0 +1,70 @@
+package worker
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// choicesWithoutPace is a digest of 3000 choices of a pool whose workers tell no pace,
+// among words of load, failures, prompts and workers that come and go. It was taken of
+// the choice before it knew of paces.
+const choicesWithoutPace uint64 = 11992734857788680168
+
+// scripted plays the same events, chosen by a fixed seed, on a pool.
+func scripted(p *Pool) uint64 {
+	random := rand.New(rand.NewPCG(7, 7))
+	digest := fnv.New64a()
+	id := func() string { return fmt.Sprint("w", random.IntN(20)) }
+	now := start
+	for n := range 3000 {
+		now = now.Add(time.Duration(random.IntN(40)) * time.Millisecond)
+		switch random.IntN(8) {
+		case 0:
+			p.Report(now, id(), Load{Running: random.IntN(10), Waiting: random.IntN(4), Slots: 8})
+		case 1:
+			p.Refused(now, id())
+		case 2:
+			p.Full(now, id())
+		case 3:
+			p.SetOthers(now, id(), random.IntN(9))
+		case 4:
+			p.Remove(id())
+		case 5:
+			p.Put(Worker{ID: id(), Service: "s", Zone: string(rune('a' + random.IntN(3))), Slots: 8, Leaving: random.IntN(20) == 0})
+		case 6:
+			p.End(id())
+		}
+		query := Query{Service: "s", Parts: []Part{{ID: fmt.Sprint("p", random.IntN(5)), Tokens: 100 + 400*random.IntN(9)}, {ID: fmt.Sprint(n), Tokens: 200}}}
+		if random.IntN(3) == 0 {
+			query.Limit = 1
+		}
+		if choice, ok := p.Choose(now, query, random); ok {
+			p.Begin(choice.Worker.ID, choice.Unread)
+			p.Sent(choice.Worker.ID, query.Parts)
+			if random.IntN(2) == 0 {
+				p.Started(choice.Worker.ID, choice.Unread)
+				p.End(choice.Worker.ID)
+			}
+			fmt.Fprintln(digest, n, choice.Worker.ID, choice.Unread, choice.Load)
+		}
+	}
+	return digest.Sum64()
+}
+
+func TestWithoutPacesChoicesAreAsBefore(t *testing.T) {
+	blind := testPool(15)
+	blind.settings = BlindSettings("a")
+	for _, p := range []*Pool{testPool(15), blind} {
+		if got := scripted(p); got != choicesWithoutPace {
+			t.Errorf("digest %d", got)
+		}
+	}
+	told := testPool(15)
+	told.Report(start, "w3", Load{Running: 1, Slots: 8, Pace: 1.5})
+	if scripted(told) == choicesWithoutPace {
+		t.Error("a told pace changes nothing: the digest can't show it")
+	}
+}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -55,6 +55,15 @@
 	return Settings{Zone: zone, DownFor: time.Second, LoadLife: 3 * time.Second, CacheShare: 0.5}
 }
 
+// BlindSettings are DefaultSettings for one of many processes that choose at once and
+// each see a worker rarely. Of two drawn ones the better is nearly as good as the best of
+// all, and no two processes rush to the same.
+func BlindSettings(zone string) Settings {
+	settings := DefaultSettings(zone)
+	settings.Draw = 2
+	return settings
+}
+
 // Pool is the set of workers. It is not safe for concurrent use.
 type Pool struct {
 	settings Settings
