Leaders leave out workers that break more than their peers

Cause: each frontend had to fail twice at a worker that resets all while its health is good before it looked elsewhere. Change: reports carry how requests ended, by worker; a leader leaves out an outlier of its service (at least 3 broken within 3 s, three times its peers' share), for 1 s doubling to 8 s, at most a quarter of its service's workers, and takes it back by a trial of one request at a time. Items' ends count, too. Among two drawn candidates are those that have read a prompt which takes longer to read than a request's own work.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -127,6 +127,13 @@
 	return pace, known
 }
 
+// TakeOutcomes takes how requests ended at a worker. True with a change of what is
+// believed of it.
+func (p *Pool) TakeOutcomes(id string, outcomes worker.Outcomes) (judgement worker.Judgement, changed bool) {
+	p.do(func(pool *worker.Pool) { judgement, changed = pool.TakeOutcomes(time.Now(), id, outcomes) })
+	return judgement, changed
+}
+
 // Accepts tells whether a worker is listed and does not leave.
 func (p *Pool) Accepts(id string) (accepts bool) {
 	p.do(func(pool *worker.Pool) { accepts = pool.Accepts(id) })
--- a/internal/batchrun/paces.go
+++ b/internal/batchrun/heard.go
@@ -2,10 +2,12 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/reservation"
 	"github.com/dykewing/dykewing/worker"
 )
@@ -53,6 +55,33 @@
 	}
 }
 
+// takeOutcomes takes how requests ended at workers, by a frontend's report.
+func (p *places) takeOutcomes(leaders []*Leader, report reservation.Report) {
+	ids := slices.Sorted(maps.Keys(report.Outcomes))
+	for _, id := range ids[:min(len(ids), reservation.MaximumPaceWords)] {
+		if filled(leaders, id) {
+			p.service.judge(id, report.Node, report.Outcomes[id])
+		}
+	}
+}
+
+// judge takes outcomes at a worker, and logs when it is left out or back by them.
+func (s *Service) judge(id string, by api.NodeID, outcomes worker.Outcomes) {
+	judgement, changed := s.pool.TakeOutcomes(id, outcomes)
+	if !changed {
+		return
+	}
+	event, text := "worker_back", "A worker has answered its trial; it gets requests again."
+	if judgement.Out {
+		event, text = "worker_left_out", "A worker fails more than its peers; it gets nothing for a while, then a trial."
+		s.metrics.leftOut.Inc()
+	}
+	s.log.WithFields(logrus.Fields{
+		"event": event, "worker": id, "peer": by, "pause_ms": judgement.Pause.Milliseconds(),
+		"whole": judgement.Whole, "broken": judgement.Broken, "peers_broken_share": judgement.Peers,
+	}).Info(text)
+}
+
 // answerPaces are told with an answer for a place.
 func (p *places) answerPaces(leaders []*Leader, service string) map[string]float64 {
 	p.mutex.Lock()
--- a/internal/batchrun/paces_test.go
+++ b/internal/batchrun/heard_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -13,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sirupsen/logrus/hooks/test"
 
+	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/internal/backend"
 	"github.com/dykewing/dykewing/internal/catalog"
 	"github.com/dykewing/dykewing/platform"
@@ -133,6 +135,73 @@
 	}
 }
 
+// breaking is a report of requests that broke at one worker.
+func breaking(node api.NodeID, outcomes map[string]worker.Outcomes) reservation.Report {
+	return reservation.Report{Node: node, Sequence: 1, Outcomes: outcomes}
+}
+
+func TestALeaderLeavesOutWhatBreaksAtOneWorker(t *testing.T) {
+	at := func(id string, whole, broken int) map[string]worker.Outcomes {
+		return map[string]worker.Outcomes{id: {Whole: whole, Broken: broken}}
+	}
+	tests := []struct {
+		name    string
+		reports []reservation.Report
+		want    string // w1 is the frontend's own choice
+	}{
+		{"nothing told", nil, "w1"},
+		{"each frontend failed once", []reservation.Report{breaking("a", at("w1", 0, 1)), breaking("b", at("w1", 0, 1)), breaking("c", at("w1", 0, 1))}, "w0"},
+		{"one frontend failed once", []reservation.Report{breaking("a", at("w1", 0, 1))}, "w1"},
+		{"they mostly did not", []reservation.Report{breaking("a", at("w1", 20, 1)), breaking("b", at("w1", 20, 1)), breaking("c", at("w1", 20, 1))}, "w1"},
+		{"at a worker that it does not have", []reservation.Report{breaking("a", at("other", 0, 9))}, "w1"},
+	}
+	for _, each := range tests {
+		t.Run(each.name, func(t *testing.T) {
+			l := testLeader(t, 0, 3)
+			logger, hook := test.NewNullLogger()
+			l.service.log = logrus.NewEntry(logger)
+			for _, report := range each.reports {
+				l.service.places.take(time.Now(), l.service.led(), reservation.Message{Report: report})
+			}
+			_, got := l.service.places.take(time.Now(), l.service.led(), reservation.Message{Report: holding(1, map[string]int{"w2": 12}), Ask: asked("w1", 0)})
+			if got.Worker != each.want {
+				t.Errorf("%+v", got)
+			}
+			if lines := len(hook.AllEntries()); lines != 0 != (each.want == "w0") {
+				t.Errorf("%d lines", lines)
+			}
+		})
+	}
+}
+
+func TestItemsTellOfTheirWorkers(t *testing.T) {
+	tests := []struct {
+		name    string
+		verdict verdict
+		err     error
+		usable  bool
+	}{
+		{"broke off", verdictBroken, io.ErrUnexpectedEOF, false},
+		{"failed there", verdictFailed, nil, false},
+		{"gave way", verdictBroken, fmt.Errorf("read event: %w", context.Canceled), true},
+		{"was full", verdictNotRun, nil, true},
+		{"can never be done", verdictPointless, nil, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l := testLeader(t, 0, 3)
+			for range 3 {
+				ticket, _ := l.service.pool.Take(worker.Query{Service: "lm", Excluded: []string{"w1", "w2"}})
+				l.noteRun(&item{}, ticket, test.verdict, test.err)
+				ticket.End()
+			}
+			if got := l.service.pool.Occupancies("lm")[0].Usable; got != test.usable {
+				t.Errorf("usable %t", got)
+			}
+		})
+	}
+}
+
 // pacedProtocol tells the pace of an answer with a header "Pace".
 type pacedProtocol struct{ platform.Protocol }
 
--- a/internal/batchrun/places.go
+++ b/internal/batchrun/places.go
@@ -79,6 +79,7 @@
 	defer p.mutex.Unlock()
 	p.book.Report(now, message.Report)
 	p.takePaces(now, leaders, message.Report)
+	p.takeOutcomes(leaders, message.Report)
 	p.placeWaiting(now, leaders)
 	if message.Ask == nil {
 		return nil, reservation.Answer{}
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -16,6 +16,7 @@
 	"github.com/dykewing/dykewing/internal/backend"
 	"github.com/dykewing/dykewing/internal/engine"
 	"github.com/dykewing/dykewing/jobs"
+	"github.com/dykewing/dykewing/worker"
 )
 
 // verdict is how one send of an item ended.
@@ -112,6 +113,12 @@
 // process, or its worker is still there after it.
 func (l *Leader) noteRun(i *item, ticket *backend.Ticket, verdict verdict, err error) {
 	guard := l.service.guard
+	switch {
+	case verdict == verdictDone:
+		l.service.judge(ticket.Worker.ID, "", worker.Outcomes{Whole: 1})
+	case verdict == verdictFailed, verdict == verdictBroken && !errors.Is(err, context.Canceled):
+		l.service.judge(ticket.Worker.ID, "", worker.Outcomes{Broken: 1})
+	}
 	switch verdict {
 	case verdictBroken:
 		if i.digest != "" && !errors.Is(err, context.Canceled) {
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -200,6 +200,7 @@
 	yielded  prometheus.Counter
 	seconds  prometheus.Histogram // of a whole item, from its submission
 
+	leftOut   prometheus.Counter   // times that a worker was left out by its outcomes
 	paceWords prometheus.Counter   // of workers, that frontends passed on
 	placePace prometheus.Histogram // expected at the places that were given
 }
@@ -222,6 +223,9 @@
 			Buckets: prometheus.ExponentialBuckets(0.25, 2, 12),
 		}),
 	}
+	m.leftOut = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "dykewing_batch_workers_left_out_total", Help: "Times that a worker was left out since it failed more than its peers.",
+	})
 	m.paceWords = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "dykewing_batch_pace_words_total", Help: "Words of workers' paces that frontends passed on.",
 	})
@@ -229,6 +233,6 @@
 		Name: "dykewing_batch_place_pace", Help: "Pace expected of the workers where places were given, a multiple of the usual time.",
 		Buckets: []float64{0.5, 0.75, 1, 1.25, 1.5, 2, 3, 4, 6},
 	})
-	registry.MustRegister(m.paceWords, m.placePace, m.items, m.attempts, m.waiting, m.running, m.yielded, m.seconds)
+	registry.MustRegister(m.leftOut, m.paceWords, m.placePace, m.items, m.attempts, m.waiting, m.running, m.yielded, m.seconds)
 	return m
 }
--- /dev/null
+++ b/internal/frontend/heard_test.go
@@ -0,0 +1,159 @@
+package frontend
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/internal/backend"
+	"github.com/dykewing/dykewing/reservation"
+	"github.com/dykewing/dykewing/worker"
+)
+
+func paceOf(pace float64) worker.Load { return worker.Load{Slots: 4, Pace: pace} }
+
+func TestALeaderIsToldItsWorkersPacesOnce(t *testing.T) {
+	a, b := &answers{rule: gives("wa")}, &answers{rule: gives("wb")}
+	p := leadersOf(t, a, b)
+	now := time.Now()
+	p.heard.pace(now, "wa", paceOf(0.7))
+	p.heard.pace(now, "wa", paceOf(1.75))
+	p.heard.pace(now, "wb", paceOf(1.7))
+	p.heard.pace(now, "unknown", paceOf(1.7))
+	p.heard.pace(now, "wa-silent", worker.Load{Slots: 4})
+	for _, want := range []int{1, 0} {
+		if _, refusal := p.take(context.Background(), worker.Query{Service: "s", Excluded: []string{"wb"}}, toBegin(time.Second), nil); refusal != nil {
+			t.Fatal(refusal)
+		}
+		words := a.last().Report.Paces
+		if len(words) != want {
+			t.Fatalf("told %v", words)
+		}
+		if want == 1 && (words[0].Worker != "wa" || words[0].Pace != 1.75 || words[0].Age < 0) {
+			t.Errorf("told %+v", words[0])
+		}
+	}
+}
+
+func TestWhatAnEndTellsOfAWorker(t *testing.T) {
+	answer := func(status int) *backend.Incoming {
+		return &backend.Incoming{Response: &http.Response{StatusCode: status}}
+	}
+	failure := func(code api.ErrorCode) *api.Error {
+		return api.NewError("send to worker", "w", code, api.OutcomeUnknown, "broken")
+	}
+	tests := []struct {
+		name       string
+		end        attemptResult
+		broken, ok bool
+	}{
+		{"answered", attemptResult{verdict: done}, false, true},
+		{"its own failure", attemptResult{verdict: refused, failed: answer(500)}, true, true},
+		{"bytes that nobody signed", attemptResult{verdict: refused, failed: answer(200)}, true, true},
+		{"the request's own failure", attemptResult{verdict: refused, failed: answer(422)}, false, true},
+		{"it broke off", attemptResult{verdict: mayRun, failure: failure(api.CodeUpstream)}, true, true},
+		{"no answer in its time", attemptResult{verdict: mayRun, failure: failure(api.CodeDeadline)}, true, true},
+		{"no connection", attemptResult{verdict: notRun, failure: failure(api.CodeUpstream)}, true, true},
+		{"full", attemptResult{verdict: notRun, failure: failure(api.CodeNoCapacity)}, true, false},
+		{"the caller left", attemptResult{verdict: mayRun, failure: failure(api.CodeClientCancelled)}, true, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			broken, ok := test.end.tells()
+			if ok != test.ok || ok && broken != test.broken {
+				t.Errorf("broken %t, tells %t", broken, ok)
+			}
+		})
+	}
+}
+
+func TestALeaderIsToldOutcomesOnce(t *testing.T) {
+	a, b := &answers{rule: gives("wa")}, &answers{rule: gives("wb")}
+	p := leadersOf(t, a, b)
+	now := time.Now()
+	for _, broken := range []bool{true, false, true} {
+		p.heard.ended(now, "wa", broken)
+	}
+	p.heard.ended(now, "wb", true)
+	p.heard.ended(now.Add(-time.Minute), "old", true)
+	for _, want := range []worker.Outcomes{{Whole: 1, Broken: 2}, {}} {
+		if _, refusal := p.take(context.Background(), worker.Query{Service: "s", Excluded: []string{"wb"}}, toBegin(time.Second), nil); refusal != nil {
+			t.Fatal(refusal)
+		}
+		if got := a.last().Report.Outcomes; got["wa"] != want || got["wb"].Broken > 0 {
+			t.Errorf("told %v", got)
+		}
+	}
+	if len(p.heard.outcomes) != 1 {
+		t.Errorf("kept %v", p.heard.outcomes)
+	}
+}
+
+// What a leader gathered decides where this frontend looks next; a leader of an older
+// program tells nothing.
+func TestALeadersPacesAreLearned(t *testing.T) {
+	tests := []struct {
+		name  string
+		paces map[string]float64
+		known bool
+	}{
+		{"told", map[string]float64{"wa": 1.7, "wb": 0.7, "gone": 1}, true},
+		{"an older leader", nil, false},
+		{"no paces", map[string]float64{"wa": 0, "wb": -1}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			rule := always(reservation.Answer{Worker: "wa", Grant: 1, Paces: test.paces})
+			p := leadersOf(t, &answers{rule: rule}, &answers{rule: rule})
+			p.take(context.Background(), worker.Query{Service: "s"}, toBegin(time.Second), nil)
+			if got := p.pool.Paced("s"); got != test.known {
+				t.Fatalf("paced %t", got)
+			}
+			if !test.known {
+				return
+			}
+			ticket, _ := p.pool.Take(worker.Query{Service: "s"})
+			if ticket.Worker.ID != "wb" || ticket.Pace.Source != worker.PaceGathered {
+				t.Errorf("%+v", ticket.Choice)
+			}
+		})
+	}
+}
+
+func TestWordsOfPacesAreBoundedAndEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var h heard
+		all := func(string) bool { return true }
+		for i := range 3 * mostWords {
+			h.pace(time.Now(), fmt.Sprint(i), paceOf(1))
+		}
+		if len(h.words) != mostWords {
+			t.Errorf("%d kept", len(h.words))
+		}
+		if n := len(h.takePaces(time.Now(), all)); n != reservation.MaximumPaceWords {
+			t.Errorf("%d in one report", n)
+		}
+		time.Sleep(wordLife + time.Millisecond)
+		h.pace(time.Now(), "late", paceOf(1))
+		if words := h.takePaces(time.Now(), all); len(words) != 1 || len(h.words) != 0 {
+			t.Errorf("told %v, kept %d", words, len(h.words))
+		}
+	})
+}
+
+// A report is lost with its words; the request is served by the frontend's own choice.
+func TestALostReportOfPacesCostsNoRequest(t *testing.T) {
+	p := leadersOf(t, &answers{rule: breaks}, &answers{rule: breaks})
+	p.heard.pace(time.Now(), "wa", paceOf(0.7))
+	ticket, refusal := p.take(context.Background(), worker.Query{Service: "s"}, toBegin(time.Second), nil)
+	if ticket == nil || refusal != nil {
+		t.Fatalf("%v %v", ticket, refusal)
+	}
+	if fields := paceFields(ticket); fields != nil {
+		t.Errorf("fields %v of a service without paces", fields)
+	}
+}
--- a/internal/frontend/online.go
+++ b/internal/frontend/online.go
@@ -84,6 +84,7 @@
 		room.sends--
 		last = x.attempt(ctx, ticket)
 		x.noteRun(ticket, last)
+		x.noteOutcome(ticket, last)
 		f.metrics.attempts.WithLabelValues(last.verdict.String()).Inc()
 		if last.verdict == done {
 			x.served(ticket)
@@ -185,7 +186,7 @@
 	if incoming.Loaded {
 		ticket.Report(incoming.Load)
 		if x.frontend.givesPlaces(x.service) {
-			x.frontend.places.paces.note(time.Now(), ticket.Worker.ID, incoming.Load)
+			x.frontend.places.heard.pace(time.Now(), ticket.Worker.ID, incoming.Load)
 		}
 	}
 	if incoming.NotRun {
--- a/internal/frontend/places.go
+++ b/internal/frontend/places.go
@@ -55,7 +55,7 @@
 	// leaderOf is the process that gives places at a worker, if it is known.
 	leaderOf func(worker string) (api.Node, bool)
 
-	paces paces // that workers told, on their way to leaders
+	heard heard // of workers, on its way to leaders
 
 	mutex    sync.Mutex // guards all below
 	sequence uint64     // of the last report; begins with the time of the start
@@ -307,10 +307,12 @@
 			report.Held[id] = n
 		}
 	}
-	report.Paces = p.paces.take(known.toldAt, func(id string) bool {
+	mine := func(id string) bool {
 		other, ok := p.leaderOf(id)
 		return ok && other.ID == peer.ID
-	})
+	}
+	report.Paces = p.heard.takePaces(known.toldAt, mine)
+	report.Outcomes = p.heard.takeOutcomes(known.toldAt, mine)
 	return report
 }
 
--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -28,6 +28,9 @@
 	// Paces are what workers there told the frontend since its last report, if they tell
 	// a pace at all; at most MaximumPaceWords.
 	Paces []PaceWord `json:"paces,omitempty"`
+	// Outcomes are how requests ended at workers there since the last report, of at most
+	// MaximumPaceWords workers.
+	Outcomes map[string]worker.Outcomes `json:"outcomes,omitempty"`
 }
 
 // MaximumPaceWords of one report: more than a frontend hears from the workers of one
--- a/worker/choose.go
+++ b/worker/choose.go
@@ -94,7 +94,9 @@
 		case !p.takes(e) || slices.Contains(query.Excluded, e.ID):
 		case query.Only != nil && !query.Only(e.ID):
 		case query.Limit > 0 && p.loadOf(now, e)+1 > query.Limit*float64(e.slots):
-		case now.Before(e.downUntil) || now.Before(e.fullUntil):
+		case now.Before(e.downUntil) || now.Before(e.fullUntil) || e.outlier.out(now):
+			doubtful = append(doubtful, e)
+		case e.outlier.onTrial(now) && p.loadOf(now, e) >= 1:
 			doubtful = append(doubtful, e)
 		default:
 			usable = append(usable, e)
@@ -140,8 +142,9 @@
 
 // drawn draws the workers that a choice compares, each with a chance after its speed.
 // Processes that all compared the same workers, on what they knew of a few requests
-// each, would all choose the same ones. The worker that they agree on for a large part is
-// among them where reading that part takes longer than the request's own work.
+// each, would all choose the same ones. The worker that they agree on for a large part,
+// and one that has read the most of this prompt, are among them where reading that takes
+// longer than the request's own work.
 func (p *Pool) drawn(now time.Time, candidates []*entry, usual float64, parts []Part, random *rand.Rand) []*entry {
 	if p.settings.Draw == 0 || len(candidates) <= p.settings.Draw {
 		return candidates
@@ -160,6 +163,9 @@
 	if agreed := agreedWorker(parts, candidates, workCost); agreed != nil {
 		kept = append(kept, agreed)
 	}
+	if keeps := keeper(parts, candidates, random); keeps != nil && !slices.Contains(kept, keeps) {
+		kept = append(kept, keeps)
+	}
 	for range p.settings.Draw {
 		i, _ := slices.BinarySearch(upTo, sum*random.Float64())
 		if e := candidates[min(i, len(candidates)-1)]; !slices.Contains(kept, e) {
@@ -169,6 +175,25 @@
 	return kept
 }
 
+// keeper is a worker that has read the most of a prompt, drawn among those alike; nil
+// where none has read more than a request's own work.
+func keeper(parts []Part, candidates []*entry, random *rand.Rand) *entry {
+	var best *entry
+	most, alike := int(workCost), 0
+	for _, e := range candidates {
+		read := e.parts.cached(parts)
+		switch {
+		case read > most:
+			best, most, alike = e, read, 1
+		case best != nil && read == most:
+			if alike++; random.IntN(alike) == 0 {
+				best = e
+			}
+		}
+	}
+	return best
+}
+
 // cost adds up what makes a worker a worse choice.
 func (p *Pool) cost(e *entry, choice Choice, agreed bool, zone string, patient bool) float64 {
 	unread := float64(choice.Unread)
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -89,6 +89,7 @@
 	parts     *partSet
 	fullUntil time.Time
 	pace      paceBelief
+	outlier   outlier
 	seenAt    time.Time // by the first choice that looked at it
 	joined    bool      // other workers of its service had been chosen from before that
 }
@@ -221,7 +222,10 @@
 	for _, e := range p.services[service] {
 		occupancy := Occupancy{Worker: e.Worker, Taken: e.own, Others: int(p.loadOf(now, e)+0.5) - e.own}
 		occupancy.Slots = e.slots
-		occupancy.Usable = p.takes(e) && !now.Before(e.downUntil) && !now.Before(e.fullUntil)
+		if e.outlier.onTrial(now) {
+			occupancy.Slots = 1
+		}
+		occupancy.Usable = p.takes(e) && !now.Before(e.downUntil) && !now.Before(e.fullUntil) && !e.outlier.out(now)
 		list = append(list, occupancy)
 	}
 	return list
