Leaders find workers that are slow beyond their word

Cause: a worker that tells no pace, or a wrong one, was taken at its word. Change: a frontend tells the mean time between events of each stream that ended, without the time in which its caller read; a leader compares each worker's mean with the middle of its service's, at the pace that it tells. From twice that its cost grows by as much; within it nothing changes.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -127,6 +127,18 @@
 	return pace, known
 }
 
+// ObserveStep takes the mean time between two events of a stream that a worker gave.
+func (p *Pool) ObserveStep(id string, step time.Duration) {
+	p.do(func(pool *worker.Pool) { pool.ObserveStep(time.Now(), id, step) })
+}
+
+// Slowness is how many times as long as expected work takes at a worker; 1 unless it is
+// far beyond.
+func (p *Pool) Slowness(id string) (slowness float64) {
+	p.do(func(pool *worker.Pool) { slowness = pool.Slowness(time.Now(), id) })
+	return slowness
+}
+
 // TakeOutcomes takes how requests ended at a worker. True with a change of what is
 // believed of it.
 func (p *Pool) TakeOutcomes(id string, outcomes worker.Outcomes) (judgement worker.Judgement, changed bool) {
--- a/internal/batchrun/heard.go
+++ b/internal/batchrun/heard.go
@@ -33,6 +33,7 @@
 type pacesGathered struct {
 	logged map[string]paceLogged // by worker
 	turn   int                   // of the worker that the next answer tells first
+	slow   map[string]bool       // workers logged as far slower than expected
 }
 
 type paceLogged struct {
@@ -82,6 +83,31 @@
 	}).Info(text)
 }
 
+// takeSteps takes the observed times of streams, by a frontend's report, and logs where
+// they change what is believed of a worker.
+func (p *places) takeSteps(leaders []*Leader, report reservation.Report) {
+	for _, word := range report.Steps[:min(len(report.Steps), reservation.MaximumPaceWords)] {
+		if !filled(leaders, word.Worker) {
+			continue
+		}
+		p.service.pool.ObserveStep(word.Worker, word.Step)
+		slowness := p.service.pool.Slowness(word.Worker)
+		if slowness > 1 == p.paces.slow[word.Worker] {
+			continue
+		}
+		if p.paces.slow == nil {
+			p.paces.slow = map[string]bool{}
+		}
+		maps.DeleteFunc(p.paces.slow, func(id string, _ bool) bool { return p.service.pool.Slowness(id) == 1 })
+		if slowness > 1 {
+			p.paces.slow[word.Worker] = true
+		}
+		p.service.log.WithFields(logrus.Fields{
+			"event": "worker_slow", "worker": word.Worker, "peer": report.Node, "slowness": slowness, "step_ms": word.Step.Milliseconds(),
+		}).Info("Streams from a worker take far longer than its word and its peers let expect, or (1) no longer do.")
+	}
+}
+
 // answerPaces are told with an answer for a place.
 func (p *places) answerPaces(leaders []*Leader, service string) map[string]float64 {
 	p.mutex.Lock()
--- a/internal/batchrun/heard_test.go
+++ b/internal/batchrun/heard_test.go
@@ -160,6 +160,7 @@
 			l := testLeader(t, 0, 3)
 			logger, hook := test.NewNullLogger()
 			l.service.log = logrus.NewEntry(logger)
+			l.service.pool.TakeOutcomes("w2", worker.Outcomes{Whole: 9})
 			for _, report := range each.reports {
 				l.service.places.take(time.Now(), l.service.led(), reservation.Message{Report: report})
 			}
@@ -174,6 +175,38 @@
 	}
 }
 
+// A worker that tells nothing, and one that lies, are found by the time of streams.
+func TestALeaderPlacesByObservedTime(t *testing.T) {
+	for _, told := range []float64{0, 0.5} {
+		l := testLeader(t, 0, 4)
+		logger, hook := test.NewNullLogger()
+		l.service.log = logrus.NewEntry(logger)
+		for n := range 8 {
+			report := reservation.Report{Node: "front", Sequence: uint64(n + 1)}
+			for i, step := range []time.Duration{30, 200, 32, 34} {
+				id := fmt.Sprint("w", i)
+				report.Steps = append(report.Steps, reservation.StepWord{Worker: id, Step: step * time.Millisecond})
+				report.Paces = append(report.Paces, reservation.PaceWord{Worker: id, Pace: told})
+			}
+			l.service.places.take(time.Now(), l.service.led(), reservation.Message{Report: report})
+		}
+		report := reservation.Report{Node: "front", Sequence: 9, Steps: []reservation.StepWord{{Worker: "w1", Step: 200 * time.Millisecond}, {Worker: "other", Step: 1}}}
+		_, got := l.service.places.take(time.Now(), l.service.led(), reservation.Message{Report: report, Ask: asked("w1", 0)})
+		if got.Worker == "" || got.Worker == "w1" {
+			t.Errorf("told %v: %+v", told, got)
+		}
+		lines := 0
+		for _, line := range hook.AllEntries() {
+			if line.Data["event"] == "worker_slow" {
+				lines++
+			}
+		}
+		if lines != 1 {
+			t.Errorf("told %v: %d lines", told, lines)
+		}
+	}
+}
+
 func TestItemsTellOfTheirWorkers(t *testing.T) {
 	tests := []struct {
 		name    string
@@ -190,6 +223,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			l := testLeader(t, 0, 3)
+			l.service.pool.TakeOutcomes("w2", worker.Outcomes{Whole: 9})
 			for range 3 {
 				ticket, _ := l.service.pool.Take(worker.Query{Service: "lm", Excluded: []string{"w1", "w2"}})
 				l.noteRun(&item{}, ticket, test.verdict, test.err)
--- a/internal/batchrun/places.go
+++ b/internal/batchrun/places.go
@@ -80,6 +80,7 @@
 	p.book.Report(now, message.Report)
 	p.takePaces(now, leaders, message.Report)
 	p.takeOutcomes(leaders, message.Report)
+	p.takeSteps(leaders, message.Report)
 	p.placeWaiting(now, leaders)
 	if message.Ask == nil {
 		return nil, reservation.Answer{}
@@ -236,7 +237,7 @@
 	if len(candidates) == 0 {
 		return "", false
 	}
-	if candidates[ask.Worker] && !p.service.pool.Paced(ask.Service) {
+	if candidates[ask.Worker] && !p.service.pool.Paced(ask.Service) && p.service.pool.Slowness(ask.Worker) == 1 {
 		return ask.Worker, true
 	}
 	choice, ok := p.service.pool.Prefer(worker.Query{
--- a/internal/frontend/heard.go
+++ b/internal/frontend/heard.go
@@ -30,6 +30,12 @@
 	mutex    sync.Mutex // guards all below
 	words    map[string]paceWord
 	outcomes map[string]outcomesSince
+	steps    []stepSince
+}
+
+type stepSince struct {
+	since time.Time
+	reservation.StepWord
 }
 
 type outcomesSince struct {
@@ -121,6 +127,37 @@
 	return taken
 }
 
+// leastEvents of a stream are needed to tell the time between two.
+const leastEvents = 5
+
+// step notes the mean time between two events of a stream that has ended.
+func (h *heard) step(now time.Time, id string, events int, took time.Duration) {
+	if events < leastEvents || took <= 0 {
+		return
+	}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.steps = slices.DeleteFunc(h.steps, func(s stepSince) bool { return now.Sub(s.since) > wordLife })
+	if len(h.steps) < mostWords {
+		h.steps = append(h.steps, stepSince{now, reservation.StepWord{Worker: id, Step: took / time.Duration(events-1)}})
+	}
+}
+
+// takeSteps gives the steps of workers for which mine is true, and forgets them.
+func (h *heard) takeSteps(now time.Time, mine func(id string) bool) (list []reservation.StepWord) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.steps = slices.DeleteFunc(h.steps, func(s stepSince) bool {
+		old := now.Sub(s.since) > wordLife
+		if old || !mine(s.Worker) || len(list) == reservation.MaximumPaceWords {
+			return old
+		}
+		list = append(list, s.StepWord)
+		return true
+	})
+	return list
+}
+
 // tells is what an attempt's end tells of its worker: that it broke, or did not, or
 // nothing. A worker that is full tells nothing; a failure that it calls the request's
 // own is an answer.
--- a/internal/frontend/heard_test.go
+++ b/internal/frontend/heard_test.go
@@ -93,6 +93,44 @@
 	}
 }
 
+func TestAStreamTellsItsWorkersStep(t *testing.T) {
+	const ms = time.Millisecond
+	tests := []struct {
+		name   string
+		events int
+		each   time.Duration // between two events
+		write  time.Duration // until one was passed on
+		want   time.Duration // 0: nothing
+	}{
+		{"a whole stream", 19, 35 * ms, 0, 35 * ms},
+		{"its caller reads slowly", 19, 35 * ms, time.Second, 35 * ms},
+		{"too short", leastEvents - 1, 35 * ms, 0, 0},
+		{"none", 0, 0, 0, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(1_700_000_000, 0)
+			var pace streamPace
+			for range test.events {
+				now = now.Add(test.each)
+				pace.came(now)
+				now = now.Add(test.write)
+				pace.passedOn(now)
+			}
+			var h heard
+			h.step(now, "w", pace.events, pace.took)
+			h.step(now, "other", 20, time.Second)
+			words := h.takeSteps(now, func(id string) bool { return id == "w" })
+			if len(words) > 1 || len(words) == 1 != (test.want > 0) || test.want > 0 && words[0].Step != test.want {
+				t.Errorf("told %v", words)
+			}
+			if again := h.takeSteps(now.Add(2*wordLife), func(string) bool { return true }); len(again) != 0 || len(h.steps) != 0 {
+				t.Errorf("told again %v, kept %v", again, h.steps)
+			}
+		})
+	}
+}
+
 // What a leader gathered decides where this frontend looks next; a leader of an older
 // program tells nothing.
 func TestALeadersPacesAreLearned(t *testing.T) {
--- a/internal/frontend/places.go
+++ b/internal/frontend/places.go
@@ -312,6 +312,7 @@
 		return ok && other.ID == peer.ID
 	}
 	report.Paces = p.heard.takePaces(known.toldAt, mine)
+	report.Steps = p.heard.takeSteps(known.toldAt, mine)
 	report.Outcomes = p.heard.takeOutcomes(known.toldAt, mine)
 	return report
 }
--- a/internal/frontend/stream.go
+++ b/internal/frontend/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/internal/backend"
@@ -15,12 +16,14 @@
 func (x *exchange) relayStream(ticket *backend.Ticket, incoming *backend.Incoming) attemptResult {
 	events := engine.NewEventReader(incoming.Response.Body)
 	controller := http.NewResponseController(x.w)
+	var pace streamPace
 	for {
 		event, err := events.Next()
 		if err == io.EOF && !events.Cut() {
 			if !x.begun {
 				x.answer(incoming, nil)
 			}
+			x.noteStep(ticket, pace)
 			return attemptResult{verdict: done}
 		}
 		if err != nil {
@@ -28,6 +31,7 @@
 			return attemptResult{verdict: mayRun, failure: failure}
 		}
 		ticket.Started()
+		pace.came(time.Now())
 		if !x.begun {
 			x.copyHeader(incoming.Response.Header)
 			_ = controller.SetWriteDeadline(x.deadline)
@@ -39,6 +43,7 @@
 		if err := controller.Flush(); err != nil {
 			x.gone("relay stream", err)
 		}
+		pace.passedOn(time.Now())
 		x.events++
 		if id, ok := eventID(event); ok {
 			x.lastEvent = id
@@ -46,6 +51,30 @@
 	}
 }
 
+// streamPace is how fast a worker gives the events of one stream. The time in which an
+// event was passed on is not the worker's: a caller may read slowly.
+type streamPace struct {
+	events       int
+	took         time.Duration // by the worker, since the first event
+	lastPassedOn time.Time
+}
+
+func (p *streamPace) came(now time.Time) {
+	if p.events > 0 {
+		p.took += now.Sub(p.lastPassedOn)
+	}
+	p.events++
+}
+
+func (p *streamPace) passedOn(now time.Time) { p.lastPassedOn = now }
+
+// noteStep keeps what a whole stream tells of its worker for the leader there.
+func (x *exchange) noteStep(ticket *backend.Ticket, pace streamPace) {
+	if x.frontend.givesPlaces(x.service) {
+		x.frontend.places.heard.step(time.Now(), ticket.Worker.ID, pace.events, pace.took)
+	}
+}
+
 // eventID finds the id line of an event.
 func eventID(event []byte) (string, bool) {
 	for line := range bytes.Lines(event) {
--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -31,6 +31,9 @@
 	// Outcomes are how requests ended at workers there since the last report, of at most
 	// MaximumPaceWords workers.
 	Outcomes map[string]worker.Outcomes `json:"outcomes,omitempty"`
+	// Steps are of streams that ended there since the last report; at most
+	// MaximumPaceWords.
+	Steps []StepWord `json:"steps,omitempty"`
 }
 
 // MaximumPaceWords of one report: more than a frontend hears from the workers of one
@@ -44,6 +47,12 @@
 	Age    time.Duration `json:"age,omitempty"`
 }
 
+// StepWord is the mean time between two events of a stream that a worker gave.
+type StepWord struct {
+	Worker string        `json:"worker"`
+	Step   time.Duration `json:"step"`
+}
+
 // Ask asks for a place at a worker of a service.
 type Ask struct {
 	Service  string        `json:"service"`
--- a/worker/choose.go
+++ b/worker/choose.go
@@ -38,6 +38,9 @@
 	// Pace that was expected of it; without a source where nothing is known of any
 	// worker of the service.
 	Pace Pace
+	// Slowness is by how much work took longer there than its word and its peers let
+	// expect; 1 unless it is far beyond.
+	Slowness float64
 }
 
 // What a cost is made of, in tokens of prompt.
@@ -73,12 +76,13 @@
 	}
 	agreed := agreedWorker(query.Parts, candidates, sharedMinimum)
 	zone := cmp.Or(query.Zone, p.settings.Zone)
-	best, least := Choice{}, math.Inf(1)
+	best, least, typical := Choice{}, math.Inf(1), p.typicalOf(now, query.Service)
 	for _, e := range candidates {
 		choice := p.consider(now, e, query)
 		if paced {
 			choice.Pace = e.paceOf(now, usual)
 		}
+		choice.Slowness = p.slowness(now, e, typical)
 		cost := p.cost(e, choice, e == agreed, zone, query.Patient) + tieCost*random.Float64()
 		if cost < least {
 			best, least = choice, cost
@@ -208,6 +212,9 @@
 	if choice.Pace.Source != PaceUnknown {
 		cost = atPace(cost, choice.Pace, patient)
 	}
+	if choice.Slowness > 1 {
+		cost = choice.Slowness*(cost+workCost) - workCost
+	}
 	if e.Zone != zone {
 		cost += otherZoneCost
 	}
--- a/worker/outlier.go
+++ b/worker/outlier.go
@@ -104,8 +104,9 @@
 	return judgement, true
 }
 
-// peersOf is which share of the outcomes of a worker's peers is broken, and whether one
-// more of them may be left out.
+// peersOf is which share of the outcomes of a worker's peers is broken, and whether it may
+// be left out: others are left, and as much is known of them as is held against it. While
+// all fail, the one whose failures are told first is no outlier.
 func (p *Pool) peersOf(now time.Time, of *entry) (share float64, room bool) {
 	peers, out := outlier{}, 0
 	list := p.services[of.Service]
@@ -120,5 +121,5 @@
 		peers.whole += e.outlier.whole
 		peers.broken += e.outlier.broken
 	}
-	return peers.share(), len(list) >= leastPeers && out < max(len(list)/mostOut, 1)
+	return peers.share(), len(list) >= leastPeers && out < max(len(list)/mostOut, 1) && peers.whole+peers.broken >= of.outlier.broken
 }
--- a/worker/outlier_test.go
+++ b/worker/outlier_test.go
@@ -65,8 +65,23 @@
 	}
 }
 
+func TestWhereAllFailNoneIsLeftOut(t *testing.T) {
+	p := testPool(8)
+	for n := range 20 {
+		for i := range 8 {
+			p.TakeOutcomes(start.Add(time.Duration(n)*100*time.Millisecond), fmt.Sprint("w", i), Outcomes{Whole: 1, Broken: 2})
+		}
+	}
+	for _, each := range p.Occupancies(start.Add(2*time.Second), "s") {
+		if !each.Usable {
+			t.Errorf("%s is left out", each.ID)
+		}
+	}
+}
+
 func TestATrialIsOneRequest(t *testing.T) {
 	p := testPool(4)
+	p.TakeOutcomes(start, "w1", Outcomes{Whole: 5})
 	p.TakeOutcomes(start, "w0", Outcomes{Broken: 3})
 	now := start.Add(firstOut)
 	n := 0
@@ -93,6 +108,7 @@
 
 func TestTheLastOneIsOfferedAlsoWhenLeftOut(t *testing.T) {
 	p := testPool(4)
+	p.TakeOutcomes(start, "w1", Outcomes{Whole: 5})
 	p.TakeOutcomes(start, "w0", Outcomes{Broken: 3})
 	if got := choose(t, p, start, Query{Excluded: []string{"w1", "w2", "w3"}}); got != "w0" {
 		t.Errorf("chose %q", got)
--- a/worker/replay_test.go
+++ b/worker/replay_test.go
@@ -54,7 +54,6 @@
 	random  *rand.Rand
 	servers []*server
 	events  events
-	turn    int
 	firsts  []time.Duration
 	whole   time.Duration
 }
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -73,6 +73,7 @@
 	// evacuated are zones whose workers are to get nothing.
 	evacuated map[string]bool
 	chosen    map[string]bool // services that a choice has looked at
+	typical   map[string]typical
 }
 
 // entry is one worker with what this process knows of it.
@@ -90,6 +91,7 @@
 	fullUntil time.Time
 	pace      paceBelief
 	outlier   outlier
+	steps     steps
 	seenAt    time.Time // by the first choice that looked at it
 	joined    bool      // other workers of its service had been chosen from before that
 }
@@ -98,7 +100,7 @@
 func NewPool(settings Settings) *Pool {
 	return &Pool{
 		settings: settings, entries: map[string]*entry{}, services: map[string][]*entry{}, capacity: map[string]int{}, evacuated: map[string]bool{},
-		chosen: map[string]bool{},
+		chosen: map[string]bool{}, typical: map[string]typical{},
 	}
 }
 
