--- a/internal/batchrun/heard.go
+++ b/internal/batchrun/heard.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -26,14 +25,13 @@
 	paceLineInterval = 5 * time.Second
 )
 
-// pacesGathered are the paces of the workers that this process fills, from the words
-// that all frontends heard there: each of them hears a worker rarely. What is believed
-// itself is in the pool; here is what was told of it, and to whom. The mutex of places
-// guards it; the zero value is empty.
-type pacesGathered struct {
+// heard is what was told, and to whom, of what this process believes of the workers that
+// it fills by the words of all frontends: each of them hears a worker rarely. What is
+// believed itself is in the pool. The mutex of places guards it; the zero value is empty.
+type heard struct {
 	logged map[string]paceLogged // by worker
-	turn   int                   // of the worker that the next answer tells first
 	slow   map[string]bool       // workers logged as far slower than expected
+	turn   int                   // of the worker that the next answer tells first
 }
 
 type paceLogged struct {
@@ -41,29 +39,49 @@
 	slow float64
 }
 
-// takePaces takes the words of a frontend's report. The mutex is held.
-func (p *places) takePaces(now time.Time, leaders []*Leader, report reservation.Report) {
-	heard := false
-	for _, word := range report.Paces[:min(len(report.Paces), reservation.MaximumPaceWords)] {
-		if word.Age < 0 || word.Age > oldestPaceWord || !filled(leaders, word.Worker) {
+// hear takes what a frontend heard of the workers that this process fills. A word of
+// another start than the listed one says nothing of it. The mutex is held.
+func (p *places) hear(now time.Time, leaders []*Leader, report reservation.Report) {
+	for _, word := range report.Heard[:min(len(report.Heard), reservation.MaximumWords)] {
+		current, listed := p.service.pool.Current(word.Worker)
+		if !listed || !filled(leaders, word.Worker) || !word.Born.IsZero() && !current.Born.IsZero() && !word.Born.Equal(current.Born) {
 			continue
 		}
-		p.service.pool.TellPace(now.Add(-word.Age), word.Worker, word.Pace)
-		heard = true
-	}
-	if heard {
-		p.service.metrics.paceWords.Add(float64(len(report.Paces)))
+		p.service.metrics.words.Inc()
+		if word.PaceAge >= 0 && word.PaceAge <= oldestPaceWord {
+			p.service.pool.TellPace(now.Add(-word.PaceAge), word.Worker, word.Pace)
+		}
+		if word.Streams > 0 {
+			p.observe(word, report.Node)
+		}
+		p.service.judge(word.Worker, report.Node, word.Outcomes)
 	}
 }
 
-// takeOutcomes takes how requests ended at workers, by a frontend's report.
-func (p *places) takeOutcomes(leaders []*Leader, report reservation.Report) {
-	ids := slices.Sorted(maps.Keys(report.Outcomes))
-	for _, id := range ids[:min(len(ids), reservation.MaximumPaceWords)] {
-		if filled(leaders, id) {
-			p.service.judge(id, report.Node, report.Outcomes[id])
-		}
+// mostStreams of one word are counted: more than a frontend sees end at one worker
+// between two of its messages.
+const mostStreams = 16
+
+// observe takes the observed time of streams, and logs where it changes what is believed
+// of a worker.
+func (p *places) observe(word reservation.Word, by api.NodeID) {
+	for range min(word.Streams, mostStreams) {
+		p.service.pool.ObserveStep(word.Worker, word.Step)
+	}
+	slowness := p.service.pool.Slowness(word.Worker)
+	if slowness > 1 == p.heard.slow[word.Worker] {
+		return
+	}
+	if p.heard.slow == nil {
+		p.heard.slow = map[string]bool{}
+	}
+	maps.DeleteFunc(p.heard.slow, func(id string, _ bool) bool { return p.service.pool.Slowness(id) == 1 })
+	if slowness > 1 {
+		p.heard.slow[word.Worker] = true
 	}
+	p.service.log.WithFields(logrus.Fields{
+		"event": "worker_slow", "worker": word.Worker, "peer": by, "slowness": slowness, "step_ms": word.Step.Milliseconds(),
+	}).Info("Streams from a worker take far longer than its word and its peers let expect, or (1) no longer do.")
 }
 
 // judge takes outcomes at a worker, and logs when it is left out or back by them.
@@ -83,31 +101,6 @@
 	}).Info(text)
 }
 
-// takeSteps takes the observed times of streams, by a frontend's report, and logs where
-// they change what is believed of a worker.
-func (p *places) takeSteps(leaders []*Leader, report reservation.Report) {
-	for _, word := range report.Steps[:min(len(report.Steps), reservation.MaximumPaceWords)] {
-		if !filled(leaders, word.Worker) {
-			continue
-		}
-		p.service.pool.ObserveStep(word.Worker, word.Step)
-		slowness := p.service.pool.Slowness(word.Worker)
-		if slowness > 1 == p.paces.slow[word.Worker] {
-			continue
-		}
-		if p.paces.slow == nil {
-			p.paces.slow = map[string]bool{}
-		}
-		maps.DeleteFunc(p.paces.slow, func(id string, _ bool) bool { return p.service.pool.Slowness(id) == 1 })
-		if slowness > 1 {
-			p.paces.slow[word.Worker] = true
-		}
-		p.service.log.WithFields(logrus.Fields{
-			"event": "worker_slow", "worker": word.Worker, "peer": report.Node, "slowness": slowness, "step_ms": word.Step.Milliseconds(),
-		}).Info("Streams from a worker take far longer than its word and its peers let expect, or (1) no longer do.")
-	}
-}
-
 // answerPaces are told with an answer for a place.
 func (p *places) answerPaces(leaders []*Leader, service string) map[string]float64 {
 	p.mutex.Lock()
@@ -124,8 +117,8 @@
 	told := map[string]float64{}
 	workers := p.service.pool.Workers(service)
 	for range workers {
-		p.paces.turn++
-		id := workers[p.paces.turn%len(workers)].ID
+		p.heard.turn++
+		id := workers[p.heard.turn%len(workers)].ID
 		if !filled(leaders, id) {
 			continue
 		}
@@ -142,20 +135,20 @@
 
 // notePace logs what is believed of a worker's machine when it has changed.
 func (p *places) notePace(now time.Time, service, id string, pace worker.Pace) {
-	last, known := p.paces.logged[id]
+	last, known := p.heard.logged[id]
 	if known && (now.Sub(last.at) < paceLineInterval || pace.Slow < last.slow*paceChange && last.slow < pace.Slow*paceChange) {
 		return
 	}
-	if p.paces.logged == nil {
-		p.paces.logged = map[string]paceLogged{}
+	if p.heard.logged == nil {
+		p.heard.logged = map[string]paceLogged{}
 	}
 	if !known {
-		maps.DeleteFunc(p.paces.logged, func(id string, _ paceLogged) bool {
+		maps.DeleteFunc(p.heard.logged, func(id string, _ paceLogged) bool {
 			_, known := p.service.pool.PaceOf(id)
 			return !known
 		})
 	}
-	p.paces.logged[id] = paceLogged{at: now, slow: pace.Slow}
+	p.heard.logged[id] = paceLogged{at: now, slow: pace.Slow}
 	p.service.log.WithFields(logrus.Fields{
 		"event": "worker_pace", "worker": id, "service": service, "pace": pace.Slow, "before": last.slow,
 		"pace_age_ms": pace.Age.Milliseconds(), "pace_source": pace.Source,
--- a/internal/batchrun/heard_test.go
+++ b/internal/batchrun/heard_test.go
@@ -23,26 +23,26 @@
 )
 
 // tellingPaces is a report that holds nothing.
-func tellingPaces(sequence uint64, words ...reservation.PaceWord) reservation.Report {
-	return reservation.Report{Node: "front", Sequence: sequence, Paces: words}
+func tellingPaces(sequence uint64, words ...reservation.Word) reservation.Report {
+	return reservation.Report{Node: "front", Sequence: sequence, Heard: words}
 }
 
 func TestALeaderChoosesByWhatFrontendsHeard(t *testing.T) {
 	long := time.Hour
 	tests := []struct {
 		name  string
-		words []reservation.PaceWord
+		words []reservation.Word
 		held  map[string]int
 		want  string // w1 is the frontend's own choice
 	}{
 		{"nothing told", nil, nil, "w1"},
-		{"the frontend's is slow", []reservation.PaceWord{{Worker: "w0", Pace: 0.7}, {Worker: "w1", Pace: 1.7}}, nil, "w0"},
-		{"the frontend's is fast", []reservation.PaceWord{{Worker: "w0", Pace: 1.7}, {Worker: "w1", Pace: 0.7}}, nil, "w1"},
-		{"the fast one has no slot", []reservation.PaceWord{{Worker: "w0", Pace: 0.7}, {Worker: "w1", Pace: 1.7}}, map[string]int{"w0": 12}, "w1"},
-		{"too old", []reservation.PaceWord{{Worker: "w0", Pace: 0.7, Age: long}, {Worker: "w1", Pace: 1.7, Age: long}}, nil, "w1"},
-		{"of the future", []reservation.PaceWord{{Worker: "w0", Pace: 0.7, Age: -long}, {Worker: "w1", Pace: 1.7, Age: -long}}, nil, "w1"},
-		{"of workers that it does not have", []reservation.PaceWord{{Worker: "other", Pace: 0.7}}, nil, "w1"},
-		{"a pace that is none", []reservation.PaceWord{{Worker: "w0", Pace: -3}, {Worker: "w1"}}, nil, "w1"},
+		{"the frontend's is slow", []reservation.Word{{Worker: "w0", Pace: 0.7}, {Worker: "w1", Pace: 1.7}}, nil, "w0"},
+		{"the frontend's is fast", []reservation.Word{{Worker: "w0", Pace: 1.7}, {Worker: "w1", Pace: 0.7}}, nil, "w1"},
+		{"the fast one has no slot", []reservation.Word{{Worker: "w0", Pace: 0.7}, {Worker: "w1", Pace: 1.7}}, map[string]int{"w0": 12}, "w1"},
+		{"too old", []reservation.Word{{Worker: "w0", Pace: 0.7, PaceAge: long}, {Worker: "w1", Pace: 1.7, PaceAge: long}}, nil, "w1"},
+		{"of the future", []reservation.Word{{Worker: "w0", Pace: 0.7, PaceAge: -long}, {Worker: "w1", Pace: 1.7, PaceAge: -long}}, nil, "w1"},
+		{"of workers that it does not have", []reservation.Word{{Worker: "other", Pace: 0.7}}, nil, "w1"},
+		{"a pace that is none", []reservation.Word{{Worker: "w0", Pace: -3}, {Worker: "w1"}}, nil, "w1"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -63,9 +63,9 @@
 	if told := p.answerPaces(l.service.led(), "lm"); len(told) > 0 {
 		t.Fatalf("told %v, heard nothing", told)
 	}
-	var words []reservation.PaceWord
+	var words []reservation.Word
 	for i := range 20 {
-		words = append(words, reservation.PaceWord{Worker: fmt.Sprint("w", i), Pace: 0.5 + float64(i)/10})
+		words = append(words, reservation.Word{Worker: fmt.Sprint("w", i), Pace: 0.5 + float64(i)/10})
 	}
 	p.take(time.Now(), l.service.led(), reservation.Message{Report: tellingPaces(1, words...)})
 	told := map[string]float64{}
@@ -85,9 +85,9 @@
 
 func TestAReportOfTooManyPacesIsCut(t *testing.T) {
 	l := testLeader(t, 0, 100)
-	var words []reservation.PaceWord
+	var words []reservation.Word
 	for i := range 100 {
-		words = append(words, reservation.PaceWord{Worker: fmt.Sprint("w", i), Pace: 2})
+		words = append(words, reservation.Word{Worker: fmt.Sprint("w", i), Pace: 2})
 	}
 	l.service.places.take(time.Now(), l.service.led(), reservation.Message{Report: tellingPaces(1, words...)})
 	known := 0
@@ -96,7 +96,7 @@
 			known++
 		}
 	}
-	if known != reservation.MaximumPaceWords {
+	if known != reservation.MaximumWords {
 		t.Errorf("%d taken", known)
 	}
 }
@@ -117,7 +117,7 @@
 	}
 	now := time.Now()
 	tell := func(sequence uint64, pace float64) {
-		p.take(now, l.service.led(), reservation.Message{Report: tellingPaces(sequence, reservation.PaceWord{Worker: "w0", Pace: pace})})
+		p.take(now, l.service.led(), reservation.Message{Report: tellingPaces(sequence, reservation.Word{Worker: "w0", Pace: pace})})
 		now = now.Add(paceLineInterval)
 		p.tellPaces(now, l.service.led(), "lm")
 	}
@@ -136,13 +136,13 @@
 }
 
 // breaking is a report of requests that broke at one worker.
-func breaking(node api.NodeID, outcomes map[string]worker.Outcomes) reservation.Report {
-	return reservation.Report{Node: node, Sequence: 1, Outcomes: outcomes}
+func breaking(node api.NodeID, words ...reservation.Word) reservation.Report {
+	return reservation.Report{Node: node, Sequence: 1, Heard: words}
 }
 
 func TestALeaderLeavesOutWhatBreaksAtOneWorker(t *testing.T) {
-	at := func(id string, whole, broken int) map[string]worker.Outcomes {
-		return map[string]worker.Outcomes{id: {Whole: whole, Broken: broken}}
+	at := func(id string, whole, broken int) reservation.Word {
+		return reservation.Word{Worker: id, Outcomes: worker.Outcomes{Whole: whole, Broken: broken}}
 	}
 	tests := []struct {
 		name    string
@@ -185,12 +185,11 @@
 			report := reservation.Report{Node: "front", Sequence: uint64(n + 1)}
 			for i, step := range []time.Duration{30, 200, 32, 34} {
 				id := fmt.Sprint("w", i)
-				report.Steps = append(report.Steps, reservation.StepWord{Worker: id, Step: step * time.Millisecond})
-				report.Paces = append(report.Paces, reservation.PaceWord{Worker: id, Pace: told})
+				report.Heard = append(report.Heard, reservation.Word{Worker: id, Pace: told, Streams: 1, Step: step * time.Millisecond})
 			}
 			l.service.places.take(time.Now(), l.service.led(), reservation.Message{Report: report})
 		}
-		report := reservation.Report{Node: "front", Sequence: 9, Steps: []reservation.StepWord{{Worker: "w1", Step: 200 * time.Millisecond}, {Worker: "other", Step: 1}}}
+		report := reservation.Report{Node: "front", Sequence: 9, Heard: []reservation.Word{{Worker: "w1", Streams: 1, Step: 200 * time.Millisecond}, {Worker: "other", Streams: 1, Step: 1}}}
 		_, got := l.service.places.take(time.Now(), l.service.led(), reservation.Message{Report: report, Ask: asked("w1", 0)})
 		if got.Worker == "" || got.Worker == "w1" {
 			t.Errorf("told %v: %+v", told, got)
@@ -207,6 +206,35 @@
 	}
 }
 
+// What a frontend heard of the start before says nothing of a worker that has started
+// again.
+func TestAWordIsOfOneStart(t *testing.T) {
+	first := time.Unix(1_700_000_000, 0)
+	second := first.Add(time.Minute)
+	tests := []struct {
+		name         string
+		listed, word time.Time
+		taken        bool
+	}{
+		{"the same", first, first, true},
+		{"the one before", second, first, false},
+		{"a later one, not yet listed", first, second, false},
+		{"a frontend that does not tell", first, time.Time{}, true},
+		{"a worker that does not tell", time.Time{}, first, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l := testLeader(t, 0, 0)
+			l.service.pool.WorkersChanged([]catalog.Change{{ID: "w", Worker: worker.Worker{ID: "w", Service: "lm", Slots: 4, Born: test.listed}}})
+			report := tellingPaces(1, reservation.Word{Worker: "w", Born: test.word, Pace: 1.7})
+			l.service.places.take(time.Now(), l.service.led(), reservation.Message{Report: report})
+			if _, known := l.service.pool.PaceOf("w"); known != test.taken {
+				t.Errorf("taken %t", known)
+			}
+		})
+	}
+}
+
 func TestItemsTellOfTheirWorkers(t *testing.T) {
 	tests := []struct {
 		name    string
--- a/internal/batchrun/places.go
+++ b/internal/batchrun/places.go
@@ -25,7 +25,7 @@
 	mutex  sync.Mutex // guards all below; leaders' mutexes are taken after it
 	book   *reservation.Book
 	queues map[string]*reservation.Queue // by service
-	paces  pacesGathered
+	heard  heard
 
 	counts sync.Map // of requests that wait, by service; for readers without the mutex
 }
@@ -78,9 +78,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.book.Report(now, message.Report)
-	p.takePaces(now, leaders, message.Report)
-	p.takeOutcomes(leaders, message.Report)
-	p.takeSteps(leaders, message.Report)
+	p.hear(now, leaders, message.Report)
 	p.placeWaiting(now, leaders)
 	if message.Ask == nil {
 		return nil, reservation.Answer{}
@@ -180,6 +178,7 @@
 	for _, name := range p.service.serviceNames() {
 		for _, w := range p.service.pool.Workers(name) {
 			if filled(leaders, w.ID) {
+				p.book.Began(w.Incarnation())
 				held[w.ID] = p.book.Online(w.ID) + p.service.hidden.of(w.ID)
 			}
 		}
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -63,7 +63,7 @@
 	s.catalog.Freshness(common.Settings.Platform.Freshness)
 	s.guard = guard.New(guard.Settings{
 		Self: common.ID(), Owners: func() []api.Node { return storeclient.Owners(common.Nodes(), s.members.With) },
-		Accepts: s.pool.Accepts, Blind: s.catalog.OutOfContact, Granted: s.wakeAll, KeyValue: common.KeyValue,
+		Accepts: s.pool.Accepts, Current: s.pool.Current, Blind: s.catalog.OutOfContact, Granted: s.wakeAll, KeyValue: common.KeyValue,
 		Prefix: common.Settings.KeyValueService.Prefix, Log: common.Logger("guard"), Registry: common.Registry,
 	})
 	if source.EvacuationPrefix != "" {
@@ -201,7 +201,7 @@
 	seconds  prometheus.Histogram // of a whole item, from its submission
 
 	leftOut   prometheus.Counter   // times that a worker was left out by its outcomes
-	paceWords prometheus.Counter   // of workers, that frontends passed on
+	words     prometheus.Counter   // of workers, by frontends
 	placePace prometheus.Histogram // expected at the places that were given
 }
 
@@ -226,13 +226,13 @@
 	m.leftOut = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "dykewing_batch_workers_left_out_total", Help: "Times that a worker was left out since it failed more than its peers.",
 	})
-	m.paceWords = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "dykewing_batch_pace_words_total", Help: "Words of workers' paces that frontends passed on.",
+	m.words = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "dykewing_batch_worker_words_total", Help: "Words of frontends on what they heard of a worker: its pace, its streams' time, how requests ended.",
 	})
 	m.placePace = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "dykewing_batch_place_pace", Help: "Pace expected of the workers where places were given, a multiple of the usual time.",
 		Buckets: []float64{0.5, 0.75, 1, 1.25, 1.5, 2, 3, 4, 6},
 	})
-	registry.MustRegister(m.leftOut, m.paceWords, m.placePace, m.items, m.attempts, m.waiting, m.running, m.yielded, m.seconds)
+	registry.MustRegister(m.leftOut, m.words, m.placePace, m.items, m.attempts, m.waiting, m.running, m.yielded, m.seconds)
 	return m
 }
--- a/internal/frontend/heard.go
+++ b/internal/frontend/heard.go
@@ -1,9 +1,9 @@
 package frontend
 
 import (
-	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -15,149 +15,135 @@
 	"github.com/dykewing/dykewing/worker"
 )
 
-// wordLife is how long what was heard of a worker waits for a message to the leader that
-// gives places there. A pace is of one moment, and a few tenths of a second later the
-// leader has heard newer ones from others; outcomes are judged by how a worker is now.
-const wordLife = time.Second
-
-// mostWords of workers wait at once: more than a frontend hears in wordLife.
-const mostWords = 1024
+const (
+	// wordLife is how long what was heard of a worker waits for a message to the leader
+	// that gives places there. A pace is of one moment, and a few tenths of a second later
+	// the leader has heard newer ones from others; the rest is judged by how a worker is
+	// now.
+	wordLife = time.Second
+	// mostWords wait at once: of more workers than a frontend hears of in wordLife.
+	mostWords = 1024
+	// leastEvents of a stream are needed to tell the time between two.
+	leastEvents = 5
+)
 
 // heard keeps what this frontend has heard of workers and their leaders have not been
-// told: the newest word of each one's pace, and how requests ended there. The zero value
-// is empty.
+// told. The zero value is empty.
 type heard struct {
-	mutex    sync.Mutex // guards all below
-	words    map[string]paceWord
-	outcomes map[string]outcomesSince
-	steps    []stepSince
-}
-
-type stepSince struct {
-	since time.Time
-	reservation.StepWord
-}
-
-type outcomesSince struct {
-	since time.Time // of the first
-	worker.Outcomes
+	mutex sync.Mutex // guards all below
+	words map[worker.Incarnation]*waitingWord
 }
 
-type paceWord struct {
-	at   time.Time
-	pace float64
+// waitingWord is one start of a worker.
+type waitingWord struct {
+	since  time.Time // of the first news in it
+	paceAt time.Time
+	took   time.Duration // of steps, in all
+	steps  int
+	reservation.Word
 }
 
-// pace takes a load that a worker told with an answer.
-func (h *heard) pace(now time.Time, id string, load worker.Load) {
-	if load.Pace <= 0 {
-		return
-	}
+// note changes what waits of a worker.
+func (h *heard) note(now time.Time, of worker.Incarnation, change func(w *waitingWord)) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if h.words == nil {
-		h.words = map[string]paceWord{}
-	}
-	if len(h.words) >= mostWords {
-		maps.DeleteFunc(h.words, func(_ string, word paceWord) bool { return now.Sub(word.at) > wordLife })
+		h.words = map[worker.Incarnation]*waitingWord{}
 	}
-	if len(h.words) >= mostWords {
-		return
+	w := h.words[of]
+	if w == nil || now.Sub(w.since) > wordLife {
+		h.forget(now)
+		if len(h.words) >= mostWords {
+			return
+		}
+		w = &waitingWord{since: now, Word: reservation.Word{Worker: of.ID, Born: of.Born}}
+		h.words[of] = w
 	}
-	h.words[id] = paceWord{at: now, pace: load.Pace}
+	change(w)
 }
 
-// takePaces gives the words of workers for which mine is true, and forgets them; what has
-// waited too long is forgotten, too.
-func (h *heard) takePaces(now time.Time, mine func(id string) bool) (list []reservation.PaceWord) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	for _, id := range slices.Sorted(maps.Keys(h.words)) {
-		word := h.words[id]
-		age := now.Sub(word.at)
-		switch {
-		case age > wordLife:
-			delete(h.words, id)
-		case mine(id) && len(list) < reservation.MaximumPaceWords:
-			list = append(list, reservation.PaceWord{Worker: id, Pace: word.pace, Age: age})
-			delete(h.words, id)
+// forget drops what has waited too long; the mutex is held.
+func (h *heard) forget(now time.Time) {
+	for of, w := range h.words {
+		if now.Sub(w.since) > wordLife {
+			delete(h.words, of)
 		}
 	}
-	return list
 }
 
-// ended notes how a request ended at a worker.
-func (h *heard) ended(now time.Time, id string, broken bool) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	if h.outcomes == nil {
-		h.outcomes = map[string]outcomesSince{}
+// load notes a load that a worker told with an answer.
+func (h *heard) load(now time.Time, of worker.Incarnation, load worker.Load) {
+	if load.Pace > 0 {
+		h.note(now, of, func(w *waitingWord) { w.Pace, w.paceAt = load.Pace, now })
 	}
-	outcomes, known := h.outcomes[id]
-	if !known && len(h.outcomes) >= mostWords {
-		return
-	}
-	if !known || now.Sub(outcomes.since) > wordLife {
-		outcomes = outcomesSince{since: now}
-	}
-	if broken {
-		outcomes.Broken++
-	} else {
-		outcomes.Whole++
-	}
-	h.outcomes[id] = outcomes
 }
 
-// takeOutcomes gives the outcomes at workers for which mine is true, and forgets them;
-// what has waited too long is forgotten, too.
-func (h *heard) takeOutcomes(now time.Time, mine func(id string) bool) map[string]worker.Outcomes {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	taken := map[string]worker.Outcomes{}
-	for _, id := range slices.Sorted(maps.Keys(h.outcomes)) {
-		outcomes := h.outcomes[id]
-		switch {
-		case now.Sub(outcomes.since) > wordLife:
-			delete(h.outcomes, id)
-		case mine(id) && len(taken) < reservation.MaximumPaceWords:
-			taken[id] = outcomes.Outcomes
-			delete(h.outcomes, id)
+// ended notes how a request ended at a worker.
+func (h *heard) ended(now time.Time, of worker.Incarnation, broken bool) {
+	h.note(now, of, func(w *waitingWord) {
+		if broken {
+			w.Broken++
+		} else {
+			w.Whole++
 		}
-	}
-	return taken
+	})
 }
 
-// leastEvents of a stream are needed to tell the time between two.
-const leastEvents = 5
-
-// step notes the mean time between two events of a stream that has ended.
-func (h *heard) step(now time.Time, id string, events int, took time.Duration) {
-	if events < leastEvents || took <= 0 {
-		return
-	}
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	h.steps = slices.DeleteFunc(h.steps, func(s stepSince) bool { return now.Sub(s.since) > wordLife })
-	if len(h.steps) < mostWords {
-		h.steps = append(h.steps, stepSince{now, reservation.StepWord{Worker: id, Step: took / time.Duration(events-1)}})
+// stream notes how fast the events of a whole stream came.
+func (h *heard) stream(now time.Time, of worker.Incarnation, pace streamPace) {
+	if pace.events >= leastEvents && pace.took > 0 {
+		h.note(now, of, func(w *waitingWord) {
+			w.Streams++
+			w.took += pace.took
+			w.steps += pace.events - 1
+		})
 	}
 }
 
-// takeSteps gives the steps of workers for which mine is true, and forgets them.
-func (h *heard) takeSteps(now time.Time, mine func(id string) bool) (list []reservation.StepWord) {
+// take gives what was heard of workers for which mine is true, and forgets it; what has
+// waited too long is forgotten, too.
+func (h *heard) take(now time.Time, mine func(id string) bool) (list []reservation.Word) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	h.steps = slices.DeleteFunc(h.steps, func(s stepSince) bool {
-		old := now.Sub(s.since) > wordLife
-		if old || !mine(s.Worker) || len(list) == reservation.MaximumPaceWords {
-			return old
+	h.forget(now)
+	for of, w := range h.words {
+		if len(list) == reservation.MaximumWords {
+			break
 		}
-		list = append(list, s.StepWord)
-		return true
-	})
+		if !mine(of.ID) {
+			continue
+		}
+		word := w.Word
+		if word.Pace > 0 {
+			word.PaceAge = now.Sub(w.paceAt)
+		}
+		if w.steps > 0 {
+			word.Step = w.took / time.Duration(w.steps)
+		}
+		list = append(list, word)
+		delete(h.words, of)
+	}
+	slices.SortFunc(list, func(a, b reservation.Word) int { return strings.Compare(a.Worker, b.Worker) })
 	return list
 }
 
+// streamPace is how fast a worker gives the events of one stream. The time in which an
+// event was passed on is not the worker's: a caller may read slowly.
+type streamPace struct {
+	events       int
+	took         time.Duration // by the worker, since the first event
+	lastPassedOn time.Time
+}
+
+func (p *streamPace) came(now time.Time) {
+	if p.events > 0 {
+		p.took += now.Sub(p.lastPassedOn)
+	}
+	p.events++
+}
+
+func (p *streamPace) passedOn(now time.Time) { p.lastPassedOn = now }
+
 // tells is what an attempt's end tells of its worker: that it broke, or did not, or
 // nothing. A worker that is full tells nothing; a failure that it calls the request's
 // own is an answer.
@@ -180,7 +166,14 @@
 		return
 	}
 	if broken, ok := last.tells(); ok {
-		x.frontend.places.heard.ended(time.Now(), ticket.Worker.ID, broken)
+		x.frontend.places.heard.ended(time.Now(), ticket.Worker.Incarnation(), broken)
+	}
+}
+
+// noteStream keeps how fast a whole stream came.
+func (x *exchange) noteStream(ticket *backend.Ticket, pace streamPace) {
+	if x.frontend.givesPlaces(x.service) {
+		x.frontend.places.heard.stream(time.Now(), ticket.Worker.Incarnation(), pace)
 	}
 }
 
--- a/internal/frontend/heard_test.go
+++ b/internal/frontend/heard_test.go
@@ -14,26 +14,28 @@
 	"github.com/dykewing/dykewing/worker"
 )
 
+func of(id string) worker.Incarnation { return worker.Incarnation{ID: id} }
+
 func paceOf(pace float64) worker.Load { return worker.Load{Slots: 4, Pace: pace} }
 
 func TestALeaderIsToldItsWorkersPacesOnce(t *testing.T) {
 	a, b := &answers{rule: gives("wa")}, &answers{rule: gives("wb")}
 	p := leadersOf(t, a, b)
 	now := time.Now()
-	p.heard.pace(now, "wa", paceOf(0.7))
-	p.heard.pace(now, "wa", paceOf(1.75))
-	p.heard.pace(now, "wb", paceOf(1.7))
-	p.heard.pace(now, "unknown", paceOf(1.7))
-	p.heard.pace(now, "wa-silent", worker.Load{Slots: 4})
+	p.heard.load(now, of("wa"), paceOf(0.7))
+	p.heard.load(now, of("wa"), paceOf(1.75))
+	p.heard.load(now, of("wb"), paceOf(1.7))
+	p.heard.load(now, of("unknown"), paceOf(1.7))
+	p.heard.load(now, of("wa-silent"), worker.Load{Slots: 4})
 	for _, want := range []int{1, 0} {
 		if _, refusal := p.take(context.Background(), worker.Query{Service: "s", Excluded: []string{"wb"}}, toBegin(time.Second), nil); refusal != nil {
 			t.Fatal(refusal)
 		}
-		words := a.last().Report.Paces
+		words := a.last().Report.Heard
 		if len(words) != want {
 			t.Fatalf("told %v", words)
 		}
-		if want == 1 && (words[0].Worker != "wa" || words[0].Pace != 1.75 || words[0].Age < 0) {
+		if want == 1 && (words[0].Worker != "wa" || words[0].Pace != 1.75 || words[0].PaceAge < 0) {
 			t.Errorf("told %+v", words[0])
 		}
 	}
@@ -76,20 +78,27 @@
 	p := leadersOf(t, a, b)
 	now := time.Now()
 	for _, broken := range []bool{true, false, true} {
-		p.heard.ended(now, "wa", broken)
+		p.heard.ended(now, of("wa"), broken)
 	}
-	p.heard.ended(now, "wb", true)
-	p.heard.ended(now.Add(-time.Minute), "old", true)
+	p.heard.ended(now, of("wb"), true)
+	p.heard.ended(now.Add(-time.Minute), of("old"), true)
 	for _, want := range []worker.Outcomes{{Whole: 1, Broken: 2}, {}} {
 		if _, refusal := p.take(context.Background(), worker.Query{Service: "s", Excluded: []string{"wb"}}, toBegin(time.Second), nil); refusal != nil {
 			t.Fatal(refusal)
 		}
-		if got := a.last().Report.Outcomes; got["wa"] != want || got["wb"].Broken > 0 {
+		var got worker.Outcomes
+		for _, word := range a.last().Report.Heard {
+			if word.Worker != "wa" {
+				t.Errorf("told of %s", word.Worker)
+			}
+			got = word.Outcomes
+		}
+		if got != want {
 			t.Errorf("told %v", got)
 		}
 	}
-	if len(p.heard.outcomes) != 1 {
-		t.Errorf("kept %v", p.heard.outcomes)
+	if len(p.heard.words) != 1 {
+		t.Errorf("kept %v", p.heard.words)
 	}
 }
 
@@ -118,14 +127,14 @@
 				pace.passedOn(now)
 			}
 			var h heard
-			h.step(now, "w", pace.events, pace.took)
-			h.step(now, "other", 20, time.Second)
-			words := h.takeSteps(now, func(id string) bool { return id == "w" })
-			if len(words) > 1 || len(words) == 1 != (test.want > 0) || test.want > 0 && words[0].Step != test.want {
+			h.stream(now, of("w"), pace)
+			h.stream(now, of("other"), streamPace{events: 20, took: time.Second})
+			words := h.take(now, func(id string) bool { return id == "w" })
+			if len(words) > 1 || len(words) == 1 != (test.want > 0) || test.want > 0 && (words[0].Step != test.want || words[0].Streams != 1) {
 				t.Errorf("told %v", words)
 			}
-			if again := h.takeSteps(now.Add(2*wordLife), func(string) bool { return true }); len(again) != 0 || len(h.steps) != 0 {
-				t.Errorf("told again %v, kept %v", again, h.steps)
+			if again := h.take(now.Add(2*wordLife), func(string) bool { return true }); len(again) != 0 || len(h.words) != 0 {
+				t.Errorf("told again %v, kept %v", again, h.words)
 			}
 		})
 	}
@@ -167,17 +176,17 @@
 		var h heard
 		all := func(string) bool { return true }
 		for i := range 3 * mostWords {
-			h.pace(time.Now(), fmt.Sprint(i), paceOf(1))
+			h.load(time.Now(), of(fmt.Sprint(i)), paceOf(1))
 		}
 		if len(h.words) != mostWords {
 			t.Errorf("%d kept", len(h.words))
 		}
-		if n := len(h.takePaces(time.Now(), all)); n != reservation.MaximumPaceWords {
+		if n := len(h.take(time.Now(), all)); n != reservation.MaximumWords {
 			t.Errorf("%d in one report", n)
 		}
 		time.Sleep(wordLife + time.Millisecond)
-		h.pace(time.Now(), "late", paceOf(1))
-		if words := h.takePaces(time.Now(), all); len(words) != 1 || len(h.words) != 0 {
+		h.load(time.Now(), of("late"), paceOf(1))
+		if words := h.take(time.Now(), all); len(words) != 1 || len(h.words) != 0 {
 			t.Errorf("told %v, kept %d", words, len(h.words))
 		}
 	})
@@ -186,7 +195,7 @@
 // A report is lost with its words; the request is served by the frontend's own choice.
 func TestALostReportOfPacesCostsNoRequest(t *testing.T) {
 	p := leadersOf(t, &answers{rule: breaks}, &answers{rule: breaks})
-	p.heard.pace(time.Now(), "wa", paceOf(0.7))
+	p.heard.load(time.Now(), of("wa"), paceOf(0.7))
 	ticket, refusal := p.take(context.Background(), worker.Query{Service: "s"}, toBegin(time.Second), nil)
 	if ticket == nil || refusal != nil {
 		t.Fatalf("%v %v", ticket, refusal)
--- a/internal/frontend/online.go
+++ b/internal/frontend/online.go
@@ -186,7 +186,7 @@
 	if incoming.Loaded {
 		ticket.Report(incoming.Load)
 		if x.frontend.givesPlaces(x.service) {
-			x.frontend.places.heard.pace(time.Now(), ticket.Worker.ID, incoming.Load)
+			x.frontend.places.heard.load(time.Now(), ticket.Worker.Incarnation(), incoming.Load)
 		}
 	}
 	if incoming.NotRun {
--- a/internal/frontend/stream.go
+++ b/internal/frontend/stream.go
@@ -23,7 +23,7 @@
 			if !x.begun {
 				x.answer(incoming, nil)
 			}
-			x.noteStep(ticket, pace)
+			x.noteStream(ticket, pace)
 			return attemptResult{verdict: done}
 		}
 		if err != nil {
@@ -51,30 +51,6 @@
 	}
 }
 
-// streamPace is how fast a worker gives the events of one stream. The time in which an
-// event was passed on is not the worker's: a caller may read slowly.
-type streamPace struct {
-	events       int
-	took         time.Duration // by the worker, since the first event
-	lastPassedOn time.Time
-}
-
-func (p *streamPace) came(now time.Time) {
-	if p.events > 0 {
-		p.took += now.Sub(p.lastPassedOn)
-	}
-	p.events++
-}
-
-func (p *streamPace) passedOn(now time.Time) { p.lastPassedOn = now }
-
-// noteStep keeps what a whole stream tells of its worker for the leader there.
-func (x *exchange) noteStep(ticket *backend.Ticket, pace streamPace) {
-	if x.frontend.givesPlaces(x.service) {
-		x.frontend.places.heard.step(time.Now(), ticket.Worker.ID, pace.events, pace.took)
-	}
-}
-
 // eventID finds the id line of an event.
 func eventID(event []byte) (string, bool) {
 	for line := range bytes.Lines(event) {
