--- a/internal/frontend/heard.go
+++ b/internal/frontend/heard.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"errors"
 	"net/http"
 	"slices"
 	"strings"
@@ -145,8 +146,8 @@
 func (p *streamPace) passedOn(now time.Time) { p.lastPassedOn = now }
 
 // tells is what an attempt's end tells of its worker: that it broke, or did not, or
-// nothing. A worker that is full tells nothing; a failure that it calls the request's
-// own is an answer.
+// nothing. A worker that is full tells nothing, nor does this process's lack of memory; a
+// failure that it calls the request's own is an answer.
 func (r attemptResult) tells() (broken, ok bool) {
 	switch r.verdict {
 	case done:
@@ -155,6 +156,9 @@
 		status := r.failed.Response.StatusCode
 		return status >= http.StatusInternalServerError || status < http.StatusBadRequest, true
 	}
+	if errors.Is(r.failure.Err, errMemory) {
+		return false, false
+	}
 	return true, r.failure.Code == api.CodeUpstream || r.failure.Code == api.CodeDeadline
 }
 
--- a/internal/frontend/heard_test.go
+++ b/internal/frontend/heard_test.go
@@ -61,6 +61,7 @@
 		{"no answer in its time", attemptResult{verdict: mayRun, failure: failure(api.CodeDeadline)}, true, true},
 		{"no connection", attemptResult{verdict: notRun, failure: failure(api.CodeUpstream)}, true, true},
 		{"full", attemptResult{verdict: notRun, failure: failure(api.CodeNoCapacity)}, true, false},
+		{"no memory here", attemptResult{verdict: mayRun, failure: api.NewError("read answer", "w", api.CodeUpstream, api.OutcomeUnknown, "%w", errMemory)}, false, false},
 		{"the caller left", attemptResult{verdict: mayRun, failure: failure(api.CodeClientCancelled)}, true, false},
 	}
 	for _, test := range tests {
