A worker on trial offers no slot, and lets what runs there end

Cause: as a worker of one slot it had too many requests, and items there would have been told to give way. Change: its slots are what runs there. Measured: TestATrialIsOneRequest, which failed before.

--- a/worker/outlier_test.go
+++ b/worker/outlier_test.go
@@ -98,6 +98,11 @@
 	if slots := p.Occupancies(now, "s")[0].Slots; slots != 1 {
 		t.Errorf("%d slots are offered", slots)
 	}
+	p.Begin("w0", 0)
+	p.Begin("w0", 0)
+	if slots := p.Occupancies(now, "s")[0].Slots; slots != 3 {
+		t.Errorf("%d slots beside 3 requests that run there", slots)
+	}
 	if judgement, changed := p.TakeOutcomes(now, "w0", Outcomes{Whole: 1}); !changed || judgement.Out {
 		t.Errorf("%+v %t after its answer", judgement, changed)
 	}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -242,8 +242,8 @@
 	for _, e := range p.services[service] {
 		occupancy := Occupancy{Worker: e.Worker, Taken: e.own, Others: int(p.loadOf(now, e)+0.5) - e.own}
 		occupancy.Slots = e.slots
-		if e.outlier.onTrial(now) {
-			occupancy.Slots = 1
+		if e.outlier.onTrial(now) { // nothing that still runs there has to give way
+			occupancy.Slots = min(max(occupancy.Taken+occupancy.Others, 1), e.slots)
 		}
 		occupancy.Usable = p.takes(e) && !now.Before(e.downUntil) && !now.Before(e.fullUntil) && !e.outlier.out(now)
 		list = append(list, occupancy)
