--- a/internal/batchrun/heard.go
+++ b/internal/batchrun/heard.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
 	"github.com/dykewing/dykewing/api"
@@ -47,7 +48,7 @@
 		if !listed || !filled(leaders, word.Worker) || !word.Born.IsZero() && !current.Born.IsZero() && !word.Born.Equal(current.Born) {
 			continue
 		}
-		p.service.metrics.words.Inc()
+		p.service.metrics.heard.words.Inc()
 		if word.PaceAge >= 0 && word.PaceAge <= oldestPaceWord {
 			p.service.pool.TellPace(now.Add(-word.PaceAge), word.Worker, word.Pace)
 		}
@@ -93,7 +94,7 @@
 	event, text := "worker_back", "A worker has answered its trial; it gets requests again."
 	if judgement.Out {
 		event, text = "worker_left_out", "A worker fails more than its peers; it gets nothing for a while, then a trial."
-		s.metrics.leftOut.Inc()
+		s.metrics.heard.leftOut.Inc()
 	}
 	s.log.WithFields(logrus.Fields{
 		"event": event, "worker": id, "peer": by, "pause_ms": judgement.Pause.Milliseconds(),
@@ -154,3 +155,27 @@
 		"pace_age_ms": pace.Age.Milliseconds(), "pace_source": pace.Source,
 	}).Info("A worker's machine has another pace than was believed.")
 }
+
+// heardMetrics are of what is heard of workers, and what is chosen by it.
+type heardMetrics struct {
+	leftOut   prometheus.Counter   // times that a worker was left out by its outcomes
+	words     prometheus.Counter   // of workers, by frontends
+	placePace prometheus.Histogram // expected at the places that were given
+}
+
+func newHeardMetrics(registry prometheus.Registerer) *heardMetrics {
+	m := &heardMetrics{
+		leftOut: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "dykewing_batch_workers_left_out_total", Help: "Times that a worker was left out since it failed more than its peers.",
+		}),
+		words: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "dykewing_batch_worker_words_total", Help: "Words of frontends on what they heard of a worker: its pace, its streams' time, how requests ended.",
+		}),
+		placePace: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "dykewing_batch_place_pace", Help: "Pace expected of the workers where places were given, a multiple of the usual time.",
+			Buckets: []float64{0.5, 0.75, 1, 1.25, 1.5, 2, 3, 4, 6},
+		}),
+	}
+	registry.MustRegister(m.leftOut, m.words, m.placePace)
+	return m
+}
--- a/internal/batchrun/places.go
+++ b/internal/batchrun/places.go
@@ -244,7 +244,7 @@
 		Only: func(id string) bool { return candidates[id] },
 	})
 	if ok && choice.Pace.Source != worker.PaceUnknown {
-		p.service.metrics.placePace.Observe(choice.Pace.Value)
+		p.service.metrics.heard.placePace.Observe(choice.Pace.Value)
 	}
 	return choice.Worker.ID, ok
 }
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -200,13 +200,12 @@
 	yielded  prometheus.Counter
 	seconds  prometheus.Histogram // of a whole item, from its submission
 
-	leftOut   prometheus.Counter   // times that a worker was left out by its outcomes
-	words     prometheus.Counter   // of workers, by frontends
-	placePace prometheus.Histogram // expected at the places that were given
+	heard *heardMetrics
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
 	m := &metrics{
+		heard: newHeardMetrics(registry),
 		items: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "dykewing_batch_items_total", Help: "Items listed, by outcome.",
 		}, []string{"outcome"}),
@@ -223,16 +222,6 @@
 			Buckets: prometheus.ExponentialBuckets(0.25, 2, 12),
 		}),
 	}
-	m.leftOut = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "dykewing_batch_workers_left_out_total", Help: "Times that a worker was left out since it failed more than its peers.",
-	})
-	m.words = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "dykewing_batch_worker_words_total", Help: "Words of frontends on what they heard of a worker: its pace, its streams' time, how requests ended.",
-	})
-	m.placePace = prometheus.NewHistogram(prometheus.HistogramOpts{
-		Name: "dykewing_batch_place_pace", Help: "Pace expected of the workers where places were given, a multiple of the usual time.",
-		Buckets: []float64{0.5, 0.75, 1, 1.25, 1.5, 2, 3, 4, 6},
-	})
-	registry.MustRegister(m.leftOut, m.words, m.placePace, m.items, m.attempts, m.waiting, m.running, m.yielded, m.seconds)
+	registry.MustRegister(m.items, m.attempts, m.waiting, m.running, m.yielded, m.seconds)
 	return m
 }
