At most a quarter of the workers that a leader hears of are left out

Cause: the bound was a quarter of all of a service's workers, more than one leader fills. Change: those it hears of.

--- a/worker/outlier.go
+++ b/worker/outlier.go
@@ -17,10 +17,13 @@
 	// peers' together: what breaks everywhere is no fault of one worker.
 	leastBrokenShare = 0.3
 	brokenTimes      = 3.0
-	// mostOut of a service's workers are left out at once, as one part of so many: the
-	// others have to bear their load. A service of fewer than leastPeers loses none.
+	// mostOut of a service's workers of which this process hears are left out at once, as
+	// one part of so many: the others have to bear their load. Of fewer than leastPeers
+	// none is.
 	mostOut    = 4
 	leastPeers = 3
+	// leastHeard outcomes lately: this process hears of a worker.
+	leastHeard = 0.1
 	// firstOut is how long an outlier is left out before its trial; each trial in vain
 	// doubles it up to lastOut.
 	firstOut = time.Second
@@ -108,18 +111,20 @@
 // be left out: others are left, and as much is known of them as is held against it. While
 // all fail, the one whose failures are told first is no outlier.
 func (p *Pool) peersOf(now time.Time, of *entry) (share float64, room bool) {
-	peers, out := outlier{}, 0
-	list := p.services[of.Service]
-	for _, e := range list {
+	peers, out, known := outlier{}, 0, 0
+	for _, e := range p.services[of.Service] {
+		e.outlier.decay(now)
 		if e.outlier.pause > 0 {
 			out++
 		}
+		if e.outlier.pause > 0 || e.outlier.whole+e.outlier.broken >= leastHeard {
+			known++
+		}
 		if e == of || e.outlier.pause > 0 {
 			continue
 		}
-		e.outlier.decay(now)
 		peers.whole += e.outlier.whole
 		peers.broken += e.outlier.broken
 	}
-	return peers.share(), len(list) >= leastPeers && out < max(len(list)/mostOut, 1) && peers.whole+peers.broken >= of.outlier.broken
+	return peers.share(), known >= leastPeers && out < max(known/mostOut, 1) && peers.whole+peers.broken >= of.outlier.broken
 }
--- a/worker/outlier_test.go
+++ b/worker/outlier_test.go
@@ -65,6 +65,26 @@
 	}
 }
 
+// A process hears of the workers that it fills, not of all: its bound is a part of those.
+func TestTheBoundIsOfThoseHeardOf(t *testing.T) {
+	p := testPool(40)
+	for i := range 8 {
+		p.TakeOutcomes(start, fmt.Sprint("w", i), Outcomes{Whole: 30})
+	}
+	for n := range 6 {
+		p.TakeOutcomes(start, fmt.Sprint("w", n), Outcomes{Broken: 90})
+	}
+	out := 0
+	for _, each := range p.Occupancies(start, "s") {
+		if !each.Usable {
+			out++
+		}
+	}
+	if out != 2 {
+		t.Errorf("%d of 8 are left out", out)
+	}
+}
+
 func TestWhereAllFailNoneIsLeftOut(t *testing.T) {
 	p := testPool(8)
 	for n := range 20 {
@@ -82,6 +102,7 @@
 func TestATrialIsOneRequest(t *testing.T) {
 	p := testPool(4)
 	p.TakeOutcomes(start, "w1", Outcomes{Whole: 5})
+	p.TakeOutcomes(start, "w2", Outcomes{Whole: 5})
 	p.TakeOutcomes(start, "w0", Outcomes{Broken: 3})
 	now := start.Add(firstOut)
 	n := 0
@@ -114,6 +135,7 @@
 func TestTheLastOneIsOfferedAlsoWhenLeftOut(t *testing.T) {
 	p := testPool(4)
 	p.TakeOutcomes(start, "w1", Outcomes{Whole: 5})
+	p.TakeOutcomes(start, "w2", Outcomes{Whole: 5})
 	p.TakeOutcomes(start, "w0", Outcomes{Broken: 3})
 	if got := choose(t, p, start, Query{Excluded: []string{"w1", "w2", "w3"}}); got != "w0" {
 		t.Errorf("chose %q", got)
