--- a/worker/pace_test.go
+++ b/worker/pace_test.go
@@ -211,3 +211,26 @@
 		t.Errorf("chose %v", agreed)
 	}
 }
+
+// A choice among the workers of one service at the design's size.
+func BenchmarkChoose(b *testing.B) {
+	for _, told := range []bool{false, true} {
+		for name, settings := range map[string]Settings{"all": DefaultSettings("a"), "two": BlindSettings("a")} {
+			p := NewPool(settings)
+			for i := range 417 {
+				id := fmt.Sprint("w", i)
+				p.Put(Worker{ID: id, Service: "s", Zone: "a", Slots: 8})
+				if told {
+					p.TellPace(start, id, 1)
+				}
+			}
+			query := Query{Service: "s", Parts: []Part{{ID: "shared", Tokens: 600}, {ID: "own", Tokens: 200}}}
+			source := random()
+			b.Run(fmt.Sprintf("paced=%t/%s", told, name), func(b *testing.B) {
+				for b.Loop() {
+					p.Choose(start, query, source)
+				}
+			})
+		}
+	}
+}
