--- a/worker/choose.go
+++ b/worker/choose.go
@@ -23,8 +23,6 @@
 	Limit float64
 	// Zone that the request comes from; empty: the pool's.
 	Zone string
-	// Patient: it has time, and leaves the fast workers to what must begin now.
-	Patient bool
 }
 
 // Choice is a worker with what its choice rested on.
@@ -83,7 +81,7 @@
 			choice.Pace = e.paceOf(now, usual)
 		}
 		choice.Slowness = p.slowness(now, e, typical)
-		cost := p.cost(e, choice, e == agreed, zone, query.Patient) + tieCost*random.Float64()
+		cost := p.cost(e, choice, e == agreed, zone) + tieCost*random.Float64()
 		if cost < least {
 			best, least = choice, cost
 		}
@@ -199,7 +197,7 @@
 }
 
 // cost adds up what makes a worker a worse choice.
-func (p *Pool) cost(e *entry, choice Choice, agreed bool, zone string, patient bool) float64 {
+func (p *Pool) cost(e *entry, choice Choice, agreed bool, zone string) float64 {
 	unread := float64(choice.Unread)
 	if agreed {
 		unread *= agreedDiscount
@@ -210,10 +208,10 @@
 		cost += queueCost * over / slots
 	}
 	if choice.Pace.Source != PaceUnknown {
-		cost = atPace(cost, choice.Pace, patient)
+		cost = atPace(cost, choice.Pace.Value)
 	}
 	if choice.Slowness > 1 {
-		cost = choice.Slowness*(cost+workCost) - workCost
+		cost = atPace(cost, choice.Slowness)
 	}
 	if e.Zone != zone {
 		cost += otherZoneCost
@@ -226,14 +224,8 @@
 }
 
 // atPace is what a request costs with its own work, at a pace; that of the usual pace
-// stays as it is. One that has time pays what it takes from those that have none.
-func atPace(cost float64, pace Pace, patient bool) float64 {
-	factor := pace.Value
-	if patient {
-		factor = 1 / pace.Slow
-	}
-	return factor*(cost+workCost) - workCost
-}
+// stays as it is.
+func atPace(cost, pace float64) float64 { return pace*(cost+workCost) - workCost }
 
 // agreedWorker is the same at every process that sees the same workers: the one
 // with the highest score for the longest shared part. Nil where none is longer than a
