--- a/internal/batchrun/hidden.go
+++ b/internal/batchrun/hidden.go
@@ -40,6 +40,7 @@
 		s.log.WithFields(logrus.Fields{"event": "worker_restarted", "worker": w.ID, "service": w.Service, "born": told.Born}).
 			Info("A worker has started again under its id; what was believed of it is over.")
 	}
+	s.pool.TellPace(time.Now(), w.ID, report.Pace)
 	s.hidden.put(time.Now(), w.Incarnation(), report.Running+report.Waiting, s.pool.Held(w.ID)+s.places.online(w.ID))
 }
 
--- a/internal/batchrun/places.go
+++ b/internal/batchrun/places.go
@@ -31,6 +31,7 @@
 	book   *reservation.Book
 	queues map[string]*reservation.Queue // by service
 	seenAt time.Time                     // when slots were last counted
+	heard  heard
 
 	counts sync.Map // of requests that wait, by service; for readers without the mutex
 }
@@ -72,6 +73,9 @@
 	if waits != nil {
 		answer = p.await(r, waits, message.Ask.Wait)
 	}
+	if message.Ask != nil {
+		answer.Paces = p.answerPaces(leaders, message.Ask.Service)
+	}
 	transport.WriteJSON(w, http.StatusOK, answer)
 }
 
@@ -80,6 +84,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.book.Report(now, message.Report)
+	p.hear(now, leaders, message.Report)
 	p.placeWaiting(now, leaders)
 	if message.Ask == nil {
 		return nil, reservation.Answer{}
@@ -183,7 +188,7 @@
 // placeWaiting gives places to those that wait, in their order; the mutex is held.
 func (p *places) placeWaiting(now time.Time, leaders []*Leader) {
 	p.spread(leaders)
-	observed := p.observe(now, leaders)
+	counted := p.countSlots(now, leaders)
 	for service, queue := range p.queues {
 		if queue.Len() == 0 {
 			queue.Line.Waits(now, false)
@@ -197,7 +202,7 @@
 			queue.Remove(waits)
 			waits.Place <- answer
 		}
-		if observed {
+		if counted {
 			queue.Line.Waits(now, queue.Len() > 0)
 			for _, refused := range queue.Refuse(now) {
 				refused.Place <- p.refuse(now, refused)
@@ -207,9 +212,9 @@
 	}
 }
 
-// observe counts slots, what requests hold of them and what has ended, for the decisions
+// countSlots counts slots, what requests hold of them and what has ended, for the decisions
 // about waits; false when it did so a moment ago. The mutex is held.
-func (p *places) observe(now time.Time, leaders []*Leader) bool {
+func (p *places) countSlots(now time.Time, leaders []*Leader) bool {
 	if now.Sub(p.seenAt) < observeInterval {
 		return false
 	}
@@ -289,18 +294,23 @@
 }
 
 // choose gives the worker that the frontend would choose if it is among the
-// candidates, else the best of these.
+// candidates, else the best of these. Where workers tell their pace the frontend has
+// only drawn a leader: this process knows all that is held at its workers and what all
+// frontends heard there, and chooses the one with the least expected time.
 func (p *places) choose(ask reservation.Ask, candidates map[string]bool) (string, bool) {
 	if len(candidates) == 0 {
 		return "", false
 	}
-	if candidates[ask.Worker] {
+	if candidates[ask.Worker] && !p.service.pool.Paced(ask.Service) && p.service.pool.Slowness(ask.Worker) == 1 {
 		return ask.Worker, true
 	}
 	choice, ok := p.service.pool.Prefer(worker.Query{
 		Service: ask.Service, Parts: ask.Parts, Tokens: ask.Tokens, Zone: ask.Zone,
 		Only: func(id string) bool { return candidates[id] },
 	})
+	if ok && choice.Pace.Source != worker.PaceUnknown {
+		p.service.metrics.heard.placePace.Observe(choice.Pace.Value)
+	}
 	return choice.Worker.ID, ok
 }
 
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -203,10 +203,13 @@
 	lost     prometheus.Counter // seconds
 	held     prometheus.Gauge
 	seconds  prometheus.Histogram // of a whole item, from its submission
+
+	heard *heardMetrics
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
 	m := &metrics{
+		heard: newHeardMetrics(registry),
 		items: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "dykewing_batch_items_total", Help: "Items listed, by outcome.",
 		}, []string{"outcome"}),
--- a/internal/frontend/held.go
+++ b/internal/frontend/held.go
@@ -28,6 +28,11 @@
 		}
 		report.Add(w, n)
 	}
+	mine := func(id string) bool {
+		other, ok := p.leaderOf(id)
+		return ok && other.ID == peer.ID
+	}
+	report.Heard = p.heard.take(known.toldAt, mine)
 	return report
 }
 
--- a/internal/frontend/online.go
+++ b/internal/frontend/online.go
@@ -89,6 +89,7 @@
 		last = x.attempt(ctx, ticket)
 		f.rooms.ended(time.Now(), x.service, last.verdict != notRun)
 		x.noteRun(ticket, last)
+		x.noteOutcome(ticket, last)
 		f.metrics.attempts.WithLabelValues(last.verdict.String()).Inc()
 		if last.verdict == done {
 			x.served(ticket)
@@ -102,7 +103,7 @@
 			break
 		}
 		x.note("request_retried", last.failure).WithField("worker", ticket.Worker.ID).WithField("load", ticket.Load).
-			WithField("load_age_ms", ticket.Age.Milliseconds()).Info("A request goes to another worker.")
+			WithField("load_age_ms", ticket.Age.Milliseconds()).WithFields(paceFields(ticket)).Info("A request goes to another worker.")
 	}
 	if x.refusal != nil && last.verdict != refused && x.runs == 0 {
 		last.failure = x.refusal
@@ -189,6 +190,9 @@
 	defer incoming.Response.Body.Close()
 	if incoming.Loaded {
 		ticket.Report(incoming.Load)
+		if x.frontend.givesPlaces(x.service) {
+			x.frontend.places.heard.load(time.Now(), ticket.Worker.Incarnation(), incoming.Load)
+		}
 	}
 	if incoming.NotRun {
 		return x.turnedAway(ticket, incoming)
@@ -344,7 +348,7 @@
 		return
 	}
 	x.note("request_served", nil).WithField("worker", ticket.Worker.ID).WithField("load", ticket.Load).WithField("unread", ticket.Unread).
-		WithField("load_age_ms", ticket.Age.Milliseconds()).WithField("first_ms", x.first.Milliseconds()).Info("A request was served.")
+		WithField("load_age_ms", ticket.Age.Milliseconds()).WithField("first_ms", x.first.Milliseconds()).WithFields(paceFields(ticket)).Info("A request was served.")
 }
 
 func (v verdict) String() string {
--- a/internal/frontend/places.go
+++ b/internal/frontend/places.go
@@ -58,6 +58,8 @@
 	// leaderOf is the process that gives places at a worker, if it is known.
 	leaderOf func(worker string) (api.Node, bool)
 
+	heard heard // of workers, on its way to leaders
+
 	mutex    sync.Mutex // guards all below
 	sequence uint64     // of the last report; begins with the time of the start
 	leaders  map[api.NodeID]*leader
@@ -290,6 +292,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+placeTimeout)
 	defer cancel()
 	answer, err := p.send(ctx, peer, &ask)
+	p.pool.LearnPaces(answer.Paces)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	known := p.state(peer.ID)
--- a/internal/frontend/stream.go
+++ b/internal/frontend/stream.go
@@ -22,12 +22,14 @@
 	}
 	events := engine.NewEventReader(incoming.Response.Body)
 	cut := func() { _ = controller.SetWriteDeadline(time.Now()) }
+	var pace streamPace
 	for {
 		event, err := events.Next()
 		if err == io.EOF && !events.Cut() {
 			if !x.begun {
 				x.answer(incoming, nil)
 			}
+			x.noteStream(ticket, pace)
 			return attemptResult{verdict: done}
 		}
 		if err != nil {
@@ -35,6 +37,7 @@
 			return attemptResult{verdict: mayRun, failure: failure}
 		}
 		ticket.Started()
+		pace.came(time.Now())
 		if !x.begun {
 			x.copyHeader(incoming.Response.Header)
 			_ = controller.SetWriteDeadline(x.deadline)
@@ -50,6 +53,7 @@
 			x.gone("relay stream", err)
 		}
 		hold.eventRead()
+		pace.passedOn(time.Now())
 		x.events++
 		if id, ok := eventID(event); ok {
 			x.lastEvent = id
--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -26,10 +26,30 @@
 	Sequence uint64         `json:"sequence"`       // grows with each report, also over restarts
 	Seen     uint64         `json:"seen,omitempty"` // the newest grant that Held counts
 	Held     map[string]int `json:"held,omitempty"` // requests, by worker
+	// Heard is what the frontend heard of workers there since its last report; of at most
+	// MaximumWords.
+	Heard []Word `json:"heard,omitempty"`
 	// Born is when the workers of Held started, of those that tell it.
 	Born map[string]time.Time `json:"born,omitempty"`
 }
 
+// MaximumWords of one report: more workers than a frontend hears of at one leader between
+// two of its messages.
+const MaximumWords = 64
+
+// Word is what a frontend heard of one start of a worker.
+type Word struct {
+	Worker string    `json:"worker"`
+	Born   time.Time `json:"born,omitzero"` // when it started, where it tells it
+	// Pace that it told last, so long ago; 0: none.
+	Pace    float64       `json:"pace,omitempty"`
+	PaceAge time.Duration `json:"pace_age,omitempty"`
+	// Streams that ended there, and the mean time between two of their events.
+	Streams int           `json:"streams,omitempty"`
+	Step    time.Duration `json:"step,omitempty"`
+	worker.Outcomes
+}
+
 // Add counts n requests at a worker.
 func (r *Report) Add(w worker.Incarnation, n int) {
 	if r.Held == nil {
@@ -96,6 +116,9 @@
 	// RetryAfter.
 	Hopeless   bool          `json:"hopeless,omitempty"`
 	RetryAfter time.Duration `json:"retry_after,omitempty"`
+	// Paces of some of the workers that the process fills, in turn: the part that is
+	// their machines', as all frontends' words tell it. It comes beside the others.
+	Paces map[string]float64 `json:"paces,omitempty"`
 }
 
 const (
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -46,6 +46,9 @@
 	LoadLife time.Duration
 	// CacheShare of an engine's memory is thought to keep parts of prompts.
 	CacheShare float64
+	// Draw is how many workers are compared for a choice where they tell their paces, and
+	// many processes choose that each see a worker rarely; 0: all.
+	Draw int
 }
 
 // DefaultSettings suit a fleet whose requests take around a second.
@@ -53,6 +56,15 @@
 	return Settings{Zone: zone, DownFor: time.Second, LoadLife: 3 * time.Second, CacheShare: 0.5}
 }
 
+// BlindSettings are DefaultSettings for one of many processes that choose at once and
+// each see a worker rarely. Of two drawn ones the better is nearly as good as the best of
+// all, and no two processes rush to the same.
+func BlindSettings(zone string) Settings {
+	settings := DefaultSettings(zone)
+	settings.Draw = 2
+	return settings
+}
+
 // Pool is the set of workers. It is not safe for concurrent use.
 type Pool struct {
 	settings Settings
@@ -61,6 +73,8 @@
 	capacity map[string]int      // tokens of an engine's memory, by service
 	// evacuated are zones whose workers are to get nothing.
 	evacuated map[string]bool
+	chosen    map[string]bool // services that a choice has looked at
+	typical   map[string]typical
 }
 
 // entry is one worker with what this process knows of it.
@@ -76,12 +90,18 @@
 	broken    int       // answers in a row that broke off
 	parts     *partSet
 	fullUntil time.Time
+	pace      paceBelief
+	outlier   outlier
+	steps     steps
+	seenAt    time.Time // by the first choice that looked at it
+	joined    bool      // other workers of its service had been chosen from before that
 }
 
 // NewPool gives an empty pool.
 func NewPool(settings Settings) *Pool {
 	return &Pool{
 		settings: settings, entries: map[string]*entry{}, services: map[string][]*entry{}, capacity: map[string]int{}, evacuated: map[string]bool{},
+		chosen: map[string]bool{}, typical: map[string]typical{},
 	}
 }
 
@@ -193,6 +213,9 @@
 	}
 	e.others = float64(max(load.Running+load.Waiting-e.own, 0))
 	e.reported = now
+	if load.Pace > 0 {
+		e.pace.tell(now, load.Pace, PaceTold)
+	}
 	e.failures, e.broken = 0, 0
 	e.downUntil = time.Time{}
 }
@@ -219,7 +242,10 @@
 	for _, e := range p.services[service] {
 		occupancy := Occupancy{Worker: e.Worker, Taken: e.own, Others: int(p.loadOf(now, e)+0.5) - e.own}
 		occupancy.Slots = e.slots
-		occupancy.Usable = p.takes(e) && !now.Before(e.downUntil) && !now.Before(e.fullUntil)
+		if e.outlier.onTrial(now) { // nothing that still runs there has to give way
+			occupancy.Slots = min(max(occupancy.Taken+occupancy.Others, 1), e.slots)
+		}
+		occupancy.Usable = p.takes(e) && !now.Before(e.downUntil) && !now.Before(e.fullUntil) && !e.outlier.out(now)
 		list = append(list, occupancy)
 	}
 	return list
