--- a/internal/frontend/heard_test.go
+++ b/internal/frontend/heard_test.go
@@ -28,7 +28,7 @@
 	p.heard.load(now, of("unknown"), paceOf(1.7))
 	p.heard.load(now, of("wa-silent"), worker.Load{Slots: 4})
 	for _, want := range []int{1, 0} {
-		if _, refusal := p.take(context.Background(), worker.Query{Service: "s", Excluded: []string{"wb"}}, toBegin(time.Second), nil); refusal != nil {
+		if _, refusal := p.take(context.Background(), worker.Query{Service: "s", Excluded: []string{"wb"}}, toBegin(time.Second), asking{}, nil); refusal != nil {
 			t.Fatal(refusal)
 		}
 		words := a.last().Report.Heard
@@ -84,7 +84,7 @@
 	p.heard.ended(now, of("wb"), true)
 	p.heard.ended(now.Add(-time.Minute), of("old"), true)
 	for _, want := range []worker.Outcomes{{Whole: 1, Broken: 2}, {}} {
-		if _, refusal := p.take(context.Background(), worker.Query{Service: "s", Excluded: []string{"wb"}}, toBegin(time.Second), nil); refusal != nil {
+		if _, refusal := p.take(context.Background(), worker.Query{Service: "s", Excluded: []string{"wb"}}, toBegin(time.Second), asking{}, nil); refusal != nil {
 			t.Fatal(refusal)
 		}
 		var got worker.Outcomes
@@ -197,7 +197,7 @@
 func TestALostReportOfPacesCostsNoRequest(t *testing.T) {
 	p := leadersOf(t, &answers{rule: breaks}, &answers{rule: breaks})
 	p.heard.load(time.Now(), of("wa"), paceOf(0.7))
-	ticket, refusal := p.take(context.Background(), worker.Query{Service: "s"}, toBegin(time.Second), nil)
+	ticket, refusal := p.take(context.Background(), worker.Query{Service: "s"}, toBegin(time.Second), asking{}, nil)
 	if ticket == nil || refusal != nil {
 		t.Fatalf("%v %v", ticket, refusal)
 	}
