--- a/internal/frontend/heard_test.go
+++ b/internal/frontend/heard_test.go
@@ -157,7 +157,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			rule := always(reservation.Answer{Worker: "wa", Grant: 1, Paces: test.paces})
 			p := leadersOf(t, &answers{rule: rule}, &answers{rule: rule})
-			p.take(context.Background(), worker.Query{Service: "s"}, toBegin(time.Second), nil)
+			p.take(context.Background(), worker.Query{Service: "s"}, toBegin(time.Second), asking{}, nil)
 			if got := p.pool.Paced("s"); got != test.known {
 				t.Fatalf("paced %t", got)
 			}
