No way begins without time for it; three peers are asked before a process is taken to be gone

Cause: a peer that was asked with less than 10 ms left answered 400 and rested for it, though it works; with a third of the peers cut off two of them err in one question of nine. Change: a way after the first begins only with 20 ms left; all three peers may say that they don't reach the process.

--- a/detour/detour.go
+++ b/detour/detour.go
@@ -24,11 +24,9 @@
 	// peerTime is how long a peer has before the next one is asked as well: two round
 	// trips between zones and a little.
 	peerTime = 15 * time.Millisecond
-	// mostPeers of one question.
+	// mostPeers of one question. When none of them reaches the process either, it is taken
+	// to be gone for all; where a third of the peers are cut off one question in 27 errs.
 	mostPeers = 3
-	// mostUnreached peers that say that they don't reach the process either end a
-	// question: it is gone for all.
-	mostUnreached = 2
 	// trialInterval is between two trials of a straight way that failed.
 	trialInterval = time.Second
 	// leastPause and mostPause of a peer that failed: from about what a process is
@@ -101,14 +99,13 @@
 
 // Question is one that is under way.
 type Question struct {
-	ways      *Ways
-	target    api.NodeID
-	begun     time.Time
-	trial     bool // of a straight way that failed
-	first     bool // a peer is taken first
-	asked     []Way
-	peers     int
-	unreached int
+	ways   *Ways
+	target api.NodeID
+	begun  time.Time
+	trial  bool // of a straight way that failed
+	first  bool // a peer is taken first
+	asked  []Way
+	peers  int
 }
 
 // Begin is a new question to a process. Only one that may be repeated tries a straight
@@ -134,7 +131,7 @@
 	if !straight && (!q.first || q.trial) {
 		return q.take(Way{}), true
 	}
-	if q.ways.fault != FaultNoPeer && q.peers < mostPeers && q.unreached < mostUnreached {
+	if q.ways.fault != FaultNoPeer && q.peers < mostPeers {
 		if peer, ok := q.peer(now, peers()); ok {
 			q.peers++
 			return q.take(Way{Via: peer}), true
@@ -197,7 +194,6 @@
 			return t.change(now, !t.failedAt.IsZero())
 		}
 	case Unreached:
-		q.unreached++
 		delete(q.ways.peers, way.Via)
 		t.cut[way.Via] = t.cut[way.Via].longer(now, q.ways.fault)
 	case Silent:
--- a/internal/relayed/relayed.go
+++ b/internal/relayed/relayed.go
@@ -5,6 +5,7 @@
 package relayed
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -27,6 +28,8 @@
 	Paths    []string          // that this process passes on for others
 	Log      *logrus.Entry
 	Registry Registerer
+	// DialTimeout is until a connection is up; 0: dialTimeout.
+	DialTimeout time.Duration
 }
 
 // Asker asks for one process, and passes on what its peers ask. It may be used from
@@ -63,6 +66,9 @@
 	mostPassedOn = 64
 	// wayMargin of a question's time is left for a peer's own answer.
 	wayMargin = 10 * time.Millisecond
+	// leastTime must be left for a way after the first one to begin: with less a peer that works could not
+	// answer, and would be left alone for it.
+	leastTime = wayMargin + 10*time.Millisecond
 	// peersLife is how long the order of peers is kept: to make it costs a hash a process.
 	peersLife = 250 * time.Millisecond
 	// connections kept to each process, how long, and until one is up: within the time
@@ -78,7 +84,7 @@
 	return &Asker{
 		settings: settings, metrics: newMetrics(settings.Registry), room: make(chan struct{}, mostPassedOn), ways: detour.New(),
 		client: transport.NewProbingClient(transport.Options{
-			ConnectionsPerHost: connections, DialTimeout: dialTimeout, IdleLifetime: connectionLifetime, SilenceLimit: silenceLimit,
+			ConnectionsPerHost: connections, DialTimeout: cmp.Or(settings.DialTimeout, dialTimeout), IdleLifetime: connectionLifetime, SilenceLimit: silenceLimit,
 		}),
 	}
 }
@@ -142,7 +148,8 @@
 	ends     chan outcome
 	ctx      context.Context
 	machine  *detour.Question
-	open     int // ways under way
+	begun    int // ways
+	open     int // of them under way
 }
 
 // run tries ways until one answers, none is left or the time is over.
@@ -197,6 +204,9 @@
 
 // next begins the next way; false without one.
 func (r *asking) next() bool {
+	if deadline, _ := r.ctx.Deadline(); r.begun > 0 && time.Until(deadline) < leastTime {
+		return false
+	}
 	now := clock.Now()
 	r.mutex.Lock()
 	way, ok := r.machine.Next(now, func() []api.NodeID { return r.listPeers(now) })
@@ -204,7 +214,7 @@
 	if !ok || r.open == mostWays {
 		return false
 	}
-	r.open++
+	r.begun, r.open = r.begun+1, r.open+1
 	go func() { r.ends <- r.send(r.ctx, way, r.question, r.body) }()
 	return true
 }
