--- a/fill/replay_test.go
+++ b/fill/replay_test.go
@@ -165,6 +165,9 @@
 }
 
 func (r *replay) yield(w *replayWorker, n int, pressed bool) {
+	if n <= 0 {
+		return
+	}
 	items := slices.Clone(w.items)
 	slices.SortStableFunc(items, func(a, b *replayItem) int { return r.way.yields(r.now, r.running(w, a), r.running(w, b)) })
 	for _, item := range items {
@@ -265,8 +268,19 @@
 
 var standingWay = way{"standing", standing, nil, nil}
 
+// standingOf is what the standing way makes of each load, by name, once played.
+var standingOf = map[string]replayed{}
+
 // of plays a load with some seeds.
 func of(l load, w way) (sum replayed) {
+	if played, ok := standingOf[l.name]; ok && w.name == standingWay.name {
+		return played
+	}
+	defer func() {
+		if w.name == standingWay.name {
+			standingOf[l.name] = sum
+		}
+	}()
 	for seed := range uint64(4) {
 		got := play(l, w, seed)
 		sum.items += got.items
