A killed role closes its data folder before the process takes it for ended

Cause: Daemon.Run returned at a kill while the role still held its folder's lock.

Change: Run waits for the role, 2 s at the most.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -147,6 +148,22 @@
 // drainsItself tells whether a role's callers finish before its node stops.
 func drainsItself(role api.Role) bool { return role == api.RoleSidecar || role == api.RoleFrontend }
 
+// killedWait bounds the wait for a role that was killed. It is long beside the close of its
+// files, and short beside what a supervisor waits for a process.
+const killedWait = 2 * time.Second
+
+// awaitFolder waits until a role that was killed has closed what it had open: its data
+// folder is locked until then, and a role that starts in the same process would find it in
+// use.
+func awaitFolder(ended <-chan error) {
+	timer := time.NewTimer(killedWait)
+	defer timer.Stop()
+	select {
+	case <-ended:
+	case <-timer.C:
+	}
+}
+
 // Run serves until ctx ends and then stops as planned; kill ends it at once. A
 // sidecar's callers finish before its node stops; other roles go on until their
 // node has finished its requests.
@@ -172,6 +189,7 @@
 	select {
 	case roleError = <-ended:
 	case <-kill.Done():
+		awaitFolder(ended)
 		return node.ErrKilled
 	}
 	d.Node.System.Shutdown()
--- a/pressure/pressure_test.go
+++ b/pressure/pressure_test.go
@@ -37,22 +37,23 @@
 			if !b.Grow(others, test.held) {
 				t.Fatal("no room for what is held")
 			}
-			h, ok := b.Begin(test.use, 0)
-			if test.use == Answer {
-				ok = b.Grow(h, test.bytes)
-			} else {
-				if h != nil {
-					b.End(h)
-				}
-				_, ok = b.Begin(test.use, test.bytes)
-			}
-			if ok != test.want {
+			if ok := takes(b, test.use, test.bytes); ok != test.want {
 				t.Errorf("taken: %t", ok)
 			}
 		})
 	}
 }
 
+// takes tells whether bytes are had for something new: an answer takes them as it is read.
+func takes(b *Budget, use Use, bytes int64) bool {
+	if use != Answer {
+		_, ok := b.Begin(use, bytes)
+		return ok
+	}
+	h, ok := b.Begin(use, 0)
+	return ok && b.Grow(h, bytes)
+}
+
 func TestWhatIsCut(t *testing.T) {
 	type reader struct {
 		writing time.Duration // ago; negative: nothing is sent
