A lack of own memory is no fault of the worker

Cause: an answer for which a frontend had no memory was told as an upstream failure, which the quarantine guard counts against the worker and its request. Change: its code is internal_error; the outcome stays unknown. Result: TestALackOfMemoryIsNoFaultOfTheWorker, which the former code fails.

--- a/internal/frontend/memory_test.go
+++ b/internal/frontend/memory_test.go
@@ -18,6 +18,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/internal/backend"
 	"github.com/dykewing/dykewing/internal/catalog"
 	"github.com/dykewing/dykewing/pressure"
@@ -182,6 +183,23 @@
 	}
 }
 
+// A lack of this process's own memory was told as a broken worker, and counted against the
+// worker and the request that it ran.
+func TestALackOfMemoryIsNoFaultOfTheWorker(t *testing.T) {
+	tests := []struct {
+		err  error
+		want api.ErrorCode
+	}{
+		{errMemory, api.CodeInternal}, {fmt.Errorf("relay: %w", errMemory), api.CodeInternal},
+		{io.ErrUnexpectedEOF, api.CodeUpstream}, {context.DeadlineExceeded, api.CodeUpstream},
+	}
+	for _, test := range tests {
+		if got := readCode(test.err); got != test.want {
+			t.Errorf("%v: %s", test.err, got)
+		}
+	}
+}
+
 func TestWhatIsHeldOfBodies(t *testing.T) {
 	tests := []struct {
 		name   string
--- a/internal/frontend/online.go
+++ b/internal/frontend/online.go
@@ -243,17 +243,26 @@
 	pieces, err := x.hold().readAnswer(ctx, incoming.Response.Body, maximumAnswerBytes)
 	failure := api.NewError("read answer", ticket.Worker.ID, api.CodeUpstream, api.OutcomeUnknown, "status %d", incoming.Response.StatusCode)
 	if err != nil {
-		failure.Err = err
+		failure.Code, failure.Err = readCode(err), err
 		return attemptResult{verdict: mayRun, failure: failure}
 	}
 	return attemptResult{verdict: refused, failure: failure, failed: incoming, body: pieces}
 }
 
+// readCode is the class of an answer that could not be read: what this process has no
+// memory for says nothing against its worker.
+func readCode(err error) api.ErrorCode {
+	if errors.Is(err, errMemory) {
+		return api.CodeInternal
+	}
+	return api.CodeUpstream
+}
+
 // relayWhole reads the whole answer before a byte goes to the caller.
 func (x *exchange) relayWhole(ctx context.Context, ticket *backend.Ticket, incoming *backend.Incoming) attemptResult {
 	pieces, err := x.hold().readAnswer(ctx, incoming.Response.Body, maximumAnswerBytes)
 	if err != nil {
-		failure := api.NewError("read answer", ticket.Worker.ID, api.CodeUpstream, api.OutcomeUnknown, "%w", err)
+		failure := api.NewError("read answer", ticket.Worker.ID, readCode(err), api.OutcomeUnknown, "%w", err)
 		return attemptResult{verdict: mayRun, failure: failure}
 	}
 	ticket.End()
--- a/internal/frontend/stream.go
+++ b/internal/frontend/stream.go
@@ -17,7 +17,7 @@
 func (x *exchange) relayStream(ctx context.Context, ticket *backend.Ticket, incoming *backend.Incoming) attemptResult {
 	hold, controller := x.hold(), http.NewResponseController(x.w)
 	if err := hold.grow(ctx, streamBytes); err != nil {
-		failure := api.NewError("relay stream", ticket.Worker.ID, api.CodeUpstream, api.OutcomeUnknown, "%w", err)
+		failure := api.NewError("relay stream", ticket.Worker.ID, readCode(err), api.OutcomeUnknown, "%w", err)
 		return attemptResult{verdict: mayRun, failure: failure}
 	}
 	events := engine.NewEventReader(incoming.Response.Body)
