--- a/hold/hold.go
+++ b/hold/hold.go
@@ -1,7 +1,8 @@
 // Package hold orders requests for which no worker has a slot: the more urgent ones by
-// their tenant and route, then those that can still be in time, the one that must begin soonest in front; those that can't
-// wait until nothing else does, or until their deadline is near. It has no input or
-// output and no clock.
+// their tenant and route, then those that were told to return for a slot that is due, then
+// those that can still be in time, the one that must begin soonest in front; those that
+// can't wait until nothing else does, also when their last moment is near: each would take
+// the slot of one that can be in time. It has no input or output and no clock.
 package hold
 
 import (
@@ -28,6 +29,8 @@
 	Begin time.Time
 	// Last is when it must begin at the latest to be answered at all.
 	Last time.Time
+	// Promised is the slot that it was told to return for; zero without one.
+	Promised time.Time
 }
 
 // Class is how soon a request is to be taken; the least goes first.
@@ -35,21 +38,18 @@
 
 // The classes.
 const (
-	Expiring Class = iota // late already, and soon too late to be answered at all
+	Promised Class = iota // was told to return, and the slot it was told of is due
 	InTime                // can still be in time
 	Late                  // can't be in time any more
 )
 
-// lastCall is how long before Last a late request goes before all others.
-const lastCall = 300 * time.Millisecond
-
 // Class tells how a request stands now.
 func (r Request) Class(now time.Time) Class {
 	switch {
+	case !r.Promised.IsZero() && !now.Before(r.Promised):
+		return Promised
 	case !now.After(r.Begin):
 		return InTime
-	case now.Add(lastCall).After(r.Last):
-		return Expiring
 	}
 	return Late
 }
@@ -61,7 +61,10 @@
 }
 
 func compareIn(class Class, a, b Request) int {
-	if class == InTime {
+	switch class {
+	case Promised:
+		return a.Promised.Compare(b.Promised)
+	case InTime:
 		return a.Begin.Compare(b.Begin)
 	}
 	return a.Last.Compare(b.Last)
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -119,6 +119,52 @@
 	return current, ok
 }
 
+// TellPace takes a worker's word of its pace that another process heard at a moment.
+func (p *Pool) TellPace(at time.Time, id string, pace float64) {
+	p.do(func(pool *worker.Pool) { pool.TellPace(at, id, pace) })
+}
+
+// LearnPaces takes the stable parts of workers' paces that another process gathered.
+func (p *Pool) LearnPaces(slow map[string]float64) {
+	now := time.Now()
+	p.do(func(pool *worker.Pool) {
+		for id, pace := range slow {
+			pool.LearnPace(now, id, pace)
+		}
+	})
+}
+
+// Paced tells whether something is known of the pace of one of a service's workers.
+func (p *Pool) Paced(service string) (paced bool) {
+	p.do(func(pool *worker.Pool) { paced = pool.Paced(time.Now(), service) })
+	return paced
+}
+
+// PaceOf is what is believed of a worker's pace; false where nothing is known.
+func (p *Pool) PaceOf(id string) (pace worker.Pace, known bool) {
+	p.do(func(pool *worker.Pool) { pace, known = pool.PaceOf(time.Now(), id) })
+	return pace, known
+}
+
+// ObserveStep takes the mean time between two events of a stream that a worker gave.
+func (p *Pool) ObserveStep(id string, step time.Duration) {
+	p.do(func(pool *worker.Pool) { pool.ObserveStep(time.Now(), id, step) })
+}
+
+// Slowness is how many times as long as expected work takes at a worker; 1 unless it is
+// far beyond.
+func (p *Pool) Slowness(id string) (slowness float64) {
+	p.do(func(pool *worker.Pool) { slowness = pool.Slowness(time.Now(), id) })
+	return slowness
+}
+
+// TakeOutcomes takes how requests ended at a worker. True with a change of what is
+// believed of it.
+func (p *Pool) TakeOutcomes(id string, outcomes worker.Outcomes) (judgement worker.Judgement, changed bool) {
+	p.do(func(pool *worker.Pool) { judgement, changed = pool.TakeOutcomes(time.Now(), id, outcomes) })
+	return judgement, changed
+}
+
 // Accepts tells whether a worker is listed and does not leave.
 func (p *Pool) Accepts(id string) (accepts bool) {
 	p.do(func(pool *worker.Pool) { accepts = pool.Accepts(id) })
--- a/internal/batchrun/dispatch.go
+++ b/internal/batchrun/dispatch.go
@@ -92,6 +92,7 @@
 	clear(l.waiting[len(kept):])
 	l.waiting = kept
 	l.service.metrics.waiting.Set(float64(len(l.waiting)))
+	l.service.metrics.held.Set(float64(room.held()))
 	l.service.metrics.running.Set(float64(len(l.running)))
 	return started
 }
@@ -127,23 +128,37 @@
 	if full[i.service] && i.standing != fill.Pressed {
 		return false
 	}
+	left := l.left(i)
+	held := room.holds(i.service, i.standing == fill.Pressed, left)
+	if held && len(room.trials) == 0 {
+		return false
+	}
 	query := worker.Query{
 		Service: i.service, Parts: i.parts, Tokens: i.tokens,
-		Only: func(id string) bool { return room.allows(id, i.service, i.standing == fill.Pressed) },
+		Only: func(id string) bool {
+			return room.allows(id, i.service, i.standing == fill.Pressed, l.lengths.At(id, left))
+		},
 	}
 	if i.avoid != "" {
 		query.Excluded = []string{i.avoid}
 	}
-	ticket, ok := l.service.pool.Take(query)
+	ticket, ok := l.take(now, i.standing, query)
+	if !ok && held {
+		return false
+	}
 	if !ok {
 		i.avoid = ""
 		full[i.service] = i.standing != fill.Pressed
 		return false
 	}
+	if room.trials[ticket.Worker.ID] == i.service {
+		l.tellTrial(now, i, ticket.Worker.ID, held)
+	}
 	room.take(ticket.Worker.ID, i.service)
 	ctx, cancel := context.WithCancel(l.ctx)
 	i.cancel, i.worker, i.since = cancel, ticket.Worker.ID, now
 	l.running[i] = true
+	l.suspects.began(i.worker, i)
 	go l.run(ctx, i, matched.MaxAttempts, ticket)
 	return true
 }
@@ -166,7 +181,7 @@
 	if err != nil {
 		return false
 	}
-	i.text, i.last, i.kept = []byte(partial.Text), partial.Last, len(partial.Text)
+	i.text, i.last, i.kept, i.lasting = []byte(partial.Text), partial.Last, len(partial.Text), len(partial.Text)
 	i.failures, i.keptFailures = partial.Failures, partial.Failures
 	i.path, i.host, i.parts, i.tokens = stored.Path, i.job.Host, request.Parts, request.PromptTokens
 	i.digest = quarantine.Identity{Tenant: string(i.job.Tenant), Host: i.host, Target: stored.Path, Body: stored.Body}.Digest()
--- a/internal/batchrun/places.go
+++ b/internal/batchrun/places.go
@@ -14,6 +14,11 @@
 	"github.com/dykewing/dykewing/worker"
 )
 
+// observeInterval is between two counts of slots, holdings and ends, and between two
+// looks at whether those that wait have hope: a tenth of the time that a request which
+// is refused may have waited.
+const observeInterval = 10 * time.Millisecond
+
 // maximumPlaceBytes of a frontend's message: an entry a worker, and a prompt's parts.
 const maximumPlaceBytes = 1 << 20
 
@@ -25,6 +30,8 @@
 	mutex  sync.Mutex // guards all below; leaders' mutexes are taken after it
 	book   *reservation.Book
 	queues map[string]*reservation.Queue // by service
+	seenAt time.Time                     // when slots were last counted
+	heard  heard
 
 	counts sync.Map // of requests that wait, by service; for readers without the mutex
 }
@@ -66,6 +73,9 @@
 	if waits != nil {
 		answer = p.await(r, waits, message.Ask.Wait)
 	}
+	if message.Ask != nil {
+		answer.Paces = p.answerPaces(leaders, message.Ask.Service)
+	}
 	transport.WriteJSON(w, http.StatusOK, answer)
 }
 
@@ -74,6 +84,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.book.Report(now, message.Report)
+	p.hear(now, leaders, message.Report)
 	p.placeWaiting(now, leaders)
 	if message.Ask == nil {
 		return nil, reservation.Answer{}
@@ -86,22 +97,28 @@
 	ask := *message.Ask
 	queue := p.queue(ask.Service)
 	waits := reservation.Wait(now, message.Report.Node, ask)
+	if ask.Wait > 0 && ask.Returned {
+		queue.Arrived(now, waits) // its promise counts
+	}
 	if queue.Len() == 0 {
 		if answer, ok := p.place(now, leaders, waits); ok {
+			p.arrived(now, queue, waits)
 			return nil, answer
 		}
 	}
-	if until := queue.Until(now, waits); until > ask.Last {
-		p.service.log.WithFields(logrus.Fields{
-			"event": "place_refused", "peer": waits.Node, "service": ask.Service, "waiting": queue.Len(),
-			"until_ms": until.Milliseconds(), "last_ms": ask.Last.Milliseconds(),
-		}).Info("A request can't have a place in time.")
-		return nil, reservation.Answer{Hopeless: true, RetryAfter: until, Waiting: queue.Len()}
-	}
 	if ask.Wait <= 0 {
-		return nil, reservation.Answer{Full: true, Waiting: queue.Len()}
+		return nil, queue.Full(now, waits)
+	}
+	verdict := queue.Decide(now, waits)
+	if verdict.Refuse && ask.Elsewhere {
+		return nil, reservation.Answer{Hopeless: true, Waiting: queue.Len(), Until: verdict.Until}
+	}
+	p.arrived(now, queue, waits)
+	if verdict.Refuse {
+		return nil, p.refuse(now, reservation.Refused{Waiting: waits, Verdict: verdict})
 	}
 	queue.Add(waits)
+	queue.Line.Waits(now, true)
 	p.counts.Store(ask.Service, queue.Len())
 	for _, leader := range leaders {
 		leader.wakeUp()
@@ -109,6 +126,26 @@
 	return waits, reservation.Answer{}
 }
 
+// arrived notes a request where it is placed, waits or is refused for good, once.
+func (p *places) arrived(now time.Time, queue *reservation.Queue, waits *reservation.Waiting) {
+	if !waits.Ask.Returned || waits.Ask.Wait <= 0 {
+		queue.Arrived(now, waits)
+	}
+}
+
+// refuse answers a request that can't have a place in time; the mutex is held.
+func (p *places) refuse(now time.Time, r reservation.Refused) reservation.Answer {
+	queue := p.queue(r.Ask.Service)
+	p.service.metrics.refused.Inc()
+	p.service.log.WithFields(logrus.Fields{
+		"event": "place_refused", "peer": r.Node, "service": r.Ask.Service, "waiting": queue.Len(), "ahead": r.Verdict.Ahead, "told": r.Verdict.Told,
+		"rate": r.Verdict.PerSecond, "until_ms": r.Verdict.Until.Milliseconds(), "begin_ms": r.Order.Begin.Sub(now).Milliseconds(),
+		"last_ms": r.Order.Last.Sub(now).Milliseconds(), "waited_ms": now.Sub(r.Since).Milliseconds(), "returned": r.Ask.Returned,
+		"promised": !r.Order.Promised.IsZero(), "return_ms": r.Verdict.Return.Milliseconds(),
+	}).Info("A request can't have a place in time.")
+	return reservation.Answer{Hopeless: true, RetryAfter: r.Verdict.Return, Waiting: queue.Len(), Until: r.Verdict.Until}
+}
+
 // await gives the place of a request that waits, as soon as there is one.
 func (p *places) await(r *http.Request, waits *reservation.Waiting, longest time.Duration) reservation.Answer {
 	timer := time.NewTimer(longest)
@@ -126,7 +163,7 @@
 		return <-waits.Place
 	}
 	p.counts.Store(waits.Ask.Service, queue.Len())
-	return reservation.Answer{Full: true, Waiting: queue.Len()}
+	return queue.Full(time.Now(), waits)
 }
 
 func (p *places) queue(service string) *reservation.Queue {
@@ -151,8 +188,10 @@
 // placeWaiting gives places to those that wait, in their order; the mutex is held.
 func (p *places) placeWaiting(now time.Time, leaders []*Leader) {
 	p.spread(leaders)
+	counted := p.countSlots(now, leaders)
 	for service, queue := range p.queues {
 		if queue.Len() == 0 {
+			queue.Line.Waits(now, false)
 			continue
 		}
 		for _, waits := range queue.Sorted(now) {
@@ -163,10 +202,41 @@
 			queue.Remove(waits)
 			waits.Place <- answer
 		}
+		if counted {
+			queue.Line.Waits(now, queue.Len() > 0)
+			for _, refused := range queue.Refuse(now) {
+				refused.Place <- p.refuse(now, refused)
+			}
+		}
 		p.counts.Store(service, queue.Len())
 	}
 }
 
+// countSlots counts slots, what requests hold of them and what has ended, for the decisions
+// about waits; false when it did so a moment ago. The mutex is held.
+func (p *places) countSlots(now time.Time, leaders []*Leader) bool {
+	if now.Sub(p.seenAt) < observeInterval {
+		return false
+	}
+	p.seenAt = now
+	ended := p.book.Ended()
+	for _, name := range p.service.serviceNames() {
+		slots, held, ends := 0, 0, 0
+		for _, seen := range p.service.pool.Occupancies(name) {
+			if !filled(leaders, seen.ID) {
+				continue
+			}
+			ends += ended[seen.ID]
+			if seen.Usable {
+				slots += seen.Slots
+				held += min(p.book.Online(seen.ID), seen.Slots)
+			}
+		}
+		p.queue(name).Line.Observe(now, slots, held, ends)
+	}
+	return true
+}
+
 // spread lets choices of workers see what frontends hold; the mutex is held.
 func (p *places) spread(leaders []*Leader) {
 	held := map[string]int{}
@@ -197,7 +267,7 @@
 		}
 	}
 	grant := p.book.Give(now, waits.Node, id)
-	p.queue(waits.Ask.Service).Placed(now)
+	p.queue(waits.Ask.Service).Placed(now, waits)
 	p.service.pool.Read(id, waits.Ask.Parts)
 	p.service.pool.SetOthers(map[string]int{id: p.book.Online(id) + p.service.hidden.of(id)})
 	return reservation.Answer{Worker: id, Grant: grant}, true
@@ -224,18 +294,23 @@
 }
 
 // choose gives the worker that the frontend would choose if it is among the
-// candidates, else the best of these.
+// candidates, else the best of these. Where workers tell their pace the frontend has
+// only drawn a leader: this process knows all that is held at its workers and what all
+// frontends heard there, and chooses the one with the least expected time.
 func (p *places) choose(ask reservation.Ask, candidates map[string]bool) (string, bool) {
 	if len(candidates) == 0 {
 		return "", false
 	}
-	if candidates[ask.Worker] {
+	if candidates[ask.Worker] && !p.service.pool.Paced(ask.Service) && p.service.pool.Slowness(ask.Worker) == 1 {
 		return ask.Worker, true
 	}
 	choice, ok := p.service.pool.Prefer(worker.Query{
 		Service: ask.Service, Parts: ask.Parts, Tokens: ask.Tokens, Zone: ask.Zone,
 		Only: func(id string) bool { return candidates[id] },
 	})
+	if ok && choice.Pace.Source != worker.PaceUnknown {
+		p.service.metrics.heard.placePace.Observe(choice.Pace.Value)
+	}
 	return choice.Worker.ID, ok
 }
 
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -45,6 +45,7 @@
 
 	hidden hidden
 	places *places
+	near   *nearby
 
 	mutex   sync.Mutex // guards leaders
 	leaders map[*Leader]bool
@@ -53,10 +54,10 @@
 // New gives a service that learns configuration and workers from source.
 func New(common *node.Node, protocol backend.Protocol, source catalog.Source) *Service {
 	s := &Service{
-		settings: common.Settings.Batch, groups: common.Settings.Store.Groups, core: common.Settings.Node.ProcessorShare, log: common.Logger("batch"), caller: backend.NewCaller(protocol),
+		settings: common.Settings.Batch, groups: common.Settings.Store.Groups, core: common.Settings.Node.ProcessorShare, log: common.Logger("batch"), caller: backend.NewCaller(protocol).Count(common.Traffic),
 		metrics: newMetrics(common.Registry), leaders: map[*Leader]bool{}, members: &storeclient.Registered{}, nodes: common.Nodes,
 	}
-	s.places = newPlaces(s)
+	s.places, s.near = newPlaces(s), newNearby(common.Settings.Node.Zone)
 	s.pool = backend.NewPool(worker.DefaultSettings(common.Settings.Node.Zone), s.wakeAll)
 	s.catalog = catalog.New(source, common.KeyValue, common.Logger("catalog"), s.pool)
 	common.OnResume(s.catalog.Renew)
@@ -75,7 +76,7 @@
 	common.Registry.MustRegister(s.catalog.Metrics()...)
 	s.catalog.Also(common.Settings.KeyValueService.Prefix+storeclient.PrefixStores, s.members)
 	s.stores = &storeclient.Client{
-		HTTP: transport.NewClient(storeConnections), AttemptTimeout: storeAttempt,
+		HTTP: common.Traffic.Count(transport.NewClient(storeConnections), transport.KindJobs), AttemptTimeout: storeAttempt,
 		Nodes: func() []api.Node { return s.members.With(common.Nodes()) },
 	}
 	common.Mux.Handle("POST "+limiter.PathTokens, limiter.NewOwner(common.Settings.Tenants.Tolerance(), common.ID(), common.Nodes))
@@ -198,11 +199,17 @@
 	waiting  prometheus.Gauge
 	running  prometheus.Gauge
 	yielded  prometheus.Counter
+	refused  prometheus.Counter // requests that can't have a place in time
+	lost     prometheus.Counter // seconds
+	held     prometheus.Gauge
 	seconds  prometheus.Histogram // of a whole item, from its submission
+
+	heard *heardMetrics
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
 	m := &metrics{
+		heard: newHeardMetrics(registry),
 		items: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "dykewing_batch_items_total", Help: "Items listed, by outcome.",
 		}, []string{"outcome"}),
@@ -214,11 +221,20 @@
 		yielded: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "dykewing_batch_items_yielded_total", Help: "Items stopped because requests waited at their worker.",
 		}),
+		refused: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "dykewing_places_refused_total", Help: "Requests refused a place since there will be none in time.",
+		}),
+		lost: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "dykewing_batch_run_lost_seconds_total", Help: "Time that items that gave way had run since their last event.",
+		}),
+		held: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "dykewing_batch_items_held_back", Help: "Items that wait beside free slots for a rise of online requests that is expected.",
+		}),
 		seconds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "dykewing_batch_item_seconds", Help: "Time from a job's submission to an item's result.",
 			Buckets: prometheus.ExponentialBuckets(0.25, 2, 12),
 		}),
 	}
-	registry.MustRegister(m.items, m.attempts, m.waiting, m.running, m.yielded, m.seconds)
+	registry.MustRegister(m.items, m.attempts, m.waiting, m.running, m.yielded, m.refused, m.lost, m.held, m.seconds)
 	return m
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -23,6 +23,7 @@
 	"github.com/dykewing/dykewing/internal/guard"
 	"github.com/dykewing/dykewing/internal/limiter"
 	"github.com/dykewing/dykewing/internal/node"
+	"github.com/dykewing/dykewing/internal/relayed"
 	"github.com/dykewing/dykewing/internal/storeclient"
 	"github.com/dykewing/dykewing/internal/transport"
 	"github.com/dykewing/dykewing/worker"
@@ -57,6 +58,7 @@
 	pool     *backend.Pool
 	caller   *backend.Caller
 	stores   *storeclient.Client
+	asker    *relayed.Asker
 	limiter  *limiter.Limiter
 	guard    *guard.Guard
 	metrics  *metrics
@@ -65,6 +67,7 @@
 
 	patience patience
 	places   *places
+	rooms    rooms
 	leaders  *storeclient.Leaders
 
 	samples *rate.Limiter // of lines about ordinary successes
@@ -101,7 +104,7 @@
 	}
 	f := &Frontend{
 		node: common, settings: settings, log: common.Logger("frontend"), protocol: protocol, port: port,
-		caller: backend.NewCaller(protocol), metrics: newMetrics(common.Registry),
+		caller: backend.NewCaller(protocol).Count(common.Traffic), metrics: newMetrics(common.Registry),
 		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		samples: rate.NewLimiter(servedLinesPerSecond, servedLinesPerSecond),
 	}
@@ -109,9 +112,14 @@
 	f.ending, f.endAll = context.WithCancel(context.Background())
 	registered := &storeclient.Registered{}
 	f.leaders = &storeclient.Leaders{Prefix: common.Settings.KeyValueService.Prefix}
-	f.stores = &storeclient.Client{HTTP: newStoreClient(), AttemptTimeout: storeAttempt, Nodes: func() []api.Node { return registered.With(common.Nodes()) }}
-	f.limiter = limiter.New(common.Settings.Tenants.Tolerance(), func() []api.Node { return storeclient.Owners(common.Nodes(), registered.With) }, f.holders, common.Logger("limits"), common.Registry)
-	f.pool = backend.NewPool(worker.DefaultSettings(common.Settings.Node.Zone), nil)
+	f.stores = &storeclient.Client{HTTP: common.Traffic.Count(newStoreClient(), transport.KindJobs), AttemptTimeout: storeAttempt, Nodes: func() []api.Node { return registered.With(common.Nodes()) }}
+	f.asker = relayed.New(relayed.Settings{
+		Self: f.self, Nodes: common.Nodes, Paths: []string{limiter.PathTokens}, Log: common.Logger("relayed"), Registry: common.Registry,
+	})
+	common.Mux.Handle("POST "+relayed.Path, f.asker)
+	common.SetSummary(func() api.Summary { return api.Summary{Apart: f.asker.Apart()} })
+	f.limiter = limiter.New(common.Settings.Tenants.Tolerance(), common.ID(), f.asker, func() []api.Node { return storeclient.Owners(common.Nodes(), registered.With) }, f.holders, common.Logger("limits"), common.Registry)
+	f.pool = backend.NewPool(worker.BlindSettings(common.Settings.Node.Zone), nil)
 	f.places = newPlaces(f)
 	f.catalog = catalog.New(source, common.KeyValue, common.Logger("catalog"), f.pool)
 	common.OnResume(f.catalog.Renew)
@@ -151,6 +159,7 @@
 func newStoreClient() *http.Client {
 	return transport.NewProbingClient(transport.Options{
 		ConnectionsPerHost: storeConnections, DialTimeout: storeDialTimeout, IdleLifetime: storeIdleLifetime, SilenceLimit: storeSilence,
+		Compressed: true,
 	})
 }
 
@@ -209,7 +218,7 @@
 	stop()
 	running.Wait()
 	f.caller.Close()
-	f.limiter.Close()
+	f.asker.Close()
 	f.stores.HTTP.CloseIdleConnections()
 	return failure
 }
--- a/internal/frontend/online.go
+++ b/internal/frontend/online.go
@@ -57,6 +57,7 @@
 	x.lastEvent = x.request.LastEvent
 	last := attemptResult{failure: api.NewError("choose worker", "", api.CodeNoCapacity, api.OutcomeNotRun, "no worker of %s takes it", x.service)}
 	room := roomWait{sends: maximumSends}
+	defer x.leaveRoom(&room)
 	for {
 		// Also before a place is waited for: the answer is final and comes at once.
 		if refusal := x.quarantined(ctx); refusal != nil {
@@ -84,8 +85,11 @@
 		}
 		x.sends++
 		room.sends--
+		f.rooms.began(time.Now(), x.service)
 		last = x.attempt(ctx, ticket)
+		f.rooms.ended(time.Now(), x.service, last.verdict != notRun)
 		x.noteRun(ticket, last)
+		x.noteOutcome(ticket, last)
 		f.metrics.attempts.WithLabelValues(last.verdict.String()).Inc()
 		if last.verdict == done {
 			x.served(ticket)
@@ -99,7 +103,7 @@
 			break
 		}
 		x.note("request_retried", last.failure).WithField("worker", ticket.Worker.ID).WithField("load", ticket.Load).
-			WithField("load_age_ms", ticket.Age.Milliseconds()).Info("A request goes to another worker.")
+			WithField("load_age_ms", ticket.Age.Milliseconds()).WithFields(paceFields(ticket)).Info("A request goes to another worker.")
 	}
 	if x.refusal != nil && last.verdict != refused && x.runs == 0 {
 		last.failure = x.refusal
@@ -141,7 +145,7 @@
 // place takes a worker, with its leader's word where the service runs batch.
 func (x *exchange) place(ctx context.Context) (*backend.Ticket, *api.Error) {
 	if x.frontend.givesPlaces(x.service) {
-		return x.frontend.places.take(ctx, x.query(), x.order(), x.noteDropped)
+		return x.frontend.places.take(ctx, x.query(), x.order(), asking{returned: x.returned(), again: x.sends > 0}, x.noteDropped)
 	}
 	ticket, _ := x.frontend.pool.Take(x.query())
 	return ticket, nil
@@ -186,6 +190,9 @@
 	defer incoming.Response.Body.Close()
 	if incoming.Loaded {
 		ticket.Report(incoming.Load)
+		if x.frontend.givesPlaces(x.service) {
+			x.frontend.places.heard.load(time.Now(), ticket.Worker.Incarnation(), incoming.Load)
+		}
 	}
 	if incoming.NotRun {
 		return x.turnedAway(ticket, incoming)
@@ -236,17 +243,26 @@
 	pieces, err := x.hold().readAnswer(ctx, incoming.Response.Body, maximumAnswerBytes)
 	failure := api.NewError("read answer", ticket.Worker.ID, api.CodeUpstream, api.OutcomeUnknown, "status %d", incoming.Response.StatusCode)
 	if err != nil {
-		failure.Err = err
+		failure.Code, failure.Err = readCode(err), err
 		return attemptResult{verdict: mayRun, failure: failure}
 	}
 	return attemptResult{verdict: refused, failure: failure, failed: incoming, body: pieces}
 }
 
+// readCode is the class of an answer that could not be read: what this process has no
+// memory for says nothing against its worker.
+func readCode(err error) api.ErrorCode {
+	if errors.Is(err, errMemory) {
+		return api.CodeInternal
+	}
+	return api.CodeUpstream
+}
+
 // relayWhole reads the whole answer before a byte goes to the caller.
 func (x *exchange) relayWhole(ctx context.Context, ticket *backend.Ticket, incoming *backend.Incoming) attemptResult {
 	pieces, err := x.hold().readAnswer(ctx, incoming.Response.Body, maximumAnswerBytes)
 	if err != nil {
-		failure := api.NewError("read answer", ticket.Worker.ID, api.CodeUpstream, api.OutcomeUnknown, "%w", err)
+		failure := api.NewError("read answer", ticket.Worker.ID, readCode(err), api.OutcomeUnknown, "%w", err)
 		return attemptResult{verdict: mayRun, failure: failure}
 	}
 	ticket.End()
@@ -341,7 +357,7 @@
 		return
 	}
 	x.note("request_served", nil).WithField("worker", ticket.Worker.ID).WithField("load", ticket.Load).WithField("unread", ticket.Unread).
-		WithField("load_age_ms", ticket.Age.Milliseconds()).WithField("first_ms", x.first.Milliseconds()).Info("A request was served.")
+		WithField("load_age_ms", ticket.Age.Milliseconds()).WithField("first_ms", x.first.Milliseconds()).WithFields(paceFields(ticket)).Info("A request was served.")
 }
 
 func (v verdict) String() string {
--- a/internal/frontend/stream.go
+++ b/internal/frontend/stream.go
@@ -17,17 +17,19 @@
 func (x *exchange) relayStream(ctx context.Context, ticket *backend.Ticket, incoming *backend.Incoming) attemptResult {
 	hold, controller := x.hold(), http.NewResponseController(x.w)
 	if err := hold.grow(ctx, streamBytes); err != nil {
-		failure := api.NewError("relay stream", ticket.Worker.ID, api.CodeUpstream, api.OutcomeUnknown, "%w", err)
+		failure := api.NewError("relay stream", ticket.Worker.ID, readCode(err), api.OutcomeUnknown, "%w", err)
 		return attemptResult{verdict: mayRun, failure: failure}
 	}
 	events := engine.NewEventReader(incoming.Response.Body)
 	cut := func() { _ = controller.SetWriteDeadline(time.Now()) }
+	var pace streamPace
 	for {
 		event, err := events.Next()
 		if err == io.EOF && !events.Cut() {
 			if !x.begun {
 				x.answer(incoming, nil)
 			}
+			x.noteStream(ticket, pace)
 			return attemptResult{verdict: done}
 		}
 		if err != nil {
@@ -35,6 +37,7 @@
 			return attemptResult{verdict: mayRun, failure: failure}
 		}
 		ticket.Started()
+		pace.came(time.Now())
 		if !x.begun {
 			x.copyHeader(incoming.Response.Header)
 			_ = controller.SetWriteDeadline(x.deadline)
@@ -50,6 +53,7 @@
 			x.gone("relay stream", err)
 		}
 		hold.eventRead()
+		pace.passedOn(time.Now())
 		x.events++
 		if id, ok := eventID(event); ok {
 			x.lastEvent = id
--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -26,10 +26,30 @@
 	Sequence uint64         `json:"sequence"`       // grows with each report, also over restarts
 	Seen     uint64         `json:"seen,omitempty"` // the newest grant that Held counts
 	Held     map[string]int `json:"held,omitempty"` // requests, by worker
+	// Heard is what the frontend heard of workers there since its last report; of at most
+	// MaximumWords.
+	Heard []Word `json:"heard,omitempty"`
 	// Born is when the workers of Held started, of those that tell it.
 	Born map[string]time.Time `json:"born,omitempty"`
 }
 
+// MaximumWords of one report: more workers than a frontend hears of at one leader between
+// two of its messages.
+const MaximumWords = 64
+
+// Word is what a frontend heard of one start of a worker.
+type Word struct {
+	Worker string    `json:"worker"`
+	Born   time.Time `json:"born,omitzero"` // when it started, where it tells it
+	// Pace that it told last, so long ago; 0: none.
+	Pace    float64       `json:"pace,omitempty"`
+	PaceAge time.Duration `json:"pace_age,omitempty"`
+	// Streams that ended there, and the mean time between two of their events.
+	Streams int           `json:"streams,omitempty"`
+	Step    time.Duration `json:"step,omitempty"`
+	worker.Outcomes
+}
+
 // Add counts n requests at a worker.
 func (r *Report) Add(w worker.Incarnation, n int) {
 	if r.Held == nil {
@@ -60,6 +80,16 @@
 	Last  time.Duration `json:"last"`
 	// Wait is how long it waits for a place; 0: not at all.
 	Wait time.Duration `json:"wait,omitempty"`
+	// Returned: its caller was turned away before, as far as the time it has left
+	// tells. Again: this attempt has waited here or at another leader before.
+	Returned bool `json:"returned,omitempty"`
+	Again    bool `json:"again,omitempty"`
+	// Elsewhere: another leader is asked if this one has no place in time, so that it
+	// promises none for a return.
+	Elsewhere bool `json:"elsewhere,omitempty"`
+	// Promise is the time until the slot that it was told to return for; it stays with
+	// an attempt that asks again.
+	Promise *time.Duration `json:"promise,omitempty"`
 }
 
 // Message is what a frontend sends: a report, and a question or none.
@@ -78,10 +108,17 @@
 	// Full: there is no slot; Waiting requests wait for one.
 	Full    bool `json:"full,omitempty"`
 	Waiting int  `json:"waiting,omitempty"`
+	// Until is when this request would have a slot there, with Full; 0: not known.
+	Until time.Duration `json:"until,omitempty"`
+	// Promise is as in Ask.
+	Promise *time.Duration `json:"promise,omitempty"`
 	// Hopeless: there will be no slot in time; the request is best sent again after
 	// RetryAfter.
 	Hopeless   bool          `json:"hopeless,omitempty"`
 	RetryAfter time.Duration `json:"retry_after,omitempty"`
+	// Paces of some of the workers that the process fills, in turn: the part that is
+	// their machines', as all frontends' words tell it. It comes beside the others.
+	Paces map[string]float64 `json:"paces,omitempty"`
 }
 
 const (
@@ -97,6 +134,7 @@
 type Book struct {
 	nodes  map[api.NodeID]*holder
 	online map[string]int // by worker
+	ended  map[string]int // by worker, since it was last asked for
 	born   map[string]time.Time
 	grants uint64
 }
@@ -118,7 +156,15 @@
 
 // New gives an empty book.
 func New() *Book {
-	return &Book{nodes: map[api.NodeID]*holder{}, online: map[string]int{}, born: map[string]time.Time{}}
+	return &Book{nodes: map[api.NodeID]*holder{}, online: map[string]int{}, ended: map[string]int{}, born: map[string]time.Time{}}
+}
+
+// Ended gives how many requests ended at each worker since it was last called, as far
+// as reports show.
+func (b *Book) Ended() map[string]int {
+	ended := b.ended
+	b.ended = map[string]int{}
+	return ended
 }
 
 // Began notes when a worker started: what was held there by an earlier start is held no
@@ -162,12 +208,31 @@
 	}
 	held := maps.Clone(report.Held)
 	maps.DeleteFunc(held, func(worker string, _ int) bool { return b.outlived(report.Born, worker) })
+	b.end(h, held, report.Seen)
 	b.count(h.held, -1)
 	b.count(held, 1)
 	h.at, h.sequence, h.held, h.born = now, report.Sequence, held, report.Born
 	b.drop(h, func(g given) bool { return g.grant <= report.Seen })
 }
 
+// end counts those of a frontend that a new report shows no more.
+func (b *Book) end(h *holder, held map[string]int, seen uint64) {
+	had := maps.Clone(h.held)
+	if had == nil {
+		had = map[string]int{}
+	}
+	for _, g := range h.given {
+		if g.grant <= seen {
+			had[g.worker]++
+		}
+	}
+	for worker, n := range had {
+		if n > held[worker] {
+			b.ended[worker] += n - held[worker]
+		}
+	}
+}
+
 // Give notes a place for a frontend and gives its number.
 func (b *Book) Give(now time.Time, node api.NodeID, worker string) uint64 {
 	h := b.nodes[node]
--- a/worker/choose.go
+++ b/worker/choose.go
@@ -33,6 +33,12 @@
 	Load   float64       // requests there, with those of this process
 	Slots  int           // of the worker
 	Age    time.Duration // of the load's report; negative without one
+	// Pace that was expected of it; without a source where nothing is known of any
+	// worker of the service.
+	Pace Pace
+	// Slowness is by how much work took longer there than its word and its peers let
+	// expect; 1 unless it is far beyond.
+	Slowness float64
 }
 
 // What a cost is made of, in tokens of prompt.
@@ -47,19 +53,34 @@
 	sharedMinimum  = 400
 	agreedDiscount = 0.75
 	tieCost        = 40.0 // random, so that processes do not agree by chance
+	// workCost is what a request costs beside its prompt at the usual pace, so that an
+	// empty slow worker is not as good as an empty fast one: as much as all slots of a
+	// worker, taken. With it a fast worker is filled until the wait there outweighs an
+	// empty slow one.
+	workCost = 1500
 )
 
-// Choose gives the worker with the least cost. False when none can take it.
+// Choose gives the worker with the least cost: where workers tell their pace, with the
+// least expected time. False when none can take it.
 func (p *Pool) Choose(now time.Time, query Query, random *rand.Rand) (Choice, bool) {
+	p.see(now, query.Service)
 	candidates := p.candidates(now, query)
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
-	agreed := agreedWorker(query.Parts, candidates)
+	usual, paced := p.usual(now, query.Service)
+	if paced {
+		candidates = p.drawn(now, ramped(now, candidates, random), usual, query.Parts, random)
+	}
+	agreed := agreedWorker(query.Parts, candidates, sharedMinimum)
 	zone := cmp.Or(query.Zone, p.settings.Zone)
-	best, least := Choice{}, math.Inf(1)
+	best, least, typical := Choice{}, math.Inf(1), p.typicalOf(now, query.Service)
 	for _, e := range candidates {
 		choice := p.consider(now, e, query)
+		if paced {
+			choice.Pace = e.paceOf(now, usual)
+		}
+		choice.Slowness = p.slowness(now, e, typical)
 		cost := p.cost(e, choice, e == agreed, zone) + tieCost*random.Float64()
 		if cost < least {
 			best, least = choice, cost
@@ -75,7 +96,9 @@
 		case !p.takes(e) || slices.Contains(query.Excluded, e.ID):
 		case query.Only != nil && !query.Only(e.ID):
 		case query.Limit > 0 && p.loadOf(now, e)+1 > query.Limit*float64(e.slots):
-		case now.Before(e.downUntil) || now.Before(e.fullUntil):
+		case now.Before(e.downUntil) || now.Before(e.fullUntil) || e.outlier.out(now):
+			doubtful = append(doubtful, e)
+		case e.outlier.onTrial(now) && p.loadOf(now, e) >= 1:
 			doubtful = append(doubtful, e)
 		default:
 			usable = append(usable, e)
@@ -104,6 +127,75 @@
 	}
 }
 
+// ramped leaves out of a choice the workers that are not offered to it, unless these
+// are all.
+func ramped(now time.Time, candidates []*entry, random *rand.Rand) []*entry {
+	kept := make([]*entry, 0, len(candidates))
+	for _, e := range candidates {
+		if part := e.offered(now); part >= 1 || random.Float64() < part {
+			kept = append(kept, e)
+		}
+	}
+	if len(kept) == 0 {
+		return candidates
+	}
+	return kept
+}
+
+// drawn draws the workers that a choice compares, each with a chance after its speed.
+// Processes that all compared the same workers, on what they knew of a few requests
+// each, would all choose the same ones. The worker that they agree on for a large part,
+// and one that has read the most of this prompt, are among them where reading that takes
+// longer than the request's own work.
+func (p *Pool) drawn(now time.Time, candidates []*entry, usual float64, parts []Part, random *rand.Rand) []*entry {
+	if p.settings.Draw == 0 || len(candidates) <= p.settings.Draw {
+		return candidates
+	}
+	upTo := make([]float64, len(candidates))
+	sum := 0.0
+	for i, e := range candidates {
+		slow := usual
+		if e.pace.known(now) {
+			slow = e.pace.slow
+		}
+		sum += 1 / slow
+		upTo[i] = sum
+	}
+	kept := make([]*entry, 0, p.settings.Draw+1)
+	if agreed := agreedWorker(parts, candidates, workCost); agreed != nil {
+		kept = append(kept, agreed)
+	}
+	if keeps := keeper(parts, candidates, random); keeps != nil && !slices.Contains(kept, keeps) {
+		kept = append(kept, keeps)
+	}
+	for range p.settings.Draw {
+		i, _ := slices.BinarySearch(upTo, sum*random.Float64())
+		if e := candidates[min(i, len(candidates)-1)]; !slices.Contains(kept, e) {
+			kept = append(kept, e)
+		}
+	}
+	return kept
+}
+
+// keeper is a worker that has read the most of a prompt, drawn among those alike; nil
+// where none has read more than a request's own work.
+func keeper(parts []Part, candidates []*entry, random *rand.Rand) *entry {
+	var best *entry
+	most, alike := int(workCost), 0
+	for _, e := range candidates {
+		read := e.parts.cached(parts)
+		switch {
+		case read > most:
+			best, most, alike = e, read, 1
+		case best != nil && read == most:
+			if alike++; random.IntN(alike) == 0 {
+				best = e
+			}
+		}
+	}
+	return best
+}
+
 // cost adds up what makes a worker a worse choice.
 func (p *Pool) cost(e *entry, choice Choice, agreed bool, zone string) float64 {
 	unread := float64(choice.Unread)
@@ -115,6 +207,12 @@
 	if over := choice.Load + 1 - slots; over > 0 {
 		cost += queueCost * over / slots
 	}
+	if choice.Pace.Source != PaceUnknown {
+		cost = atPace(cost, choice.Pace.Value)
+	}
+	if choice.Slowness > 1 {
+		cost = atPace(cost, choice.Slowness)
+	}
 	if e.Zone != zone {
 		cost += otherZoneCost
 	}
@@ -125,10 +223,15 @@
 	return cost
 }
 
+// atPace is what a request costs with its own work, at a pace; that of the usual pace
+// stays as it is.
+func atPace(cost, pace float64) float64 { return pace*(cost+workCost) - workCost }
+
 // agreedWorker is the same at every process that sees the same workers: the one
-// with the highest score for the longest shared part. Nil for short prompts.
-func agreedWorker(parts []Part, candidates []*entry) *entry {
-	id, tokens := "", sharedMinimum
+// with the highest score for the longest shared part. Nil where none is longer than a
+// minimum.
+func agreedWorker(parts []Part, candidates []*entry, minimum int) *entry {
+	id, tokens := "", minimum
 	for _, part := range parts[:max(len(parts)-1, 0)] {
 		if part.Tokens > tokens {
 			id, tokens = part.ID, part.Tokens
