--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -71,7 +71,7 @@
 func New(tolerance ratelimit.Tolerance, self api.NodeID, asker *relayed.Asker, owners func() []api.Node, holders func() int, log *logrus.Entry, registry Registerer) *Limiter {
 	return &Limiter{
 		self: self, asker: asker, owners: owners, holders: holders, log: log, metrics: newMetrics(registry), within: askTimeout,
-		holder: ratelimit.NewHolder(tolerance), waiting: map[string]*line{}, sequence: uint64(time.Now().UnixNano()),
+		holder: ratelimit.NewHolder(tolerance), waiting: map[string]*line{}, sequence: uint64(clock.Now().UnixNano()),
 	}
 }
 
