Bodies between stores are multipart in place of a frame of our own

Cause: the frame of entries was a format written here; what libraries give is enough, and the internal protocol is HTTP with JSON.

Change: a body with 1 KiB of entries or more has two parts of mime/multipart, JSON and the data as it is, with a random boundary; all others are JSON as before the frame. The checksum and the rule that all is read or nothing stay. The test of a garbled body garbles the data at four places; its batch has a text that does not shrink to nothing.

--- a/internal/store/form.go
+++ b/internal/store/form.go
@@ -2,14 +2,16 @@
 
 import (
 	"bytes"
-	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"hash/crc32"
 	"io"
+	"mime"
+	"mime/multipart"
 	"net/http"
 	"slices"
+	"strings"
 
 	"github.com/sirupsen/logrus"
 
@@ -20,9 +22,9 @@
 	"github.com/dykewing/dykewing/replication"
 )
 
-// contentFrame names a body whose entries' data lies behind its JSON, as it is: in JSON
-// it would take a third more.
-const contentFrame = "application/x-dykewing-log"
+// contentFrame is the type of a body of two parts: JSON, and the data of its entries as it
+// is, which in JSON would take a third more.
+const contentFrame = "multipart/mixed"
 
 var errFrame = errors.New("the frame is broken")
 
@@ -35,12 +37,12 @@
 	Sum   uint32                `json:"sum"`             // checksum of all data
 }
 
-// frameBatch writes the length of the JSON, the JSON, and the data of all entries.
-func frameBatch(to replication.ReplicaID, batch messageBatch) ([]byte, error) {
+// frameBatch writes a body of two parts, the JSON and the data of all entries, and gives its
+// content type.
+func frameBatch(to replication.ReplicaID, batch messageBatch) (contentType string, body []byte, err error) {
 	framed := frame{messageBatch: batch, To: to}
 	framed.Messages = make([]replication.WireMessage, len(batch.Messages))
-	var data [][]byte
-	total := 0
+	var data bytes.Buffer
 	for i, message := range batch.Messages {
 		if message.From == batch.From {
 			message.From = ""
@@ -51,8 +53,7 @@
 		entries := make([]replication.Entry, len(message.Entries))
 		for j, entry := range message.Entries {
 			framed.Sizes = append(framed.Sizes, len(entry.Data))
-			data = append(data, entry.Data)
-			total += len(entry.Data)
+			data.Write(entry.Data)
 			framed.Sum = crc32.Update(framed.Sum, castagnoli, entry.Data)
 			entry.Data = nil
 			entries[j] = entry
@@ -62,29 +63,68 @@
 	}
 	head, err := json.Marshal(framed)
 	if err != nil {
-		return nil, err
+		return "", nil, err
 	}
-	body := make([]byte, 0, binary.MaxVarintLen64+len(head)+total)
-	body = binary.AppendUvarint(body, uint64(len(head)))
-	body = append(body, head...)
-	for _, each := range data {
-		body = append(body, each...)
+	var written bytes.Buffer
+	parts := multipart.NewWriter(&written) // its boundary is random: no text can hold it
+	for _, part := range [][]byte{head, data.Bytes()} {
+		if err := writePart(parts, part); err != nil {
+			return "", nil, err
+		}
+	}
+	if err := parts.Close(); err != nil {
+		return "", nil, err
 	}
-	return body, nil
+	return mime.FormatMediaType(contentFrame, map[string]string{"boundary": parts.Boundary()}), written.Bytes(), nil
 }
 
-// openFrame reads what frameBatch wrote; the entries share body's memory. Every byte must
-// be accounted for: entries are taken whole or not at all.
-func openFrame(body []byte) (messageBatch, error) {
-	size, n := binary.Uvarint(body)
-	if n <= 0 || size > uint64(len(body)-n) {
-		return messageBatch{}, errFrame
+func writePart(parts *multipart.Writer, data []byte) error {
+	part, err := parts.CreatePart(nil)
+	if err != nil {
+		return err
+	}
+	_, err = part.Write(data)
+	return err
+}
+
+// readParts gives the two parts of a framed body, whole.
+func readParts(contentType string, body []byte) (head, data []byte, err error) {
+	kind, parameters, err := mime.ParseMediaType(contentType)
+	if err != nil || kind != contentFrame {
+		return nil, nil, fmt.Errorf("%w: content type %q", errFrame, contentType)
+	}
+	boundary := parameters["boundary"]
+	if !bytes.HasSuffix(body, []byte("--"+boundary+"--\r\n")) {
+		return nil, nil, fmt.Errorf("%w: it has no end", errFrame)
+	}
+	parts := multipart.NewReader(bytes.NewReader(body), boundary)
+	for _, into := range []*[]byte{&head, &data} {
+		part, err := parts.NextRawPart()
+		if err != nil {
+			return nil, nil, fmt.Errorf("%w: %w", errFrame, err)
+		}
+		if *into, err = io.ReadAll(part); err != nil {
+			return nil, nil, fmt.Errorf("%w: %w", errFrame, err)
+		}
+	}
+	if _, err := parts.NextRawPart(); err != io.EOF {
+		return nil, nil, fmt.Errorf("%w: more than two parts", errFrame)
+	}
+	return head, data, nil
+}
+
+// openFrame reads what frameBatch wrote. Every byte must be accounted for: entries are
+// taken whole or not at all.
+func openFrame(contentType string, body []byte) (messageBatch, error) {
+	head, rest, err := readParts(contentType, body)
+	if err != nil {
+		return messageBatch{}, err
 	}
 	var framed frame
-	if err := json.Unmarshal(body[n:n+int(size)], &framed); err != nil {
+	if err := json.Unmarshal(head, &framed); err != nil {
 		return messageBatch{}, fmt.Errorf("%w: %w", errFrame, err)
 	}
-	rest, sizes := body[n+int(size):], framed.Sizes
+	sizes := framed.Sizes
 	if crc32.Checksum(rest, castagnoli) != framed.Sum {
 		return messageBatch{}, errFrame
 	}
@@ -117,12 +157,13 @@
 func readBatch(w http.ResponseWriter, r *http.Request, reads logform.Level) (messageBatch, *api.Error) {
 	const step = "receive log messages"
 	var batch messageBatch
-	if r.Header.Get("Content-Type") != contentFrame || reads < logform.Packed {
+	contentType := r.Header.Get("Content-Type")
+	if !strings.HasPrefix(contentType, contentFrame) || reads < logform.Packed {
 		return batch, transport.ReadJSON(w, r, step, maximumMessagesBytes, &batch)
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maximumMessagesBytes))
 	if err == nil {
-		batch, err = openFrame(body)
+		batch, err = openFrame(contentType, body)
 	}
 	if err != nil {
 		return batch, transport.BodyError(step, err)
--- a/internal/store/form_test.go
+++ b/internal/store/form_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"mime"
+	"mime/multipart"
 	"net/http"
 	"net/http/httptest"
 	"reflect"
@@ -21,8 +23,12 @@
 )
 
 func testBatch() messageBatch {
-	text := strings.Repeat("monthly payments rise ", 400)
-	keep, _ := writeCommand(jobs.Command{KeepInline: &jobs.KeepInline{Parts: []jobs.InlinePart{{Job: "j", Text: text}}}}, true)
+	random := rand.New(rand.NewPCG(1, 2))
+	text := make([]byte, 8<<10)
+	for i := range text {
+		text[i] = byte('a' + random.IntN(26))
+	}
+	keep, _ := writeCommand(jobs.Command{KeepInline: &jobs.KeepInline{Parts: []jobs.InlinePart{{Job: "j", Text: string(text)}}}}, true)
 	return messageBatch{
 		From: "one", Address: "10.0.0.1:1", Reads: logform.Newest, Members: map[replication.ReplicaID]string{"three": "10.0.0.3:1"},
 		Messages: []replication.WireMessage{
@@ -37,11 +43,11 @@
 
 func TestAFramedBatchIsReadBackWhole(t *testing.T) {
 	batch := testBatch()
-	body, err := frameBatch("two", batch)
+	contentType, body, err := frameBatch("two", batch)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if got, err := openFrame(body); err != nil || !reflect.DeepEqual(got, batch) {
+	if got, err := openFrame(contentType, body); err != nil || !reflect.DeepEqual(got, batch) {
 		t.Errorf("%v\ngot  %+v\nwant %+v", err, got, batch)
 	}
 	plain, _ := json.Marshal(batch)
@@ -51,34 +57,54 @@
 }
 
 func TestABrokenFrameIsNoBatch(t *testing.T) {
-	body, _ := frameBatch("two", testBatch())
+	contentType, body, _ := frameBatch("two", testBatch())
 	for cut := range body {
-		if _, err := openFrame(body[:cut]); err == nil {
+		if _, err := openFrame(contentType, body[:cut]); err == nil {
 			t.Fatalf("cut at %d of %d it was read", cut, len(body))
 		}
 	}
-	garbled := bytes.Clone(body)
-	garbled[len(garbled)-5] ^= 1
-	if _, err := openFrame(garbled); err == nil {
-		t.Error("garbled data was read")
+	data := bytes.LastIndex(body, []byte(`{"end_inline"`))
+	for _, at := range []int{data, data - 1, data - 4000, len(body) - 5} {
+		garbled := bytes.Clone(body)
+		garbled[at] ^= 1
+		if _, err := openFrame(contentType, garbled); err == nil {
+			t.Errorf("data garbled at %d of %d was read", at, len(body))
+		}
 	}
-	if _, err := openFrame(append(bytes.Clone(body), 'x')); err == nil {
+	if _, err := openFrame(contentType, append(bytes.Clone(body), 'x')); err == nil {
 		t.Error("a byte too much was passed over")
 	}
 	for _, head := range []string{`{"to":"two","messages":[{"entries":[{"index":1}]}]}`, `{"to":"two","messages":[],"sizes":[0]}`, `{"to":"two","messages":[{"entries":[{"index":1}]}],"sizes":[-1]}`} {
-		if _, err := openFrame(append([]byte{byte(len(head))}, head...)); err == nil {
+		if _, err := openFrame(twoParts(t, []byte(head))); err == nil {
 			t.Errorf("%s was read", head)
 		}
 	}
 }
 
+// twoParts gives a framed body of a head and no data.
+func twoParts(t *testing.T, head []byte) (contentType string, body []byte) {
+	t.Helper()
+	var written bytes.Buffer
+	parts := multipart.NewWriter(&written)
+	for _, part := range [][]byte{head, nil} {
+		if err := writePart(parts, part); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := parts.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return mime.FormatMediaType(contentFrame, map[string]string{"boundary": parts.Boundary()}), written.Bytes()
+}
+
 // TestEachProcessIsSentWhatItReads: a process of the version before, which decodes JSON
 // only, gets plain bodies until it says that it reads more, and again once it was put back.
 func TestEachProcessIsSentWhatItReads(t *testing.T) {
 	var reads logform.Level
 	forms := make(chan string, 8)
 	peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		forms <- r.Header.Get("Content-Type")
+		kind, _, _ := mime.ParseMediaType(r.Header.Get("Content-Type"))
+		forms <- kind
 		if reads >= logform.Packed {
 			if _, failure := readBatch(w, r, reads); failure != nil {
 				t.Error(failure)
@@ -114,6 +140,17 @@
 			t.Errorf("%s: sent as %s, want %s", step.name, got, step.want)
 		}
 	}
+	// A heartbeat, or a few small entries, would be larger in parts.
+	reads = logform.Packed
+	p.saysReads("two", reads)
+	few := testBatch()
+	few.Messages = few.Messages[1:2]
+	if err := s.exchange(context.Background(), "two", peer.Listener.Addr().String(), few); err != nil {
+		t.Error(err)
+	}
+	if got := <-forms; got != "application/json" {
+		t.Errorf("few entries are sent as %s", got)
+	}
 }
 
 func TestACommandIsPackedOnlyWhereAllMembersReadIt(t *testing.T) {
@@ -238,7 +275,7 @@
 		for b.Loop() {
 			data, _ := writeCommand(command, true)
 			for range 4 {
-				body, _ := frameBatch("two", batch(data))
+				_, body, _ := frameBatch("two", batch(data))
 				size = len(body)
 			}
 		}
@@ -254,10 +291,10 @@
 		}
 	})
 	data, _ = writeCommand(command, true)
-	framed, _ := frameBatch("two", batch(data))
+	contentType, framed, _ := frameBatch("two", batch(data))
 	b.Run("read packed", func(b *testing.B) {
 		for b.Loop() {
-			got, _ := openFrame(framed)
+			got, _ := openFrame(contentType, framed)
 			_, _ = readCommand(got.Messages[0].Entries[0].Data)
 		}
 	})
--- a/internal/store/sender.go
+++ b/internal/store/sender.go
@@ -158,18 +158,32 @@
 	s.metrics.sent.Add(float64(len(batch)))
 }
 
+// framedFrom is how many bytes of entries are worth two parts: a third of them is more than
+// the parts' own bytes.
+const framedFrom = 1 << 10
+
+// entryBytes counts the data of a body's entries.
+func entryBytes(body messageBatch) (total int) {
+	for _, message := range body.Messages {
+		for _, entry := range message.Entries {
+			total += len(entry.Data)
+		}
+	}
+	return total
+}
+
 // exchange sends a body in a form that its receiver reads. One that refuses a frame may
 // have been put back to an older version: it gets plain bodies until it says otherwise.
 func (s *sender) exchange(ctx context.Context, to replication.ReplicaID, address string, body messageBatch) error {
 	const step = "send log messages"
-	if min(s.peers.level(to), s.reads) < logform.Packed {
+	if min(s.peers.level(to), s.reads) < logform.Packed || entryBytes(body) < framedFrom {
 		return transport.Call(ctx, s.client, step, address, pathMessages, body, nil)
 	}
-	framed, err := frameBatch(to, body)
+	contentType, framed, err := frameBatch(to, body)
 	if err != nil {
 		return err
 	}
-	failure := transport.Post(ctx, s.client, step, address, pathMessages, contentFrame, framed)
+	failure := transport.Post(ctx, s.client, step, address, pathMessages, contentType, framed)
 	if failure != nil && failure.Code == api.CodeBadRequest {
 		s.peers.saysReads(to, logform.Plain)
 	}
