A round of changes is kept up to the size of the state, and told once

Cause: watchers kept 1,024 changes whatever the state's size. At the start of 10,000 workers each round of changes was larger, so that every process of a zone was sent the whole state, built anew for each: workers x processes x rounds. Processes that started with their watchers turned to the service at once, and each held a copy of the state that nobody asked it for.

Change: changes are kept up to the state's size; an answer is encoded once (told.go); who is not asked keeps no state; a process that knows nothing gives watchers that know nothing yet 0.3 of the time for a change, and waits until it knows its zone.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -36,6 +36,9 @@
 	// Fresh is how long a watcher may be without an answer of the service before
 	// others stop to rely on it.
 	Fresh time.Duration
+	// Start is how long a process that has never known anything waits for watchers that
+	// know nothing yet.
+	Start time.Duration
 }
 
 // The parts of the time within which a change has to be known everywhere. A watcher
@@ -45,6 +48,10 @@
 	shortWaitShare = 0.3
 	gatherShare    = 0.15
 	freshShare     = 0.5
+	// startShare is for how long a process that has never known anything leaves the
+	// service to watchers that answer and know nothing yet either: they have started
+	// with it, and ask at once. A fleet that starts costs the calls of its watchers.
+	startShare = 0.3
 )
 
 // watchersOfAZone is two: one that is lost leaves the other, which is in contact
@@ -55,7 +62,7 @@
 // longWait is how long a process that asks for itself may wait.
 func Within(self api.NodeID, apply, longWait time.Duration) Settings {
 	part := func(share float64) time.Duration { return time.Duration(share * float64(apply)) }
-	return Settings{Self: self, Watchers: watchersOfAZone, LongWait: longWait, ShortWait: part(shortWaitShare), Fresh: part(freshShare)}
+	return Settings{Self: self, Watchers: watchersOfAZone, LongWait: longWait, ShortWait: part(shortWaitShare), Fresh: part(freshShare), Start: part(startShare)}
 }
 
 // GatherPause is how long a watcher may let changes gather before it asks for more.
@@ -104,6 +111,8 @@
 	ranked   []Member // of the zone, watchers first
 	rank     int      // of this process
 	sources  map[api.NodeID]*source
+	answered bool      // something is known
+	behindAt time.Time // when a watcher first knew nothing, before anything was known
 }
 
 // source is what is known of a peer, or under the empty id of the service.
@@ -170,6 +179,34 @@
 	return best
 }
 
+// Whole gives whom to ask for the whole state: another watcher before the service, also
+// for a watcher, which then asks the service for the changes since.
+func (c *Chooser) Whole(now time.Time) Question {
+	var best Question
+	for i, peer := range c.peersFirst() {
+		question := c.question(now, peer)
+		if grace := c.behindAt.Add(c.settings.Start); question.OfService() && c.waitsForWatchers() && grace.After(question.NotBefore) {
+			question.NotBefore = grace
+		}
+		if !question.NotBefore.After(now) {
+			return question
+		}
+		if i == 0 || question.NotBefore.Before(best.NotBefore) {
+			best = question
+		}
+	}
+	return best
+}
+
+// peersFirst is order with the service last.
+func (c *Chooser) peersFirst() []Member {
+	order := c.order()
+	if order[0].ID == "" {
+		order = append(order[1:], order[0])
+	}
+	return order
+}
+
 // order is the peers and the service, the first choice first.
 func (c *Chooser) order() []Member {
 	service := Member{}
@@ -204,6 +241,11 @@
 	return question
 }
 
+// waitsForWatchers tells that the service is left to watchers that have just started.
+func (c *Chooser) waitsForWatchers() bool {
+	return !c.answered && !c.behindAt.IsZero() && c.Shared() && !c.Watching()
+}
+
 // Ended takes how a question ended.
 func (c *Chooser) Ended(now time.Time, question Question, outcome Outcome) {
 	known := c.sources[question.Peer.ID]
@@ -212,9 +254,12 @@
 		c.sources[question.Peer.ID] = known
 	}
 	if outcome == Answered {
-		*known = source{}
+		*known, c.answered = source{}, true
 		return
 	}
+	if outcome == Behind && c.behindAt.IsZero() {
+		c.behindAt = now
+	}
 	known.failures++
 	known.notBefore = now.Add(c.pauseAfter(question, outcome, known.failures))
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -97,6 +97,7 @@
 	if err != nil {
 		return nil, err
 	}
+	changes.Joined = common.Settled
 	common.Registry.MustRegister(changes.Metrics())
 	common.Mux.HandleFunc("GET "+relay.PathChanges, changes.ServeChanges)
 	common.OnLeave(changes.Withdraw)
--- a/internal/relay/mirror.go
+++ b/internal/relay/mirror.go
@@ -11,16 +11,21 @@
 
 // Bounds of the changes that are kept for others; who is further behind is given the
 // whole state. They cover the start of some hundreds of workers, or a few large
-// configurations.
+// configurations. Where the state itself is larger, changes are kept up to its size: with
+// a bound beside it, the start of thousands of workers sent the whole state to every
+// process after each round of changes, workers times processes.
 const (
 	mostEvents     = 1024
 	mostEventBytes = 2 << 20
 )
 
-// mirror is the newest known state of the service with its last changes.
+// mirror is the newest known state of the service with its last changes, kept while
+// others may ask for it.
 type mirror struct {
 	mutex     sync.Mutex // guards all below
+	keeps     bool       // others may ask this process
 	pairs     map[string]kv.Pair
+	size      int        // bytes of the values of pairs
 	events    []kv.Event // after floor, in order
 	bytes     int        // of the values of events
 	floor     int64      // changes up to here are forgotten
@@ -32,19 +37,45 @@
 }
 
 func newMirror() *mirror {
-	return &mirror{pairs: map[string]kv.Pair{}, changed: make(chan struct{})}
+	return &mirror{keeps: true, pairs: map[string]kv.Pair{}, changed: make(chan struct{})}
+}
+
+// keep tells whether others may ask this process. One that nobody asks holds no state: a
+// copy of all workers' entries was a third of the memory of a process that uses them.
+func (m *mirror) keep(keeps bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.keeps == keeps {
+		return
+	}
+	m.keeps, m.known = keeps, false
+	m.drop()
+}
+
+// lacks tells that others may ask this process, and that it has no whole state for them.
+func (m *mirror) lacks() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.keeps && !m.known
+}
+
+// drop forgets all pairs and changes; the mutex is held.
+func (m *mirror) drop() {
+	m.pairs, m.size = map[string]kv.Pair{}, 0
+	m.events, m.bytes = nil, 0
 }
 
 // reset takes a whole state; contact tells whether the service itself gave it.
 func (m *mirror) reset(state kv.RangeResult, contact bool, now time.Time) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.pairs = make(map[string]kv.Pair, len(state.Pairs))
-	for _, pair := range state.Pairs {
-		m.pairs[pair.Key] = pair
+	m.drop()
+	m.floor, m.revision, m.known = state.Revision, state.Revision, m.keeps
+	if m.keeps {
+		for _, pair := range state.Pairs {
+			m.put(pair)
+		}
 	}
-	m.events, m.bytes = nil, 0
-	m.floor, m.revision, m.known = state.Revision, state.Revision, true
 	m.note(contact, now)
 }
 
@@ -55,7 +86,7 @@
 	for _, event := range batch.Events {
 		// A whole state read page by page is no snapshot: changes made meanwhile
 		// come again.
-		if event.Pair.Revision <= m.floor {
+		if !m.keeps || event.Pair.Revision <= m.floor {
 			continue
 		}
 		m.take(event)
@@ -71,19 +102,27 @@
 		return
 	}
 	if event.Deleted {
+		m.size -= len(m.pairs[event.Pair.Key].Value)
 		delete(m.pairs, event.Pair.Key)
 	} else {
-		m.pairs[event.Pair.Key] = event.Pair
+		m.put(event.Pair)
 	}
 	m.events = append(m.events, event)
 	m.bytes += len(event.Pair.Value)
 }
 
+// put lists a pair; the mutex is held.
+func (m *mirror) put(pair kv.Pair) {
+	m.size += len(pair.Value) - len(m.pairs[pair.Key].Value)
+	m.pairs[pair.Key] = pair
+}
+
 // forget drops the oldest changes over the bounds; the mutex is held. The newest one
 // is always kept.
 func (m *mirror) forget() {
+	most, mostBytes := max(mostEvents, len(m.pairs)), max(mostEventBytes, m.size)
 	dropped := 0
-	for dropped < len(m.events)-1 && (len(m.events)-dropped > mostEvents || m.bytes > mostEventBytes) {
+	for dropped < len(m.events)-1 && (len(m.events)-dropped > most || m.bytes > mostBytes) {
 		m.bytes -= len(m.events[dropped].Pair.Value)
 		m.floor = max(m.floor, m.events[dropped].Pair.Revision)
 		dropped++
@@ -124,8 +163,8 @@
 	contact   time.Time
 	usable    bool // a whole state is known, and the process doesn't leave
 	changed   chan struct{}
-	compacted bool       // changes after the revision are forgotten
-	events    []kv.Event // after the revision
+	compacted bool // changes after the revision are forgotten
+	news      bool // there are changes after the revision
 	revision  int64
 }
 
@@ -137,9 +176,20 @@
 		contact: m.contact, usable: m.known && !m.withdrawn, changed: m.changed,
 		compacted: revision < m.floor, revision: max(m.revision, revision),
 	}
-	first := slices.IndexFunc(m.events, func(event kv.Event) bool { return event.Pair.Revision > revision })
-	if first >= 0 {
-		result.events = slices.Clone(m.events[first:])
+	if n := len(m.events); n > 0 {
+		result.news = m.events[n-1].Pair.Revision > revision
 	}
 	return result
 }
+
+// changes gives the changes after a revision.
+func (m *mirror) changes(revision int64) answer {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	found := answer{Revision: max(m.revision, revision), Compacted: revision < m.floor}
+	first := slices.IndexFunc(m.events, func(event kv.Event) bool { return event.Pair.Revision > revision })
+	if first >= 0 && !found.Compacted {
+		found.Events = slices.Clone(m.events[first:])
+	}
+	return found
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -66,12 +66,15 @@
 	members  func() []feed.Member
 	client   *http.Client
 	mirror   *mirror
-	packed   packer
-	asked    *prometheus.CounterVec
+	told     told
+	// Joined tells whether this process knows the others of its zone; nil: at once.
+	Joined func() bool
+	asked  *prometheus.CounterVec
 
 	// Only Range and Watch of all keys use these, one after the other.
 	chooser *feed.Chooser
 	source  string // where the last answer came from
+	joined  bool   // it was waited for, see Joined
 }
 
 // New gives a relay before service. members are the processes of the zone that can
@@ -99,8 +102,10 @@
 	if prefix != "" {
 		return r.Service.Range(ctx, prefix)
 	}
-	r.chooser.Members(r.members())
-	question := r.chooser.Next(clock.Now())
+	r.awaitJoined(ctx)
+	r.lookAround()
+	question := r.chooser.Whole(clock.Now())
+	pause.For(ctx, clock.Until(question.NotBefore))
 	if !question.OfService() {
 		result, err := r.wholeOf(ctx, question.Peer)
 		if known := r.mirror.after(0).revision; err == nil && result.Revision < known {
@@ -128,7 +133,10 @@
 	}
 	gather := firstGatherPause
 	for {
-		r.chooser.Members(r.members())
+		r.lookAround()
+		if r.mirror.lacks() {
+			return fmt.Errorf("%w: %w", errUntold, kv.ErrCompacted)
+		}
 		question := r.chooser.Next(clock.Now())
 		pause.For(ctx, clock.Until(question.NotBefore))
 		if ctx.Err() != nil {
@@ -151,6 +159,41 @@
 	}
 }
 
+// joinWait is for how long a process that starts does not ask the service for the whole
+// state before it knows the others of its zone: a live one answers within a round trip, one
+// that starts at the same time within a heartbeat. Without it each process of a fleet that
+// starts reads everything from the service.
+const joinWait = 500 * time.Millisecond
+
+// joinPoll is between two looks at whether the others are known.
+const joinPoll = 20 * time.Millisecond
+
+// awaitJoined waits until this process knows the others of its zone, once.
+func (r *Relay) awaitJoined(ctx context.Context) {
+	if r.joined || r.Joined == nil {
+		return
+	}
+	r.joined = true
+	for deadline := clock.Now().Add(joinWait); !r.Joined() && clock.Until(deadline) > 0 && ctx.Err() == nil; {
+		pause.For(ctx, joinPoll)
+	}
+}
+
+// lookAround takes the members of the zone as they are known now, and keeps state for
+// others where these ask this process.
+func (r *Relay) lookAround() {
+	r.chooser.Members(r.members())
+	keeps := !r.chooser.Shared() || r.chooser.Watching()
+	r.mirror.keep(keeps)
+	if !keeps {
+		r.told.forget()
+	}
+}
+
+// errUntold says that others may ask this process from now on, and that it has kept
+// nothing that it could tell.
+var errUntold = errors.New("this process is to tell others the whole state")
+
 // ask puts one question; what is learned goes into the mirror.
 func (r *Relay) ask(ctx context.Context, question feed.Question, revision int64) (kv.Batch, error) {
 	if question.OfService() {
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -1,13 +1,10 @@
 package relay
 
 import (
-	"bytes"
-	"compress/gzip"
 	"encoding/json"
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/dykewing/dykewing/api"
@@ -15,10 +12,6 @@
 	"github.com/dykewing/dykewing/internal/transport"
 )
 
-// compressFrom is the size of a body from which gzip pays for itself: a
-// configuration goes over the watcher's link once for each process of its zone.
-const compressFrom = 1 << 10
-
 // ServeChanges answers PathChanges: changes after a revision as soon as there are
 // any, or the whole state. It answers only what the service itself has told this
 // process, and only while that is fresh, so that nobody relies on a chain.
@@ -43,11 +36,12 @@
 }
 
 func (r *Relay) serveWhole(w http.ResponseWriter, request *http.Request) {
-	if state := r.mirror.after(0); !r.serves(state, clock.Now()) {
+	state := r.mirror.after(0)
+	if !r.serves(state, clock.Now()) {
 		r.refuse(w, state)
 		return
 	}
-	r.write(w, request, r.mirror.whole())
+	r.tell(w, request, asked{whole: true, revision: state.revision}, r.mirror.whole)
 }
 
 // serveChanges answers at the latest after wait; without changes, as soon as the
@@ -62,8 +56,8 @@
 		case state.compacted && r.serves(state, clock.Now()):
 			r.write(w, request, answer{Revision: state.revision, Compacted: true})
 			return
-		case len(state.events) > 0 && r.serves(state, clock.Now()):
-			r.write(w, request, answer{Revision: state.revision, Events: state.events})
+		case state.news && r.serves(state, clock.Now()):
+			r.tell(w, request, asked{after: revision, revision: state.revision}, func() answer { return r.mirror.changes(revision) })
 			return
 		case !state.usable || expired && !r.serves(state, clock.Now()):
 			r.refuse(w, state)
@@ -92,41 +86,39 @@
 		"the service answered this process last %v ago", clock.Since(state.contact).Round(time.Millisecond)))
 }
 
-// write gives the body, compressed where it pays.
+// tell answers a question that all processes of the zone ask alike.
+func (r *Relay) tell(w http.ResponseWriter, request *http.Request, question asked, build func() answer) {
+	body, err := r.told.answer(question, build)
+	if err != nil {
+		r.fail(w, err)
+		return
+	}
+	r.send(w, request, body)
+}
+
+// write answers a question with a body that is its own.
 func (r *Relay) write(w http.ResponseWriter, request *http.Request, body answer) {
 	raw, err := json.Marshal(body)
 	if err != nil {
-		transport.WriteError(w, api.NewError("tell changes", "", api.CodeInternal, api.OutcomeNotRun, "encode: %w", err))
+		r.fail(w, err)
 		return
 	}
-	header := w.Header()
-	header.Set("Content-Type", "application/json")
-	if len(raw) >= compressFrom && strings.Contains(request.Header.Get("Accept-Encoding"), "gzip") {
-		raw = r.packed.pack(raw)
-		header.Set("Content-Encoding", "gzip")
-	}
-	header.Set("Content-Length", strconv.Itoa(len(raw)))
-	_, _ = w.Write(raw)
+	r.send(w, request, encoded{plain: raw})
 }
 
-// packer compresses bodies and keeps the last one: all processes of a zone are told
-// the same.
-type packer struct {
-	mutex  sync.Mutex // guards all below
-	plain  []byte
-	packed []byte
+func (r *Relay) fail(w http.ResponseWriter, err error) {
+	transport.WriteError(w, api.NewError("tell changes", "", api.CodeInternal, api.OutcomeNotRun, "encode: %w", err))
 }
 
-func (p *packer) pack(plain []byte) []byte {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if bytes.Equal(p.plain, plain) {
-		return p.packed
+// send gives the body, compressed where it is and the asker reads that.
+func (r *Relay) send(w http.ResponseWriter, request *http.Request, body encoded) {
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	raw := body.plain
+	if body.packed != nil && strings.Contains(request.Header.Get("Accept-Encoding"), gzipEncoding) {
+		raw = body.packed
+		header.Set("Content-Encoding", gzipEncoding)
 	}
-	var buffer bytes.Buffer
-	writer := gzip.NewWriter(&buffer)
-	_, _ = writer.Write(plain) // a bytes.Buffer takes everything
-	_ = writer.Close()
-	p.plain, p.packed = plain, buffer.Bytes()
-	return p.packed
+	header.Set("Content-Length", strconv.Itoa(len(raw)))
+	_, _ = w.Write(raw)
 }
