A worker is listed in its place, and a choice looks at a sample

Cause: the list of a service was sorted anew for each worker: its number squared, at each process. A choice compared all workers, and processes with the same news rushed to one.

Change: what is added waits until the list is read and is sorted in together; lists by group, by zone and a ring; what is known of some workers is listed apart.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/dykewing/dykewing/internal/catalog"
@@ -16,6 +17,8 @@
 	pool    *worker.Pool
 	random  *rand.Rand
 	changed func()
+
+	generation atomic.Uint64
 }
 
 // NewPool gives an empty pool; changed is called, without a lock, after each
@@ -66,7 +69,10 @@
 	}
 	t.ended = true
 	t.Started()
-	t.do(func(pool *worker.Pool) { pool.End(t.Worker.ID) })
+	t.do(func(pool *worker.Pool) {
+		pool.End(t.Worker.ID)
+		pool.Used(time.Now(), t.Worker.ID)
+	})
 	if t.onEnd != nil {
 		t.onEnd()
 	}
@@ -111,6 +117,7 @@
 // Put takes what a worker says of itself before its list does.
 func (p *Pool) Put(w worker.Worker) {
 	p.do(func(pool *worker.Pool) { pool.Put(w) })
+	p.generation.Add(1)
 }
 
 // Current gives the incarnation of a worker that is listed.
@@ -171,9 +178,9 @@
 	return accepts
 }
 
-// Workers lists a service's workers.
-func (p *Pool) Workers(service string) (list []worker.Worker) {
-	p.do(func(pool *worker.Pool) { list = pool.Workers(service) })
+// Workers lists a service's workers; of some groups only where any are named.
+func (p *Pool) Workers(service string, groups ...int) (list []worker.Worker) {
+	p.do(func(pool *worker.Pool) { list = pool.Workers(service, groups...) })
 	return list
 }
 
@@ -187,12 +194,22 @@
 	})
 }
 
-// Occupancies lists what is believed of a service's workers.
-func (p *Pool) Occupancies(service string) (list []worker.Occupancy) {
-	p.do(func(pool *worker.Pool) { list = pool.Occupancies(time.Now(), service) })
+// Occupancies lists what is believed of a service's workers; of some groups only where any
+// are named.
+func (p *Pool) Occupancies(service string, groups ...int) (list []worker.Occupancy) {
+	p.do(func(pool *worker.Pool) { list = pool.Occupancies(time.Now(), service, groups...) })
 	return list
 }
 
+// OccupancyOf is what is believed of one worker; false where it is not listed.
+func (p *Pool) OccupancyOf(id string) (occupancy worker.Occupancy, listed bool) {
+	p.do(func(pool *worker.Pool) { occupancy, listed = pool.OccupancyOf(time.Now(), id) })
+	return occupancy, listed
+}
+
+// Generation counts changes of the list of workers.
+func (p *Pool) Generation() uint64 { return p.generation.Load() }
+
 // Read notes that a worker will have read the parts of a prompt.
 func (p *Pool) Read(id string, parts []worker.Part) {
 	p.do(func(pool *worker.Pool) { pool.Sent(id, parts) })
@@ -228,6 +245,7 @@
 			}
 		}
 	})
+	p.generation.Add(1)
 	if p.changed != nil {
 		p.changed()
 	}
--- a/worker/choose.go
+++ b/worker/choose.go
@@ -16,6 +16,10 @@
 	Parts    []Part // of the prompt, in order
 	Tokens   int    // of the whole prompt; 0 when not told
 	Excluded []string
+	// Worker is the only one that may be chosen; empty: any.
+	Worker string
+	// Groups are those of which workers may be chosen; nil: all.
+	Groups []int
 	// Only leaves out workers for which it is false; nil leaves out none.
 	Only func(id string) bool
 	// Limit leaves out workers that hold more than this share of their slots;
@@ -58,22 +62,30 @@
 	// worker, taken. With it a fast worker is filled until the wait there outweighs an
 	// empty slow one.
 	workCost = 1500
+	// newConnectionCost is what a worker costs to which this process has kept no
+	// connection: about a millisecond until it is up, in which an engine reads as many
+	// tokens.
+	newConnectionCost = 100.0
 )
 
+// connectionLife is for how long after a request a connection is thought to be kept.
+const connectionLife = 900 * time.Millisecond
+
 // Choose gives the worker with the least cost: where workers tell their pace, with the
 // least expected time. False when none can take it.
 func (p *Pool) Choose(now time.Time, query Query, random *rand.Rand) (Choice, bool) {
 	p.see(now, query.Service)
-	candidates := p.candidates(now, query)
+	candidates := p.candidates(now, query, random)
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
 	usual, paced := p.usual(now, query.Service)
 	if paced {
-		candidates = p.drawn(now, ramped(now, candidates, random), usual, query.Parts, random)
+		candidates = p.drawn(now, ramped(now, candidates, random), usual, query, random)
 	}
-	agreed := agreedWorker(query.Parts, candidates, sharedMinimum)
+	agreed := p.agreed(query, candidates, sharedMinimum)
 	zone := cmp.Or(query.Zone, p.settings.Zone)
+	many := p.Count(query.Service) > mostCompared // of few, connections to all are kept
 	best, least, typical := Choice{}, math.Inf(1), p.typicalOf(now, query.Service)
 	for _, e := range candidates {
 		choice := p.consider(now, e, query)
@@ -82,6 +94,9 @@
 		}
 		choice.Slowness = p.slowness(now, e, typical)
 		cost := p.cost(e, choice, e == agreed, zone) + tieCost*random.Float64()
+		if many && now.Sub(e.usedAt) >= connectionLife {
+			cost += newConnectionCost
+		}
 		if cost < least {
 			best, least = choice, cost
 		}
@@ -89,9 +104,46 @@
 	return best, true
 }
 
-func (p *Pool) candidates(now time.Time, query Query) []*entry {
+// candidates are the workers that a choice compares: of a few all, of many a sample.
+func (p *Pool) candidates(now time.Time, query Query, random *rand.Rand) []*entry {
+	if query.Worker != "" {
+		return p.only(now, query)
+	}
+	lists := p.roster(query.Service).lists(query.Groups)
+	listed := 0
+	for _, list := range lists {
+		listed += len(list)
+	}
+	if listed > mostCompared {
+		if usable, _ := p.usable(now, query, p.sample(query, lists, listed, random)); len(usable) >= leastSampled {
+			return usable
+		}
+	}
 	var usable, doubtful []*entry
-	for _, e := range p.services[query.Service] {
+	for _, list := range lists {
+		some, others := p.usable(now, query, list)
+		usable, doubtful = append(usable, some...), append(doubtful, others...)
+	}
+	if len(usable) == 0 && query.Limit == 0 {
+		return doubtful
+	}
+	return usable
+}
+
+// only is the one worker that a query names, if it may be chosen.
+func (p *Pool) only(now time.Time, query Query) []*entry {
+	e, ok := p.entries[query.Worker]
+	if !ok || e.Service != query.Service {
+		return nil
+	}
+	usable, doubtful := p.usable(now, query, []*entry{e})
+	return append(usable, doubtful...)
+}
+
+// usable divides workers into those that may be chosen and those that may where there is
+// no other.
+func (p *Pool) usable(now time.Time, query Query, list []*entry) (usable, doubtful []*entry) {
+	for _, e := range list {
 		switch {
 		case !p.takes(e) || slices.Contains(query.Excluded, e.ID):
 		case query.Only != nil && !query.Only(e.ID):
@@ -104,10 +156,7 @@
 			usable = append(usable, e)
 		}
 	}
-	if len(usable) == 0 && query.Limit == 0 {
-		return doubtful
-	}
-	return usable
+	return usable, doubtful
 }
 
 func (p *Pool) consider(now time.Time, e *entry, query Query) Choice {
@@ -147,7 +196,7 @@
 // each, would all choose the same ones. The worker that they agree on for a large part,
 // and one that has read the most of this prompt, are among them where reading that takes
 // longer than the request's own work.
-func (p *Pool) drawn(now time.Time, candidates []*entry, usual float64, parts []Part, random *rand.Rand) []*entry {
+func (p *Pool) drawn(now time.Time, candidates []*entry, usual float64, query Query, random *rand.Rand) []*entry {
 	if p.settings.Draw == 0 || len(candidates) <= p.settings.Draw {
 		return candidates
 	}
@@ -162,10 +211,10 @@
 		upTo[i] = sum
 	}
 	kept := make([]*entry, 0, p.settings.Draw+1)
-	if agreed := agreedWorker(parts, candidates, workCost); agreed != nil {
+	if agreed := p.agreed(query, candidates, workCost); agreed != nil {
 		kept = append(kept, agreed)
 	}
-	if keeps := keeper(parts, candidates, random); keeps != nil && !slices.Contains(kept, keeps) {
+	if keeps := keeper(query.Parts, candidates, random); keeps != nil && !slices.Contains(kept, keeps) {
 		kept = append(kept, keeps)
 	}
 	for range p.settings.Draw {
@@ -227,35 +276,55 @@
 // stays as it is.
 func atPace(cost, pace float64) float64 { return pace*(cost+workCost) - workCost }
 
-// agreedWorker is the same at every process that sees the same workers: the one
-// with the highest score for the longest shared part. Nil where none is longer than a
-// minimum.
-func agreedWorker(parts []Part, candidates []*entry, minimum int) *entry {
-	id, tokens := "", minimum
-	for _, part := range parts[:max(len(parts)-1, 0)] {
-		if part.Tokens > tokens {
-			id, tokens = part.ID, part.Tokens
-		}
+// agreed is the worker that every process that sees the same workers agrees on for the
+// longest shared part; nil where none is longer than a minimum.
+func (p *Pool) agreed(query Query, candidates []*entry, minimum int) *entry {
+	part := longestShared(query.Parts, minimum)
+	if part == "" {
+		return nil
 	}
-	if id == "" {
+	if p.roster(query.Service).all.len() > mostCompared {
+		ringed := p.onRing(query.Service, part)
+		if slices.Contains(candidates, ringed) {
+			return ringed
+		}
 		return nil
 	}
 	var best *entry
 	highest := uint64(0)
 	for _, e := range candidates {
-		if score := xxhash.Sum64String(id + "/" + e.ID); best == nil || score > highest {
+		if score := xxhash.Sum64String(part + "/" + e.ID); best == nil || score > highest {
 			best, highest = e, score
 		}
 	}
 	return best
 }
 
+// longestShared is the longest part of a prompt but the last; empty where none is longer
+// than a minimum.
+func longestShared(parts []Part, minimum int) string {
+	id, tokens := "", minimum
+	for _, part := range parts[:max(len(parts)-1, 0)] {
+		if part.Tokens > tokens {
+			id, tokens = part.ID, part.Tokens
+		}
+	}
+	return id
+}
+
 // Sent notes that a request with these parts went to a worker.
 func (p *Pool) Sent(id string, parts []Part) {
 	e, ok := p.entries[id]
-	if !ok || len(parts) == 0 {
+	if !ok {
+		return
+	}
+	p.roster(e.Service).used(e)
+	if len(parts) == 0 {
 		return
 	}
 	bound := int(float64(p.capacity[e.Service]) * p.settings.CacheShare)
+	if e.parts == nil {
+		e.parts = newPartSet()
+	}
 	e.parts.add(parts, bound)
 }
--- a/worker/observed.go
+++ b/worker/observed.go
@@ -48,12 +48,16 @@
 		return
 	}
 	s := &e.steps
+	if s.at.IsZero() {
+		r := p.roster(e.Service)
+		r.timed = append(r.timed, e)
+	}
 	if s.samples > 0 && at.Sub(s.at) >= stepLife {
 		*s = steps{}
 	}
 	s.samples = min(s.samples+1, paceSamples)
 	s.mean += (step.Seconds() - s.mean) / float64(s.samples)
-	if at.After(s.at) {
+	if s.at.IsZero() || at.After(s.at) {
 		s.at = at
 	}
 }
@@ -73,7 +77,7 @@
 		return kept
 	}
 	var list []float64
-	for _, e := range p.services[service] {
+	for _, e := range p.roster(service).timed {
 		if e.steps.known(now) {
 			list = append(list, e.stepOf(now))
 		}
--- a/worker/outlier.go
+++ b/worker/outlier.go
@@ -82,6 +82,10 @@
 		return Judgement{}, false
 	}
 	o := &e.outlier
+	if o.at.IsZero() {
+		r := p.roster(e.Service)
+		r.judged = append(r.judged, e)
+	}
 	o.decay(now)
 	o.whole += float64(outcomes.Whole)
 	o.broken += float64(outcomes.Broken)
@@ -92,7 +96,7 @@
 	case o.onTrial(now) && outcomes.Broken > 0:
 		o.leave(now)
 	case o.onTrial(now) && outcomes.Whole > 0:
-		*o = outlier{}
+		*o = outlier{at: now}
 		return judgement, true
 	case o.pause > 0 || o.broken < leastBroken || o.share() < leastBrokenShare:
 		return Judgement{}, false
@@ -112,7 +116,7 @@
 // all fail, the one whose failures are told first is no outlier.
 func (p *Pool) peersOf(now time.Time, of *entry) (share float64, room bool) {
 	peers, out, known := outlier{}, 0, 0
-	for _, e := range p.services[of.Service] {
+	for _, e := range p.roster(of.Service).judged {
 		e.outlier.decay(now)
 		if e.outlier.pause > 0 {
 			out++
--- a/worker/pace.go
+++ b/worker/pace.go
@@ -107,6 +107,7 @@
 // TellPace takes a worker's word of its pace that another process heard at a moment.
 func (p *Pool) TellPace(at time.Time, id string, pace float64) {
 	if e, ok := p.entries[id]; ok && pace > 0 {
+		p.notePaced(e)
 		e.pace.tell(at, pace, PaceReported)
 	}
 }
@@ -114,13 +115,22 @@
 // LearnPace takes the stable part of a worker's pace, as another process gathered it.
 func (p *Pool) LearnPace(now time.Time, id string, slow float64) {
 	if e, ok := p.entries[id]; ok && slow > 0 {
+		p.notePaced(e)
 		e.pace.learn(now, slow)
 	}
 }
 
+// notePaced lists a worker of which a pace is told for the first time.
+func (p *Pool) notePaced(e *entry) {
+	if e.pace.samples == 0 {
+		r := p.roster(e.Service)
+		r.paced = append(r.paced, e)
+	}
+}
+
 // Paced tells whether something is known of the pace of one of a service's workers.
 func (p *Pool) Paced(now time.Time, service string) bool {
-	return slices.ContainsFunc(p.services[service], func(e *entry) bool { return e.pace.known(now) })
+	return slices.ContainsFunc(p.roster(service).paced, func(e *entry) bool { return e.pace.known(now) })
 }
 
 // PaceOf is what is believed of a worker's pace; false where nothing is known.
@@ -136,7 +146,7 @@
 // of its peers. False where nothing is known of any.
 func (p *Pool) usual(now time.Time, service string) (float64, bool) {
 	sum, known := 0.0, 0
-	for _, e := range p.services[service] {
+	for _, e := range p.roster(service).paced {
 		if e.pace.known(now) {
 			sum += e.pace.slow
 			known++
@@ -158,11 +168,11 @@
 
 // see notes the workers of a service that a choice looks at for the first time.
 func (p *Pool) see(now time.Time, service string) {
-	for _, e := range p.services[service] {
-		if e.seenAt.IsZero() {
-			e.seenAt, e.joined = now, p.chosen[service]
-		}
+	r := p.roster(service)
+	for _, e := range r.unseen {
+		e.seenAt, e.joined = now, p.chosen[service]
 	}
+	r.unseen = nil
 	p.chosen[service] = true
 }
 
--- a/worker/parts.go
+++ b/worker/parts.go
@@ -14,8 +14,11 @@
 	return &partSet{order: list.New(), byID: map[string]*list.Element{}}
 }
 
-// cached counts the tokens of the leading parts that are known.
+// cached counts the tokens of the leading parts that are known; none of a nil set.
 func (s *partSet) cached(parts []Part) int {
+	if s == nil {
+		return 0
+	}
 	tokens := 0
 	for _, part := range parts {
 		if _, ok := s.byID[part.ID]; !ok {
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -4,7 +4,6 @@
 package worker
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -49,6 +48,9 @@
 	// Draw is how many workers are compared for a choice where they tell their paces, and
 	// many processes choose that each see a worker rarely; 0: all.
 	Draw int
+	// GroupOf gives the group of a worker, by which Query.Groups leaves workers out; nil:
+	// all are of group 0.
+	GroupOf func(id string) int
 }
 
 // DefaultSettings suit a fleet whose requests take around a second.
@@ -69,8 +71,8 @@
 type Pool struct {
 	settings Settings
 	entries  map[string]*entry
-	services map[string][]*entry // sorted by id
-	capacity map[string]int      // tokens of an engine's memory, by service
+	rosters  map[string]*roster // by service
+	capacity map[string]int     // tokens of an engine's memory, by service
 	// evacuated are zones whose workers are to get nothing.
 	evacuated map[string]bool
 	chosen    map[string]bool // services that a choice has looked at
@@ -95,12 +97,15 @@
 	steps     steps
 	seenAt    time.Time // by the first choice that looked at it
 	joined    bool      // other workers of its service had been chosen from before that
+	group     int       // by Settings.GroupOf
+	hash      uint64    // of the id
+	usedAt    time.Time // by this process, last
 }
 
 // NewPool gives an empty pool.
 func NewPool(settings Settings) *Pool {
 	return &Pool{
-		settings: settings, entries: map[string]*entry{}, services: map[string][]*entry{}, capacity: map[string]int{}, evacuated: map[string]bool{},
+		settings: settings, entries: map[string]*entry{}, rosters: map[string]*roster{}, capacity: map[string]int{}, evacuated: map[string]bool{},
 		chosen: map[string]bool{}, typical: map[string]typical{},
 	}
 }
@@ -119,6 +124,9 @@
 		if w.Born.IsZero() {
 			w.Born = listed.Born
 		}
+		if listed.Zone != w.Zone {
+			p.roster(w.Service).move(listed, w.Zone)
+		}
 		listed.Worker = w
 		if w.Slots > 0 {
 			listed.slots = w.Slots
@@ -126,11 +134,37 @@
 		return
 	}
 	p.Remove(w.ID)
-	added := &entry{Worker: w, slots: max(w.Slots, 1), parts: newPartSet()}
+	added := &entry{Worker: w, slots: max(w.Slots, 1), group: p.groupOf(w.ID)}
 	p.entries[w.ID] = added
-	list := append(p.services[w.Service], added)
-	slices.SortFunc(list, func(a, b *entry) int { return cmp.Compare(a.ID, b.ID) })
-	p.services[w.Service] = list
+	p.roster(w.Service).add(added)
+}
+
+// roster is what is listed of a service.
+func (p *Pool) roster(service string) *roster {
+	r := p.rosters[service]
+	if r == nil {
+		r = newRoster()
+		p.rosters[service] = r
+	}
+	return r
+}
+
+func (p *Pool) groupOf(id string) int {
+	if p.settings.GroupOf == nil {
+		return 0
+	}
+	return p.settings.GroupOf(id)
+}
+
+// SetGroups divides the workers into groups anew.
+func (p *Pool) SetGroups(groupOf func(id string) int) {
+	p.settings.GroupOf = groupOf
+	for _, e := range p.entries {
+		e.group = p.groupOf(e.ID)
+	}
+	for _, r := range p.rosters {
+		r.regroup()
+	}
 }
 
 // Remove forgets a worker that is gone. Requests there may still end.
@@ -140,7 +174,7 @@
 		return
 	}
 	delete(p.entries, id)
-	p.services[known.Service] = slices.DeleteFunc(p.services[known.Service], func(e *entry) bool { return e.ID == id })
+	p.roster(known.Service).remove(known)
 }
 
 // Current gives the incarnation of a worker that is listed.
@@ -170,15 +204,21 @@
 	delete(p.evacuated, zone)
 }
 
-// Workers lists a service's workers, sorted by id.
-func (p *Pool) Workers(service string) []Worker {
-	list := make([]Worker, 0, len(p.services[service]))
-	for _, e := range p.services[service] {
-		list = append(list, e.Worker)
+// Workers lists a service's workers, sorted by id; of some groups only where any are named.
+func (p *Pool) Workers(service string, groups ...int) []Worker {
+	var list []Worker
+	for _, part := range p.roster(service).lists(groups) {
+		list = slices.Grow(list, len(part))
+		for _, e := range part {
+			list = append(list, e.Worker)
+		}
 	}
 	return list
 }
 
+// Count is how many workers of a service are listed.
+func (p *Pool) Count(service string) int { return p.roster(service).all.len() }
+
 // Begin notes a request sent to a worker, with the tokens of prompt to be read.
 func (p *Pool) Begin(id string, tokens int) {
 	if e, ok := p.entries[id]; ok {
@@ -201,6 +241,13 @@
 	}
 }
 
+// Used notes that this process keeps a connection to a worker from now on.
+func (p *Pool) Used(now time.Time, id string) {
+	if e, ok := p.entries[id]; ok {
+		e.usedAt = now
+	}
+}
+
 // Report takes a load that a worker told. What is not of this process is the
 // others'.
 func (p *Pool) Report(now time.Time, id string, load Load) {
@@ -214,6 +261,7 @@
 	e.others = float64(max(load.Running+load.Waiting-e.own, 0))
 	e.reported = now
 	if load.Pace > 0 {
+		p.notePaced(e)
 		e.pace.tell(now, load.Pace, PaceTold)
 	}
 	e.failures, e.broken = 0, 0
@@ -236,21 +284,38 @@
 	Usable bool // it takes requests, as far as is known
 }
 
-// Occupancies lists what is believed of a service's workers, sorted by id.
-func (p *Pool) Occupancies(now time.Time, service string) []Occupancy {
-	list := make([]Occupancy, 0, len(p.services[service]))
-	for _, e := range p.services[service] {
-		occupancy := Occupancy{Worker: e.Worker, Taken: e.own, Others: int(p.loadOf(now, e)+0.5) - e.own}
-		occupancy.Slots = e.slots
-		if e.outlier.onTrial(now) { // nothing that still runs there has to give way
-			occupancy.Slots = min(max(occupancy.Taken+occupancy.Others, 1), e.slots)
+// Occupancies lists what is believed of a service's workers, sorted by id; of some groups
+// only where any are named.
+func (p *Pool) Occupancies(now time.Time, service string, groups ...int) []Occupancy {
+	var list []Occupancy
+	for _, part := range p.roster(service).lists(groups) {
+		list = slices.Grow(list, len(part))
+		for _, e := range part {
+			list = append(list, p.occupancy(now, e))
 		}
-		occupancy.Usable = p.takes(e) && !now.Before(e.downUntil) && !now.Before(e.fullUntil) && !e.outlier.out(now)
-		list = append(list, occupancy)
 	}
 	return list
 }
 
+// OccupancyOf is what is believed of one worker; false where it is not listed.
+func (p *Pool) OccupancyOf(now time.Time, id string) (Occupancy, bool) {
+	e, ok := p.entries[id]
+	if !ok {
+		return Occupancy{}, false
+	}
+	return p.occupancy(now, e), true
+}
+
+func (p *Pool) occupancy(now time.Time, e *entry) Occupancy {
+	occupancy := Occupancy{Worker: e.Worker, Taken: e.own, Others: int(p.loadOf(now, e)+0.5) - e.own}
+	occupancy.Slots = e.slots
+	if e.outlier.onTrial(now) { // nothing that still runs there has to give way
+		occupancy.Slots = min(max(occupancy.Taken+occupancy.Others, 1), e.slots)
+	}
+	occupancy.Usable = p.takes(e) && !now.Before(e.downUntil) && !now.Before(e.fullUntil) && !e.outlier.out(now)
+	return occupancy
+}
+
 // Refused notes that no connection could be made, or that one hung.
 func (p *Pool) Refused(now time.Time, id string) {
 	if e, ok := p.entries[id]; ok {
