Groups whose leader is full are left out as lists

Cause: while a leader was full, each worker's leader was looked up in the view of nodes for each choice: workers x nodes.

Change: the pool's groups are the groups of stores; the leaders of all are looked up once for a choice (storeclient.Leaders.All). A place that names a worker takes that one by its id.

Result: the tests of internal/frontend, whose cases of full and hopeless leaders are the same.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -210,6 +210,11 @@
 // Generation counts changes of the list of workers.
 func (p *Pool) Generation() uint64 { return p.generation.Load() }
 
+// SetGroups divides the workers into groups.
+func (p *Pool) SetGroups(groupOf func(id string) int) {
+	p.do(func(pool *worker.Pool) { pool.SetGroups(groupOf) })
+}
+
 // Read notes that a worker will have read the parts of a prompt.
 func (p *Pool) Read(id string, parts []worker.Part) {
 	p.do(func(pool *worker.Pool) { pool.Sent(id, parts) })
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -120,6 +120,7 @@
 	common.SetSummary(func() api.Summary { return api.Summary{Apart: f.asker.Apart()} })
 	f.limiter = limiter.New(common.Settings.Tenants.Tolerance(), common.ID(), f.asker, func() []api.Node { return storeclient.Owners(common.Nodes(), registered.With) }, f.holders, common.Logger("limits"), common.Registry)
 	f.pool = backend.NewPool(worker.BlindSettings(common.Settings.Node.Zone), nil)
+	f.pool.SetGroups(f.workerGroup)
 	f.places = newPlaces(f)
 	f.catalog = catalog.New(source, common.KeyValue, common.Logger("catalog"), f.pool)
 	common.OnResume(f.catalog.Renew)
--- a/internal/frontend/places.go
+++ b/internal/frontend/places.go
@@ -57,6 +57,9 @@
 	metrics *metrics
 	// leaderOf is the process that gives places at a worker, if it is known.
 	leaderOf func(worker string) (api.Node, bool)
+	// groups are those whose workers may be chosen: whose leader is let through, or is not
+	// known where unknown says so.
+	groups func(through func(leader api.NodeID) bool, unknown bool) []int
 
 	heard heard // of workers, on its way to leaders
 
@@ -83,7 +86,7 @@
 
 func newPlaces(f *Frontend) *places {
 	return &places{
-		self: f.node.ID(), zone: f.node.Settings.Node.Zone, pool: f.pool, log: f.log, metrics: f.metrics, leaderOf: f.leaderOf,
+		self: f.node.ID(), zone: f.node.Settings.Node.Zone, pool: f.pool, log: f.log, metrics: f.metrics, leaderOf: f.leaderOf, groups: f.groupsOf,
 		sequence: uint64(time.Now().UnixNano()), leaders: map[api.NodeID]*leader{}, held: map[worker.Incarnation]int{},
 		client: f.node.Traffic.Count(transport.NewProbingClient(transport.Options{
 			ConnectionsPerHost: placeConnections, DialTimeout: placeTimeout, IdleLifetime: storeIdleLifetime, SilenceLimit: placeSilence,
@@ -96,6 +99,26 @@
 	return f.leaders.Of(f.node.Nodes(), placement.WorkerGroup(id, f.node.Settings.Store.Groups))
 }
 
+// groupsOf are the groups whose leader is let through, or is not known where unknown says
+// so; never nil, which would be all.
+func (f *Frontend) groupsOf(through func(leader api.NodeID) bool, unknown bool) []int {
+	n := f.node.Settings.Store.Groups
+	leaders := f.leaders.All(f.node.Nodes(), n)
+	groups := make([]int, 0, n)
+	for group := range n {
+		leader, known := leaders[api.GroupID(group)]
+		if known && through(leader.ID) || !known && unknown {
+			groups = append(groups, group)
+		}
+	}
+	return groups
+}
+
+// workerGroup is the group whose leader gives places at a worker.
+func (f *Frontend) workerGroup(id string) int {
+	return int(placement.WorkerGroup(id, max(f.node.Settings.Store.Groups, 1)))
+}
+
 // state is what is known of a leader; the mutex is held.
 func (p *places) state(id api.NodeID) *leader {
 	known := p.leaders[id]
@@ -231,10 +254,7 @@
 	}
 	p.mutex.Unlock()
 	if len(full) > 0 {
-		query.Only = func(id string) bool {
-			peer, known := p.leaderOf(id)
-			return !known || !full[peer.ID]
-		}
+		query.Groups = p.groups(func(leader api.NodeID) bool { return !full[leader] }, true)
 	}
 	return p.pool.Take(query)
 }
@@ -262,13 +282,10 @@
 	known.waiting++ // until its next word
 	known.until += known.until / time.Duration(known.waiting)
 	p.mutex.Unlock()
-	query.Only = func(id string) bool {
-		peer, known := p.leaderOf(id)
-		return known && peer.ID == least
-	}
+	query.Groups = p.groups(func(leader api.NodeID) bool { return leader == least }, false)
 	ticket, ok := p.pool.Take(query)
 	if !ok {
-		query.Only = nil
+		query.Groups = nil
 		ticket, ok = p.pool.Take(query)
 	}
 	return ticket, wait, ok
@@ -334,7 +351,7 @@
 // or may not use, is not taken; the frontend's own choice stands.
 func (p *places) placed(peer api.Node, ticket *backend.Ticket, query worker.Query, answer reservation.Answer) *backend.Ticket {
 	if answer.Worker != ticket.Worker.ID {
-		query.Only = func(id string) bool { return id == answer.Worker }
+		query.Worker = answer.Worker
 		if other, ok := p.pool.Take(query); ok {
 			ticket.End()
 			ticket = other
--- a/internal/frontend/places_test.go
+++ b/internal/frontend/places_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -79,7 +80,18 @@
 		leaders[id] = api.Node{ID: api.NodeID("leader-" + id), Address: strings.TrimPrefix(server.URL, "http://")}
 		pool.WorkersChanged([]catalog.Change{{ID: id, Worker: worker.Worker{ID: id, Service: "s", Zone: "z", Slots: 4}}})
 	}
+	names := []string{"wa", "wb"} // by group
+	pool.SetGroups(func(id string) int { return slices.Index(names, id) })
 	return &places{
+		groups: func(through func(api.NodeID) bool, _ bool) []int {
+			groups := []int{}
+			for group, name := range names {
+				if through(leaders[name].ID) {
+					groups = append(groups, group)
+				}
+			}
+			return groups
+		},
 		self: "front", zone: "z", pool: pool, client: &http.Client{}, log: logrus.NewEntry(logger), metrics: newMetrics(prometheus.NewRegistry()),
 		leaderOf: func(id string) (api.Node, bool) { node, ok := leaders[id]; return node, ok },
 		sequence: 1, leaders: map[api.NodeID]*leader{}, held: map[worker.Incarnation]int{},
--- a/internal/storeclient/leaders.go
+++ b/internal/storeclient/leaders.go
@@ -94,3 +94,31 @@
 	}
 	return api.Node{ID: published.Node, Role: api.RoleStore, Address: published.Address}, true
 }
+
+// All are the leaders of the groups 0 to n-1 as Of gives them; those that are not known
+// are missing. One look at the view serves all groups.
+func (l *Leaders) All(nodes []api.Node, n int) map[api.GroupID]api.Node {
+	known, terms := map[api.GroupID]api.Node{}, map[api.GroupID]uint64{}
+	byID := map[api.NodeID]api.Node{}
+	for _, node := range nodes {
+		byID[node.ID] = node
+		for _, summary := range node.Summary.Groups {
+			if _, seen := known[summary.Group]; summary.Leading && (!seen || summary.Term > terms[summary.Group]) {
+				known[summary.Group], terms[summary.Group] = node, summary.Term
+			}
+		}
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for group, published := range l.leaders {
+		if published.Term <= terms[group] || int(group) >= n {
+			continue
+		}
+		node, seen := byID[published.Node]
+		if !seen {
+			node = api.Node{ID: published.Node, Role: api.RoleStore, Address: published.Address}
+		}
+		known[group] = node
+	}
+	return known
+}
