A question for a place costs what it tells, not the workers that a leader fills

Cause: each message told the pool anew what is held at every worker, counted all each 10 ms and listed all with a free slot; leaders asked each of their workers for its load in turn. Five leaders of 2,000 workers gave no place in time and began no item.

Change: the book names the workers that a message touched; what holders tell is exact in the pool until the next word; the worker asked for is looked at first, else a sample of the leader's groups; counting is bounded to 256 workers each 10 ms; of more than 64 workers only those with items, or that had more than was told, are asked for their load.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -184,16 +184,25 @@
 	return list
 }
 
-// SetOthers takes how many requests others hold at workers.
-func (p *Pool) SetOthers(held map[string]int) {
+// SetHeld takes what all others hold at workers, by their own word.
+func (p *Pool) SetHeld(held map[string]int) {
 	now := time.Now()
 	p.do(func(pool *worker.Pool) {
 		for id, n := range held {
-			pool.SetOthers(now, id, n)
+			pool.SetHeld(now, id, n)
 		}
 	})
 }
 
+// ForgetHeld makes what others hold a guess again.
+func (p *Pool) ForgetHeld() { p.do(func(pool *worker.Pool) { pool.ForgetHeld() }) }
+
+// EachOccupancy calls visit, which must not use the pool, with what is believed of a
+// service's workers; nil groups are all.
+func (p *Pool) EachOccupancy(service string, groups []int, visit func(worker.Occupancy)) {
+	p.do(func(pool *worker.Pool) { pool.EachOccupancy(time.Now(), service, groups, visit) })
+}
+
 // Occupancies lists what is believed of a service's workers; of some groups only where any
 // are named.
 func (p *Pool) Occupancies(service string, groups ...int) (list []worker.Occupancy) {
--- a/internal/batchrun/dispatch.go
+++ b/internal/batchrun/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/dykewing/dykewing/fill"
@@ -18,17 +19,41 @@
 	return placement.WorkerGroup(workerID, l.service.groups) == l.group
 }
 
-// addBusy adds the workers of services for which items wait or run here.
+// mostAsked workers are asked for their load in a round. A leader that fills more asks
+// those where its items run, and those that had more than was told: what frontends hold is
+// told by themselves.
+const mostAsked = 64
+
+// addBusy adds the workers of services for which items wait or run here; of many some each
+// round.
 func (l *Leader) addBusy(busy map[string]worker.Worker) {
 	for service := range l.servicesNow() {
-		for _, w := range l.service.pool.Workers(service) {
-			if l.mine(w.ID) {
-				busy[w.ID] = w
-			}
+		own := l.service.pool.Workers(service, int(l.group))
+		if len(own) > mostAsked {
+			own = slices.DeleteFunc(own, func(w worker.Worker) bool {
+				return l.service.pool.Held(w.ID) == 0 && l.service.hidden.of(w.ID) == 0
+			})
+			own = l.turnOf(own)
+		}
+		for _, w := range own {
+			busy[w.ID] = w
 		}
 	}
 }
 
+// turnOf gives the workers that are to be asked in this round.
+func (l *Leader) turnOf(workers []worker.Worker) []worker.Worker {
+	if len(workers) <= mostAsked {
+		return workers
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	first := l.asked % len(workers)
+	l.asked += mostAsked
+	turn := append(slices.Clone(workers[first:]), workers[:first]...)
+	return turn[:mostAsked]
+}
+
 func (l *Leader) servicesNow() map[string]bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/internal/batchrun/heard.go
+++ b/internal/batchrun/heard.go
@@ -116,13 +116,10 @@
 		return nil
 	}
 	told := map[string]float64{}
-	workers := p.service.pool.Workers(service)
+	workers := p.service.pool.Workers(service, groupsOf(leaders)...)
 	for range workers {
 		p.heard.turn++
 		id := workers[p.heard.turn%len(workers)].ID
-		if !filled(leaders, id) {
-			continue
-		}
 		if pace, known := p.service.pool.PaceOf(id); known {
 			told[id] = pace.Slow
 			p.notePace(now, service, id, pace)
--- a/internal/batchrun/hidden.go
+++ b/internal/batchrun/hidden.go
@@ -26,6 +26,16 @@
 	return slices.ContainsFunc(leaders, func(leader *Leader) bool { return leader.mine(id) })
 }
 
+// groupsOf are the groups whose workers some leaders fill; never nil.
+func groupsOf(leaders []*Leader) []int {
+	groups := make([]int, 0, len(leaders))
+	for _, leader := range leaders {
+		groups = append(groups, int(leader.group))
+	}
+	slices.Sort(groups)
+	return groups
+}
+
 // polled takes a worker's own word: what is more than is known to be there is hidden. A
 // word of a later start than the listed one is the first news of it; one of an earlier
 // start says nothing.
@@ -56,6 +66,7 @@
 type hidden struct {
 	mutex   sync.Mutex // guards all below
 	workers map[string]*hiddenAt
+	changed []string // ids of workers
 }
 
 // hiddenAt is what is hidden at one worker.
@@ -80,6 +91,9 @@
 	}
 	w := h.workers[of.ID]
 	if w == nil || w.of != of {
+		if w != nil && w.n > 0 {
+			h.changed = append(h.changed, of.ID)
+		}
 		w = &hiddenAt{of: of}
 		h.workers[of.ID] = w
 	}
@@ -92,7 +106,20 @@
 		most = max(most, each.n)
 	}
 	more := max(load-most, 0)
+	before := w.n
 	w.n, w.last = min(more, w.last), more
+	if w.n != before {
+		h.changed = append(h.changed, of.ID)
+	}
+}
+
+// take gives the workers of which something else is hidden than when it was last called.
+func (h *hidden) take() []string {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	changed := h.changed
+	h.changed = nil
+	return changed
 }
 
 func (h *hidden) of(id string) int {
--- a/internal/batchrun/leader.go
+++ b/internal/batchrun/leader.go
@@ -82,6 +82,7 @@
 	plan     *plan
 	lengths  *fill.Lengths
 	suspects suspects
+	asked    int // workers for their load, in all rounds
 }
 
 func newLeader(service *Service, group api.GroupID, state *jobs.State, propose dispatch.Propose) *Leader {
--- a/internal/batchrun/near.go
+++ b/internal/batchrun/near.go
@@ -53,7 +53,8 @@
 // prompt and its text, which comes event by event, then cross no zones. An item that has
 // to run now to be in time gets the best worker of all.
 func (l *Leader) take(now time.Time, standing fill.Standing, query worker.Query) (*backend.Ticket, bool) {
-	near := l.service.near.of(now, query.Service, l.service.pool.Workers)
+	query.Groups = []int{int(l.group)}
+	near := l.service.near.of(now, query.Service, func(service string) []worker.Worker { return l.service.pool.Workers(service) })
 	if standing != fill.Pressed && len(near) > 0 {
 		all := query.Only
 		query.Only = func(id string) bool { return near[id] && all(id) }
--- a/internal/batchrun/places.go
+++ b/internal/batchrun/places.go
@@ -27,11 +27,14 @@
 type places struct {
 	service *Service
 
-	mutex  sync.Mutex // guards all below; leaders' mutexes are taken after it
-	book   *reservation.Book
-	queues map[string]*reservation.Queue // by service
-	seenAt time.Time                     // when slots were last counted
-	heard  heard
+	mutex     sync.Mutex // guards all below; leaders' mutexes are taken after it
+	book      *reservation.Book
+	queues    map[string]*reservation.Queue // by service
+	seenAt    time.Time                     // when slots were last counted
+	counted   int                           // workers, then
+	spreadFor []int                         // groups whose workers' choices see what frontends hold
+	spreadOf  uint64                        // generation of the list of workers, then
+	heard     heard
 
 	counts sync.Map // of requests that wait, by service; for readers without the mutex
 }
@@ -212,52 +215,83 @@
 	}
 }
 
+// countedAtOnce is how many workers are counted each observeInterval; more are counted less
+// often, so that counting takes no more of a core on a larger fleet.
+const countedAtOnce = 256
+
 // countSlots counts slots, what requests hold of them and what has ended, for the decisions
 // about waits; false when it did so a moment ago. The mutex is held.
 func (p *places) countSlots(now time.Time, leaders []*Leader) bool {
-	if now.Sub(p.seenAt) < observeInterval {
+	if now.Sub(p.seenAt) < observeInterval*time.Duration(1+p.counted/countedAtOnce) {
 		return false
 	}
-	p.seenAt = now
+	p.seenAt, p.counted = now, 0
 	ended := p.book.Ended()
 	for _, name := range p.service.serviceNames() {
 		slots, held, ends := 0, 0, 0
-		for _, seen := range p.service.pool.Occupancies(name) {
-			if !filled(leaders, seen.ID) {
-				continue
-			}
+		p.service.pool.EachOccupancy(name, groupsOf(leaders), func(seen worker.Occupancy) {
+			p.counted++
 			ends += ended[seen.ID]
 			if seen.Usable {
 				slots += seen.Slots
 				held += min(p.book.Online(seen.ID), seen.Slots)
 			}
-		}
+		})
 		p.queue(name).Line.Observe(now, slots, held, ends)
 	}
 	return true
 }
 
-// spread lets choices of workers see what frontends hold; the mutex is held.
+// spread lets choices of workers see what frontends hold: at those workers of which
+// something was told, and at all where this process has begun to fill them or the list of
+// workers has changed. The mutex is held.
 func (p *places) spread(leaders []*Leader) {
+	groups, generation := groupsOf(leaders), p.service.pool.Generation()
 	held := map[string]int{}
-	for _, name := range p.service.serviceNames() {
-		for _, w := range p.service.pool.Workers(name) {
-			if filled(leaders, w.ID) {
+	if !slices.Equal(groups, p.spreadFor) || generation != p.spreadOf {
+		if !slices.Equal(groups, p.spreadFor) {
+			p.service.pool.ForgetHeld()
+		}
+		p.spreadFor, p.spreadOf = groups, generation
+		p.book.Touched()
+		p.service.hidden.take()
+		for _, name := range p.service.serviceNames() {
+			for _, w := range p.service.pool.Workers(name, groups...) {
 				p.book.Began(w.Incarnation())
-				held[w.ID] = p.book.Online(w.ID) + p.service.hidden.of(w.ID)
+				held[w.ID] = p.held(w.ID)
 			}
 		}
 	}
-	p.service.pool.SetOthers(held)
+	touched := p.book.Touched()
+	for _, id := range p.service.hidden.take() {
+		touched[id] = true
+	}
+	for id := range touched {
+		if filled(leaders, id) {
+			held[id] = p.held(id)
+		}
+	}
+	if len(held) > 0 {
+		p.service.pool.SetHeld(held)
+	}
 }
 
+// held is what others than this process have at a worker; the mutex is held.
+func (p *places) held(id string) int { return p.book.Online(id) + p.service.hidden.of(id) }
+
 // place gives a request a slot: one that is free, else one of an item, which gives
 // way. The mutex is held.
 func (p *places) place(now time.Time, leaders []*Leader, waits *reservation.Waiting) (reservation.Answer, bool) {
-	free, yielding := p.slots(leaders, waits.Ask)
-	id, ok := p.choose(waits.Ask, free)
+	stopping := stopping(leaders)
+	free := func(seen worker.Occupancy) bool {
+		return seen.Usable && seen.Others+seen.Taken-stopping[seen.ID] < seen.Slots
+	}
+	yields := func(seen worker.Occupancy) bool {
+		return seen.Usable && seen.Others < seen.Slots && seen.Taken > stopping[seen.ID]
+	}
+	id, ok := p.choose(leaders, waits.Ask, free)
 	if !ok {
-		if id, ok = p.choose(waits.Ask, yielding); !ok {
+		if id, ok = p.choose(leaders, waits.Ask, yields); !ok {
 			return reservation.Answer{}, false
 		}
 		for _, leader := range leaders {
@@ -269,44 +303,23 @@
 	grant := p.book.Give(now, waits.Node, id)
 	p.queue(waits.Ask.Service).Placed(now, waits)
 	p.service.pool.Read(id, waits.Ask.Parts)
-	p.service.pool.SetOthers(map[string]int{id: p.book.Online(id) + p.service.hidden.of(id)})
+	p.service.pool.SetHeld(map[string]int{id: p.held(id)})
 	return reservation.Answer{Worker: id, Grant: grant}, true
 }
 
-// slots lists the workers with a free slot, and those with one of an item, for a
-// request.
-func (p *places) slots(leaders []*Leader, ask reservation.Ask) (free, yielding map[string]bool) {
-	stopping := stopping(leaders)
-	free, yielding = map[string]bool{}, map[string]bool{}
-	for _, seen := range p.service.pool.Occupancies(ask.Service) {
-		if !seen.Usable || !filled(leaders, seen.ID) || slices.Contains(ask.Excluded, seen.ID) {
-			continue
-		}
-		items := seen.Taken - stopping[seen.ID]
-		switch {
-		case seen.Others+items < seen.Slots:
-			free[seen.ID] = true
-		case seen.Others < seen.Slots && items > 0:
-			yielding[seen.ID] = true
-		}
-	}
-	return free, yielding
-}
-
-// choose gives the worker that the frontend would choose if it is among the
-// candidates, else the best of these. Where workers tell their pace the frontend has
-// only drawn a leader: this process knows all that is held at its workers and what all
-// frontends heard there, and chooses the one with the least expected time.
-func (p *places) choose(ask reservation.Ask, candidates map[string]bool) (string, bool) {
-	if len(candidates) == 0 {
-		return "", false
-	}
-	if candidates[ask.Worker] && !p.service.pool.Paced(ask.Service) && p.service.pool.Slowness(ask.Worker) == 1 {
+// choose gives the worker that the frontend would choose if it fits, else the best of
+// those that do. Where workers tell their pace the frontend has only drawn a leader: this
+// process knows all that is held at its workers and what all frontends heard there, and
+// chooses the one with the least expected time.
+func (p *places) choose(leaders []*Leader, ask reservation.Ask, fits func(worker.Occupancy) bool) (string, bool) {
+	pool := p.service.pool
+	if wanted, listed := pool.OccupancyOf(ask.Worker); listed && wanted.Service == ask.Service && filled(leaders, ask.Worker) &&
+		!slices.Contains(ask.Excluded, ask.Worker) && fits(wanted) && !pool.Paced(ask.Service) && pool.Slowness(ask.Worker) == 1 {
 		return ask.Worker, true
 	}
-	choice, ok := p.service.pool.Prefer(worker.Query{
-		Service: ask.Service, Parts: ask.Parts, Tokens: ask.Tokens, Zone: ask.Zone,
-		Only: func(id string) bool { return candidates[id] },
+	choice, ok := pool.Prefer(worker.Query{
+		Service: ask.Service, Parts: ask.Parts, Tokens: ask.Tokens, Zone: ask.Zone, Excluded: ask.Excluded,
+		Groups: groupsOf(leaders), Fits: fits,
 	})
 	if ok && choice.Pace.Source != worker.PaceUnknown {
 		p.service.metrics.heard.placePace.Observe(choice.Pace.Value)
--- a/internal/batchrun/plan.go
+++ b/internal/batchrun/plan.go
@@ -7,6 +7,7 @@
 
 	"github.com/dykewing/dykewing/fill"
 	"github.com/dykewing/dykewing/jobs"
+	"github.com/dykewing/dykewing/worker"
 )
 
 const (
@@ -115,9 +116,9 @@
 	var own []fill.Worker
 	var ids []string
 	slots, online, running := 0, 0, 0
-	for _, seen := range l.service.pool.Occupancies(service) {
-		if !seen.Usable || !l.mine(seen.ID) {
-			continue
+	l.service.pool.EachOccupancy(service, []int{int(l.group)}, func(seen worker.Occupancy) {
+		if !seen.Usable {
+			return
 		}
 		w := fill.Worker{Slots: seen.Slots, Online: seen.Others, Batch: seen.Taken}
 		into.free[seen.ID] = w.Free()
@@ -128,7 +129,7 @@
 		slots += w.Slots
 		online += w.Online
 		running += w.Batch
-	}
+	})
 	waiting := l.service.places.waiting(service)
 	demand := l.plan.demandOf(service)
 	demand.Observe(now, online+waiting)
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -23,6 +23,7 @@
 	"github.com/dykewing/dykewing/internal/storeclient"
 	"github.com/dykewing/dykewing/internal/transport"
 	"github.com/dykewing/dykewing/jobs"
+	"github.com/dykewing/dykewing/placement"
 	"github.com/dykewing/dykewing/reservation"
 	"github.com/dykewing/dykewing/route"
 	"github.com/dykewing/dykewing/worker"
@@ -59,6 +60,7 @@
 	}
 	s.places, s.near = newPlaces(s), newNearby(common.Settings.Node.Zone)
 	s.pool = backend.NewPool(worker.DefaultSettings(common.Settings.Node.Zone), s.wakeAll)
+	s.pool.SetGroups(func(id string) int { return int(placement.WorkerGroup(id, max(s.groups, 1))) })
 	s.catalog = catalog.New(source, common.KeyValue, common.Logger("catalog"), s.pool)
 	common.OnResume(s.catalog.Renew)
 	s.catalog.Freshness(common.Settings.Platform.Freshness)
--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -137,6 +137,8 @@
 	ended  map[string]int // by worker, since it was last asked for
 	born   map[string]time.Time
 	grants uint64
+	// touched are the workers of which something was told since it was last asked for.
+	touched map[string]bool
 }
 
 // holder is one frontend.
@@ -156,7 +158,14 @@
 
 // New gives an empty book.
 func New() *Book {
-	return &Book{nodes: map[api.NodeID]*holder{}, online: map[string]int{}, ended: map[string]int{}, born: map[string]time.Time{}}
+	return &Book{nodes: map[api.NodeID]*holder{}, online: map[string]int{}, ended: map[string]int{}, born: map[string]time.Time{}, touched: map[string]bool{}}
+}
+
+// Touched gives the workers where what is held may have changed since it was last called.
+func (b *Book) Touched() map[string]bool {
+	touched := b.touched
+	b.touched = map[string]bool{}
+	return touched
 }
 
 // Ended gives how many requests ended at each worker since it was last called, as far
@@ -241,6 +250,7 @@
 		b.nodes[node] = h
 	}
 	b.grants++
+	b.touched[worker] = true
 	h.given = append(h.given, given{grant: b.grants, worker: worker, at: now})
 	b.online[worker]++
 	return b.grants
@@ -279,6 +289,7 @@
 }
 
 func (b *Book) add(worker string, n int) {
+	b.touched[worker] = true
 	b.online[worker] += n
 	if b.online[worker] == 0 {
 		delete(b.online, worker)
--- a/worker/choose.go
+++ b/worker/choose.go
@@ -22,6 +22,8 @@
 	Groups []int
 	// Only leaves out workers for which it is false; nil leaves out none.
 	Only func(id string) bool
+	// Fits leaves out workers by what is believed of them; nil leaves out none.
+	Fits func(Occupancy) bool
 	// Limit leaves out workers that hold more than this share of their slots;
 	// 0 is no limit.
 	Limit float64
@@ -147,6 +149,7 @@
 		switch {
 		case !p.takes(e) || slices.Contains(query.Excluded, e.ID):
 		case query.Only != nil && !query.Only(e.ID):
+		case query.Fits != nil && !query.Fits(p.occupancy(now, e)):
 		case query.Limit > 0 && p.loadOf(now, e)+1 > query.Limit*float64(e.slots):
 		case now.Before(e.downUntil) || now.Before(e.fullUntil) || e.outlier.out(now):
 			doubtful = append(doubtful, e)
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -85,6 +85,7 @@
 	own       int // requests of this process there
 	ownTokens int // of prompts, sent by this process and not yet read
 	others    float64
+	exact     bool      // others is what all others hold by their own word, until the next
 	reported  time.Time // when others was learned
 	slots     int       // by its reports, else by the list
 	downUntil time.Time // it refused a connection
@@ -258,7 +259,9 @@
 	if load.Slots > 0 {
 		e.slots = load.Slots
 	}
-	e.others = float64(max(load.Running+load.Waiting-e.own, 0))
+	if !e.exact {
+		e.others = float64(max(load.Running+load.Waiting-e.own, 0))
+	}
 	e.reported = now
 	if load.Pace > 0 {
 		p.notePaced(e)
@@ -276,6 +279,22 @@
 	}
 }
 
+// SetHeld takes what all others hold at a worker, by their own word: it holds until it is
+// told anew, whatever the worker says of moments before.
+func (p *Pool) SetHeld(now time.Time, id string, held int) {
+	if e, ok := p.entries[id]; ok {
+		e.others, e.exact = float64(held), true
+		e.reported = now
+	}
+}
+
+// ForgetHeld makes what others hold a guess again, at all workers.
+func (p *Pool) ForgetHeld() {
+	for _, e := range p.entries {
+		e.exact = false
+	}
+}
+
 // Occupancy is what is believed of one worker of a service.
 type Occupancy struct {
 	Worker
@@ -288,13 +307,17 @@
 // only where any are named.
 func (p *Pool) Occupancies(now time.Time, service string, groups ...int) []Occupancy {
 	var list []Occupancy
+	p.EachOccupancy(now, service, groups, func(o Occupancy) { list = append(list, o) })
+	return list
+}
+
+// EachOccupancy calls visit with what Occupancies lists; nil groups are all.
+func (p *Pool) EachOccupancy(now time.Time, service string, groups []int, visit func(Occupancy)) {
 	for _, part := range p.roster(service).lists(groups) {
-		list = slices.Grow(list, len(part))
 		for _, e := range part {
-			list = append(list, p.occupancy(now, e))
+			visit(p.occupancy(now, e))
 		}
 	}
-	return list
 }
 
 // OccupancyOf is what is believed of one worker; false where it is not listed.
@@ -347,7 +370,9 @@
 func (p *Pool) Full(now time.Time, id string) {
 	if e, ok := p.entries[id]; ok {
 		e.fullUntil = now.Add(fullPause)
-		e.others = max(e.others, float64(e.slots-e.own))
+		if !e.exact {
+			e.others = max(e.others, float64(e.slots-e.own))
+		}
 		e.reported = now
 	}
 }
@@ -366,6 +391,9 @@
 // loadOf estimates the requests at a worker now.
 func (p *Pool) loadOf(now time.Time, e *entry) float64 {
 	age := now.Sub(e.reported)
+	if e.exact {
+		return float64(e.own) + e.others
+	}
 	if e.reported.IsZero() || age >= p.settings.LoadLife {
 		return float64(e.own)
 	}
