Who joins tells three members and not all

Cause: each member that joined pushed its record to all: a zone of 200 that starts at once made the square of its size in exchanges, each with a new gzip reader, and each change published the whole zone as a view.

Change: a joiner tells three, heartbeats pass it on; a router tells routers, which share homes. What a joiner is told it does not pass on. Views are 100 ms apart. Readers are kept; the digest is built without formatting; gateways are scored once.

--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -27,6 +27,8 @@
 	return writer
 }}
 
+var decompressors sync.Pool // of *gzip.Reader: a new one for each exchange was a quarter of what a start allocated
+
 // EncodeExchange gives the body of an exchange as it travels, and whether it is
 // compressed.
 func EncodeExchange(exchange membership.Exchange) (body []byte, compressed bool, err error) {
@@ -61,16 +63,25 @@
 	var exchange membership.Exchange
 	body = io.LimitReader(body, maximumExchangeBytes)
 	if encoding == gzipEncoding {
-		reader, err := gzip.NewReader(body)
+		reader, err := decompressor(body)
 		if err != nil {
 			return exchange, fmt.Errorf("decompress exchange: %w", err)
 		}
+		defer decompressors.Put(reader)
 		body = io.LimitReader(reader, maximumExchangeBytes)
 	}
 	err := json.NewDecoder(body).Decode(&exchange)
 	return exchange, err
 }
 
+// decompressor gives a reader that is put back after use.
+func decompressor(body io.Reader) (*gzip.Reader, error) {
+	if reader, ok := decompressors.Get().(*gzip.Reader); ok {
+		return reader, reader.Reset(body)
+	}
+	return gzip.NewReader(body)
+}
+
 // postExchange carries one exchange. Headers that nobody reads are left out:
 // at a heartbeat a second they are a large part of the control budget.
 func postExchange(ctx context.Context, client *http.Client, send membership.Send) (membership.Exchange, error) {
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -81,7 +81,7 @@
 	case membership.Send:
 		n.sends.Go(func() { n.sendExchange(action) })
 	case membership.ViewChanged:
-		n.publishView()
+		n.publishSoon()
 	case membership.Died:
 		n.logDeath(action)
 	case membership.DuplicateID:
@@ -99,7 +99,33 @@
 	entry.Warn("A peer is taken for dead.")
 }
 
+// viewPause is the least time between two views. Each lists the whole zone: published at
+// every change, views were a fifth of what a process of a zone of hundreds allocated. It is
+// short beside the heartbeats that bring the changes.
+const viewPause = 100 * time.Millisecond
+
+// publishSoon publishes the view at once, or viewPause after the last one; within the
+// actor.
+func (n *Node) publishSoon() {
+	if n.viewDue {
+		return
+	}
+	wait := viewPause - time.Since(n.viewAt)
+	if wait <= 0 {
+		n.publishView()
+		return
+	}
+	n.viewDue = true
+	time.AfterFunc(wait, func() {
+		_ = n.membership.Inspect(func() { // of a shell that has stopped nobody needs a view
+			n.viewDue = false
+			n.publishView()
+		})
+	})
+}
+
 func (n *Node) publishView() {
+	n.viewAt = time.Now()
 	nodes := n.machine.Nodes()
 	zones := n.machine.Zones()
 	n.view.Store(&nodes)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,6 +63,8 @@
 	lastWork   atomic.Int64   // when a request of the data path last came, in Unix nanoseconds
 	finished   sync.Once
 	settled    atomic.Bool // see Settled
+	viewAt     time.Time   // when the last view was published; within the actor, like viewDue
+	viewDue    bool        // one will be
 
 	unreachedLogged atomic.Bool
 	snapshot        atomic.Pointer[table.Snapshot]
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -225,14 +225,25 @@
 	return m.joined || !others || m.ticks >= settleTicks
 }
 
-// introduce makes a node that has just joined known to all members at once, so
-// that the workers it becomes home of have two homes only briefly.
+// introduce makes a node that has just joined known: to some members, which pass it on
+// with their heartbeats. A router tells all routers at once, so that the workers it
+// becomes home of have two homes only briefly. Telling every member cost a zone of
+// hundreds that started together the square of its size in exchanges.
 func (m *Machine) introduce(exchange Exchange) []Action {
 	if m.joined || !exchange.Whole || exchange.Location != m.self.Location {
 		return nil
 	}
 	m.joined = true
-	return m.push(math.MaxInt)
+	if m.self.Role != api.RoleRouter {
+		return m.push(m.settings.IndirectProbes)
+	}
+	var actions []Action
+	for _, id := range m.randomMembers(math.MaxInt, "") {
+		if m.entries[id].record.Node.Role == api.RoleRouter {
+			actions = append(actions, m.send(id, PurposePush, m.exchange(id)))
+		}
+	}
+	return actions
 }
 
 // exchange is a heartbeat or its answer with what fits of the changes.
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -38,6 +38,11 @@
 			record.Status = StatusSuspect
 		}
 		more, differs := m.mergeRecord(now, record)
+		if exchange.Whole && !m.joined {
+			// Its teller has passed it on already; a node that joins has no news but
+			// itself.
+			m.queue.drop(record.Node.ID)
+		}
 		actions = append(actions, more...)
 		changed = changed || differs
 	}
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -2,8 +2,8 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -101,8 +101,14 @@
 // often to be compared.
 func (m *Machine) digest() uint64 {
 	hash := xxhash.New()
+	var line []byte
 	add := func(node api.Node, status Status) {
-		_, _ = fmt.Fprintf(hash, "%s %d %s %v %d\n", node.ID, node.Incarnation, status, node.Leaving, node.TableRevision)
+		line = append(append(line[:0], node.ID...), ' ')
+		line = append(strconv.AppendUint(line, node.Incarnation, 10), ' ')
+		line = append(append(line, status...), ' ')
+		line = append(strconv.AppendBool(line, node.Leaving), ' ')
+		line = append(strconv.AppendInt(line, node.TableRevision, 10), '\n')
+		_, _ = hash.Write(line)
 	}
 	ids := append(m.liveMembers(), m.self.ID)
 	slices.Sort(ids)
--- a/membership/zones.go
+++ b/membership/zones.go
@@ -75,9 +75,9 @@
 // gateways are the routers that other zones are told of, the representatives
 // first; a zone without routers names other members.
 func (m *Machine) gateways() []Contact {
-	var routers, others []Contact
+	var routers, others []scoredContact
 	add := func(node api.Node) {
-		contact := Contact{ID: node.ID, Role: node.Role, Address: node.Address}
+		contact := scoredContact{Contact{ID: node.ID, Role: node.Role, Address: node.Address}, placement.Score(gatewayKey, node.ID)}
 		switch {
 		case node.Leaving:
 		case node.Role.Represents():
@@ -93,10 +93,20 @@
 	if len(routers) == 0 {
 		routers = others
 	}
-	slices.SortFunc(routers, func(a, b Contact) int {
-		return cmp.Or(cmp.Compare(placement.Score(gatewayKey, b.ID), placement.Score(gatewayKey, a.ID)), cmp.Compare(a.ID, b.ID))
+	slices.SortFunc(routers, func(a, b scoredContact) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.ID, b.ID))
 	})
-	return routers[:min(len(routers), m.settings.Gateways)]
+	var first []Contact
+	for _, each := range routers[:min(len(routers), m.settings.Gateways)] {
+		first = append(first, each.Contact)
+	}
+	return first
+}
+
+// scoredContact is a contact with its place in the rendezvous order.
+type scoredContact struct {
+	Contact
+	score uint64
 }
 
 func (m *Machine) rank(gateways []Contact) int {
