Stores learn groups and stores as all processes do

Cause: each store read registrations and groups' records twice a second until groups were formed, then each 10 s, and asked every candidate whether it is there: calls with the stores, questions with their square.

Change: both come with the watch (GroupRecords, Registered); the three that registered first form groups, the others after 5 s. Many changes of workers are one line of the log.

--- a/internal/catalog/workers.go
+++ b/internal/catalog/workers.go
@@ -189,11 +189,52 @@
 	if len(changes) == 0 {
 		return
 	}
+	v.log(changes)
+	v.catalog.listener.WorkersChanged(changes)
+}
+
+// Lines on changes of workers that come together.
+const (
+	// mostLines on single workers; more changes are counted in one line.
+	// A fleet that starts wrote a line for each worker at each process.
+	mostLines = 8
+	// mostNamed workers of a line on many.
+	mostNamed = 16
+)
+
+// log tells of changes: each of a few, many together.
+func (v *workerView) log(changes []Change) {
+	if len(changes) > mostLines {
+		v.logMany(changes)
+		return
+	}
 	for _, change := range changes {
 		v.catalog.log.WithFields(logrus.Fields{
 			"event": "worker_changed", "worker": change.ID, "service": change.Worker.Service, "address": change.Worker.Address,
 			"leaving": change.Worker.Leaving, "gone": change.Gone, "reason": change.reason,
 		}).Info("The list of workers changed.")
 	}
-	v.catalog.listener.WorkersChanged(changes)
+}
+
+// logMany names first the workers that are to get nothing more: it is of these that one
+// asks when a request went where it should not.
+func (v *workerView) logMany(changes []Change) {
+	reasons := map[reason]int{}
+	var leaving, gone, named []string
+	for _, change := range changes {
+		reasons[change.reason]++
+		switch {
+		case change.Gone:
+			gone = append(gone, change.ID)
+		case change.Worker.Leaving:
+			leaving = append(leaving, change.ID)
+		case len(named) < mostNamed:
+			named = append(named, change.ID)
+		}
+	}
+	v.catalog.log.WithFields(logrus.Fields{
+		"event": "workers_changed", "workers": len(changes), "reasons": reasons, "listed": len(v.revisions),
+		"leaving": len(leaving), "gone": len(gone), "first_leaving": leaving[:min(len(leaving), mostNamed)],
+		"first_gone": gone[:min(len(gone), mostNamed)], "first_others": named,
+	}).Info("The list of workers changed in many places.")
 }
--- a/internal/catalog/workers_test.go
+++ b/internal/catalog/workers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"testing"
 	"time"
@@ -129,3 +130,29 @@
 		}
 	}
 }
+
+// Symptom: a start of 10,000 workers was 10,000 lines at each of 1,000 processes. Few
+// changes are told one by one, many together with those that are to get nothing more.
+func TestChangesThatComeTogetherAreBoundedInTheLog(t *testing.T) {
+	tests := []struct {
+		written, deleted, lines int
+	}{{1, 0, 1}, {mostLines, 0, mostLines}, {mostLines + 1, 0, 1}, {5000, 3000, 2}, {10_000, 6000, 2}}
+	for _, test := range tests {
+		v, _, hook := viewOf(t)
+		var all, some kv.Batch
+		for i := range test.written {
+			all.Events = append(all.Events, written(int64(i+1), fmt.Sprint(i), "none").Events...)
+		}
+		for i := range test.deleted {
+			some.Events = append(some.Events, deleted(int64(test.written+i+1), fmt.Sprint(i)).Events...)
+		}
+		v.Changes(all)
+		if v.Changes(some); len(hook.AllEntries()) != test.lines {
+			t.Errorf("%d written and %d deleted: %d lines, want %d", test.written, test.deleted, len(hook.AllEntries()), test.lines)
+		}
+		last := hook.LastEntry()
+		if test.deleted > 0 && (last.Data["gone"] != test.deleted || last.Data["listed"] != test.written-test.deleted || len(last.Data["first_gone"].([]string)) != mostNamed) {
+			t.Errorf("the line says %v", last.Data)
+		}
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/dykewing/dykewing/internal/router"
 	"github.com/dykewing/dykewing/internal/sidecar"
 	"github.com/dykewing/dykewing/internal/store"
+	"github.com/dykewing/dykewing/internal/storeclient"
 )
 
 // Daemon is one process's role, ready to run.
@@ -126,7 +127,10 @@
 		return part.Run, nil
 	}
 	runner := batchrun.New(common, platform.Protocol, platform.Source)
-	options := []store.Option{store.WithInlineRunner(runner.Lead), store.WithRegistered(runner.Registered())}
+	prefix := common.Settings.KeyValueService.Prefix
+	records := &store.GroupRecords{Prefix: prefix}
+	runner.Catalog().Also(prefix+storeclient.PrefixGroups, records)
+	options := []store.Option{store.WithInlineRunner(runner.Lead), store.WithRegistered(runner.Registered()), store.WithGroupRecords(records)}
 	if platform.Decommissions != nil {
 		runner.Catalog().Also(platform.Decommissions.Prefix, platform.Decommissions)
 		options = append(options, store.WithDecommissions(platform.Decommissions))
--- a/internal/store/bootstrap.go
+++ b/internal/store/bootstrap.go
@@ -24,6 +24,18 @@
 	publishingInterval = 10 * time.Second // once all groups are formed
 )
 
+const (
+	// formers are the stores that form groups, the first that are registered: each asks
+	// every candidate whether it is there, so that all of them would ask the square of
+	// their number.
+	formers = 3
+	// formPatience is for how long the others leave it to them.
+	formPatience = 5 * time.Second
+	// sameCandidates looks in a row say that no more stores come: longer than changes are
+	// gathered on their way from the service.
+	sameCandidates = 3
+)
+
 // storeRecord registers a disk, so that groups can be formed of it.
 type storeRecord = storeclient.StoreRecord
 
@@ -112,7 +124,12 @@
 	return s.key(storeclient.GroupKey(id))
 }
 
+// readGroups gives the published groups with their revisions: as the service tells them to
+// all, else read for this store.
 func (s *Store) readGroups(ctx context.Context) (map[api.GroupID]groupRecord, map[api.GroupID]int64, error) {
+	if s.records != nil {
+		return s.knownGroups()
+	}
 	prefix := s.key(prefixGroups)
 	found, err := s.node.KeyValue.Range(ctx, prefix)
 	if err != nil {
@@ -133,17 +150,57 @@
 	return records, revisions, nil
 }
 
+func (s *Store) knownGroups() (map[api.GroupID]groupRecord, map[api.GroupID]int64, error) {
+	all, err := s.records.all()
+	if err != nil {
+		return nil, nil, err
+	}
+	records, revisions := map[api.GroupID]groupRecord{}, map[api.GroupID]int64{}
+	for id, each := range all {
+		if each.err != nil {
+			return nil, nil, fmt.Errorf("read groups: group %d: %w", id, each.err)
+		}
+		records[id], revisions[id] = each.record, each.revision
+	}
+	return records, revisions, nil
+}
+
+// swapRecord writes a group's record under the condition of its revision.
+func (s *Store) swapRecord(ctx context.Context, id api.GroupID, value []byte, expected int64) (kv.SwapResult, error) {
+	key := s.groupRecordKey(id)
+	result, err := s.node.KeyValue.Swap(ctx, kv.Swap{Key: key, Value: value, Expected: expected})
+	if err != nil || s.records == nil {
+		return result, err
+	}
+	switch {
+	case result.Succeeded:
+		s.records.Written(kv.Pair{Key: key, Value: value, Revision: result.Revision})
+	case result.Standing != nil:
+		s.records.Written(*result.Standing)
+	}
+	return result, nil
+}
+
+// forms tells whether this store is one of those that form groups.
+func (s *Store) forms(records []storeRecord) bool {
+	rank := slices.IndexFunc(records, func(r storeRecord) bool { return r.Replica == s.shared.database.identity })
+	return rank >= 0 && rank < formers || time.Since(s.began) > formPatience
+}
+
 // formGroups fixes the first members of missing groups once there are enough
 // live stores; the first swap that creates the key decides.
 func (s *Store) formGroups(ctx context.Context, known map[api.GroupID]groupRecord) error {
-	candidates, err := s.registeredStores(ctx)
-	if err != nil {
+	registered, err := s.readStores(ctx)
+	if err != nil || !s.forms(registered) {
 		return err
 	}
+	candidates := s.aliveStores(ctx, registered)
 	if len(candidates) != s.candidates {
+		s.candidates, s.looks = len(candidates), 0
+	}
+	if s.looks++; s.looks < sameCandidates {
 		// Others may still be starting; groups formed now would all be on those that
 		// were first.
-		s.candidates = len(candidates)
 		return nil
 	}
 	held := heldGroups(known)
@@ -163,7 +220,7 @@
 		if err != nil {
 			return err
 		}
-		if _, err := s.node.KeyValue.Swap(ctx, kv.Swap{Key: s.groupRecordKey(id), Value: value}); err != nil {
+		if _, err := s.swapRecord(ctx, id, value, 0); err != nil {
 			return fmt.Errorf("form group %d: %w", id, err)
 		}
 		for _, replica := range first.Voters {
@@ -193,13 +250,9 @@
 	return held
 }
 
-// registeredStores are those that are registered and seen alive: a disk that
-// was lost stays registered.
-func (s *Store) registeredStores(ctx context.Context) ([]placement.Store, error) {
-	records, err := s.readStores(ctx)
-	if err != nil {
-		return nil, err
-	}
+// aliveStores are those of the registered that are seen alive: a disk that was lost stays
+// registered.
+func (s *Store) aliveStores(ctx context.Context, records []storeRecord) []placement.Store {
 	s.shared.peers.register(records)
 	known := s.shared.peers.stores(time.Now())
 	var stores []placement.Store
@@ -208,11 +261,15 @@
 			stores = append(stores, placement.Store{Replica: record.Replica, Location: record.Location})
 		}
 	}
-	return stores, nil
+	return stores
 }
 
-// readStores reads all registrations, the oldest first.
+// readStores gives all registrations, the oldest first, as the service tells them to all,
+// else read for this store.
 func (s *Store) readStores(ctx context.Context) ([]storeRecord, error) {
+	if s.registrations != nil {
+		return s.registrations.Records(), nil
+	}
 	found, err := s.node.KeyValue.Range(ctx, s.key(prefixStores))
 	if err != nil {
 		return nil, fmt.Errorf("read stores: %w", err)
@@ -263,7 +320,7 @@
 	if err != nil {
 		return false, err
 	}
-	result, err := s.node.KeyValue.Swap(ctx, kv.Swap{Key: s.groupRecordKey(id), Value: value, Expected: revision})
+	result, err := s.swapRecord(ctx, id, value, revision)
 	if err != nil {
 		return false, fmt.Errorf("publish group %d: %w", id, err)
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -34,8 +34,11 @@
 	inline        StartInlineRunner       // nil: inline jobs are kept, not run
 	decommissions *Decommissions          // nil: no machine is emptied on request
 	registrations *storeclient.Registered // nil: only views tell of other stores
-	registered    bool                    // only for the loop that meets other stores, like candidates
-	candidates    int                     // stores of which groups could be formed at the last look
+	records       *GroupRecords           // nil: this store reads the published groups itself
+	began         time.Time
+	registered    bool // only for the loop that meets other stores, like the next two
+	candidates    int  // stores of which groups could be formed at the last look
+	looks         int  // in a row that saw as many
 
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -63,6 +66,11 @@
 	return func(s *Store) { s.registrations = registered }
 }
 
+// WithGroupRecords lets the store know of the published groups as all processes do.
+func WithGroupRecords(records *GroupRecords) Option {
+	return func(s *Store) { s.records = records }
+}
+
 // WithDecommissions lets operators have machines emptied.
 func WithDecommissions(decommissions *Decommissions) Option {
 	return func(s *Store) { s.decommissions = decommissions }
@@ -87,7 +95,7 @@
 	}
 	s := &Store{
 		node: common, log: common.Logger("store"), failure: make(chan error, 1), changed: make(chan struct{}, 1),
-		groups: map[api.GroupID]*group{}, joining: map[api.GroupID]bool{},
+		groups: map[api.GroupID]*group{}, joining: map[api.GroupID]bool{}, began: time.Now(),
 	}
 	for _, option := range options {
 		option(s)
