Heartbeats' connections end when a round takes longer, idle stores do not tick

Cause: a connection to each peer was kept for 90 s, longer than a round of 200 members: as many connections, buffers and goroutines as members. Stores without a group woke 75 times a second.

Change: idle connections of heartbeats end after 10 intervals; a store without a group waits for its first.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,8 +32,15 @@
 const (
 	controlConnections = 4
 	gossipConnections  = 1 // to each peer
-	readHeaderTimeout  = 10 * time.Second
-	maximumHeaderBytes = 64 << 10
+	// gossipIdleIntervals of heartbeats are waited before an idle connection to a peer
+	// ends. A round of a zone takes as many as it has members: in a small one connections
+	// are used again, in a large one each kept connection was one a member and process,
+	// with its buffers and goroutines on both sides.
+	gossipIdleIntervals = 10
+	// gossipSilenceIntervals without an answer to the network's probes end a connection.
+	gossipSilenceIntervals = 4
+	readHeaderTimeout      = 10 * time.Second
+	maximumHeaderBytes     = 64 << 10
 )
 
 // Node is one process's common part. Make it with New, add routes to Mux and
@@ -101,7 +108,7 @@
 		Registry: prometheus.NewRegistry(), Mux: http.NewServeMux(),
 		System: newActorSystem(), Control: transport.NewClient(controlConnections),
 		listener: listener, incarnation: uint64(time.Now().UnixMilli()),
-		gossip: transport.NewClient(gossipConnections), reportNow: make(chan struct{}, 1),
+		gossip: newGossipClient(settings.Membership.Interval), reportNow: make(chan struct{}, 1),
 		summary: func() api.Summary { return api.Summary{} },
 	}
 	node.panics = prometheus.NewCounter(prometheus.CounterOpts{
@@ -134,6 +141,13 @@
 	return node, nil
 }
 
+func newGossipClient(interval time.Duration) *http.Client {
+	return transport.NewProbingClient(transport.Options{
+		ConnectionsPerHost: gossipConnections, DialTimeout: interval, IdleLifetime: gossipIdleIntervals * interval,
+		SilenceLimit: gossipSilenceIntervals * interval,
+	})
+}
+
 func (n *Node) self() api.Node {
 	return api.Node{
 		ID: api.NodeID(n.Settings.Node.ID), Role: n.Role, Address: n.Address(),
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -50,6 +50,8 @@
 	groups  map[api.GroupID]*group
 	joining map[api.GroupID]bool
 	stopped bool
+
+	grouped chan struct{} // a group was started; holds one signal
 }
 
 // Option changes what New builds.
@@ -95,7 +97,7 @@
 	}
 	s := &Store{
 		node: common, log: common.Logger("store"), failure: make(chan error, 1), changed: make(chan struct{}, 1),
-		groups: map[api.GroupID]*group{}, joining: map[api.GroupID]bool{}, began: time.Now(),
+		groups: map[api.GroupID]*group{}, joining: map[api.GroupID]bool{}, began: time.Now(), grouped: make(chan struct{}, 1),
 	}
 	for _, option := range options {
 		option(s)
@@ -174,6 +176,10 @@
 		group.shares.step(quota.Bounds{Rows: ceilingsOf(snapshot)})
 	}
 	s.groups[id] = group
+	select {
+	case s.grouped <- struct{}{}:
+	default:
+	}
 	return nil
 }
 
@@ -234,7 +240,11 @@
 		case <-ctx.Done():
 			return
 		}
-		for _, group := range s.list() {
+		groups := s.list()
+		if len(groups) == 0 && !s.awaitGroup(ctx) {
+			return
+		}
+		for _, group := range groups {
 			group.tell(replication.Tick{})
 			if s.node.Leaving() {
 				group.handOver()
@@ -243,6 +253,17 @@
 	}
 }
 
+// awaitGroup waits for the first group of this store: of hundreds of stores most hold
+// none, and each woke 75 times a second for nothing. False when ctx ends before.
+func (s *Store) awaitGroup(ctx context.Context) bool {
+	select {
+	case <-s.grouped:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // maintain writes applied state that waits too long and compacts logs.
 func (s *Store) maintain(ctx context.Context) {
 	ticker := time.NewTicker(flushInterval)
