Two builds read each other's bodies

Cause: the form of bodies between stores changed without a level of its own. A store of the build before was refused, took the next one for one that reads plain entries only, and the group stood still: items ran again, bodies were sent over and over.

Change: multipart is level 2; a process of level 1, which may read either form, is sent JSON; the frame of the build before is read, never written.

Result: TestABodyOfTheBuildBeforeIsRead (failed before: the frame was refused), TestEachProcessIsSentWhatItReads with a row for level 1.

--- a/internal/logform/logform.go
+++ b/internal/logform/logform.go
@@ -21,11 +21,14 @@
 // The levels. Each one reads the forms of those before it.
 const (
 	Plain  Level = 0 // JSON
-	Packed Level = 1 // compressed JSON, framed batches, results that name what is kept
+	Packed Level = 1 // compressed JSON, results that name what is kept
+	// Multipart: bodies between stores of two parts, too. Processes of level 1 read them or
+	// a frame that was used before, and do not say which: they are sent JSON.
+	Multipart Level = 2
 )
 
 // Newest is the level of this process.
-const Newest = Packed
+const Newest = Multipart
 
 // The first byte of what is packed; JSON begins with none of them.
 const (
--- a/internal/store/form.go
+++ b/internal/store/form.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -26,6 +27,12 @@
 // is, which in JSON would take a third more.
 const contentFrame = "multipart/mixed"
 
+// contentEarlierFrame is the type of a body that builds before multipart send to a process
+// that says it reads packed entries: the length of the JSON as a varint, the JSON, and the
+// data. It is read, never written. Refused, a store of such a build took the reader for one
+// that reads plain entries only, and the group could not go on: its log holds packed ones.
+const contentEarlierFrame = "application/x-dykewing-log"
+
 var errFrame = errors.New("the frame is broken")
 
 // frame is the JSON of a framed body. Its messages carry no data of entries, and neither
@@ -113,10 +120,23 @@
 	return head, data, nil
 }
 
-// openFrame reads what frameBatch wrote. Every byte must be accounted for: entries are
+// readEarlierParts is readParts of an earlier build's frame.
+func readEarlierParts(_ string, body []byte) (head, data []byte, err error) {
+	size, n := binary.Uvarint(body)
+	if n <= 0 || size > uint64(len(body)-n) {
+		return nil, nil, fmt.Errorf("%w: its length", errFrame)
+	}
+	return body[n : n+int(size)], body[n+int(size):], nil
+}
+
+// openFrame reads what frameBatch wrote, here or in an earlier build. Every byte must be accounted for: entries are
 // taken whole or not at all.
 func openFrame(contentType string, body []byte) (messageBatch, error) {
-	head, rest, err := readParts(contentType, body)
+	read := readParts
+	if contentType == contentEarlierFrame {
+		read = readEarlierParts
+	}
+	head, rest, err := read(contentType, body)
 	if err != nil {
 		return messageBatch{}, err
 	}
@@ -158,7 +178,8 @@
 	const step = "receive log messages"
 	var batch messageBatch
 	contentType := r.Header.Get("Content-Type")
-	if !strings.HasPrefix(contentType, contentFrame) || reads < logform.Packed {
+	framed := strings.HasPrefix(contentType, contentFrame) || contentType == contentEarlierFrame
+	if !framed || reads < logform.Packed {
 		return batch, transport.ReadJSON(w, r, step, maximumMessagesBytes, &batch)
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maximumMessagesBytes))
--- a/internal/store/sender.go
+++ b/internal/store/sender.go
@@ -176,7 +176,7 @@
 // have been put back to an older version: it gets plain bodies until it says otherwise.
 func (s *sender) exchange(ctx context.Context, to replication.ReplicaID, address string, body messageBatch) error {
 	const step = "send log messages"
-	if min(s.peers.level(to), s.reads) < logform.Packed || entryBytes(body) < framedFrom {
+	if min(s.peers.level(to), s.reads) < logform.Multipart || entryBytes(body) < framedFrom {
 		return transport.Call(ctx, s.client, step, address, pathMessages, body, nil)
 	}
 	contentType, framed, err := frameBatch(to, body)
