What a process pays because others exist is counted, and summed by dykewingctl cost

Cause: the fleet's costs could only be guessed from profiles of single processes.

Change: counters of membership's exchanges by purpose, records, views; connections by kind; changes of workers, whole states; calls to the platform's store. `dykewingctl cost` sums them over processes with mean and most.

Result: TestCostIsSummedOverProcesses.

--- a/cmd/dykewing/main.go
+++ b/cmd/dykewing/main.go
@@ -146,6 +146,7 @@
 	return &daemon.Platform{
 		KeyValue: store,
 		Pace:     pace,
+		Observe:  func(call func(path string, err error)) { store.Observe = call },
 		Protocol: platform.Protocol{},
 		Source:   platform.Source(),
 
--- a/cmd/dykewingctl/main.go
+++ b/cmd/dykewingctl/main.go
@@ -45,6 +45,7 @@
 	registerQuarantine(application, s)
 	registerTable(application, s)
 	registerTraffic(application, s)
+	registerCost(application, s)
 	registerExplain(application)
 	kingpin.MustParse(application.Parse(os.Args[1:]))
 }
--- a/cmd/dykewingctl/traffic.go
+++ b/cmd/dykewingctl/traffic.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"regexp"
 	"slices"
 	"strconv"
@@ -39,19 +38,12 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), s.timeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.node+"/metrics", nil)
+	body, err := s.metricsOf(ctx, s.node)
 	if err != nil {
 		return err
 	}
-	response, err := s.client.Do(request)
-	if err != nil {
-		return fmt.Errorf("read metrics of %s: %w", s.node, err)
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("read metrics of %s: status %d", s.node, response.StatusCode)
-	}
-	found, err := readTraffic(io.LimitReader(response.Body, maximumMetricsBytes))
+	defer body.Close()
+	found, err := readTraffic(io.LimitReader(body, maximumMetricsBytes))
 	if err != nil {
 		return fmt.Errorf("read metrics of %s: %w", s.node, err)
 	}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -197,6 +197,7 @@
 		}
 		answered()
 		c.contact()
+		c.metrics.wholes.Inc()
 		for _, each := range c.views {
 			each.view.Whole(each.part(result))
 		}
--- a/internal/catalog/metrics.go
+++ b/internal/catalog/metrics.go
@@ -12,6 +12,8 @@
 	lapsed  prometheus.Counter
 	outages prometheus.Counter
 	refused prometheus.Counter
+	changes prometheus.Counter
+	wholes  prometheus.Counter
 }
 
 func newMetrics(age func() time.Duration) metrics {
@@ -28,9 +30,15 @@
 		refused: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "dykewing_catalog_entries_refused_total", Help: "Workers' entries that could not be read and name no worker.",
 		}),
+		changes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "dykewing_catalog_worker_changes_total", Help: "Changes of workers' entries that this process has taken.",
+		}),
+		wholes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "dykewing_catalog_whole_states_total", Help: "Whole states that this process has read, of the service or of a peer.",
+		}),
 	}
 }
 
 func (m metrics) all() []prometheus.Collector {
-	return []prometheus.Collector{m.age, m.lapsed, m.outages, m.refused}
+	return []prometheus.Collector{m.age, m.lapsed, m.outages, m.refused, m.changes, m.wholes}
 }
--- a/internal/catalog/workers.go
+++ b/internal/catalog/workers.go
@@ -189,6 +189,7 @@
 	if len(changes) == 0 {
 		return
 	}
+	v.catalog.metrics.changes.Add(float64(len(changes)))
 	v.log(changes)
 	v.catalog.listener.WorkersChanged(changes)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -41,6 +41,8 @@
 	Source   catalog.Source
 	// Pace keeps KeyValue to this process's part of the store's rates; nil: none.
 	Pace *kv.Pace
+	// Observe lets each call of KeyValue be told of, before the first; nil: none is.
+	Observe func(call func(path string, err error))
 	// Decommissions are operators' requests to empty machines; nil: none.
 	Decommissions *store.Decommissions
 }
@@ -99,6 +101,9 @@
 		return nil, err
 	}
 	changes.Joined = common.Settled
+	if platform.Observe != nil {
+		platform.Observe(common.ObserveCall)
+	}
 	common.Registry.MustRegister(changes.Metrics())
 	common.Mux.HandleFunc("GET "+relay.PathChanges, changes.ServeChanges)
 	common.OnLeave(changes.Withdraw)
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -123,6 +123,8 @@
 		transport.WriteError(w, transport.BodyError(step, err))
 		return
 	}
+	n.paid.answered.Inc()
+	n.paid.records.Add(float64(len(exchange.Updates)))
 	actions, err := n.membership.Ask(membership.Incoming{Exchange: exchange})
 	if err != nil {
 		transport.WriteError(w, api.AsError(step, err))
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -79,6 +79,7 @@
 func (n *Node) executeMembership(action membership.Action) {
 	switch action := action.(type) {
 	case membership.Send:
+		n.paid.sent.WithLabelValues(string(action.Purpose)).Inc()
 		n.sends.Go(func() { n.sendExchange(action) })
 	case membership.ViewChanged:
 		n.publishSoon()
@@ -127,6 +128,8 @@
 func (n *Node) publishView() {
 	n.viewAt = time.Now()
 	nodes := n.machine.Nodes()
+	n.paid.views.Inc()
+	n.paid.members.Set(float64(len(nodes)))
 	zones := n.machine.Zones()
 	n.view.Store(&nodes)
 	n.zones.Store(&zones)
@@ -151,6 +154,7 @@
 		return
 	}
 	n.reached.Store(true)
+	n.paid.records.Add(float64(len(answer.Updates)))
 	n.membership.Tell(membership.Answered{Sent: send, Exchange: answer})
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,6 +76,7 @@
 	unreachedLogged atomic.Bool
 	snapshot        atomic.Pointer[table.Snapshot]
 	tableMetrics    *tableMetrics
+	paid            *membershipMetrics
 	leaving         atomic.Bool
 	panics          prometheus.Counter
 	summary         func() api.Summary
@@ -120,7 +121,7 @@
 	node.Traffic.Count(node.Control, transport.KindControl)
 	node.Traffic.Count(node.gossip, transport.KindGossip)
 	node.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	node.tableMetrics = newTableMetrics(node.Registry)
+	node.tableMetrics, node.paid = newTableMetrics(node.Registry), newMembershipMetrics(node.Registry)
 	for _, option := range options {
 		option(node)
 	}
--- a/internal/node/table_metrics.go
+++ b/internal/node/table_metrics.go
@@ -37,6 +37,9 @@
 	return m
 }
 
+// ObserveCall counts an attempt at the key-value service.
+func (n *Node) ObserveCall(path string, err error) { n.tableMetrics.observeCall(path, err) }
+
 // observeCall counts one attempt.
 func (m *tableMetrics) observeCall(path string, err error) {
 	result := "ok"
--- a/internal/transport/traffic.go
+++ b/internal/transport/traffic.go
@@ -39,19 +39,24 @@
 	directionReceived = "received"
 )
 
-// TrafficName is the counter's name among a process's metrics.
-const TrafficName = "dykewing_traffic_bytes_total"
+// Names of the counters among a process's metrics.
+const (
+	TrafficName     = "dykewing_traffic_bytes_total"
+	ConnectionsName = "dykewing_traffic_connections_total"
+)
 
 // Traffic counts the bytes of the connections that a process opens, with their headers,
 // by kind, direction and whether they cross zones. A byte between two own processes is
 // counted once, by the one that opened the connection. It is a prometheus.Collector with
-// at most kinds x crossings x directions series.
+// at most kinds x crossings x directions series, and one a kind of the connections.
 type Traffic struct {
 	zone   string // of this process
 	zoneOf func(address string) (zone string, known bool)
 
 	mutex  sync.Mutex // guards counts
 	counts map[Kind]map[Crossing]*flow
+	dials  map[Kind]*atomic.Int64
+	bytes  *prometheus.Desc
 	opened *prometheus.Desc
 }
 
@@ -61,21 +66,30 @@
 // A process that knows no zone of its own takes every peer's for unknown.
 func NewTraffic(zone string, zoneOf func(address string) (zone string, known bool)) *Traffic {
 	return &Traffic{
-		zone: zone, zoneOf: zoneOf, counts: map[Kind]map[Crossing]*flow{},
-		opened: prometheus.NewDesc(TrafficName, "Bytes of connections that this process opened, by kind, direction and crossing of zones.",
+		zone: zone, zoneOf: zoneOf, counts: map[Kind]map[Crossing]*flow{}, dials: map[Kind]*atomic.Int64{},
+		opened: prometheus.NewDesc(ConnectionsName, "Connections that this process opened, by kind.", []string{"kind"}, nil),
+		bytes: prometheus.NewDesc(TrafficName, "Bytes of connections that this process opened, by kind, direction and crossing of zones.",
 			[]string{"kind", "direction", "crossing"}, nil),
 	}
 }
 
 // Describe is prometheus.Collector's.
-func (t *Traffic) Describe(descriptions chan<- *prometheus.Desc) { descriptions <- t.opened }
+func (t *Traffic) Describe(descriptions chan<- *prometheus.Desc) {
+	descriptions <- t.bytes
+	descriptions <- t.opened
+}
 
 // Collect is prometheus.Collector's.
 func (t *Traffic) Collect(metrics chan<- prometheus.Metric) {
 	t.each(func(kind Kind, crossing Crossing, sent, received int64) {
-		metrics <- prometheus.MustNewConstMetric(t.opened, prometheus.CounterValue, float64(sent), string(kind), directionSent, string(crossing))
-		metrics <- prometheus.MustNewConstMetric(t.opened, prometheus.CounterValue, float64(received), string(kind), directionReceived, string(crossing))
+		metrics <- prometheus.MustNewConstMetric(t.bytes, prometheus.CounterValue, float64(sent), string(kind), directionSent, string(crossing))
+		metrics <- prometheus.MustNewConstMetric(t.bytes, prometheus.CounterValue, float64(received), string(kind), directionReceived, string(crossing))
 	})
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for kind, dials := range t.dials {
+		metrics <- prometheus.MustNewConstMetric(t.opened, prometheus.CounterValue, float64(dials.Load()), string(kind))
+	}
 }
 
 // Crossed gives, by kind, the bytes that crossed zones so far in both directions.
@@ -111,6 +125,16 @@
 	return t.counts[kind][crossing]
 }
 
+// dialsOf counts the connections of a kind.
+func (t *Traffic) dialsOf(kind Kind) *atomic.Int64 {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.dials[kind] == nil {
+		t.dials[kind] = &atomic.Int64{}
+	}
+	return t.dials[kind]
+}
+
 // crossing is what is known of a peer; zone is what the caller knows, or empty.
 func (t *Traffic) crossing(address, zone string) Crossing {
 	if zone == "" && t.zoneOf != nil {
@@ -143,10 +167,11 @@
 	if t == nil || !ok {
 		return client
 	}
-	dial := pool.DialContext
+	dial, dials := pool.DialContext, t.dialsOf(kind)
 	pool.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if counted, ok := conn.(*countingConn); ok && err == nil {
+			dials.Add(1)
 			zone, _ := ctx.Value(peerZoneKey{}).(string)
 			counted.meter = &meter{traffic: t, kind: kind, address: address, zone: zone}
 		}
