A view that lets a start go on is published at once

Cause: a process that starts waited 100 ms for the next view after it had joined.

Change: the view that settles is not held back.

--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -108,11 +108,12 @@
 // publishSoon publishes the view at once, or viewPause after the last one; within the
 // actor.
 func (n *Node) publishSoon() {
-	if n.viewDue {
+	settles := n.machine.Settled() && !n.settled.Load() // a start waits for it
+	if n.viewDue && !settles {
 		return
 	}
 	wait := viewPause - time.Since(n.viewAt)
-	if wait <= 0 {
+	if wait <= 0 || settles {
 		n.publishView()
 		return
 	}
