The scale run and its hollow fleet are gone

Change: internal/scale, its command and internal/hollow are removed. The simulated zone of membership is in that package's tests, with all of its tests; benchmarks of pure machines are in internal/slopes. Tests of the scale run itself go with it; what they showed of membership and the table is held by TestEveryCrashIsDetectedByAll, TestEditComesIntoForceEverywhere and the two planted faults, moved: TestNoDetectionWithoutSuspicion, TestEditsAreMissedWithoutWatchers.

--- a/cmd/dykewingsim/load.go
+++ b/cmd/dykewingsim/load.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -61,3 +62,15 @@
 	}
 	return nil
 }
+
+// progressLine rewrites one line of standard error, at most some times a second.
+func progressLine() func(string) {
+	const every = 200 * time.Millisecond
+	var last time.Time
+	return func(line string) {
+		if time.Since(last) >= every {
+			last = time.Now()
+			fmt.Fprintf(os.Stderr, "\r\033[K%s", line)
+		}
+	}
+}
--- a/cmd/dykewingsim/main.go
+++ b/cmd/dykewingsim/main.go
@@ -1,5 +1,5 @@
-// Command dykewingsim has the stand-ins of the platform, the load generator,
-// the experiments and the scale run.
+// Command dykewingsim has the stand-ins of the platform, the load generator
+// and the experiments.
 package main
 
 import (
@@ -14,7 +14,6 @@
 func main() {
 	application := kingpin.New("dykewingsim", "Stand-ins, load and experiments of dykewing.")
 	registerEngine(application)
-	registerScale(application)
 	registerKeyValue(application)
 	registerMachineList(application)
 	registerLoad(application)
--- a/internal/scale/machines_test.go
+++ b/internal/slopes/machines_test.go
@@ -1,4 +1,4 @@
-package scale
+package slopes
 
 import (
 	"encoding/json"
--- a/internal/scale/size.go
+++ b/internal/slopes/size_test.go
@@ -1,10 +1,8 @@
-// Package scale measures the control machines at the sizes that dykewing is
-// designed for: it builds fleets of a given size, runs hollow nodes that share
-// this process on a virtual clock, and fits the slopes of their costs.
-package scale
+package slopes
 
 import (
 	"fmt"
+	"testing"
 
 	"github.com/dykewing/dykewing/api"
 )
@@ -118,3 +116,19 @@
 	add(api.RoleSidecar, s.Sidecars)
 	return nodes
 }
+
+func TestSizeKeepsProportions(t *testing.T) {
+	for _, nodes := range []int{5, 50, 150, 300, 670} {
+		size := DesignSize().WithNodes(nodes)
+		if size.Nodes() != nodes || len(size.NodeList()) != nodes || len(size.WorkerList()) != size.Workers {
+			t.Errorf("%d nodes gave %+v", nodes, size)
+		}
+	}
+	counts := map[api.Location]int{}
+	for _, worker := range DesignSize().WorkerList() {
+		counts[worker.Location]++
+	}
+	if len(counts) != DesignSize().Zones {
+		t.Errorf("workers are in %d zones", len(counts))
+	}
+}
--- a/internal/hollow/membership.go
+++ b/membership/fleet_test.go
@@ -1,7 +1,4 @@
-// Package hollow runs many control machines in one process on a simulated
-// network, without the processes around them: for tests at the size of a fleet
-// and for the scale run.
-package hollow
+package membership_test
 
 import (
 	"fmt"
--- a/membership/growth_test.go
+++ b/membership/growth_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 	"time"
-
-	"github.com/dykewing/dykewing/internal/hollow"
 )
 
 // start is what the start of one zone at once costs.
@@ -17,11 +15,11 @@
 
 func startOf(t *testing.T, members int) startCost {
 	t.Helper()
-	options := hollow.DefaultMembershipOptions()
+	options := DefaultMembershipOptions()
 	options.Seed, options.MeasureEvery, options.SummaryInterval = 5, 0, 0
 	options.Interval, options.SuspectTimeout = heartbeat, time.Second
 	options.Regions, options.Zones, options.RoutersPerZone, options.StoresPerZone = 1, 1, 2, members-2
-	fleet := hollow.NewMembership(options)
+	fleet := NewMembership(options)
 	const observed = 12 * time.Second
 	known, err := within(fleet, observed, func() bool {
 		for _, member := range fleet.Members {
--- a/internal/hollow/homes.go
+++ b/membership/homes_test.go
@@ -1,4 +1,4 @@
-package hollow
+package membership_test
 
 import (
 	"fmt"
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/dykewing/dykewing/api"
-	"github.com/dykewing/dykewing/internal/hollow"
 	"github.com/dykewing/dykewing/membership"
 	"github.com/dykewing/dykewing/sim"
 )
@@ -15,17 +14,17 @@
 const settle = 40 * time.Second
 
 // zoneOf starts one zone and lets it settle.
-func zoneOf(seed uint64, routers int, fault membership.Fault) *hollow.Membership {
-	options := hollow.DefaultMembershipOptions()
+func zoneOf(seed uint64, routers int, fault membership.Fault) *Membership {
+	options := DefaultMembershipOptions()
 	options.Seed, options.Fault, options.MeasureEvery = seed, fault, 0
 	options.Regions, options.Zones, options.RoutersPerZone, options.StoresPerZone = 1, 1, routers, 0
-	fleet := hollow.NewMembership(options)
+	fleet := NewMembership(options)
 	fleet.Simulation.Run(settle)
 	return fleet
 }
 
 // statusAt is what one member holds of another.
-func statusAt(holder, of *hollow.Member) membership.Status {
+func statusAt(holder, of *Member) membership.Status {
 	for _, record := range holder.Machine.Records() {
 		if record.Node.ID == of.Node.ID {
 			return record.Status
@@ -35,7 +34,7 @@
 }
 
 // allHold tells whether each running member holds the status of the one.
-func allHold(fleet *hollow.Membership, of *hollow.Member, status membership.Status) bool {
+func allHold(fleet *Membership, of *Member, status membership.Status) bool {
 	for _, holder := range fleet.Members {
 		if holder != of && holder.Process.Up() && statusAt(holder, of) != status {
 			return false
@@ -45,7 +44,7 @@
 }
 
 // within runs until the condition holds and gives the time that took.
-func within(fleet *hollow.Membership, bound time.Duration, condition func() bool) (time.Duration, error) {
+func within(fleet *Membership, bound time.Duration, condition func() bool) (time.Duration, error) {
 	const step = 100 * time.Millisecond
 	begin := fleet.Simulation.Now()
 	for fleet.Simulation.Now().Sub(begin) < bound {
@@ -58,7 +57,7 @@
 }
 
 // countDeaths counts declarations of death of members that run.
-func countDeaths(fleet *hollow.Membership) *int {
+func countDeaths(fleet *Membership) *int {
 	deaths := 0
 	for _, holder := range fleet.Members {
 		holder.OnAction = func(action membership.Action) {
@@ -87,6 +86,21 @@
 	}
 }
 
+// TestNoDetectionWithoutSuspicion shows that the check of detection can fail: with an
+// endless suspicion a member that crashed stays in view.
+func TestNoDetectionWithoutSuspicion(t *testing.T) {
+	options := DefaultMembershipOptions()
+	options.MeasureEvery, options.SuspectTimeout = 0, time.Hour
+	options.Regions, options.Zones, options.RoutersPerZone, options.StoresPerZone = 1, 1, 12, 0
+	fleet := NewMembership(options)
+	fleet.Simulation.Run(settle)
+	member := fleet.Members[3]
+	member.Process.Crash()
+	if _, err := within(fleet, 25*time.Second, func() bool { return allHold(fleet, member, membership.StatusDead) }); err == nil {
+		t.Fatal("a member that is never taken for dead was found gone")
+	}
+}
+
 func TestLossBringsNoFalseDeath(t *testing.T) {
 	run := func(fault membership.Fault) int {
 		fleet := zoneOf(11, 16, fault)
@@ -266,10 +280,10 @@
 }
 
 func TestSidecarFollowsItsZone(t *testing.T) {
-	options := hollow.DefaultMembershipOptions()
+	options := DefaultMembershipOptions()
 	options.MeasureEvery, options.Zones, options.Regions = 0, 3, 2
 	options.RoutersPerZone, options.StoresPerZone, options.Sidecars = 10, 1, 5
-	fleet := hollow.NewMembership(options)
+	fleet := NewMembership(options)
 	fleet.Simulation.Run(settle)
 	const view = 1 + 11 + 2*(8+1) // itself, its zone, two zones' gateways and store
 	sidecars := fleet.Members[len(fleet.Members)-options.Sidecars:]
@@ -299,10 +313,10 @@
 }
 
 func TestRegionCutOffForMinutesComesBack(t *testing.T) {
-	options := hollow.DefaultMembershipOptions()
+	options := DefaultMembershipOptions()
 	options.MeasureEvery, options.Zones, options.Regions = 0, 4, 2
 	options.RoutersPerZone, options.StoresPerZone = 9, 1
-	fleet := hollow.NewMembership(options)
+	fleet := NewMembership(options)
 	fleet.Simulation.Run(time.Minute)
 	deaths := countDeaths(fleet)
 	cutRegions(fleet)
@@ -322,7 +336,7 @@
 	t.Logf("all zones offer again after %v", took)
 }
 
-func cutRegions(fleet *hollow.Membership) {
+func cutRegions(fleet *Membership) {
 	for _, a := range fleet.Members {
 		for _, b := range fleet.Members {
 			if a.Node.Location.Region != b.Node.Location.Region {
@@ -333,7 +347,7 @@
 }
 
 // foreignOffers counts other zones' gateways that offer services.
-func foreignOffers(member *hollow.Member) int {
+func foreignOffers(member *Member) int {
 	offers := 0
 	for _, node := range member.Machine.Nodes() {
 		foreign := node.Location != member.Node.Location
--- a/internal/hollow/membership_test.go
+++ b/membership/moves_test.go
@@ -1,4 +1,4 @@
-package hollow
+package membership_test
 
 import (
 	"fmt"
@@ -12,7 +12,7 @@
 )
 
 const (
-	settle     = 90 * time.Second
+	fullSettle = 90 * time.Second
 	measured   = 60 * time.Second
 	watchStep  = 20 * time.Millisecond
 	watched    = 40 * time.Second
@@ -43,12 +43,12 @@
 	}
 }
 
-// zoneOf is one zone of the size of letter 1.
-func zoneOf(seed uint64) *Membership {
+// fullZone is one zone of the size of letter 1.
+func fullZone(seed uint64) *Membership {
 	options := DefaultMembershipOptions()
 	options.Seed, options.Zones, options.Regions, options.MeasureEvery = seed, 1, 1, 0
 	fleet := NewMembership(options)
-	fleet.Simulation.Run(settle)
+	fleet.Simulation.Run(fullSettle)
 	return fleet
 }
 
@@ -80,7 +80,7 @@
 
 func TestEachWorkerHasOneHomeSoonAfterAMove(t *testing.T) {
 	for _, move := range moves {
-		fleet := zoneOf(5)
+		fleet := fullZone(5)
 		homes := NewHomes(fleet, 200, zoneSlots)
 		if before := homes.Watch(time.Second, watchStep); before.Doubled+before.Homeless > 0 {
 			t.Fatalf("%s: %+v before the move", move.name, before)
@@ -103,7 +103,7 @@
 			seed := uint64(0)
 			for b.Loop() {
 				seed++
-				fleet := zoneOf(seed)
+				fleet := fullZone(seed)
 				homes := NewHomes(fleet, zoneWorker, zoneSlots)
 				homes.Watch(watchStep, watchStep)
 				move.move(fleet, fleet.Members[int(seed)%40])
@@ -125,7 +125,7 @@
 	for _, size := range []struct {
 		sidecars int
 		after    time.Duration
-	}{{0, settle}, {670, settle}, {670, 400 * time.Second}} {
+	}{{0, fullSettle}, {670, fullSettle}, {670, 400 * time.Second}} {
 		b.Run(fmt.Sprintf("sidecars=%d/after=%v", size.sidecars, size.after), func(b *testing.B) {
 			for b.Loop() {
 				measureFleet(b, size.sidecars, size.after)
@@ -208,7 +208,7 @@
 			seed := uint64(100)
 			for b.Loop() {
 				seed++
-				fleet := zoneOf(seed)
+				fleet := fullZone(seed)
 				for _, member := range fleet.Members {
 					member.OnAction = func(action membership.Action) {
 						if _, died := action.(membership.Died); died {
--- a/internal/hollow/table_test.go
+++ b/membership/table_test.go
@@ -1,4 +1,4 @@
-package hollow
+package membership_test
 
 import (
 	"encoding/json"
@@ -87,13 +87,13 @@
 	}
 }
 
-// edit changes one row at the watchers and gives the times in force, sorted.
-func (f *tableFleet) edit() []time.Duration {
+// edit changes one row at some watchers and gives the times in force, sorted.
+func (f *tableFleet) edit(watchers int) []time.Duration {
 	f.revision++
 	f.edited, f.inForce = f.Simulation.Now(), map[*Member]time.Duration{}
 	row := api.VersionedRow{Row: api.Row{Service: "model-a", Place: "zone-a", Weight: float64(f.revision)}, Revision: f.revision}
 	delta := api.TableDelta{After: f.revision - 1, Revision: f.revision, Rows: []api.VersionedRow{row}}
-	for _, i := range f.random.Perm(len(f.Members))[:tableWatchers] {
+	for _, i := range f.random.Perm(len(f.Members))[:watchers] {
 		f.apply(f.Members[i], delta)
 	}
 	f.Simulation.Run(30 * time.Second)
@@ -109,7 +109,7 @@
 func (f *tableFleet) edits(tb testing.TB, count int) (median, worst time.Duration) {
 	f.Simulation.Run(30 * time.Second)
 	for range count {
-		times := f.edit()
+		times := f.edit(tableWatchers)
 		if len(times) != len(f.Members) {
 			tb.Fatalf("in force at %d of %d nodes", len(times), len(f.Members))
 		}
@@ -138,3 +138,12 @@
 		b.ReportMetric(worst.Seconds(), "s-worst")
 	}
 }
+
+// TestEditsAreMissedWithoutWatchers shows that the check of edits can fail.
+func TestEditsAreMissedWithoutWatchers(t *testing.T) {
+	fleet := newTableFleet(1, 4)
+	fleet.Simulation.Run(20 * time.Second)
+	if times := fleet.edit(0); len(times) != 0 {
+		t.Fatalf("an edit came into force at %d members though nobody watches the service", len(times))
+	}
+}
