One watcher of the fleet reads a forgotten history

Cause: each time that the service forgot its history every watcher read all pages of the state, 54 calls of each at 10,000 workers.

Change: all watchers stand in one order; each is told the state by one before it and asks the service for the changes since.

Result: TestOneWatcherOfTheFleetReadsTheWholeState: 1 read for 5 and for 10 zones (10 and 20 before).

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -110,6 +110,7 @@
 	settings Settings
 	ranked   []Member // of the zone, watchers first
 	rank     int      // of this process
+	abroad   []Member // the first watcher of each other zone
 	sources  map[api.NodeID]*source
 	answered bool      // something is known
 	behindAt time.Time // when a watcher first knew nothing, before anything was known
@@ -129,14 +130,15 @@
 // Members takes the processes of the zone that can be asked, this one among them.
 func (c *Chooser) Members(members []Member) {
 	c.ranked = slices.Clone(members)
-	slices.SortFunc(c.ranked, func(a, b Member) int {
-		return cmp.Or(-compareBool(a.Strong, b.Strong), cmp.Compare(xxhash.Sum64String(string(a.ID)), xxhash.Sum64String(string(b.ID))), cmp.Compare(a.ID, b.ID))
-	})
+	slices.SortFunc(c.ranked, compareRank)
 	c.rank = slices.IndexFunc(c.ranked, func(m Member) bool { return m.ID == c.settings.Self })
 	known := map[api.NodeID]bool{"": true}
 	for _, member := range members {
 		known[member.ID] = true
 	}
+	for _, member := range c.abroad {
+		known[member.ID] = true
+	}
 	for id := range c.sources {
 		if !known[id] {
 			delete(c.sources, id)
@@ -144,6 +146,51 @@
 	}
 }
 
+// compareRank puts the members that are to watch first.
+func compareRank(a, b Member) int {
+	return cmp.Or(-compareBool(a.Strong, b.Strong), cmp.Compare(xxhash.Sum64String(string(a.ID)), xxhash.Sum64String(string(b.ID))), cmp.Compare(a.ID, b.ID))
+}
+
+// Abroad takes the members of other zones that are known, by zone.
+func (c *Chooser) Abroad(zones [][]Member) {
+	c.abroad = c.abroad[:0]
+	for _, members := range zones {
+		if len(members) > 0 {
+			c.abroad = append(c.abroad, slices.MinFunc(members, compareRank))
+		}
+	}
+	slices.SortFunc(c.abroad, compareRank)
+}
+
+// tellers are the watchers that tell this one the whole state, the first choice first. All
+// watchers of a fleet stand in one order, and each is told by one before it, so that a
+// state of thousands of pages is read from the service once and not once a watcher.
+func (c *Chooser) tellers() []Member {
+	if c.rank > 0 {
+		return c.ranked[:min(c.rank, c.settings.Watchers)]
+	}
+	self := c.ranked[c.rank]
+	before := slices.IndexFunc(c.abroad, func(m Member) bool { return compareRank(m, self) > 0 })
+	if before < 0 {
+		before = len(c.abroad)
+	}
+	return c.abroad[:before]
+}
+
+// Teller is the watcher that will know the whole state before this one does; false where
+// this one reads it from the service.
+func (c *Chooser) Teller(now time.Time) (Member, bool) {
+	if !c.Watching() {
+		return Member{}, false
+	}
+	for _, peer := range c.tellers() {
+		if !c.question(now, peer).NotBefore.After(now) {
+			return peer, true
+		}
+	}
+	return Member{}, false
+}
+
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
@@ -179,8 +226,8 @@
 	return best
 }
 
-// Whole gives whom to ask for the whole state: another watcher before the service, also
-// for a watcher, which then asks the service for the changes since.
+// Whole gives whom to ask for the whole state: a watcher before the service. A watcher is
+// told by one that stands before it, and then asks the service for the changes since.
 func (c *Chooser) Whole(now time.Time) Question {
 	var best Question
 	for i, peer := range c.peersFirst() {
@@ -198,13 +245,12 @@
 	return best
 }
 
-// peersFirst is order with the service last.
+// peersFirst are those that tell the whole state, the service last.
 func (c *Chooser) peersFirst() []Member {
-	order := c.order()
-	if order[0].ID == "" {
-		order = append(order[1:], order[0])
+	if c.Watching() {
+		return append(slices.Clone(c.tellers()), Member{})
 	}
-	return order
+	return c.order()
 }
 
 // order is the peers and the service, the first choice first.
--- a/feed/start_test.go
+++ b/feed/start_test.go
@@ -1,8 +1,11 @@
 package feed
 
 import (
+	"fmt"
 	"testing"
 	"time"
+
+	"github.com/dykewing/dykewing/api"
 )
 
 // Symptom: each of the processes of a fleet that started read the whole state from the
@@ -76,17 +79,69 @@
 	}
 }
 
-// A watcher that starts reads the state from the other one where that knows it.
-func TestAWatcherReadsTheStateFromTheOther(t *testing.T) {
-	c, list := ranked(50, 0)
-	if got := c.Whole(start); got.Peer != list[1] {
-		t.Errorf("asked %q", got.Peer.ID)
-	}
-	if got := c.Next(start); !got.OfService() {
-		t.Errorf("asked %q for changes", got.Peer.ID)
-	}
-	c.Ended(start, Question{Peer: list[1]}, Behind)
-	if got := c.Whole(start); !got.OfService() || got.NotBefore.After(start) {
-		t.Errorf("then %+v", got)
+// Symptom: each time that the service forgot its history, each of the watchers of a fleet of
+// 10,000 workers read all pages of the state, 54 calls of each. All watchers stand in one
+// order, and one of them reads the service.
+func TestOneWatcherOfTheFleetReadsTheWholeState(t *testing.T) {
+	const inZone = 50
+	for _, zones := range []int{5, 10} {
+		var fleet [][]Member
+		for z := range zones {
+			members := zone(inZone)
+			for i := range members {
+				members[i].ID += api.NodeID(fmt.Sprint("-", z))
+			}
+			fleet = append(fleet, members)
+		}
+		reads, told := 0, map[api.NodeID]api.NodeID{}
+		for z, members := range fleet {
+			var abroad [][]Member
+			for other, list := range fleet {
+				if other != z {
+					abroad = append(abroad, list)
+				}
+			}
+			for _, member := range members {
+				c := New(Within(member.ID, apply, longWait))
+				c.Members(members)
+				c.Abroad(abroad)
+				if !c.Watching() {
+					continue
+				}
+				question := c.Whole(start)
+				if question.OfService() {
+					reads++
+					continue
+				}
+				if teller, ok := c.Teller(start); !ok || teller != question.Peer {
+					t.Errorf("%s waits for %q and asks %q", member.ID, teller.ID, question.Peer.ID)
+				}
+				told[member.ID] = question.Peer.ID
+				if next := c.Next(start); !next.OfService() {
+					t.Errorf("%s asks %q for changes", member.ID, next.Peer.ID)
+				}
+				c.Ended(start, question, Unreachable)
+				for range zones + watchersOfAZone {
+					if question = c.Whole(start); !question.OfService() {
+						c.Ended(start, question, Unreachable)
+					}
+				}
+				if !question.OfService() || question.NotBefore.After(start) {
+					t.Errorf("where no teller answers %s asks %q", member.ID, question.Peer.ID)
+				}
+			}
+		}
+		if reads != 1 || len(told) != watchersOfAZone*zones-1 {
+			t.Errorf("%d watchers of %d zones read the state from the service, %d from others", reads, zones, len(told))
+		}
+		for id := range told { // nobody waits for one that waits for it
+			seen := map[api.NodeID]bool{}
+			for at := id; at != ""; at = told[at] {
+				if seen[at] {
+					t.Fatalf("a ring at %s", at)
+				}
+				seen[at] = true
+			}
+		}
 	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -101,6 +101,7 @@
 		return nil, err
 	}
 	changes.Joined = common.Settled
+	changes.Abroad = func() [][]feed.Member { return storesAbroad(common.Nodes(), settings.Node.Location()) }
 	if platform.Observe != nil {
 		platform.Observe(common.ObserveCall)
 	}
@@ -122,6 +123,24 @@
 	return members
 }
 
+// storesAbroad are the stores of other zones, by zone: those of each that watch first.
+func storesAbroad(nodes []api.Node, location api.Location) [][]feed.Member {
+	at := map[api.Location]int{}
+	var zones [][]feed.Member
+	for _, each := range nodes {
+		if each.Location == location || each.Role != api.RoleStore || each.Leaving || each.Suspected {
+			continue
+		}
+		i, known := at[each.Location]
+		if !known {
+			i = len(zones)
+			at[each.Location], zones = i, append(zones, nil)
+		}
+		zones[i] = append(zones[i], feed.Member{ID: each.ID, Address: each.Address, Strong: true})
+	}
+	return zones
+}
+
 // newStore adds the role; on a platform, leaders run inline jobs.
 func newStore(common *node.Node, platform *Platform) (func(ctx context.Context) error, error) {
 	if platform == nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -69,6 +69,9 @@
 	told     told
 	// Joined tells whether this process knows the others of its zone; nil: at once.
 	Joined func() bool
+	// Abroad are the processes of other zones that may be watchers there, by zone; nil: none
+	// are known.
+	Abroad func() [][]feed.Member
 	asked  *prometheus.CounterVec
 
 	// Only Range and Watch of all keys use these, one after the other.
@@ -147,6 +150,9 @@
 			return ctx.Err()
 		}
 		r.ended(question, batch.Revision, err)
+		if errors.Is(err, kv.ErrCompacted) && question.OfService() {
+			batch, err = r.awaitTeller(ctx, revision, err)
+		}
 		if errors.Is(err, kv.ErrCompacted) || err != nil && question.OfService() {
 			return err
 		}
@@ -182,6 +188,9 @@
 // lookAround takes the members of the zone as they are known now, and keeps state for
 // others where these ask this process.
 func (r *Relay) lookAround() {
+	if r.Abroad != nil {
+		r.chooser.Abroad(r.Abroad())
+	}
 	r.chooser.Members(r.members())
 	keeps := !r.chooser.Shared() || r.chooser.Watching()
 	r.mirror.keep(keeps)
@@ -194,6 +203,24 @@
 // nothing that it could tell.
 var errUntold = errors.New("this process is to tell others the whole state")
 
+// awaitTeller waits, where the service has forgotten its history, until the watcher that
+// tells this one has read the whole state. It may have changes that this one missed; else
+// the error stays.
+func (r *Relay) awaitTeller(ctx context.Context, revision int64, forgotten error) (kv.Batch, error) {
+	teller, ok := r.chooser.Teller(clock.Now())
+	if !ok {
+		return kv.Batch{}, forgotten
+	}
+	question := feed.Question{Peer: teller, Wait: r.settings.Fresh}
+	batch, err := r.changesOf(ctx, question, revision)
+	r.ended(question, batch.Revision, err)
+	if err != nil || len(batch.Events) == 0 {
+		return kv.Batch{}, forgotten
+	}
+	r.mirror.apply(batch, false, clock.Now())
+	return batch, nil
+}
+
 // ask puts one question; what is learned goes into the mirror.
 func (r *Relay) ask(ctx context.Context, question feed.Question, revision int64) (kv.Batch, error) {
 	if question.OfService() {
