--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -84,14 +84,17 @@
 	return s.Service.Range(ctx, prefix)
 }
 
-func newZone(t *testing.T, count int) *zone {
-	z := &zone{t: t, store: standin.NewStore()}
+func newZone(t *testing.T, count int) *zone { return newZoneOf(t, standin.NewStore(), "node-", count) }
+
+// newZoneOf is a zone before a store that others may share.
+func newZoneOf(t *testing.T, store *standin.Store, prefix string, count int) *zone {
+	z := &zone{t: t, store: store}
 	server := httptest.NewServer(z.store)
 	t.Cleanup(server.Close)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	for i := range count {
-		n := &node{id: fmt.Sprint("node-", i), seen: map[string]string{}}
+		n := &node{id: fmt.Sprint(prefix, i), seen: map[string]string{}}
 		n.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			n.asked.Add(1)
 			for n.frozen.Load() && r.Context().Err() == nil {
@@ -311,6 +314,48 @@
 	z.allKnow("key/3", fmt.Sprint(changes-1))
 }
 
+// Symptom: each time that the service forgot its history, every watcher of the fleet read
+// all pages of the state. One of them reads it, and all others learn what changed
+// meanwhile.
+func TestAForgottenHistoryIsReadOnce(t *testing.T) {
+	store := standin.NewStore()
+	zones := []*zone{newZoneOf(t, store, "a-", members), newZoneOf(t, store, "b-", members), newZoneOf(t, store, "c-", members)}
+	for i, z := range zones {
+		for _, n := range z.nodes {
+			n.relay.Abroad = func() (others [][]feed.Member) {
+				for j, other := range zones {
+					if j != i {
+						others = append(others, other.members)
+					}
+				}
+				return others
+			}
+		}
+	}
+	store.Put("op/config", []byte("1"))
+	for _, z := range zones {
+		z.start()
+		z.allKnow("op/config", "1")
+	}
+	calm := store.Calls("/-/kv-watch") + 3*watchers*len(zones) // no source is in a pause any more
+	zones[0].await("calm watches", func() bool { return store.Calls("/-/kv-watch") >= calm })
+	const forgotten = 3
+	before := store.Calls("/-/kv-range")
+	for i := range forgotten {
+		store.Put("gone", []byte("x"))
+		store.Forget()
+		value := fmt.Sprint(i + 2)
+		store.Put("op/config", []byte(value))
+		for _, z := range zones {
+			z.allKnow("op/config", value)
+		}
+	}
+	// A watcher whose teller is late may read for itself.
+	if reads := store.Calls("/-/kv-range") - before; reads > 2*forgotten {
+		t.Errorf("%d reads of the whole state for %d forgotten histories", reads, forgotten)
+	}
+}
+
 // tell asks a member as others do.
 func (n *node) tell(t *testing.T, query string) string {
 	t.Helper()
