A zone at the edge of sharing does not read everything anew

Cause: a process dropped its state as soon as nobody would ask it, so that a member that was suspected for a moment made a small zone read all again.

Change: state is dropped after 3 s in which nobody may ask.

Result: TestAProcessThatNobodyAsksKeepsNoState.

--- a/internal/relay/growth_test.go
+++ b/internal/relay/growth_test.go
@@ -90,9 +90,16 @@
 
 // Symptom: each process held a copy of all workers' entries that nobody asked it for.
 func TestAProcessThatNobodyAsksKeepsNoState(t *testing.T) {
-	m := newMirror()
-	m.reset(kv.RangeResult{Revision: 9, Pairs: []kv.Pair{{Key: "a", Value: []byte("1"), Revision: 3}}}, true, time.Now())
-	m.keep(false)
+	m, now := newMirror(), time.Now()
+	m.reset(kv.RangeResult{Revision: 9, Pairs: []kv.Pair{{Key: "a", Value: []byte("1"), Revision: 3}}}, true, now)
+	m.keep(false, now)
+	m.keep(false, now.Add(unaskedLife/2))
+	m.keep(true, now.Add(unaskedLife/2)) // a member was suspected for a moment
+	m.keep(false, now.Add(unaskedLife))
+	if len(m.pairs) != 1 || m.lacks() {
+		t.Fatalf("%d pairs after a moment in which nobody asked", len(m.pairs))
+	}
+	m.keep(false, now.Add(3*unaskedLife))
 	m.apply(batchOf(10, 20), false, time.Now())
 	m.reset(kv.RangeResult{Revision: 30, Pairs: []kv.Pair{{Key: "a", Value: []byte("1"), Revision: 3}}}, false, time.Now())
 	if state := m.after(0); len(m.pairs) != 0 || len(m.events) != 0 || state.usable || state.revision != 30 {
@@ -101,7 +108,7 @@
 	if m.lacks() {
 		t.Error("a state is missed that nobody asks for")
 	}
-	m.keep(true)
+	m.keep(true, now.Add(4*unaskedLife))
 	if !m.lacks() || m.after(30).usable {
 		t.Error("a process that others may ask tells a state that it has not kept")
 	}
--- a/internal/relay/mirror.go
+++ b/internal/relay/mirror.go
@@ -23,7 +23,8 @@
 // others may ask for it.
 type mirror struct {
 	mutex     sync.Mutex // guards all below
-	keeps     bool       // others may ask this process
+	keeps     bool       // others may ask this process, or might a moment ago
+	unasked   time.Time  // since when nobody may; zero while others may
 	pairs     map[string]kv.Pair
 	size      int        // bytes of the values of pairs
 	events    []kv.Event // after floor, in order
@@ -40,16 +41,25 @@
 	return &mirror{keeps: true, pairs: map[string]kv.Pair{}, changed: make(chan struct{})}
 }
 
+// unaskedLife is for how long state is kept though nobody asks: longer than a member that
+// was suspected takes to refute, so that a zone at the edge of sharing does not read
+// everything anew each time.
+const unaskedLife = 3 * time.Second
+
 // keep tells whether others may ask this process. One that nobody asks holds no state: a
 // copy of all workers' entries was a third of the memory of a process that uses them.
-func (m *mirror) keep(keeps bool) {
+func (m *mirror) keep(keeps bool, now time.Time) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if m.keeps == keeps {
-		return
+	switch {
+	case keeps:
+		m.keeps, m.unasked = true, time.Time{}
+	case m.unasked.IsZero():
+		m.unasked = now
+	case m.keeps && now.Sub(m.unasked) >= unaskedLife:
+		m.keeps, m.known = false, false
+		m.drop()
 	}
-	m.keeps, m.known = keeps, false
-	m.drop()
 }
 
 // lacks tells that others may ask this process, and that it has no whole state for them.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -193,7 +193,7 @@
 	}
 	r.chooser.Members(r.members())
 	keeps := !r.chooser.Shared() || r.chooser.Watching()
-	r.mirror.keep(keeps)
+	r.mirror.keep(keeps, clock.Now())
 	if !keeps {
 		r.told.forget()
 	}
