A silent watch is no lost service

Cause: while the platform's store told its watches nothing for five seconds and then forgot its history, watchers had no contact and hundreds of processes asked the store for themselves, and read 54 pages each: 24,842 calls, and a configuration that was not in force everywhere in time.

Change: a watcher whose question is not answered in its time asks for the store's revision: the same one proves contact, a later one says what was missed. Two deputies of a zone stand in for watchers; the others ask these before the store, which they ask after 0.6 of the time for a change. A peer other than the one that answered last is asked for an answer at once: two lost watchers in a row were waited for a whole time each.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -29,6 +29,9 @@
 type Settings struct {
 	Self     api.NodeID
 	Watchers int // of a zone
+	// Deputies are the members after the watchers that ask the service as soon as these
+	// have no contact, and that the others ask before it.
+	Deputies int
 	// LongWait is how long a question to the service waits for changes where the
 	// process asks for itself, ShortWait where it may ask for others.
 	LongWait  time.Duration
@@ -39,6 +42,9 @@
 	// Start is how long a process that has never known anything waits for watchers that
 	// know nothing yet.
 	Start time.Duration
+	// Alone is how long after its last word a process that is neither watcher nor deputy
+	// asks the service itself, where these answer that they have no contact.
+	Alone time.Duration
 }
 
 // The parts of the time within which a change has to be known everywhere. A watcher
@@ -46,8 +52,13 @@
 // service are asked in what is left.
 const (
 	shortWaitShare = 0.3
-	gatherShare    = 0.15
+	gatherShare    = 0.12
 	freshShare     = 0.5
+	// aloneShare leaves enough to read the whole state. Without it hundreds of processes
+	// asked a service that told its watchers nothing for seconds, and read all pages of the
+	// state when it had forgotten its history: tens of thousands of calls in its worst
+	// moment.
+	aloneShare = 0.6
 	// startShare is for how long a process that has never known anything leaves the
 	// service to watchers that answer and know nothing yet either: they have started
 	// with it, and ask at once. A fleet that starts costs the calls of its watchers.
@@ -58,11 +69,14 @@
 // already.
 const watchersOfAZone = 2
 
+// deputiesOfAZone take the watchers' place where the service serves others and not them.
+const deputiesOfAZone = 2
+
 // Within gives settings for a fleet where a change has to be known within a time.
 // longWait is how long a process that asks for itself may wait.
 func Within(self api.NodeID, apply, longWait time.Duration) Settings {
 	part := func(share float64) time.Duration { return time.Duration(share * float64(apply)) }
-	return Settings{Self: self, Watchers: watchersOfAZone, LongWait: longWait, ShortWait: part(shortWaitShare), Fresh: part(freshShare), Start: part(startShare)}
+	return Settings{Self: self, Watchers: watchersOfAZone, Deputies: deputiesOfAZone, LongWait: longWait, ShortWait: part(shortWaitShare), Fresh: part(freshShare), Start: part(startShare), Alone: part(aloneShare)}
 }
 
 // GatherPause is how long a watcher may let changes gather before it asks for more.
@@ -112,8 +126,9 @@
 	rank     int      // of this process
 	abroad   []Member // the first watcher of each other zone
 	sources  map[api.NodeID]*source
-	answered bool      // something is known
-	behindAt time.Time // when a watcher first knew nothing, before anything was known
+	source   api.NodeID // who answered last
+	answered time.Time  // when somebody answered last; zero: nothing is known
+	behindAt time.Time  // when a peer first had no contact since then; zero: none says so
 }
 
 // source is what is known of a peer, or under the empty id of the service.
@@ -208,6 +223,12 @@
 	return c.rank >= 0 && alone > float64(c.settings.Watchers)/c.settings.ShortWait.Seconds()
 }
 
+// Keeps tells whether others may ask this process: where all ask the service for
+// themselves any, else watchers and their deputies.
+func (c *Chooser) Keeps() bool {
+	return !c.Shared() || c.rank < c.settings.Watchers+c.settings.Deputies
+}
+
 // Watching tells whether this process asks the service for others.
 func (c *Chooser) Watching() bool { return c.Shared() && c.rank < c.settings.Watchers }
 
@@ -232,9 +253,6 @@
 	var best Question
 	for i, peer := range c.peersFirst() {
 		question := c.question(now, peer)
-		if grace := c.behindAt.Add(c.settings.Start); question.OfService() && c.waitsForWatchers() && grace.After(question.NotBefore) {
-			question.NotBefore = grace
-		}
 		if !question.NotBefore.After(now) {
 			return question
 		}
@@ -265,31 +283,54 @@
 		return append([]Member{service}, others...)
 	}
 	// The others of the zone are spread over the watchers by their rank.
-	first := c.rank % len(watchers)
-	order := append(slices.Clone(watchers[first:]), watchers[:first]...)
+	order := c.spread(watchers)
+	if deputies := c.ranked[len(watchers):min(len(watchers)+c.settings.Deputies, len(c.ranked))]; !c.Keeps() {
+		order = append(order, c.spread(deputies)...)
+	}
 	return append(order, service)
 }
 
+// spread gives members in an order that begins elsewhere for each rank.
+func (c *Chooser) spread(members []Member) []Member {
+	if len(members) == 0 {
+		return nil
+	}
+	first := c.rank % len(members)
+	return append(slices.Clone(members[first:]), members[:first]...)
+}
+
 func (c *Chooser) question(now time.Time, peer Member) Question {
 	question := Question{Peer: peer, NotBefore: now}
 	known := c.sources[peer.ID]
 	if known != nil && known.notBefore.After(now) {
 		question.NotBefore = known.notBefore
 	}
+	if alone := c.aloneFrom(); question.OfService() && alone.After(question.NotBefore) {
+		question.NotBefore = alone
+	}
 	switch {
 	case question.OfService() && c.Shared():
 		question.Wait = c.settings.ShortWait
 	case question.OfService():
 		question.Wait = c.settings.LongWait
-	case known != nil && known.failures == 0:
+	case known != nil && known.failures == 0 && c.source == peer.ID: // it answered just now
 		question.Wait = c.settings.Fresh
 	}
 	return question
 }
 
-// waitsForWatchers tells that the service is left to watchers that have just started.
-func (c *Chooser) waitsForWatchers() bool {
-	return !c.answered && !c.behindAt.IsZero() && c.Shared() && !c.Watching()
+// aloneFrom is from when on a process asks the service itself though watchers or deputies
+// are there that only have no contact; zero: at once.
+func (c *Chooser) aloneFrom() time.Time {
+	switch {
+	case c.behindAt.IsZero() || c.Watching() || !c.Shared():
+		return time.Time{}
+	case c.answered.IsZero():
+		return c.behindAt.Add(c.settings.Start)
+	case c.Keeps():
+		return time.Time{}
+	}
+	return c.answered.Add(c.settings.Alone)
 }
 
 // Ended takes how a question ended.
@@ -300,7 +341,8 @@
 		c.sources[question.Peer.ID] = known
 	}
 	if outcome == Answered {
-		*known, c.answered = source{}, true
+		*known = source{}
+		c.source, c.answered, c.behindAt = question.Peer.ID, now, time.Time{}
 		return
 	}
 	if outcome == Behind && c.behindAt.IsZero() {
@@ -312,12 +354,14 @@
 
 func (c *Chooser) pauseAfter(question Question, outcome Outcome, failures int) time.Duration {
 	switch {
-	case question.OfService() && c.Shared() && !c.Watching():
+	case question.OfService() && !c.Keeps():
 		return followerPause
 	case question.OfService():
 		return min(firstServicePause<<min(failures-1, mostDoublings), lastServicePause)
 	case outcome == Behind:
 		return behindPause
+	case c.Keeps(): // a deputy on whom others rely is not to wait for lost watchers often
+		return unreachablePause << min(failures-1, mostDoublings/2)
 	}
 	return unreachablePause
 }
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -47,7 +47,9 @@
 		{"a watcher asks the service", 50, watcher, nil, -1},
 		{"the others ask a watcher", 50, follower, nil, follower % watchersOfAZone},
 		{"the others ask the other watcher", 50, follower, []int{1}, 0},
-		{"the others ask the service at last", 50, follower, []int{1, 0}, -1},
+		{"the others ask a deputy", 50, follower, []int{1, 0}, watchersOfAZone + follower%deputiesOfAZone},
+		{"the others ask the service at last", 50, follower, []int{1, 0, 2, 3}, -1},
+		{"a deputy asks the service", 50, watchersOfAZone, []int{1, 0}, -1},
 		{"a watcher that the service turns away asks the other", 50, watcher, []int{-1}, 1},
 	}
 	for _, test := range tests {
@@ -100,6 +102,8 @@
 	c, list := ranked(50, 7)
 	c.Ended(start, Question{Peer: list[1]}, Unreachable)
 	c.Ended(start, Question{Peer: list[0]}, Behind)
+	c.Ended(start, Question{Peer: list[2]}, Unreachable)
+	c.Ended(start, Question{Peer: list[3]}, Unreachable)
 	c.Ended(start, Question{}, Unreachable)
 	got := c.Next(start)
 	if got.Peer != list[0] || got.NotBefore.Sub(start) != behindPause {
--- a/feed/start_test.go
+++ b/feed/start_test.go
@@ -22,7 +22,7 @@
 		for rank := range members {
 			c, list := ranked(members, rank)
 			now := start
-			for c.answered = false; !c.answered; {
+			for c.answered.IsZero() {
 				question := c.Whole(now)
 				now = later(now, question.NotBefore)
 				switch {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -69,6 +69,9 @@
 	told     told
 	// Joined tells whether this process knows the others of its zone; nil: at once.
 	Joined func() bool
+	// CheckKey is read to learn the service's revision where its watches are silent; empty:
+	// it is not asked.
+	CheckKey string
 	// Abroad are the processes of other zones that may be watchers there, by zone; nil: none
 	// are known.
 	Abroad func() [][]feed.Member
@@ -166,10 +169,11 @@
 }
 
 // joinWait is for how long a process that starts does not ask the service for the whole
-// state before it knows the others of its zone: a live one answers within a round trip, one
-// that starts at the same time within a heartbeat. Without it each process of a fleet that
-// starts reads everything from the service.
-const joinWait = 500 * time.Millisecond
+// state before it knows the others of its zone: where these have been there for a while one
+// answers within a round trip, where all start together a zone of 200 knows itself within
+// two seconds. Without it each process of a fleet that starts reads everything from the
+// service.
+const joinWait = 2 * time.Second
 
 // joinPoll is between two looks at whether the others are known.
 const joinPoll = 20 * time.Millisecond
@@ -192,7 +196,7 @@
 		r.chooser.Abroad(r.Abroad())
 	}
 	r.chooser.Members(r.members())
-	keeps := !r.chooser.Shared() || r.chooser.Watching()
+	keeps := r.chooser.Keeps()
 	r.mirror.keep(keeps, clock.Now())
 	if !keeps {
 		r.told.forget()
@@ -203,6 +207,52 @@
 // nothing that it could tell.
 var errUntold = errors.New("this process is to tell others the whole state")
 
+// silentAfter its time a question to the service is taken for one that is told nothing: some
+// round trips of a slow service.
+const silentAfter = 250 * time.Millisecond
+
+// poll asks the service for changes. Where it says nothing in its time, it is asked for the
+// revision at which it stands, with CheckKey: it may have lost its watches and answer all
+// else. The same revision proves contact; a later one says that changes were missed.
+func (r *Relay) poll(ctx context.Context, revision int64, wait time.Duration) (kv.Batch, error) {
+	if r.CheckKey == "" || !r.chooser.Watching() {
+		return r.Poll(ctx, "", revision, wait)
+	}
+	type ended struct {
+		batch kv.Batch
+		err   error
+	}
+	asked, cancel := context.WithCancel(ctx)
+	defer cancel()
+	polled := make(chan ended, 1)
+	go func() {
+		batch, err := r.Poll(asked, "", revision, wait)
+		polled <- ended{batch, err}
+	}()
+	timer := time.NewTimer(wait + silentAfter)
+	defer timer.Stop()
+	select {
+	case end := <-polled:
+		return end.batch, end.err
+	case <-timer.C:
+	}
+	at, err := r.standsAt(ctx)
+	switch {
+	case err != nil:
+		end := <-polled
+		return end.batch, end.err
+	case at > revision:
+		return kv.Batch{}, fmt.Errorf("the service tells no changes and stands at %d after %d: %w", at, revision, kv.ErrCompacted)
+	}
+	return kv.Batch{Revision: revision}, nil
+}
+
+// standsAt asks the service for its revision.
+func (r *Relay) standsAt(ctx context.Context) (int64, error) {
+	_, at, err := r.Service.Read(ctx, r.CheckKey)
+	return at, err
+}
+
 // awaitTeller waits, where the service has forgotten its history, until the watcher that
 // tells this one has read the whole state. It may have changes that this one missed; else
 // the error stays.
@@ -224,7 +274,7 @@
 // ask puts one question; what is learned goes into the mirror.
 func (r *Relay) ask(ctx context.Context, question feed.Question, revision int64) (kv.Batch, error) {
 	if question.OfService() {
-		batch, err := r.Poll(ctx, "", revision, question.Wait)
+		batch, err := r.poll(ctx, revision, question.Wait)
 		if err == nil {
 			r.mirror.apply(batch, true, clock.Now())
 		}
