Silent watches: a fleet on a virtual clock, and real relays

Cause: the storm of a service that answers all but its watches was tested by nothing.

Change: the fleet of choosers has the trouble; a zone of relays plays it with forgotten histories. A question counts as silent a sixth of its wait after it, whatever the bound.

--- a/feed/fleet_test.go
+++ b/feed/fleet_test.go
@@ -20,6 +20,7 @@
 	peerTrip      = 2 * time.Millisecond
 	refusalTrip   = 5 * time.Millisecond
 	silentTimeout = 2500 * time.Millisecond // until the network gives up a silent service
+	silentGrace   = 500 * time.Millisecond  // until a silent watch is given up
 	peerGrace     = 300 * time.Millisecond  // as in internal/relay
 	length        = 40 * time.Second
 )
@@ -35,6 +36,7 @@
 	frozen     bool // the process says nothing
 	turnedAway bool // the service refuses it
 	silent     bool // the service does not answer it
+	mute       bool // the service answers no watch, and all else
 	down       bool // the service does not answer anybody
 }
 
@@ -76,6 +78,7 @@
 	queue    events
 	turn     int
 	calls    int // of the service
+	wholes   int // states that were read since watches are silent
 }
 
 func newFleet(changes []time.Duration, troubles []trouble) *fleet {
@@ -129,6 +132,7 @@
 		all.frozen = all.frozen || t.frozen
 		all.turnedAway = all.turnedAway || t.turnedAway
 		all.silent = all.silent || t.silent
+		all.mute = all.mute || t.mute
 		all.down = all.down || t.down
 	}
 	return all
@@ -192,6 +196,19 @@
 	case hit.silent:
 		f.at(now.Add(silentTimeout), func(now time.Time) { f.ended(now, node, number, question, Unreachable, 0) })
 		return
+	case hit.mute && !node.chooser.Watching():
+		f.at(now.Add(question.Wait+silentGrace), func(now time.Time) { f.ended(now, node, number, question, Unreachable, 0) })
+		return
+	case hit.mute: // one call more tells the revision, and the whole state what was missed
+		f.at(now.Add(question.Wait+question.Wait/6+serviceTrip), func(now time.Time) {
+			f.calls++
+			if f.revision(now) > node.revision {
+				f.wholes++
+			}
+			node.contact = now
+			f.ended(now, node, number, question, Answered, f.revision(now))
+		})
+		return
 	}
 	answers := now.Add(question.Wait)
 	if changed, ok := f.changeAfter(node.revision); ok && changed.Before(answers) {
@@ -294,6 +311,7 @@
 		{"all watchers are turned away", everySecond(1, 35), []trouble{{from: from, to: to, hits: watchers, turnedAway: true}}, 3500},
 		{"a third hears nothing", everySecond(1, 35), []trouble{{from: from, to: to, hits: third, silent: true}}, 900},
 		{"the watchers hear nothing", everySecond(1, 35), []trouble{{from: from, to: to, hits: watchers, silent: true}}, 4200},
+		{"watches are silent", everySecond(1, 35), []trouble{{from: from, to: to, hits: func(int, int) bool { return true }, mute: true}}, 1100},
 		{"the service is away", everySecond(1, 35), []trouble{{from: from, to: to, down: true}}, 2300},
 	}
 	for _, test := range tests {
@@ -307,7 +325,10 @@
 			if f.calls > test.most {
 				t.Errorf("%d calls of the service, at most %d", f.calls, test.most)
 			}
-			t.Logf("%d calls", f.calls)
+			if most := watchersOfAZone * zones * int((to-from)/time.Second) * 2; f.wholes > most {
+				t.Errorf("the whole state was read %d times, at most %d", f.wholes, most)
+			}
+			t.Logf("%d calls, %d whole states", f.calls, f.wholes)
 		})
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -207,9 +207,10 @@
 // nothing that it could tell.
 var errUntold = errors.New("this process is to tell others the whole state")
 
-// silentAfter its time a question to the service is taken for one that is told nothing: some
-// round trips of a slow service.
-const silentAfter = 250 * time.Millisecond
+// silentPart of its wait beyond it a question to the service is taken for one that is told
+// nothing: 250 ms, some round trips of a slow service, where a change has 5 s. With the
+// wait and the pause before it this stays within feed.Settings.Fresh.
+const silentPart = 6
 
 // poll asks the service for changes. Where it says nothing in its time, it is asked for the
 // revision at which it stands, with CheckKey: it may have lost its watches and answer all
@@ -229,7 +230,7 @@
 		batch, err := r.Poll(asked, "", revision, wait)
 		polled <- ended{batch, err}
 	}()
-	timer := time.NewTimer(wait + silentAfter)
+	timer := time.NewTimer(wait + wait/silentPart)
 	defer timer.Stop()
 	select {
 	case end := <-polled:
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -28,6 +28,7 @@
 	apply    = time.Second
 	longWait = 2 * time.Second // so short that a zone of members shares
 	watchers = 2
+	silence  = 500 * time.Millisecond // beyond its wait until a silent watch is given up
 )
 
 // zone is some relays before one stand-in of the platform's store.
@@ -36,7 +37,8 @@
 	store *standin.Store
 	// watches counts the store's calls of watches.
 	watches atomic.Int64
-	refuse  sync.Map // ids of members whose calls the store turns away
+	refuse  sync.Map    // ids of members whose calls the store turns away
+	silent  atomic.Bool // the store answers no watch
 	members []feed.Member
 	nodes   []*node
 }
@@ -70,6 +72,12 @@
 	if s.refused() {
 		return kv.Batch{}, errors.New("turned away")
 	}
+	if s.zone.silent.Load() {
+		ctx, cancel := context.WithTimeout(ctx, wait+silence)
+		defer cancel()
+		<-ctx.Done()
+		return kv.Batch{}, ctx.Err()
+	}
 	batch, err := s.Service.Poll(ctx, prefix, revision, wait)
 	if s.refused() {
 		return kv.Batch{}, errors.New("turned away")
@@ -88,6 +96,7 @@
 
 // newZoneOf is a zone before a store that others may share.
 func newZoneOf(t *testing.T, store *standin.Store, prefix string, count int) *zone {
+	t.Helper()
 	z := &zone{t: t, store: store}
 	server := httptest.NewServer(z.store)
 	t.Cleanup(server.Close)
@@ -356,6 +365,41 @@
 	}
 }
 
+// Symptom: in the worst moment of the service, which told its watches nothing for five
+// seconds and then forgot its history, hundreds of processes asked it for themselves and
+// read all pages of the state: 24,842 calls, and a configuration that was not in force
+// everywhere in time. Sequence: watchers have no word, so that they tell the others that
+// they have no contact; these turn to the service. Cause: a silent watch was taken for a
+// lost service, and everybody stood in for the watchers.
+func TestSilentWatchesAreNoStorm(t *testing.T) {
+	for _, count := range []int{members, 2 * members} {
+		z := newZone(t, count)
+		for _, n := range z.nodes {
+			n.relay.CheckKey = "op/config"
+		}
+		z.store.Put("op/config", []byte("1"))
+		z.start()
+		z.allKnow("op/config", "1")
+		calm := z.store.Calls("/-/kv-watch") + 3*watchers
+		z.await("calm watches", func() bool { return z.store.Calls("/-/kv-watch") >= calm })
+		z.silent.Store(true)
+		reads := z.store.Calls("/-/kv-range")
+		const changes = 4
+		for i := range changes {
+			z.store.Put("gone", []byte("x"))
+			z.store.Forget()
+			value := fmt.Sprint(i + 2)
+			z.store.Put("op/config", []byte(value))
+			z.allKnow("op/config", value)
+		}
+		// Watchers and for a moment deputies; all members would be twice the bound and more.
+		// feed's fleet counts on a virtual clock.
+		if more := z.store.Calls("/-/kv-range") - reads; more > count*changes/2 {
+			t.Errorf("%d members: the whole state was read %d times for %d changes", count, more, changes)
+		}
+	}
+}
+
 // tell asks a member as others do.
 func (n *node) tell(t *testing.T, query string) string {
 	t.Helper()
