A whole state may take as long as it goes on

Cause: a process reads the whole state of a peer within one second. At 10,000 workers the 3 MB take longer at 0.19 of a core, which decodes while it receives; each try failed, loaded the watchers anew, and was followed by tries at the service.

Change: an answer is to begin within a second and to go on without a pause of a second, however long it takes in all (10 s at most).

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -35,8 +35,14 @@
 const (
 	// peerGrace is added to what a peer may wait, for the way and its processor.
 	peerGrace = 300 * time.Millisecond
-	// wholeTimeout of a peer's whole state.
-	wholeTimeout = time.Second
+	// wholeHead is until a peer begins to tell its whole state, which it may have to encode
+	// first; mostPause between two pieces of an answer that has begun. A peer that is lost
+	// says nothing for longer.
+	wholeHead = time.Second
+	mostPause = time.Second
+	// longestWhole bounds an answer whatever comes: 8 MB over a link of 30 Mbit/s, four
+	// times over.
+	longestWhole = 10 * time.Second
 	// Pauses after word of changes, where a process asks for itself: many changes in
 	// a row, as when all workers of a fleet start, come with a few calls instead of
 	// one each. The pause doubles while there are changes each time, within what a
@@ -343,8 +349,11 @@
 	Compacted bool       `json:"compacted,omitempty"` // changes after it are forgotten here
 }
 
+// wholeOf reads a peer's whole state. It may take as long as bytes come: a bound on the whole
+// was passed again and again by processes with a fifth of a core once there were 10,000
+// workers, and each try loaded the watchers anew.
 func (r *Relay) wholeOf(ctx context.Context, peer feed.Member) (kv.RangeResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, wholeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, longestWhole)
 	defer cancel()
 	var state answer
 	if err := r.get(ctx, peer, url.Values{}, &state); err != nil {
@@ -354,10 +363,10 @@
 }
 
 func (r *Relay) changesOf(ctx context.Context, question feed.Question, revision int64) (kv.Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, question.Wait+peerGrace)
+	ctx, cancel := context.WithTimeout(ctx, question.Wait+longestWhole)
 	defer cancel()
 	var changes answer
-	err := r.get(ctx, question.Peer, url.Values{
+	err := r.getWithin(ctx, question.Wait+peerGrace, question.Peer, url.Values{
 		parameterAfter: {strconv.FormatInt(revision, 10)},
 		parameterWait:  {strconv.FormatInt(question.Wait.Milliseconds(), 10)},
 	}, &changes)
@@ -371,11 +380,17 @@
 }
 
 func (r *Relay) get(ctx context.Context, peer feed.Member, query url.Values, into *answer) error {
+	return r.getWithin(ctx, wholeHead, peer, query, into)
+}
+
+// getWithin asks a peer. Its answer is to begin within head, and then to go on without a
+// pause over mostPause.
+func (r *Relay) getWithin(ctx context.Context, head time.Duration, peer feed.Member, query url.Values, into *answer) error {
 	path := PathChanges
 	if len(query) > 0 {
 		path += "?" + query.Encode()
 	}
-	err := transport.Get(ctx, r.client, "ask for changes", peer.Address, path, into)
+	err := transport.GetSteadily(ctx, r.client, "ask for changes", peer.Address, path, head, mostPause, into)
 	var failure *api.Error
 	if errors.As(err, &failure) && failure.Code == api.CodeNoContact {
 		return fmt.Errorf("%w: %w", errBehind, err)
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -65,6 +65,53 @@
 	return exchange(ctx, client, step, http.MethodGet, address, path, nil, answer)
 }
 
+// GetSteadily is Get for an answer that may be long: it is to begin within head, and to go on
+// without a pause over mostPause, however long it takes in all.
+func GetSteadily(ctx context.Context, client *http.Client, step, address, path string, head, mostPause time.Duration, answer any) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	late := time.AfterFunc(head, func() { cancel(context.DeadlineExceeded) })
+	defer late.Stop()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return api.NewError(step, address, api.CodeInternal, api.OutcomeNotRun, "%w", err)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return SendError(step, address, err)
+	}
+	defer response.Body.Close()
+	late.Reset(mostPause)
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return ReadError(step, address, response)
+	}
+	body := &steadyReader{from: io.LimitReader(response.Body, MaximumControlBytes), late: late, mostPause: mostPause}
+	raw, err := io.ReadAll(body)
+	late.Stop()
+	if err == nil {
+		err = json.Unmarshal(raw, answer)
+	}
+	if err != nil {
+		return api.NewError(step, address, api.CodeUpstream, api.OutcomeUnknown, "read answer: %w", err)
+	}
+	return nil
+}
+
+// steadyReader begins the time of a pause anew with each piece that comes.
+type steadyReader struct {
+	from      io.Reader
+	late      *time.Timer
+	mostPause time.Duration
+}
+
+func (r *steadyReader) Read(p []byte) (int, error) {
+	n, err := r.from.Read(p)
+	if n > 0 {
+		r.late.Reset(r.mostPause)
+	}
+	return n, err
+}
+
 func exchange(ctx context.Context, client *http.Client, step, method, address, path string, body []byte, answer any) error {
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
