A peer that fails is followed by the next source, not by the service

Cause: a process that asked a peer for the whole state in vain read all pages from the service at once, whatever the order of sources said. At the start of the whole fleet 986 processes did so in one moment; the store was over its rate, and two thirds had no configuration when traffic began.

Change: the whole state is asked of one source after the other, as the chooser says, until one gives it; the service is read only where the chooser names it.

Result: TestAPeerThatKnowsNothingYetIsAskedAgain (the service was read before).

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -115,10 +115,16 @@
 		return r.Service.Range(ctx, prefix)
 	}
 	r.awaitJoined(ctx)
-	r.lookAround()
-	question := r.chooser.Whole(clock.Now())
-	pause.For(ctx, clock.Until(question.NotBefore))
-	if !question.OfService() {
+	for ctx.Err() == nil {
+		r.lookAround()
+		question := r.chooser.Whole(clock.Now())
+		pause.For(ctx, min(clock.Until(question.NotBefore), lookAgain))
+		if clock.Until(question.NotBefore) > 0 {
+			continue
+		}
+		if question.OfService() {
+			return r.wholeOfService(ctx)
+		}
 		result, err := r.wholeOf(ctx, question.Peer)
 		if known := r.mirror.after(0).revision; err == nil && result.Revision < known {
 			err = fmt.Errorf("%w: %s knows revision %d, this process %d", errOlder, question.Peer.Address, result.Revision, known)
@@ -129,7 +135,18 @@
 			return result, nil
 		}
 	}
-	result, err := r.Service.Range(ctx, prefix)
+	return kv.RangeResult{}, ctx.Err()
+}
+
+// lookAgain is after how long a process that waits for its next question sees whether its
+// zone has changed meanwhile.
+const lookAgain = 200 * time.Millisecond
+
+// wholeOfService reads the whole state from the service. Invariant: only the chooser's word
+// leads here. A peer that failed was followed by the service at once: at a start all
+// processes read all pages in the same moment, before their watchers had.
+func (r *Relay) wholeOfService(ctx context.Context) (kv.RangeResult, error) {
+	result, err := r.Service.Range(ctx, "")
 	r.ended(feed.Question{}, result.Revision, err)
 	if err == nil {
 		r.mirror.reset(result, true, clock.Now())
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -19,6 +19,7 @@
 	"github.com/dykewing/dykewing/feed"
 	"github.com/dykewing/dykewing/internal/kv"
 	"github.com/dykewing/dykewing/internal/relay"
+	"github.com/dykewing/dykewing/internal/transport"
 	"github.com/dykewing/dykewing/platform"
 	"github.com/dykewing/dykewing/platform/standin"
 )
@@ -301,6 +302,34 @@
 	}
 }
 
+// Symptom: at the start of the whole fleet 986 processes read all pages of the state from the
+// service at once, and most had no configuration when callers came. Sequence: each asks a
+// watcher that knows nothing yet. Cause: a peer that failed was followed by the service,
+// whatever the order of sources says.
+func TestAPeerThatKnowsNothingYetIsAskedAgain(t *testing.T) {
+	z := newZone(t, members)
+	z.store.Put("op/config", []byte("1"))
+	var asked atomic.Int64
+	for i := range z.members[:members-1] {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if asked.Add(1) <= 4 { // watchers and deputies, once each
+				transport.WriteError(w, api.NewError("tell changes", "", api.CodeNoContact, api.OutcomeNotRun, "not yet"))
+				return
+			}
+			fmt.Fprint(w, `{"revision":7,"pairs":[{"Key":"op/config","Revision":7}]}`)
+		}))
+		t.Cleanup(server.Close)
+		z.members[i].Address = strings.TrimPrefix(server.URL, "http://")
+	}
+	result, err := z.nodes[members-1].relay.Range(t.Context(), "")
+	if err != nil || result.Revision != 7 {
+		t.Errorf("revision %d, %v", result.Revision, err)
+	}
+	if reads := z.store.Calls("/-/kv-range"); reads != 0 {
+		t.Errorf("the service was read %d times", reads)
+	}
+}
+
 // A member that asks for changes that the watcher has forgotten reads everything.
 func TestWhoIsFarBehindReadsTheWholeState(t *testing.T) {
 	const changes = 3000 // more than a watcher keeps
