--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"sync"
 	"time"
 
@@ -101,7 +100,7 @@
 	if err != nil {
 		return nil, err
 	}
-	changes.Joined, changes.CheckKey = startedAmong(common), platform.Source.ConfigurationPrefix
+	changes.Joined, changes.CheckKey = common.Settled, platform.Source.ConfigurationPrefix
 	changes.Abroad = func() [][]feed.Member { return storesAbroad(common.Nodes(), settings.Node.Location()) }
 	if platform.Observe != nil {
 		platform.Observe(common.ObserveCall)
@@ -124,36 +123,6 @@
 	return members
 }
 
-const (
-	// youngSpan: members that started so little before this process started with it.
-	youngSpan = 3 * time.Second
-	// calmSpan is for how long a zone that starts is to show no further member: some more
-	// than a heartbeat, which is when those that wait for one learn of others.
-	calmSpan = 500 * time.Millisecond
-)
-
-// startedAmong tells whether a process knows the others of its zone: at once where these
-// have been there for a while; where all start together, once no more of them come.
-func startedAmong(common *node.Node) func() bool {
-	known, since := 0, time.Now()
-	return func() bool {
-		if !common.Settled() {
-			return false
-		}
-		nodes := common.Nodes()
-		own := slices.IndexFunc(nodes, func(n api.Node) bool { return n.ID == common.ID() })
-		for _, each := range nodes {
-			if own >= 0 && each.ID != common.ID() && each.Incarnation > 0 && each.Incarnation+uint64(youngSpan.Milliseconds()) < nodes[own].Incarnation {
-				return true
-			}
-		}
-		if len(nodes) != known {
-			known, since = len(nodes), time.Now()
-		}
-		return time.Since(since) >= calmSpan
-	}
-}
-
 // storesAbroad are the stores of other zones, by zone: those of each that watch first.
 func storesAbroad(nodes []api.Node, location api.Location) [][]feed.Member {
 	at := map[api.Location]int{}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -192,11 +192,10 @@
 }
 
 // joinWait is for how long a process that starts does not ask the service for the whole
-// state before it knows the others of its zone: where these have been there for a while one
-// answers within a round trip, where all start together a zone of 200 knows itself within
-// two seconds. Without it each process of a fleet that starts reads everything from the
-// service.
-const joinWait = 2 * time.Second
+// state before it knows the others of its zone: a live one answers within a round trip, one
+// that starts at the same time within a heartbeat. Longer it must not be: a process whose
+// zone is lost has no configuration until then.
+const joinWait = 500 * time.Millisecond
 
 // joinPoll is between two looks at whether the others are known.
 const joinPoll = 20 * time.Millisecond
