--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/clock"
 	"github.com/dykewing/dykewing/membership"
 )
@@ -108,6 +109,10 @@
 // publishSoon publishes the view at once, or viewPause after the last one; within the
 // actor.
 func (n *Node) publishSoon() {
+	if n.Role == api.RoleRouter || n.Role == api.RoleSidecar {
+		n.publishView() // a router that stops counts on its leaving mark being heeded in time
+		return
+	}
 	settles := n.machine.Settled() && !n.settled.Load() // a start waits for it
 	if n.viewDue && !settles {
 		return
