--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/dykewing/dykewing/internal/router"
 	"github.com/dykewing/dykewing/internal/sidecar"
 	"github.com/dykewing/dykewing/internal/store"
+	"github.com/dykewing/dykewing/internal/storeclient"
 )
 
 // Daemon is one process's role, ready to run.
@@ -40,6 +41,8 @@
 	Source   catalog.Source
 	// Pace keeps KeyValue to this process's part of the store's rates; nil: none.
 	Pace *kv.Pace
+	// Observe lets each call of KeyValue be told of, before the first; nil: none is.
+	Observe func(call func(path string, err error))
 	// Decommissions are operators' requests to empty machines; nil: none.
 	Decommissions *store.Decommissions
 }
@@ -97,6 +100,11 @@
 	if err != nil {
 		return nil, err
 	}
+	changes.Joined, changes.CheckKey = common.Settled, platform.Source.ConfigurationPrefix
+	changes.Abroad = func() [][]feed.Member { return storesAbroad(common.Nodes(), settings.Node.Location()) }
+	if platform.Observe != nil {
+		platform.Observe(common.ObserveCall)
+	}
 	common.Registry.MustRegister(changes.Metrics())
 	common.Mux.HandleFunc("GET "+relay.PathChanges, changes.ServeChanges)
 	common.OnLeave(changes.Withdraw)
@@ -115,6 +123,24 @@
 	return members
 }
 
+// storesAbroad are the stores of other zones, by zone: those of each that watch first.
+func storesAbroad(nodes []api.Node, location api.Location) [][]feed.Member {
+	at := map[api.Location]int{}
+	var zones [][]feed.Member
+	for _, each := range nodes {
+		if each.Location == location || each.Role != api.RoleStore || each.Leaving || each.Suspected {
+			continue
+		}
+		i, known := at[each.Location]
+		if !known {
+			i = len(zones)
+			at[each.Location], zones = i, append(zones, nil)
+		}
+		zones[i] = append(zones[i], feed.Member{ID: each.ID, Address: each.Address, Strong: true})
+	}
+	return zones
+}
+
 // newStore adds the role; on a platform, leaders run inline jobs.
 func newStore(common *node.Node, platform *Platform) (func(ctx context.Context) error, error) {
 	if platform == nil {
@@ -125,7 +151,10 @@
 		return part.Run, nil
 	}
 	runner := batchrun.New(common, platform.Protocol, platform.Source)
-	options := []store.Option{store.WithInlineRunner(runner.Lead), store.WithRegistered(runner.Registered())}
+	prefix := common.Settings.KeyValueService.Prefix
+	records := &store.GroupRecords{Prefix: prefix}
+	runner.Catalog().Also(prefix+storeclient.PrefixGroups, records)
+	options := []store.Option{store.WithInlineRunner(runner.Lead), store.WithRegistered(runner.Registered()), store.WithGroupRecords(records)}
 	if platform.Decommissions != nil {
 		runner.Catalog().Also(platform.Decommissions.Prefix, platform.Decommissions)
 		options = append(options, store.WithDecommissions(platform.Decommissions))
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/clock"
 	"github.com/dykewing/dykewing/membership"
 )
@@ -79,9 +80,10 @@
 func (n *Node) executeMembership(action membership.Action) {
 	switch action := action.(type) {
 	case membership.Send:
+		n.paid.sent.WithLabelValues(string(action.Purpose)).Inc()
 		n.sends.Go(func() { n.sendExchange(action) })
 	case membership.ViewChanged:
-		n.publishView()
+		n.publishSoon()
 	case membership.Died:
 		n.logDeath(action)
 	case membership.DuplicateID:
@@ -99,8 +101,41 @@
 	entry.Warn("A peer is taken for dead.")
 }
 
+// viewPause is the least time between two views. Each lists the whole zone: published at
+// every change, views were a fifth of what a process of a zone of hundreds allocated. It is
+// short beside the heartbeats that bring the changes.
+const viewPause = 100 * time.Millisecond
+
+// publishSoon publishes the view at once, or viewPause after the last one; within the
+// actor.
+func (n *Node) publishSoon() {
+	if n.Role == api.RoleRouter || n.Role == api.RoleSidecar {
+		n.publishView() // a router that stops counts on its leaving mark being heeded in time
+		return
+	}
+	settles := n.machine.Settled() && !n.settled.Load() // a start waits for it
+	if n.viewDue && !settles {
+		return
+	}
+	wait := viewPause - time.Since(n.viewAt)
+	if wait <= 0 || settles {
+		n.publishView()
+		return
+	}
+	n.viewDue = true
+	time.AfterFunc(wait, func() {
+		_ = n.membership.Inspect(func() { // of a shell that has stopped nobody needs a view
+			n.viewDue = false
+			n.publishView()
+		})
+	})
+}
+
 func (n *Node) publishView() {
+	n.viewAt = time.Now()
 	nodes := n.machine.Nodes()
+	n.paid.views.Inc()
+	n.paid.members.Set(float64(len(nodes)))
 	zones := n.machine.Zones()
 	n.view.Store(&nodes)
 	n.zones.Store(&zones)
@@ -125,6 +160,7 @@
 		return
 	}
 	n.reached.Store(true)
+	n.paid.records.Add(float64(len(answer.Updates)))
 	n.membership.Tell(membership.Answered{Sent: send, Exchange: answer})
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,8 +32,15 @@
 const (
 	controlConnections = 4
 	gossipConnections  = 1 // to each peer
-	readHeaderTimeout  = 10 * time.Second
-	maximumHeaderBytes = 64 << 10
+	// gossipIdleIntervals of heartbeats are waited before an idle connection to a peer
+	// ends. A round of a zone takes as many as it has members: in a small one connections
+	// are used again, in a large one each kept connection was one a member and process,
+	// with its buffers and goroutines on both sides.
+	gossipIdleIntervals = 10
+	// gossipSilenceIntervals without an answer to the network's probes end a connection.
+	gossipSilenceIntervals = 4
+	readHeaderTimeout      = 10 * time.Second
+	maximumHeaderBytes     = 64 << 10
 )
 
 // Node is one process's common part. Make it with New, add routes to Mux and
@@ -63,10 +70,13 @@
 	lastWork   atomic.Int64   // when a request of the data path last came, in Unix nanoseconds
 	finished   sync.Once
 	settled    atomic.Bool // see Settled
+	viewAt     time.Time   // when the last view was published; within the actor, like viewDue
+	viewDue    bool        // one will be
 
 	unreachedLogged atomic.Bool
 	snapshot        atomic.Pointer[table.Snapshot]
 	tableMetrics    *tableMetrics
+	paid            *membershipMetrics
 	leaving         atomic.Bool
 	panics          prometheus.Counter
 	summary         func() api.Summary
@@ -99,7 +109,7 @@
 		Registry: prometheus.NewRegistry(), Mux: http.NewServeMux(),
 		System: newActorSystem(), Control: transport.NewClient(controlConnections),
 		listener: listener, incarnation: uint64(time.Now().UnixMilli()),
-		gossip: transport.NewClient(gossipConnections), reportNow: make(chan struct{}, 1),
+		gossip: newGossipClient(settings.Membership.Interval), reportNow: make(chan struct{}, 1),
 		summary: func() api.Summary { return api.Summary{} },
 	}
 	node.panics = prometheus.NewCounter(prometheus.CounterOpts{
@@ -111,7 +121,7 @@
 	node.Traffic.Count(node.Control, transport.KindControl)
 	node.Traffic.Count(node.gossip, transport.KindGossip)
 	node.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	node.tableMetrics = newTableMetrics(node.Registry)
+	node.tableMetrics, node.paid = newTableMetrics(node.Registry), newMembershipMetrics(node.Registry)
 	for _, option := range options {
 		option(node)
 	}
@@ -132,6 +142,13 @@
 	return node, nil
 }
 
+func newGossipClient(interval time.Duration) *http.Client {
+	return transport.NewProbingClient(transport.Options{
+		ConnectionsPerHost: gossipConnections, DialTimeout: interval, IdleLifetime: gossipIdleIntervals * interval,
+		SilenceLimit: gossipSilenceIntervals * interval,
+	})
+}
+
 func (n *Node) self() api.Node {
 	return api.Node{
 		ID: api.NodeID(n.Settings.Node.ID), Role: n.Role, Address: n.Address(),
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -35,8 +35,14 @@
 const (
 	// peerGrace is added to what a peer may wait, for the way and its processor.
 	peerGrace = 300 * time.Millisecond
-	// wholeTimeout of a peer's whole state.
-	wholeTimeout = time.Second
+	// wholeHead is until a peer begins to tell its whole state, which it may have to encode
+	// first; mostPause between two pieces of an answer that has begun. A peer that is lost
+	// says nothing for longer.
+	wholeHead = time.Second
+	mostPause = time.Second
+	// longestWhole bounds an answer whatever comes: 8 MB over a link of 30 Mbit/s, four
+	// times over.
+	longestWhole = 10 * time.Second
 	// Pauses after word of changes, where a process asks for itself: many changes in
 	// a row, as when all workers of a fleet start, come with a few calls instead of
 	// one each. The pause doubles while there are changes each time, within what a
@@ -66,12 +72,21 @@
 	members  func() []feed.Member
 	client   *http.Client
 	mirror   *mirror
-	packed   packer
-	asked    *prometheus.CounterVec
+	told     told
+	// Joined tells whether this process knows the others of its zone; nil: at once.
+	Joined func() bool
+	// CheckKey is read to learn the service's revision where its watches are silent; empty:
+	// it is not asked.
+	CheckKey string
+	// Abroad are the processes of other zones that may be watchers there, by zone; nil: none
+	// are known.
+	Abroad func() [][]feed.Member
+	asked  *prometheus.CounterVec
 
 	// Only Range and Watch of all keys use these, one after the other.
 	chooser *feed.Chooser
 	source  string // where the last answer came from
+	joined  bool   // it was waited for, see Joined
 }
 
 // New gives a relay before service. members are the processes of the zone that can
@@ -99,9 +114,17 @@
 	if prefix != "" {
 		return r.Service.Range(ctx, prefix)
 	}
-	r.chooser.Members(r.members())
-	question := r.chooser.Next(clock.Now())
-	if !question.OfService() {
+	r.awaitJoined(ctx)
+	for ctx.Err() == nil {
+		r.lookAround()
+		question := r.chooser.Whole(clock.Now())
+		pause.For(ctx, min(clock.Until(question.NotBefore), lookAgain))
+		if clock.Until(question.NotBefore) > 0 {
+			continue
+		}
+		if question.OfService() {
+			return r.wholeOfService(ctx)
+		}
 		result, err := r.wholeOf(ctx, question.Peer)
 		if known := r.mirror.after(0).revision; err == nil && result.Revision < known {
 			err = fmt.Errorf("%w: %s knows revision %d, this process %d", errOlder, question.Peer.Address, result.Revision, known)
@@ -112,7 +135,18 @@
 			return result, nil
 		}
 	}
-	result, err := r.Service.Range(ctx, prefix)
+	return kv.RangeResult{}, ctx.Err()
+}
+
+// lookAgain is after how long a process that waits for its next question sees whether its
+// zone has changed meanwhile.
+const lookAgain = 200 * time.Millisecond
+
+// wholeOfService reads the whole state from the service. Invariant: only the chooser's word
+// leads here. A peer that failed was followed by the service at once: at a start all
+// processes read all pages in the same moment, before their watchers had.
+func (r *Relay) wholeOfService(ctx context.Context) (kv.RangeResult, error) {
+	result, err := r.Service.Range(ctx, "")
 	r.ended(feed.Question{}, result.Revision, err)
 	if err == nil {
 		r.mirror.reset(result, true, clock.Now())
@@ -128,7 +162,10 @@
 	}
 	gather := firstGatherPause
 	for {
-		r.chooser.Members(r.members())
+		r.lookAround()
+		if r.mirror.lacks() {
+			return fmt.Errorf("%w: %w", errUntold, kv.ErrCompacted)
+		}
 		question := r.chooser.Next(clock.Now())
 		pause.For(ctx, clock.Until(question.NotBefore))
 		if ctx.Err() != nil {
@@ -139,6 +176,9 @@
 			return ctx.Err()
 		}
 		r.ended(question, batch.Revision, err)
+		if errors.Is(err, kv.ErrCompacted) && question.OfService() {
+			batch, err = r.awaitTeller(ctx, revision, err)
+		}
 		if errors.Is(err, kv.ErrCompacted) || err != nil && question.OfService() {
 			return err
 		}
@@ -151,10 +191,113 @@
 	}
 }
 
+// joinWait is for how long a process that starts does not ask the service for the whole
+// state before it knows the others of its zone: a live one answers within a round trip, one
+// that starts at the same time within a heartbeat. Longer it must not be: a process whose
+// zone is lost has no configuration until then.
+const joinWait = 500 * time.Millisecond
+
+// joinPoll is between two looks at whether the others are known.
+const joinPoll = 20 * time.Millisecond
+
+// awaitJoined waits until this process knows the others of its zone, once.
+func (r *Relay) awaitJoined(ctx context.Context) {
+	if r.joined || r.Joined == nil {
+		return
+	}
+	r.joined = true
+	for deadline := clock.Now().Add(joinWait); !r.Joined() && clock.Until(deadline) > 0 && ctx.Err() == nil; {
+		pause.For(ctx, joinPoll)
+	}
+}
+
+// lookAround takes the members of the zone as they are known now, and keeps state for
+// others where these ask this process.
+func (r *Relay) lookAround() {
+	if r.Abroad != nil {
+		r.chooser.Abroad(r.Abroad())
+	}
+	r.chooser.Members(r.members())
+	keeps := r.chooser.Keeps()
+	r.mirror.keep(keeps, clock.Now())
+	if !keeps {
+		r.told.forget()
+	}
+}
+
+// errUntold says that others may ask this process from now on, and that it has kept
+// nothing that it could tell.
+var errUntold = errors.New("this process is to tell others the whole state")
+
+// silentPart of its wait beyond it a question to the service is taken for one that is told
+// nothing: 250 ms, some round trips of a slow service, where a change has 5 s. With the
+// wait and the pause before it this stays within feed.Settings.Fresh.
+const silentPart = 6
+
+// poll asks the service for changes. Where it says nothing in its time, it is asked for the
+// revision at which it stands, with CheckKey: it may have lost its watches and answer all
+// else. The same revision proves contact; a later one says that changes were missed.
+func (r *Relay) poll(ctx context.Context, revision int64, wait time.Duration) (kv.Batch, error) {
+	if r.CheckKey == "" || !r.chooser.Watching() {
+		return r.Poll(ctx, "", revision, wait)
+	}
+	type ended struct {
+		batch kv.Batch
+		err   error
+	}
+	asked, cancel := context.WithCancel(ctx)
+	defer cancel()
+	polled := make(chan ended, 1)
+	go func() {
+		batch, err := r.Poll(asked, "", revision, wait)
+		polled <- ended{batch, err}
+	}()
+	timer := time.NewTimer(wait + wait/silentPart)
+	defer timer.Stop()
+	select {
+	case end := <-polled:
+		return end.batch, end.err
+	case <-timer.C:
+	}
+	at, err := r.standsAt(ctx)
+	switch {
+	case err != nil:
+		end := <-polled
+		return end.batch, end.err
+	case at > revision:
+		return kv.Batch{}, fmt.Errorf("the service tells no changes and stands at %d after %d: %w", at, revision, kv.ErrCompacted)
+	}
+	return kv.Batch{Revision: revision}, nil
+}
+
+// standsAt asks the service for its revision.
+func (r *Relay) standsAt(ctx context.Context) (int64, error) {
+	_, at, err := r.Service.Read(ctx, r.CheckKey)
+	return at, err
+}
+
+// awaitTeller waits, where the service has forgotten its history, until the watcher that
+// tells this one has read the whole state. It may have changes that this one missed; else
+// the error stays.
+func (r *Relay) awaitTeller(ctx context.Context, revision int64, forgotten error) (kv.Batch, error) {
+	teller, ok := r.chooser.Teller(clock.Now())
+	if !ok {
+		return kv.Batch{}, forgotten
+	}
+	question := feed.Question{Peer: teller, Wait: r.settings.Fresh}
+	batch, err := r.changesOf(ctx, question, revision)
+	r.ended(question, batch.Revision, err)
+	if err != nil || len(batch.Events) == 0 {
+		return kv.Batch{}, forgotten
+	}
+	r.mirror.apply(batch, false, clock.Now())
+	return batch, nil
+}
+
 // ask puts one question; what is learned goes into the mirror.
 func (r *Relay) ask(ctx context.Context, question feed.Question, revision int64) (kv.Batch, error) {
 	if question.OfService() {
-		batch, err := r.Poll(ctx, "", revision, question.Wait)
+		batch, err := r.poll(ctx, revision, question.Wait)
 		if err == nil {
 			r.mirror.apply(batch, true, clock.Now())
 		}
@@ -222,8 +365,11 @@
 	Compacted bool       `json:"compacted,omitempty"` // changes after it are forgotten here
 }
 
+// wholeOf reads a peer's whole state. It may take as long as bytes come: a bound on the whole
+// was passed again and again by processes with a fifth of a core once there were 10,000
+// workers, and each try loaded the watchers anew.
 func (r *Relay) wholeOf(ctx context.Context, peer feed.Member) (kv.RangeResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, wholeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, longestWhole)
 	defer cancel()
 	var state answer
 	if err := r.get(ctx, peer, url.Values{}, &state); err != nil {
@@ -233,10 +379,10 @@
 }
 
 func (r *Relay) changesOf(ctx context.Context, question feed.Question, revision int64) (kv.Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, question.Wait+peerGrace)
+	ctx, cancel := context.WithTimeout(ctx, question.Wait+longestWhole)
 	defer cancel()
 	var changes answer
-	err := r.get(ctx, question.Peer, url.Values{
+	err := r.getWithin(ctx, question.Wait+peerGrace, question.Peer, url.Values{
 		parameterAfter: {strconv.FormatInt(revision, 10)},
 		parameterWait:  {strconv.FormatInt(question.Wait.Milliseconds(), 10)},
 	}, &changes)
@@ -250,11 +396,17 @@
 }
 
 func (r *Relay) get(ctx context.Context, peer feed.Member, query url.Values, into *answer) error {
+	return r.getWithin(ctx, wholeHead, peer, query, into)
+}
+
+// getWithin asks a peer. Its answer is to begin within head, and then to go on without a
+// pause over mostPause.
+func (r *Relay) getWithin(ctx context.Context, head time.Duration, peer feed.Member, query url.Values, into *answer) error {
 	path := PathChanges
 	if len(query) > 0 {
 		path += "?" + query.Encode()
 	}
-	err := transport.Get(ctx, r.client, "ask for changes", peer.Address, path, into)
+	err := transport.GetSteadily(ctx, r.client, "ask for changes", peer.Address, path, head, mostPause, into)
 	var failure *api.Error
 	if errors.As(err, &failure) && failure.Code == api.CodeNoContact {
 		return fmt.Errorf("%w: %w", errBehind, err)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -19,6 +19,7 @@
 	"github.com/dykewing/dykewing/feed"
 	"github.com/dykewing/dykewing/internal/kv"
 	"github.com/dykewing/dykewing/internal/relay"
+	"github.com/dykewing/dykewing/internal/transport"
 	"github.com/dykewing/dykewing/platform"
 	"github.com/dykewing/dykewing/platform/standin"
 )
@@ -28,6 +29,7 @@
 	apply    = time.Second
 	longWait = 2 * time.Second // so short that a zone of members shares
 	watchers = 2
+	silence  = 500 * time.Millisecond // beyond its wait until a silent watch is given up
 )
 
 // zone is some relays before one stand-in of the platform's store.
@@ -36,7 +38,8 @@
 	store *standin.Store
 	// watches counts the store's calls of watches.
 	watches atomic.Int64
-	refuse  sync.Map // ids of members whose calls the store turns away
+	refuse  sync.Map    // ids of members whose calls the store turns away
+	silent  atomic.Bool // the store answers no watch
 	members []feed.Member
 	nodes   []*node
 }
@@ -70,6 +73,12 @@
 	if s.refused() {
 		return kv.Batch{}, errors.New("turned away")
 	}
+	if s.zone.silent.Load() {
+		ctx, cancel := context.WithTimeout(ctx, wait+silence)
+		defer cancel()
+		<-ctx.Done()
+		return kv.Batch{}, ctx.Err()
+	}
 	batch, err := s.Service.Poll(ctx, prefix, revision, wait)
 	if s.refused() {
 		return kv.Batch{}, errors.New("turned away")
@@ -84,14 +93,18 @@
 	return s.Service.Range(ctx, prefix)
 }
 
-func newZone(t *testing.T, count int) *zone {
-	z := &zone{t: t, store: standin.NewStore()}
+func newZone(t *testing.T, count int) *zone { return newZoneOf(t, standin.NewStore(), "node-", count) }
+
+// newZoneOf is a zone before a store that others may share.
+func newZoneOf(t *testing.T, store *standin.Store, prefix string, count int) *zone {
+	t.Helper()
+	z := &zone{t: t, store: store}
 	server := httptest.NewServer(z.store)
 	t.Cleanup(server.Close)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	for i := range count {
-		n := &node{id: fmt.Sprint("node-", i), seen: map[string]string{}}
+		n := &node{id: fmt.Sprint(prefix, i), seen: map[string]string{}}
 		n.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			n.asked.Add(1)
 			for n.frozen.Load() && r.Context().Err() == nil {
@@ -289,6 +302,34 @@
 	}
 }
 
+// Symptom: at the start of the whole fleet 986 processes read all pages of the state from the
+// service at once, and most had no configuration when callers came. Sequence: each asks a
+// watcher that knows nothing yet. Cause: a peer that failed was followed by the service,
+// whatever the order of sources says.
+func TestAPeerThatKnowsNothingYetIsAskedAgain(t *testing.T) {
+	z := newZone(t, members)
+	z.store.Put("op/config", []byte("1"))
+	var asked atomic.Int64
+	for i := range z.members[:members-1] {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if asked.Add(1) <= 4 { // watchers and deputies, once each
+				transport.WriteError(w, api.NewError("tell changes", "", api.CodeNoContact, api.OutcomeNotRun, "not yet"))
+				return
+			}
+			fmt.Fprint(w, `{"revision":7,"pairs":[{"Key":"op/config","Revision":7}]}`)
+		}))
+		t.Cleanup(server.Close)
+		z.members[i].Address = strings.TrimPrefix(server.URL, "http://")
+	}
+	result, err := z.nodes[members-1].relay.Range(t.Context(), "")
+	if err != nil || result.Revision != 7 {
+		t.Errorf("revision %d, %v", result.Revision, err)
+	}
+	if reads := z.store.Calls("/-/kv-range"); reads != 0 {
+		t.Errorf("the service was read %d times", reads)
+	}
+}
+
 // A member that asks for changes that the watcher has forgotten reads everything.
 func TestWhoIsFarBehindReadsTheWholeState(t *testing.T) {
 	const changes = 3000 // more than a watcher keeps
@@ -311,6 +352,83 @@
 	z.allKnow("key/3", fmt.Sprint(changes-1))
 }
 
+// Symptom: each time that the service forgot its history, every watcher of the fleet read
+// all pages of the state. One of them reads it, and all others learn what changed
+// meanwhile.
+func TestAForgottenHistoryIsReadOnce(t *testing.T) {
+	store := standin.NewStore()
+	zones := []*zone{newZoneOf(t, store, "a-", members), newZoneOf(t, store, "b-", members), newZoneOf(t, store, "c-", members)}
+	for i, z := range zones {
+		for _, n := range z.nodes {
+			n.relay.Abroad = func() (others [][]feed.Member) {
+				for j, other := range zones {
+					if j != i {
+						others = append(others, other.members)
+					}
+				}
+				return others
+			}
+		}
+	}
+	store.Put("op/config", []byte("1"))
+	for _, z := range zones {
+		z.start()
+		z.allKnow("op/config", "1")
+	}
+	calm := store.Calls("/-/kv-watch") + 3*watchers*len(zones) // no source is in a pause any more
+	zones[0].await("calm watches", func() bool { return store.Calls("/-/kv-watch") >= calm })
+	const forgotten = 3
+	before := store.Calls("/-/kv-range")
+	for i := range forgotten {
+		store.Put("gone", []byte("x"))
+		store.Forget()
+		value := fmt.Sprint(i + 2)
+		store.Put("op/config", []byte(value))
+		for _, z := range zones {
+			z.allKnow("op/config", value)
+		}
+	}
+	// A watcher whose teller is late may read for itself.
+	if reads := store.Calls("/-/kv-range") - before; reads > 2*forgotten {
+		t.Errorf("%d reads of the whole state for %d forgotten histories", reads, forgotten)
+	}
+}
+
+// Symptom: in the worst moment of the service, which told its watches nothing for five
+// seconds and then forgot its history, hundreds of processes asked it for themselves and
+// read all pages of the state: 24,842 calls, and a configuration that was not in force
+// everywhere in time. Sequence: watchers have no word, so that they tell the others that
+// they have no contact; these turn to the service. Cause: a silent watch was taken for a
+// lost service, and everybody stood in for the watchers.
+func TestSilentWatchesAreNoStorm(t *testing.T) {
+	for _, count := range []int{members, 2 * members} {
+		z := newZone(t, count)
+		for _, n := range z.nodes {
+			n.relay.CheckKey = "op/config"
+		}
+		z.store.Put("op/config", []byte("1"))
+		z.start()
+		z.allKnow("op/config", "1")
+		calm := z.store.Calls("/-/kv-watch") + 3*watchers
+		z.await("calm watches", func() bool { return z.store.Calls("/-/kv-watch") >= calm })
+		z.silent.Store(true)
+		reads := z.store.Calls("/-/kv-range")
+		const changes = 4
+		for i := range changes {
+			z.store.Put("gone", []byte("x"))
+			z.store.Forget()
+			value := fmt.Sprint(i + 2)
+			z.store.Put("op/config", []byte(value))
+			z.allKnow("op/config", value)
+		}
+		// Watchers and for a moment deputies; all members would be twice the bound and more.
+		// feed's fleet counts on a virtual clock.
+		if more := z.store.Calls("/-/kv-range") - reads; more > count*changes/2 {
+			t.Errorf("%d members: the whole state was read %d times for %d changes", count, more, changes)
+		}
+	}
+}
+
 // tell asks a member as others do.
 func (n *node) tell(t *testing.T, query string) string {
 	t.Helper()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -34,8 +34,11 @@
 	inline        StartInlineRunner       // nil: inline jobs are kept, not run
 	decommissions *Decommissions          // nil: no machine is emptied on request
 	registrations *storeclient.Registered // nil: only views tell of other stores
-	registered    bool                    // only for the loop that meets other stores, like candidates
-	candidates    int                     // stores of which groups could be formed at the last look
+	records       *GroupRecords           // nil: this store reads the published groups itself
+	began         time.Time
+	registered    bool // only for the loop that meets other stores, like the next two
+	candidates    int  // stores of which groups could be formed at the last look
+	looks         int  // in a row that saw as many
 
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -47,6 +50,8 @@
 	groups  map[api.GroupID]*group
 	joining map[api.GroupID]bool
 	stopped bool
+
+	grouped chan struct{} // a group was started; holds one signal
 }
 
 // Option changes what New builds.
@@ -63,6 +68,11 @@
 	return func(s *Store) { s.registrations = registered }
 }
 
+// WithGroupRecords lets the store know of the published groups as all processes do.
+func WithGroupRecords(records *GroupRecords) Option {
+	return func(s *Store) { s.records = records }
+}
+
 // WithDecommissions lets operators have machines emptied.
 func WithDecommissions(decommissions *Decommissions) Option {
 	return func(s *Store) { s.decommissions = decommissions }
@@ -87,7 +97,7 @@
 	}
 	s := &Store{
 		node: common, log: common.Logger("store"), failure: make(chan error, 1), changed: make(chan struct{}, 1),
-		groups: map[api.GroupID]*group{}, joining: map[api.GroupID]bool{},
+		groups: map[api.GroupID]*group{}, joining: map[api.GroupID]bool{}, began: time.Now(), grouped: make(chan struct{}, 1),
 	}
 	for _, option := range options {
 		option(s)
@@ -166,6 +176,10 @@
 		group.shares.step(quota.Bounds{Rows: ceilingsOf(snapshot)})
 	}
 	s.groups[id] = group
+	select {
+	case s.grouped <- struct{}{}:
+	default:
+	}
 	return nil
 }
 
@@ -226,7 +240,11 @@
 		case <-ctx.Done():
 			return
 		}
-		for _, group := range s.list() {
+		groups := s.list()
+		if len(groups) == 0 && !s.awaitGroup(ctx) {
+			return
+		}
+		for _, group := range groups {
 			group.tell(replication.Tick{})
 			if s.node.Leaving() {
 				group.handOver()
@@ -235,6 +253,17 @@
 	}
 }
 
+// awaitGroup waits for the first group of this store: of hundreds of stores most hold
+// none, and each woke 75 times a second for nothing. False when ctx ends before.
+func (s *Store) awaitGroup(ctx context.Context) bool {
+	select {
+	case <-s.grouped:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // maintain writes applied state that waits too long and compacts logs.
 func (s *Store) maintain(ctx context.Context) {
 	ticker := time.NewTicker(flushInterval)
