A test of older states waits until its peers may be asked again

Cause: TestAnOlderStateIsNotTaken asked for a newer state while its peers were in the pause after an older one; since the order of sources is kept, the service answered in that pause, in some runs.

Change: it waits for longer than the pause before each case; what it checks is the same.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -276,6 +276,9 @@
 	}
 }
 
+// pauseOfOlder is longer than the pause after which a peer that was behind is asked again.
+const pauseOfOlder = 400 * time.Millisecond
+
 // A watcher whose state is older than what a member knows is not believed: a worker that
 // has left would be listed again.
 func TestAnOlderStateIsNotTaken(t *testing.T) {
@@ -295,6 +298,7 @@
 	follower := z.nodes[members-1].relay
 	for _, test := range []struct{ tells, want int64 }{{changes, changes}, {changes - 1, changes}, {changes + 5, changes + 5}} {
 		tells.Store(test.tells)
+		time.Sleep(pauseOfOlder) // peers that told an older state are asked again after it
 		result, err := follower.Range(t.Context(), "")
 		if err != nil || result.Revision != test.want {
 			t.Errorf("watchers tell revision %d: got %d (%v), want %d", test.tells, result.Revision, err, test.want)
