What a book of ended workers gives out is a copy

A finding that was given out to be published shared its list of workers with the book; the report of a further end inserts into that list in place while the record is being written. A record could name a worker twice and leave one out.

Change: findings are given out as copies.

Result: TestWhatWasGivenOutStaysAsItWas failed before (workers became a b c, were b c d) and passes; quarantine and guard pass under the race detector.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -211,7 +211,15 @@
 	finding.nextTrial = now.Add(b.pause(finding))
 	b.found[request] = finding
 	b.makeRoom()
-	return *finding
+	return finding.copy()
+}
+
+// copy is the finding as it stands. The book goes on adding workers to its own, in place,
+// while another goroutine may be writing what it was given.
+func (f *Finding) copy() Finding {
+	given := *f
+	given.Workers = slices.Clone(f.Workers)
+	return given
 }
 
 // pause is how long a finding is not tried.
@@ -296,7 +304,7 @@
 func (b *Book) Findings() []Finding {
 	list := make([]Finding, 0, len(b.found))
 	for _, finding := range b.found {
-		list = append(list, *finding)
+		list = append(list, finding.copy())
 	}
 	slices.SortFunc(list, func(x, y Finding) int { return cmp.Compare(x.Digest, y.Digest) })
 	return list
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -153,6 +153,42 @@
 	}
 }
 
+// Symptom: a store's record of a found request was written while a report changed it.
+// Sequence: three workers end under a request; it is found and given out to be published; a
+// fourth worker's end is reported. Cause: what was given out shared its list of workers with
+// the book, which inserts in place.
+func TestWhatWasGivenOutStaysAsItWas(t *testing.T) {
+	tests := []struct {
+		name string
+		give func(b *Book) Finding
+	}{
+		{"by settling", func(b *Book) Finding {
+			found, _ := b.Settle(start.Add(time.Minute))
+			return found[0]
+		}},
+		{"as a list", func(b *Book) Finding {
+			b.Settle(start.Add(time.Minute))
+			return b.Findings()[0]
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := New(Settings{})
+			for _, worker := range []string{"b", "c", "d"} {
+				b.Lost(start, Loss{Worker: worker, Requests: []Digest{"x"}})
+			}
+			given := test.give(b)
+			b.Lost(start.Add(time.Minute), Loss{Worker: "a", Requests: []Digest{"x"}})
+			if want := []string{"b", "c", "d"}; !slices.Equal(given.Workers, want) {
+				t.Errorf("the finding's workers became %v, were %v", given.Workers, want)
+			}
+			if now, want := b.Findings()[0].Workers, []string{"a", "b", "c", "d"}; !slices.Equal(now, want) {
+				t.Errorf("the book knows %v, want %v", now, want)
+			}
+		})
+	}
+}
+
 func TestWhatIsKeptIsBounded(t *testing.T) {
 	settings := Settings{Losses: 8, Requests: 4, Findings: 3}
 	check := func(t *rapid.T, b *Book) {
