A heartbeat's dial may take longer than the heartbeat

Cause: since heartbeats have a client of their own, a dial was given up after one interval, with the exchange that began it. On a machine short of processor time no exchange then got a connection at all: a leaving mark stayed unknown and a planned stop cut requests (TestPlannedStopsCutNoRequest, known red).

Change: a dial has four intervals, as long as a silent connection is kept; the next exchange uses the connection.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -142,9 +142,13 @@
 	return node, nil
 }
 
+// newGossipClient gives the client of heartbeats. Invariant: a dial may take longer than the
+// exchange that began it, and its connection serves the next one. Given up with its exchange,
+// a peer that is short of processor time was never reached: its leaving mark stayed unknown
+// and planned stops cut requests.
 func newGossipClient(interval time.Duration) *http.Client {
 	return transport.NewProbingClient(transport.Options{
-		ConnectionsPerHost: gossipConnections, DialTimeout: interval, IdleLifetime: gossipIdleIntervals * interval,
+		ConnectionsPerHost: gossipConnections, DialTimeout: gossipSilenceIntervals * interval, IdleLifetime: gossipIdleIntervals * interval,
 		SilenceLimit: gossipSilenceIntervals * interval,
 	})
 }
