A state that is read anew is told by what differs

Cause: after a forgotten history each process was sent the whole state: workers times processes, some 3 MB of JSON at each of 986 processes with a fifth of a core. A watcher that had read the state anew dropped all that it could tell, so everybody was too far behind.

Change: a watcher that knew an earlier state keeps the differences as changes; who asks after a revision that is still kept is told these. Watchers told so by the one before them ask the service at once instead of letting changes gather: others count on their contact. An empty answer of that one with a later revision counts, too.

--- a/internal/relay/growth_test.go
+++ b/internal/relay/growth_test.go
@@ -42,6 +42,54 @@
 	}
 }
 
+// Symptom: each time that the service forgot its history, every process was sent all workers'
+// entries, workers times processes. Sequence: a watcher reads the whole state anew; the
+// processes that know the one before ask it for the changes since. Cause: a state that was
+// read replaced what the watcher could tell.
+func TestAStateReadAnewIsToldByItsDifferences(t *testing.T) {
+	for _, workers := range []int{1000, 2000} {
+		m, now := newMirror(), time.Now()
+		m.reset(kv.RangeResult{Revision: 1}, true, now)
+		m.apply(batchOf(2, workers), true, now)
+		known := int64(workers)
+		state := kv.RangeResult{Revision: known + 9, Pairs: m.whole().Pairs}
+		gone := state.Pairs[0].Key
+		state.Pairs = state.Pairs[1:]
+		state.Pairs[0].Value, state.Pairs[0].Revision = []byte("draining"), known+4
+		// Read from a later page, after the state's revision.
+		state.Pairs = append(state.Pairs, kv.Pair{Key: "servers/new", Value: []byte("new"), Revision: known + 12})
+		m.reset(state, true, now)
+		told := m.changes(known)
+		if told.Compacted || told.Revision != state.Revision || len(told.Events) != 3 {
+			t.Fatalf("%d workers: %d changes told, forgotten: %t, revision %d", workers, len(told.Events), told.Compacted, told.Revision)
+		}
+		if first, last := told.Events[0], told.Events[2]; first.Pair.Revision != known+4 || last.Pair.Key != "servers/new" {
+			t.Errorf("%+v", told.Events)
+		}
+		if left := told.Events[1]; !left.Deleted || left.Pair.Key != gone || left.Pair.Revision != state.Revision {
+			t.Errorf("of the pair that went is told %+v", left)
+		}
+		if len(m.pairs) != len(state.Pairs) {
+			t.Errorf("%d pairs are kept of %d", len(m.pairs), len(state.Pairs))
+		}
+		m.apply(kv.Batch{Revision: known + 12, Events: []kv.Event{{Pair: state.Pairs[len(state.Pairs)-1]}}}, true, now)
+		if again := m.changes(state.Revision); again.Compacted || len(again.Events) == 0 || again.Events[0].Pair.Key != "servers/new" {
+			t.Errorf("what came between pages is told as %+v", again)
+		}
+	}
+}
+
+// An older state tells nothing of the changes since: all is told anew.
+func TestAnOlderStateBeginsAnew(t *testing.T) {
+	m, now := newMirror(), time.Now()
+	m.reset(kv.RangeResult{Revision: 1}, true, now)
+	m.apply(batchOf(2, 20), true, now)
+	m.reset(kv.RangeResult{Revision: 10, Pairs: []kv.Pair{{Key: "servers/2", Revision: 2}}}, true, now)
+	if told := m.changes(8); !told.Compacted || len(m.pairs) != 1 || m.revision != 10 {
+		t.Errorf("%+v of %d pairs at %d", told, len(m.pairs), m.revision)
+	}
+}
+
 // Changes of few keys stay bounded: sending them would cost more than the state.
 func TestChangesOfASmallStateStayBounded(t *testing.T) {
 	m := newMirror()
--- a/internal/relay/mirror.go
+++ b/internal/relay/mirror.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -75,18 +76,55 @@
 	m.events, m.bytes = nil, 0
 }
 
-// reset takes a whole state; contact tells whether the service itself gave it.
+// reset takes a whole state; contact tells whether the service itself gave it. Others that
+// knew the state before it are told what differs: where the service had forgotten its
+// history, every process of the zone was sent all workers' entries instead.
 func (m *mirror) reset(state kv.RangeResult, contact bool, now time.Time) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	if m.keeps && m.known && state.Revision >= m.revision {
+		for _, event := range m.differences(state) {
+			m.take(event)
+		}
+		m.revision = state.Revision
+		m.forget()
+	} else {
+		m.begin(state)
+	}
+	m.note(contact, now)
+}
+
+// begin knows nothing but a state; the mutex is held.
+func (m *mirror) begin(state kv.RangeResult) {
 	m.drop()
 	m.floor, m.revision, m.known = state.Revision, state.Revision, m.keeps
-	if m.keeps {
-		for _, pair := range state.Pairs {
-			m.put(pair)
+	if !m.keeps {
+		return
+	}
+	for _, pair := range state.Pairs {
+		m.put(pair)
+	}
+}
+
+// differences are the changes that lead from what is known to a state, in order; the mutex
+// is held. Of a pair that went no more is known than that it had by the state's revision.
+func (m *mirror) differences(state kv.RangeResult) (events []kv.Event) {
+	listed := make(map[string]bool, len(state.Pairs))
+	for _, pair := range state.Pairs {
+		listed[pair.Key] = true
+		if pair.Revision > m.pairs[pair.Key].Revision {
+			events = append(events, kv.Event{Pair: pair})
 		}
 	}
-	m.note(contact, now)
+	for key := range m.pairs {
+		if !listed[key] {
+			events = append(events, kv.Event{Pair: kv.Pair{Key: key, Revision: state.Revision}, Deleted: true})
+		}
+	}
+	slices.SortFunc(events, func(a, b kv.Event) int {
+		return cmp.Or(cmp.Compare(a.Pair.Revision, b.Pair.Revision), cmp.Compare(a.Pair.Key, b.Pair.Key))
+	})
+	return events
 }
 
 // apply takes changes.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -176,7 +176,8 @@
 			return ctx.Err()
 		}
 		r.ended(question, batch.Revision, err)
-		if errors.Is(err, kv.ErrCompacted) && question.OfService() {
+		forgotten := errors.Is(err, kv.ErrCompacted) && question.OfService()
+		if forgotten {
 			batch, err = r.awaitTeller(ctx, revision, err)
 		}
 		if errors.Is(err, kv.ErrCompacted) || err != nil && question.OfService() {
@@ -187,6 +188,9 @@
 		}
 		revision = max(revision, batch.Revision)
 		deliver(batch)
+		if forgotten {
+			continue // others count on this one's own contact with the service
+		}
 		gather = r.gather(ctx, question, len(batch.Events) > 0, gather)
 	}
 }
@@ -287,7 +291,7 @@
 	question := feed.Question{Peer: teller, Wait: r.settings.Fresh}
 	batch, err := r.changesOf(ctx, question, revision)
 	r.ended(question, batch.Revision, err)
-	if err != nil || len(batch.Events) == 0 {
+	if err != nil || batch.Revision <= revision {
 		return kv.Batch{}, forgotten
 	}
 	r.mirror.apply(batch, false, clock.Now())
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -50,6 +50,7 @@
 	server *httptest.Server
 	frozen atomic.Bool
 	asked  atomic.Int64 // by other members
+	wholes atomic.Int64 // of these, for the whole state
 
 	mutex    sync.Mutex
 	revision int64
@@ -107,6 +108,9 @@
 		n := &node{id: fmt.Sprint(prefix, i), seen: map[string]string{}}
 		n.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			n.asked.Add(1)
+			if !r.URL.Query().Has("after") {
+				n.wholes.Add(1)
+			}
 			for n.frozen.Load() && r.Context().Err() == nil {
 				time.Sleep(time.Millisecond)
 			}
@@ -398,6 +402,37 @@
 	}
 }
 
+// Symptom: each time that the service forgot its history, every process was sent the whole
+// state. Sequence and cause: as in TestAStateReadAnewIsToldByItsDifferences.
+func TestAForgottenHistoryIsToldByItsChanges(t *testing.T) {
+	for _, count := range []int{members, 2 * members} {
+		z := newZone(t, count)
+		z.store.Put("op/config", []byte("1"))
+		z.start()
+		z.allKnow("op/config", "1")
+		calm := z.store.Calls("/-/kv-watch") + 3*watchers
+		z.await("calm watches", func() bool { return z.store.Calls("/-/kv-watch") >= calm })
+		told := func() (wholes int64) {
+			for _, n := range z.nodes {
+				wholes += n.wholes.Load()
+			}
+			return wholes
+		}
+		const forgotten = 3
+		before := told()
+		for i := range forgotten {
+			z.store.Put("gone", []byte("x"))
+			z.store.Forget()
+			value := fmt.Sprint(i + 2)
+			z.store.Put("op/config", []byte(value))
+			z.allKnow("op/config", value)
+		}
+		if wholes := told() - before; wholes > forgotten*watchers {
+			t.Errorf("%d members: the whole state was told %d times for %d forgotten histories", count, wholes, forgotten)
+		}
+	}
+}
+
 // Symptom: in the worst moment of the service, which told its watches nothing for five
 // seconds and then forgot its history, hundreds of processes asked it for themselves and
 // read all pages of the state: 24,842 calls, and a configuration that was not in force
