A start that knows nobody reads a small state at once

Change: a process that does not know its zone yet asks the service for one page. Where that is the whole state it serves; where there is more it waits for its zone as before. Not at the first start of the whole system (platform.first_start), when nobody is served yet: there the call would be one for each process of the fleet.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -61,6 +61,8 @@
 	// Poll gives the changes of all keys after a revision; one without events when
 	// there is none within wait.
 	Poll(ctx context.Context, prefix string, revision int64, wait time.Duration) (kv.Batch, error)
+	// RangeOnce reads a prefix in one call, and tells whether that was all of it.
+	RangeOnce(ctx context.Context, prefix string) (result kv.RangeResult, whole bool, err error)
 }
 
 // Relay is the service with watches and whole reads shared among processes; every
@@ -75,6 +77,8 @@
 	told     told
 	// Joined tells whether this process knows the others of its zone; nil: at once.
 	Joined func() bool
+	// FirstStart: the whole system starts for the first time, nobody waits for it yet.
+	FirstStart bool
 	// CheckKey is read to learn the service's revision where its watches are silent; empty:
 	// it is not asked.
 	CheckKey string
@@ -114,6 +118,9 @@
 	if prefix != "" {
 		return r.Service.Range(ctx, prefix)
 	}
+	if result, ok := r.smallOfService(ctx); ok {
+		return result, nil
+	}
 	r.awaitJoined(ctx)
 	for ctx.Err() == nil {
 		r.lookAround()
@@ -201,6 +208,25 @@
 // zone is lost has no configuration until then.
 const joinWait = 500 * time.Millisecond
 
+// smallOfService reads a state that fits one call, where this process starts and does not
+// know its zone yet. After the loss of all processes there is nobody who could tell it, and
+// callers were turned away for the whole joinWait. The call is the price: one a process.
+func (r *Relay) smallOfService(ctx context.Context) (kv.RangeResult, bool) {
+	if r.joined || r.FirstStart || r.Joined == nil || r.Joined() {
+		return kv.RangeResult{}, false
+	}
+	result, whole, err := r.Service.RangeOnce(ctx, "")
+	if err == nil && !whole {
+		return kv.RangeResult{}, false
+	}
+	r.ended(feed.Question{}, result.Revision, err)
+	if err != nil {
+		return kv.RangeResult{}, false
+	}
+	r.mirror.reset(result, true, clock.Now())
+	return result, true
+}
+
 // joinPoll is between two looks at whether the others are known.
 const joinPoll = 20 * time.Millisecond
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -214,6 +214,45 @@
 
 const members = 24
 
+// Symptom: after the loss of all processes callers were turned away for half a second more.
+// Sequence: all start at once, nobody knows the others yet, each waits for its zone. Cause:
+// the wait that spares the service the reads of a large state was kept for a small one, too.
+func TestAStartThatKnowsNobodyReadsASmallStateAtOnce(t *testing.T) {
+	tests := []struct {
+		name  string
+		first bool // start of the whole system
+		keys  int
+		known int // the look for others that finds some; the wait looks many times
+		looks int
+		calls int
+	}{
+		{"a small state", false, 10, 9, 1, 1},
+		{"a state of several pages", false, 600, 3, 3, 1 + 2},
+		{"the first start", true, 10, 2, 2, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			z := newZone(t, 1)
+			for i := range test.keys {
+				z.store.Put(fmt.Sprintf("servers/%04d", i), []byte("an entry"))
+			}
+			looks := 0
+			z.nodes[0].relay.FirstStart = test.first
+			z.nodes[0].relay.Joined = func() bool {
+				looks++
+				return looks >= test.known
+			}
+			result, err := z.nodes[0].relay.Range(t.Context(), "")
+			if err != nil || len(result.Pairs) != test.keys {
+				t.Fatalf("%d pairs, %v", len(result.Pairs), err)
+			}
+			if calls := z.store.Calls("/-/kv-range"); calls != test.calls || looks != test.looks {
+				t.Errorf("%d calls, %d looks for others; want %d, %d", calls, looks, test.calls, test.looks)
+			}
+		})
+	}
+}
+
 func TestFewMembersAskTheStore(t *testing.T) {
 	z := newZone(t, members)
 	z.start()
