The first start of a fleet waits until each zone is known

Cause: 773 of 986 processes asked the service for themselves at the first start (log of a play of the whole fleet): each knew a few members after its first heartbeat and took these for a zone too small to share. Calls grew with processes.

Change: at the first start of the whole system, when nobody is served yet, a process waits until no further members come for a second, three seconds at the most; then it asks its watchers. Later starts are as before.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -227,6 +227,29 @@
 	return result, true
 }
 
+// At the first start of the whole system nobody is served yet, and every process knows only a
+// few others for the first heartbeats. Taking these for its zone, each of 773 of 986 processes
+// took itself for one of a small zone and asked the service for itself.
+const (
+	// zoneQuiet is for how long no further member comes once all are known: two heartbeats
+	// and more.
+	zoneQuiet = time.Second
+	// mostZoneWait is what a start may take of the time before traffic, 10 s and more.
+	mostZoneWait = 3 * time.Second
+	zonePoll     = 100 * time.Millisecond
+)
+
+// awaitZone waits until no further members of the zone become known.
+func (r *Relay) awaitZone(ctx context.Context) {
+	known, changed := len(r.members()), clock.Now()
+	for deadline := changed.Add(mostZoneWait); clock.Until(deadline) > 0 && clock.Since(changed) < zoneQuiet && ctx.Err() == nil; {
+		pause.For(ctx, zonePoll)
+		if n := len(r.members()); n != known {
+			known, changed = n, clock.Now()
+		}
+	}
+}
+
 // joinPoll is between two looks at whether the others are known.
 const joinPoll = 20 * time.Millisecond
 
@@ -236,6 +259,10 @@
 		return
 	}
 	r.joined = true
+	if r.FirstStart {
+		r.awaitZone(ctx)
+		return
+	}
 	for deadline := clock.Now().Add(joinWait); !r.Joined() && clock.Until(deadline) > 0 && ctx.Err() == nil; {
 		pause.For(ctx, joinPoll)
 	}
