--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -8,14 +8,11 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"net/url"
-	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
-	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/clock"
 	"github.com/dykewing/dykewing/feed"
 	"github.com/dykewing/dykewing/internal/kv"
@@ -202,72 +199,6 @@
 	}
 }
 
-// joinWait is for how long a process that starts does not ask the service for the whole
-// state before it knows the others of its zone: a live one answers within a round trip, one
-// that starts at the same time within a heartbeat. Longer it must not be: a process whose
-// zone is lost has no configuration until then.
-const joinWait = 500 * time.Millisecond
-
-// smallOfService reads a state that fits one call, where this process starts and does not
-// know its zone yet. After the loss of all processes there is nobody who could tell it, and
-// callers were turned away for the whole joinWait. The call is the price: one a process.
-func (r *Relay) smallOfService(ctx context.Context) (kv.RangeResult, bool) {
-	if r.joined || r.FirstStart || r.Joined == nil || r.Joined() {
-		return kv.RangeResult{}, false
-	}
-	result, whole, err := r.Service.RangeOnce(ctx, "")
-	if err == nil && !whole {
-		return kv.RangeResult{}, false
-	}
-	r.ended(feed.Question{}, result.Revision, err)
-	if err != nil {
-		return kv.RangeResult{}, false
-	}
-	r.mirror.reset(result, true, clock.Now())
-	return result, true
-}
-
-// At the first start of the whole system nobody is served yet, and every process knows only a
-// few others for the first heartbeats. Taking these for its zone, each of 773 of 986 processes
-// took itself for one of a small zone and asked the service for itself.
-const (
-	// zoneQuiet is for how long no further member comes once all are known: two heartbeats
-	// and more.
-	zoneQuiet = time.Second
-	// mostZoneWait is what a start may take of the time before traffic, 10 s and more.
-	mostZoneWait = 3 * time.Second
-	zonePoll     = 100 * time.Millisecond
-)
-
-// awaitZone waits until no further members of the zone become known.
-func (r *Relay) awaitZone(ctx context.Context) {
-	known, changed := len(r.members()), clock.Now()
-	for deadline := changed.Add(mostZoneWait); clock.Until(deadline) > 0 && clock.Since(changed) < zoneQuiet && ctx.Err() == nil; {
-		pause.For(ctx, zonePoll)
-		if n := len(r.members()); n != known {
-			known, changed = n, clock.Now()
-		}
-	}
-}
-
-// joinPoll is between two looks at whether the others are known.
-const joinPoll = 20 * time.Millisecond
-
-// awaitJoined waits until this process knows the others of its zone, once.
-func (r *Relay) awaitJoined(ctx context.Context) {
-	if r.joined || r.Joined == nil {
-		return
-	}
-	r.joined = true
-	if r.FirstStart {
-		r.awaitZone(ctx)
-		return
-	}
-	for deadline := clock.Now().Add(joinWait); !r.Joined() && clock.Until(deadline) > 0 && ctx.Err() == nil; {
-		pause.For(ctx, joinPoll)
-	}
-}
-
 // lookAround takes the members of the zone as they are known now, and keeps state for
 // others where these ask this process.
 func (r *Relay) lookAround() {
@@ -413,60 +344,3 @@
 		r.source = name
 	}
 }
-
-// answer is the body of PathChanges.
-type answer struct {
-	Revision  int64      `json:"revision"`
-	Pairs     []kv.Pair  `json:"pairs,omitempty"`     // of a whole state
-	Events    []kv.Event `json:"events,omitempty"`    // after the revision that was asked for
-	Compacted bool       `json:"compacted,omitempty"` // changes after it are forgotten here
-}
-
-// wholeOf reads a peer's whole state. It may take as long as bytes come: a bound on the whole
-// was passed again and again by processes with a fifth of a core once there were 10,000
-// workers, and each try loaded the watchers anew.
-func (r *Relay) wholeOf(ctx context.Context, peer feed.Member) (kv.RangeResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, longestWhole)
-	defer cancel()
-	var state answer
-	if err := r.get(ctx, peer, url.Values{}, &state); err != nil {
-		return kv.RangeResult{}, err
-	}
-	return kv.RangeResult{Pairs: state.Pairs, Revision: state.Revision}, nil
-}
-
-func (r *Relay) changesOf(ctx context.Context, question feed.Question, revision int64) (kv.Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, question.Wait+longestWhole)
-	defer cancel()
-	var changes answer
-	err := r.getWithin(ctx, question.Wait+peerGrace, question.Peer, url.Values{
-		parameterAfter: {strconv.FormatInt(revision, 10)},
-		parameterWait:  {strconv.FormatInt(question.Wait.Milliseconds(), 10)},
-	}, &changes)
-	if err != nil {
-		return kv.Batch{}, err
-	}
-	if changes.Compacted {
-		return kv.Batch{}, fmt.Errorf("changes from %s after %d: %w", question.Peer.Address, revision, kv.ErrCompacted)
-	}
-	return kv.Batch{Events: changes.Events, Revision: changes.Revision}, nil
-}
-
-func (r *Relay) get(ctx context.Context, peer feed.Member, query url.Values, into *answer) error {
-	return r.getWithin(ctx, wholeHead, peer, query, into)
-}
-
-// getWithin asks a peer. Its answer is to begin within head, and then to go on without a
-// pause over mostPause.
-func (r *Relay) getWithin(ctx context.Context, head time.Duration, peer feed.Member, query url.Values, into *answer) error {
-	path := PathChanges
-	if len(query) > 0 {
-		path += "?" + query.Encode()
-	}
-	err := transport.GetSteadily(ctx, r.client, "ask for changes", peer.Address, path, head, mostPause, into)
-	var failure *api.Error
-	if errors.As(err, &failure) && failure.Code == api.CodeNoContact {
-		return fmt.Errorf("%w: %w", errBehind, err)
-	}
-	return err
-}
