A first start counts as quiet only once it has joined

Change: the second without a further member begins once the process has joined; five seconds at the most.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -453,9 +453,13 @@
 		for i, n := range z.nodes {
 			var looks atomic.Int64
 			n.relay.FirstStart = true
-			n.relay.Joined = func() bool { return true }
+			// Seeds that all ask at once answer late: longer than the quiet that is waited for.
+			n.relay.Joined = func() bool { return looks.Load() > 15 }
 			n.relay.SetMembers(func() []feed.Member {
-				if looks.Add(1) <= 4 {
+				switch n := looks.Add(1); {
+				case n <= 15:
+					return z.members[i : i+1]
+				case n <= 18:
 					return append(slices.Clone(z.members[i:i+1]), z.members[:2]...)
 				}
 				return z.members
--- a/internal/relay/start.go
+++ b/internal/relay/start.go
@@ -22,7 +22,7 @@
 	// more.
 	zoneQuiet = time.Second
 	// mostZoneWait is what a first start may take of the time before traffic, 10 s and more.
-	mostZoneWait = 3 * time.Second
+	mostZoneWait = 5 * time.Second
 	zonePoll     = 100 * time.Millisecond
 )
 
@@ -41,7 +41,8 @@
 	}
 }
 
-// awaitZone waits until no further members of the zone become known. At the first start of
+// awaitZone waits until this process has joined its zone and no further members become
+// known. At the first start of
 // the whole system nobody is served yet, and each process knows only a few others for some
 // heartbeats. 773 of 986 processes took these few for a zone too small to share, and asked
 // the service for themselves.
@@ -49,7 +50,7 @@
 	known, changed := len(r.members()), clock.Now()
 	for deadline := changed.Add(mostZoneWait); clock.Until(deadline) > 0 && clock.Since(changed) < zoneQuiet && ctx.Err() == nil; {
 		pause.For(ctx, zonePoll)
-		if n := len(r.members()); n != known {
+		if n := len(r.members()); n != known || !r.Joined() {
 			known, changed = n, clock.Now()
 		}
 	}
