--- a/internal/relay/start.go
+++ b/internal/relay/start.go
@@ -42,10 +42,9 @@
 }
 
 // awaitZone waits until this process has joined its zone and no further members become
-// known. At the first start of
-// the whole system nobody is served yet, and each process knows only a few others for some
-// heartbeats. 773 of 986 processes took these few for a zone too small to share, and asked
-// the service for themselves.
+// known. At the first start of the whole system nobody is served yet, and each process knows
+// only a few others for some heartbeats. 773 of 986 processes took these few for a zone too
+// small to share, and asked the service for themselves.
 func (r *Relay) awaitZone(ctx context.Context) {
 	known, changed := len(r.members()), clock.Now()
 	for deadline := changed.Add(mostZoneWait); clock.Until(deadline) > 0 && clock.Since(changed) < zoneQuiet && ctx.Err() == nil; {
