--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -161,6 +161,9 @@
 }
 
 func (n *Node) logQuiet(began time.Time) {
+	if open := n.callers.count(); n.Role == api.RoleRouter && open > 0 {
+		n.Logger("node").Warnf("Leaving: %d connections of callers are still open.", open)
+	}
 	last := n.LastWork()
 	if last.Before(began) {
 		n.Logger("node").Info("Leaving: no request came after the announcement.")
