--- a/config/config.go
+++ b/config/config.go
@@ -148,8 +148,6 @@
 	// together; each keeps to its part. 0 is no bound.
 	ReadsPerSecond  float64 `koanf:"reads_per_second" validate:"min=0,max=1000000"`
 	WritesPerSecond float64 `koanf:"writes_per_second" validate:"min=0,max=1000000"`
-	// FirstStart: all machines start for the first time; nobody is served yet.
-	FirstStart bool `koanf:"first_start"`
 }
 
 // longWaitShare of Freshness is how long a watch that a process keeps for itself
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -101,7 +101,6 @@
 		return nil, err
 	}
 	changes.Joined, changes.CheckKey = common.Settled, platform.Source.ConfigurationPrefix
-	changes.FirstStart = settings.Platform.FirstStart
 	changes.Abroad = func() [][]feed.Member { return storesAbroad(common.Nodes(), settings.Node.Location()) }
 	if platform.Observe != nil {
 		platform.Observe(common.ObserveCall)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -74,8 +74,6 @@
 	told     told
 	// Joined tells whether this process knows the others of its zone; nil: at once.
 	Joined func() bool
-	// FirstStart: the whole system starts for the first time, nobody waits for it yet.
-	FirstStart bool
 	// CheckKey is read to learn the service's revision where its watches are silent; empty:
 	// it is not asked.
 	CheckKey string
--- a/internal/relay/start.go
+++ b/internal/relay/start.go
@@ -17,13 +17,6 @@
 	// process whose zone is lost has no configuration until then.
 	joinWait = 500 * time.Millisecond
 	joinPoll = 20 * time.Millisecond
-
-	// zoneQuiet without a further member says that the zone is known: two heartbeats and
-	// more.
-	zoneQuiet = time.Second
-	// mostZoneWait is what a first start may take of the time before traffic, 10 s and more.
-	mostZoneWait = 5 * time.Second
-	zonePoll     = 100 * time.Millisecond
 )
 
 // awaitJoined waits until this process knows the others of its zone, once.
@@ -32,34 +25,16 @@
 		return
 	}
 	r.joined = true
-	if r.FirstStart {
-		r.awaitZone(ctx)
-		return
-	}
 	for deadline := clock.Now().Add(joinWait); !r.Joined() && clock.Until(deadline) > 0 && ctx.Err() == nil; {
 		pause.For(ctx, joinPoll)
 	}
 }
 
-// awaitZone waits until this process has joined its zone and no further members become
-// known. At the first start of the whole system nobody is served yet, and each process knows
-// only a few others for some heartbeats. 773 of 986 processes took these few for a zone too
-// small to share, and asked the service for themselves.
-func (r *Relay) awaitZone(ctx context.Context) {
-	known, changed := len(r.members()), clock.Now()
-	for deadline := changed.Add(mostZoneWait); clock.Until(deadline) > 0 && clock.Since(changed) < zoneQuiet && ctx.Err() == nil; {
-		pause.For(ctx, zonePoll)
-		if n := len(r.members()); n != known || !r.Joined() {
-			known, changed = n, clock.Now()
-		}
-	}
-}
-
 // smallOfService reads a state that fits one call, where this process starts and does not
 // know its zone yet. After the loss of all processes there is nobody who could tell it, and
 // callers were turned away for the whole joinWait. The call is the price: one a process.
 func (r *Relay) smallOfService(ctx context.Context) (kv.RangeResult, bool) {
-	if r.joined || r.FirstStart || r.Joined == nil || r.Joined() {
+	if r.joined || r.Joined == nil || r.Joined() {
 		return kv.RangeResult{}, false
 	}
 	result, whole, err := r.Service.RangeOnce(ctx, "")
