One way to choose among sources, one wait in the relay's tests

Cause: Next and Whole of feed.Chooser stood twice but for their list, as did a wait in tests.

Change: Chooser.first; zone.awaitCalm. No behaviour changes.

Result: tests of feed and internal/relay pass.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -233,25 +233,17 @@
 func (c *Chooser) Watching() bool { return c.Shared() && c.rank < c.settings.Watchers }
 
 // Next gives the next question.
-func (c *Chooser) Next(now time.Time) Question {
-	var best Question
-	for i, peer := range c.order() {
-		question := c.question(now, peer)
-		if !question.NotBefore.After(now) {
-			return question
-		}
-		if i == 0 || question.NotBefore.Before(best.NotBefore) {
-			best = question
-		}
-	}
-	return best
-}
+func (c *Chooser) Next(now time.Time) Question { return c.first(now, c.order()) }
 
 // Whole gives whom to ask for the whole state: a watcher before the service. A watcher is
 // told by one that stands before it, and then asks the service for the changes since.
-func (c *Chooser) Whole(now time.Time) Question {
+func (c *Chooser) Whole(now time.Time) Question { return c.first(now, c.peersFirst()) }
+
+// first is the question to the first of some peers that may be asked now, else to the one
+// that may be asked the soonest.
+func (c *Chooser) first(now time.Time, peers []Member) Question {
 	var best Question
-	for i, peer := range c.peersFirst() {
+	for i, peer := range peers {
 		question := c.question(now, peer)
 		if !question.NotBefore.After(now) {
 			return question
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -198,6 +198,12 @@
 	}
 }
 
+// awaitCalm waits until the watchers have asked some times more: no source is in a pause.
+func (z *zone) awaitCalm() {
+	calm := z.store.Calls("/-/kv-watch") + 3*watchers
+	z.await("calm watches", func() bool { return z.store.Calls("/-/kv-watch") >= calm })
+}
+
 // allKnow waits until the members hold a value; those that skip names are left out.
 func (z *zone) allKnow(key, value string, skip ...int) {
 	z.t.Helper()
@@ -446,8 +452,7 @@
 		z.store.Put("op/config", []byte("1"))
 		z.start()
 		z.allKnow("op/config", "1")
-		calm := z.store.Calls("/-/kv-watch") + 3*watchers
-		z.await("calm watches", func() bool { return z.store.Calls("/-/kv-watch") >= calm })
+		z.awaitCalm()
 		told := func() (wholes int64) {
 			for _, n := range z.nodes {
 				wholes += n.wholes.Load()
@@ -484,8 +489,7 @@
 		z.store.Put("op/config", []byte("1"))
 		z.start()
 		z.allKnow("op/config", "1")
-		calm := z.store.Calls("/-/kv-watch") + 3*watchers
-		z.await("calm watches", func() bool { return z.store.Calls("/-/kv-watch") >= calm })
+		z.awaitCalm()
 		z.silent.Store(true)
 		reads := z.store.Calls("/-/kv-range")
 		const changes = 4
