Who follows watchers leaves a forgotten history to them

After three seconds 771 followers asked the service, were told that the history is gone, and 387 of them read all pages at once: a gigabyte over the store's link, 11 s in which 391 processes lacked a newer configuration. Calls and bytes grew with processes times workers.

Change: (1) a follower that is told so by the service goes on asking its watchers, which know the differences; only told so twice it reads the state, from them first. (2) A watcher that was told what it missed asks the service for its revision; where that is the same, it has contact and tells others at once.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -232,6 +232,9 @@
 // Watching tells whether this process asks the service for others.
 func (c *Chooser) Watching() bool { return c.Shared() && c.rank < c.settings.Watchers }
 
+// Follows tells whether others of the zone ask the service for this process.
+func (c *Chooser) Follows() bool { return c.Shared() && c.rank >= c.settings.Watchers }
+
 // Next gives the next question.
 func (c *Chooser) Next(now time.Time) Question { return c.first(now, c.order()) }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -162,7 +162,7 @@
 	if prefix != "" {
 		return r.Service.Watch(ctx, prefix, revision, deliver)
 	}
-	gather := firstGatherPause
+	gather, behind := firstGatherPause, false
 	for {
 		r.lookAround()
 		if r.mirror.lacks() {
@@ -177,8 +177,15 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		r.ended(question, batch.Revision, err)
 		forgotten := errors.Is(err, kv.ErrCompacted) && question.OfService()
+		if forgotten && r.chooser.Follows() {
+			err = fmt.Errorf("%w: %w", errBehind, err)
+		}
+		r.ended(question, batch.Revision, err)
+		if forgotten && r.chooser.Follows() && !behind {
+			behind = true // its watchers read the state; it asks them for the changes first
+			continue
+		}
 		if forgotten {
 			batch, err = r.awaitTeller(ctx, revision, err)
 		}
@@ -188,10 +195,11 @@
 		if err != nil {
 			continue
 		}
-		revision = max(revision, batch.Revision)
+		revision, behind = max(revision, batch.Revision), false
 		deliver(batch)
 		if forgotten {
-			continue // others count on this one's own contact with the service
+			r.proveContact(ctx, revision) // others count on this one's own
+			continue
 		}
 		gather = r.gather(ctx, question, len(batch.Events) > 0, gather)
 	}
@@ -256,6 +264,19 @@
 	return kv.Batch{Revision: revision}, nil
 }
 
+// proveContact asks the service for its revision after others told this process what it
+// missed. Where it stands there, this one may tell others at once: without it a zone had no
+// word from its watchers until their next question ended, 1.75 s later, and turned to the
+// service.
+func (r *Relay) proveContact(ctx context.Context, revision int64) {
+	if r.CheckKey == "" {
+		return
+	}
+	if at, err := r.standsAt(ctx); err == nil && at <= revision {
+		r.mirror.apply(kv.Batch{Revision: revision}, true, clock.Now())
+	}
+}
+
 // standsAt asks the service for its revision.
 func (r *Relay) standsAt(ctx context.Context) (int64, error) {
 	_, at, err := r.Service.Read(ctx, r.CheckKey)
@@ -320,10 +341,10 @@
 func (r *Relay) ended(question feed.Question, revision int64, err error) {
 	outcome, label := feed.Unreachable, "failed"
 	switch {
-	case err == nil || errors.Is(err, kv.ErrCompacted):
-		outcome, label = feed.Answered, "answered"
 	case errors.Is(err, errBehind) || errors.Is(err, errOlder):
 		outcome, label = feed.Behind, "behind"
+	case err == nil || errors.Is(err, kv.ErrCompacted):
+		outcome, label = feed.Answered, "answered"
 	}
 	r.chooser.Ended(clock.Now(), question, outcome)
 	kind, name := "peer", string(question.Peer.ID)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -29,6 +29,7 @@
 	apply    = time.Second
 	longWait = 2 * time.Second // so short that a zone of members shares
 	watchers = 2
+	deputies = 2
 	silence  = 500 * time.Millisecond // beyond its wait until a silent watch is given up
 )
 
@@ -474,6 +475,37 @@
 	}
 }
 
+// Symptom: 387 of 986 processes read all pages of the state from the service at once, which
+// took its link 11 s; meanwhile a configuration was not in force there. Sequence: watchers
+// have no contact for a while, the others turn to the service, which has forgotten its
+// history. Cause: who was told so read everything for himself, though his watchers were
+// about to.
+func TestWhoFollowsLeavesTheStateToItsWatchers(t *testing.T) {
+	for _, count := range []int{members, 2 * members} {
+		z := newZone(t, count)
+		z.store.Put("op/config", []byte("1"))
+		z.start()
+		z.allKnow("op/config", "1")
+		z.awaitCalm()
+		leading := z.nodes[:watchers+deputies]
+		for _, n := range leading {
+			z.refuse.Store(n.id, true)
+		}
+		reads, watches := z.store.Calls("/-/kv-range"), z.store.Calls("/-/kv-watch")
+		z.store.Put("gone", []byte("x"))
+		z.store.Forget()
+		z.store.Put("op/config", []byte("2"))
+		z.await("followers at the service", func() bool { return z.store.Calls("/-/kv-watch") >= watches+count/2 })
+		for _, n := range leading {
+			z.refuse.Delete(n.id)
+		}
+		z.allKnow("op/config", "2")
+		if more := z.store.Calls("/-/kv-range") - reads; more > 2*(watchers+deputies) {
+			t.Errorf("%d members: the whole state was read %d times", count, more)
+		}
+	}
+}
+
 // Symptom: in the worst moment of the service, which told its watches nothing for five
 // seconds and then forgot its history, hundreds of processes asked it for themselves and
 // read all pages of the state: 24,842 calls, and a configuration that was not in force
