Limits: leases start once every store knows them; before, stores grant by order

What callers saw: while a build without leases is replaced, patients' queries were refused (429) or waited at frontends, and a tenant far above its limit got more than that.

Cause: the leader of a group granted the whole rate under its lease as soon as it ran this build. Stores of the build before granted the whole rate by placement order beside it, and stores of this build refused the frontends of the build before, which ask by order.

Change: a group begins by order, as builds without leases grant. Stores of this build do so only with a permit of the group's leader, which lasts 2 s. The leader probes each process of a store; once all know leases, permits end at one moment, the start is committed to the group's log, and leases begin. A build that grants under leases without that registers holders, which later leaders take for the same. Stores forward requests of holders without leases to the leader.

It works since no store that knows leases grants by order without a permit, all permits have expired before leases start, and a store that does not know them holds their start up. The way back from this build to one with leases, and from a replacement that is not complete, is tested; the way back to one without leases after they have started is not safe (docs/design/rate-limits.md).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -158,6 +159,8 @@
 	prefix := common.Settings.KeyValueService.Prefix
 	records := &store.GroupRecords{Prefix: prefix}
 	runner.Catalog().AddView(prefix+storeclient.PrefixGroups, records)
+	leaders := &storeclient.Leaders{Prefix: prefix}
+	runner.Catalog().AddView(prefix+storeclient.PrefixGroups, leaders)
 	options := []store.Option{store.WithInlineRunner(runner.StartLeader), store.WithRegistrations(runner.RegisteredStores()), store.WithGroupRecords(records)}
 	if platform.Decommissions != nil {
 		runner.Catalog().AddView(platform.Decommissions.Prefix, platform.Decommissions)
@@ -167,18 +170,23 @@
 	if err != nil {
 		return nil, err
 	}
-	common.Mux.Handle("POST "+limiter.PathTokens, limiter.NewOwner(limiter.OwnerSettings{
-		Tolerance: common.Settings.Tenants.Tolerance(), Groups: common.Settings.Store.Groups, Log: common.Logger("limits"),
+	limits := limiter.NewOwner(limiter.OwnerSettings{
+		Self: common.ID(), Tolerance: common.Settings.Tenants.Tolerance(), Groups: common.Settings.Store.Groups, Log: common.Logger("limits"),
 		Lease: func(ctx context.Context, group api.GroupID) (limiter.Lease, *api.Error) {
 			lease, failure := part.LeaderLease(ctx, group)
 			return limiter.Lease(lease), failure
 		},
 		Holders: part.LimitHolders, Register: part.RegisterLimitHolder,
-	}))
+		Leader: func(group api.GroupID) (api.Node, bool) { return leaders.Leader(common.Nodes(), group) },
+		Nodes:  common.Nodes, Stores: func() []api.Node { return storesOf(runner.RegisteredStores().Extend(common.Nodes())) },
+		Client: common.Control,
+	})
+	common.Mux.Handle("POST "+limiter.PathTokens, limits)
 	return func(ctx context.Context) error {
 		background, stop := context.WithCancel(context.Background())
 		var running sync.WaitGroup
 		running.Go(func() { runner.Run(background, common) })
+		running.Go(func() { limits.Run(background) })
 		err := part.Run(ctx)
 		stop()
 		running.Wait()
@@ -186,6 +194,11 @@
 	}, nil
 }
 
+// storesOf returns the stores of a view.
+func storesOf(nodes []api.Node) []api.Node {
+	return slices.DeleteFunc(slices.Clone(nodes), func(node api.Node) bool { return node.Role != api.RoleStore })
+}
+
 // drainsBeforeNode reports whether a role finishes its callers' requests before its node
 // stops.
 func drainsBeforeNode(role api.Role) bool { return role == api.RoleSidecar || role == api.RoleFrontend }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -125,7 +125,7 @@
 	common.Mux.Handle("POST "+relayed.Path, f.relayClient)
 	common.SetSummary(func() api.LoadSummary { return api.LoadSummary{StoresUnreachable: f.relayClient.Isolated()} })
 	f.limiter = limiter.New(limiter.Settings{
-		Tolerance: common.Settings.Tenants.Tolerance(), Self: common.ID(), Client: f.relayClient, Groups: common.Settings.Store.Groups, Owners: f.limitOwners, Peers: f.peerFrontends,
+		Tolerance: common.Settings.Tenants.Tolerance(), Self: common.ID(), Client: f.relayClient, Groups: common.Settings.Store.Groups, Owners: f.limitOwners, Leader: f.limitLeader, Peers: f.peerFrontends,
 		Log: common.Logger("limits"), Registry: common.Registry,
 	})
 	common.Mux.Handle("POST "+limiter.PathPeerTokens, f.limiter)
--- a/internal/frontend/ratelimit.go
+++ b/internal/frontend/ratelimit.go
@@ -15,17 +15,14 @@
 // of the limit.
 const ownerUnreachableRetryAfter = 10 * time.Millisecond
 
-// limitOwners returns the stores that may own a tenant's limit: the leader of the tenant's
-// group if it is known, then the others, which may know a newer leader.
+// limitOwners returns the stores that may own a tenant's limit, in the tenant's placement order.
 func (f *Frontend) limitOwners(tenant string) []api.Node {
-	nodes := f.node.Nodes()
-	stores := placement.RankStores(tenant, storeclient.OwnerCandidates(nodes, f.registered.Extend))
-	leader, ok := f.leaders.Leader(nodes, placement.TenantGroup(api.TenantID(tenant), f.node.Settings.Store.Groups))
-	if !ok {
-		return stores
-	}
-	stores = slices.DeleteFunc(stores, func(node api.Node) bool { return node.ID == leader.ID })
-	return slices.Insert(stores, 0, leader)
+	return placement.RankStores(tenant, storeclient.OwnerCandidates(f.node.Nodes(), f.registered.Extend))
+}
+
+// limitLeader returns the leader of a tenant's group.
+func (f *Frontend) limitLeader(tenant string) (api.Node, bool) {
+	return f.leaders.Leader(f.node.Nodes(), placement.TenantGroup(api.TenantID(tenant), f.node.Settings.Store.Groups))
 }
 
 // peerFrontends returns the other frontends that are believed alive.
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -81,8 +81,10 @@
 	Client    *relayed.Client
 	// Groups is the number of groups that tenants are assigned to by placement.TenantGroup.
 	Groups int
-	// Owners returns the stores that may own a tenant's limit, the likeliest first.
+	// Owners returns the stores that may own a tenant's limit, in the tenant's placement order.
 	Owners func(tenant string) []api.Node
+	// Leader returns the leader of a tenant's group as far as is known; nil: none is.
+	Leader func(tenant string) (api.Node, bool)
 	// Peers returns other processes that admit requests, in a slice of the caller's own.
 	Peers    func() []api.Node
 	Log      *logrus.Entry
@@ -219,7 +221,7 @@
 		var failure *api.Error
 		switch {
 		case errors.As(err, &failure) && failure.Code == api.CodeNotLeader:
-			l.ownerRefused(owner, tenant)
+			l.ownerRefused(owner, tenant, failure.Leader)
 			hint = failure.Leader
 			refusals++
 		case err != nil:
@@ -246,6 +248,9 @@
 	now := clock.Now()
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	if l.holder.ExpectsLeases(tenant) {
+		candidates = l.leaderFirst(tenant, candidates)
+	}
 	q := l.waiting[tenant]
 	if len(q.waiters) == 0 {
 		delete(l.waiting, tenant)
@@ -261,6 +266,19 @@
 	return owner, request, true
 }
 
+// leaderFirst returns the candidates with the leader of the tenant's group, if known, in front.
+func (l *Limiter) leaderFirst(tenant string, candidates []api.Node) []api.Node {
+	if l.settings.Leader == nil {
+		return candidates
+	}
+	leader, known := l.settings.Leader(tenant)
+	if !known {
+		return candidates
+	}
+	others := slices.DeleteFunc(slices.Clone(candidates), func(node api.Node) bool { return node.ID == leader.ID })
+	return slices.Insert(others, 0, leader)
+}
+
 // chooseOwner returns the first available candidate, preferably hint; the mutex must be held.
 func (l *Limiter) chooseOwner(now time.Time, tenant string, candidates []api.Node, hint api.NodeID) (api.Node, bool) {
 	available := func(node api.Node) bool {
@@ -296,11 +314,15 @@
 	l.holder.MarkUnresponsive(clock.Now(), string(owner.ID))
 }
 
-func (l *Limiter) ownerRefused(owner api.Node, tenant string) {
+// ownerRefused records that a store is not the owner, and which one it named; empty: none.
+func (l *Limiter) ownerRefused(owner api.Node, tenant string, leader api.NodeID) {
 	l.metrics.refusals.Inc()
 	now := clock.Now()
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	if leader != "" {
+		l.holder.RecordLeader(tenant)
+	}
 	maps.DeleteFunc(l.refused, func(_ refusalKey, at time.Time) bool { return now.Sub(at) >= refusalTTL })
 	l.refused[refusalKey{tenant, owner.ID}] = now
 	maps.DeleteFunc(l.awaited, func(_ string, at time.Time) bool { return !now.Before(at) })
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -52,11 +52,13 @@
 	}
 }
 
-func newOwner(lease func(context.Context, api.GroupID) (Lease, *api.Error)) *Owner {
+// newOwner returns the Owner of a store in a fleet that uses leases.
+func newOwner(self api.NodeID, lease func(context.Context, api.GroupID) (Lease, *api.Error), nodes func() []api.Node) *Owner {
 	return NewOwner(OwnerSettings{
-		Tolerance: tolerance, Groups: 1, Lease: lease, Log: discardLog(),
-		Holders:  func(api.GroupID) ([]string, *api.Error) { return nil, nil },
+		Self: self, Tolerance: tolerance, Groups: 1, Lease: lease, Log: discardLog(), Nodes: nodes, Stores: nodes, Client: http.DefaultClient,
+		Holders:  func(api.GroupID) ([]string, *api.Error) { return []string{leasesMarker}, nil },
 		Register: func(context.Context, api.GroupID, string, bool) *api.Error { return nil },
+		Leader:   func(api.GroupID) (api.Node, bool) { return api.Node{}, false },
 	})
 }
 
@@ -71,7 +73,7 @@
 	view := func() []api.Node { return f.nodes }
 	for i := range owners {
 		id := api.NodeID(fmt.Sprint("store-", i))
-		owner := newOwner(f.lease(id))
+		owner := newOwner(id, f.lease(id), view)
 		unresponsive, requests := &atomic.Bool{}, &atomic.Int64{}
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			requests.Add(1)
@@ -204,7 +206,7 @@
 		{"no limit", `{"tenant":"a","tokens":1}`},
 		{"a negative burst", `{"tenant":"a","limit":{"Rate":5,"Burst":-1},"tokens":1}`},
 	}
-	owner := newOwner(nil)
+	owner := newOwner("store", nil, nil)
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			recorder := httptest.NewRecorder()
@@ -235,7 +237,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			lease, failure := Lease{Term: 4, Start: now.Add(-time.Minute), Until: now.Add(time.Minute)}, (*api.Error)(nil)
-			owner := newOwner(func(context.Context, api.GroupID) (Lease, *api.Error) { return lease, failure })
+			owner := newOwner("store", func(context.Context, api.GroupID) (Lease, *api.Error) { return lease, failure }, nil)
 			request := func() int {
 				recorder := httptest.NewRecorder()
 				body := `{"tenant":"a","limit":{"Rate":5,"Burst":1},"tokens":1}`
--- /dev/null
+++ b/internal/limiter/order_test.go
@@ -0,0 +1,225 @@
+package limiter
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/clock"
+	"github.com/dykewing/dykewing/internal/transport"
+	"github.com/dykewing/dykewing/placement"
+	"github.com/dykewing/dykewing/ratelimit"
+)
+
+// groupFixture is a group of stores of which the one named by leader has the lease. Stores of
+// the build before know no leases.
+type groupFixture struct {
+	mutex      sync.Mutex
+	nodes      []api.Node
+	owners     map[api.NodeID]*Owner // without those of the build before
+	leader     api.NodeID
+	registered []string // in the group's log
+}
+
+func newGroupFixture(t *testing.T, before ...api.NodeID) *groupFixture {
+	f := &groupFixture{owners: map[api.NodeID]*Owner{}, leader: "store-0"}
+	for _, id := range []api.NodeID{"store-0", "store-1", "store-2"} {
+		f.start(t, id, slices.Contains(before, id))
+	}
+	return f
+}
+
+// start starts a store's process, of the build before or of this one.
+func (f *groupFixture) start(t *testing.T, id api.NodeID, before bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var handler http.Handler = http.HandlerFunc(grantWithoutLeases)
+	delete(f.owners, id)
+	if !before {
+		f.owners[id] = f.newOwner(id)
+		handler = f.owners[id]
+	}
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	i := slices.IndexFunc(f.nodes, func(node api.Node) bool { return node.ID == id })
+	if i < 0 {
+		i = len(f.nodes)
+		f.nodes = append(f.nodes, api.Node{ID: id, Role: api.RoleStore})
+	}
+	f.nodes[i].Address = strings.TrimPrefix(server.URL, "http://")
+	f.nodes[i].Incarnation++
+}
+
+// grantWithoutLeases is the handler of a build without leases.
+func grantWithoutLeases(w http.ResponseWriter, r *http.Request) {
+	var request ratelimit.TokenRequest
+	if failure := transport.ReadJSON(w, r, "read question for tokens", maxRequestBytes, &request); failure != nil {
+		transport.WriteError(w, failure)
+		return
+	}
+	transport.WriteJSON(w, http.StatusOK, ratelimit.Grant{Tokens: request.Tokens})
+}
+
+func (f *groupFixture) newOwner(id api.NodeID) *Owner {
+	nodes := func() []api.Node {
+		f.mutex.Lock()
+		defer f.mutex.Unlock()
+		return slices.Clone(f.nodes)
+	}
+	find := func(id api.NodeID) (api.Node, bool) {
+		list := nodes()
+		i := slices.IndexFunc(list, func(node api.Node) bool { return node.ID == id })
+		if i < 0 {
+			return api.Node{}, false
+		}
+		return list[i], true
+	}
+	return NewOwner(OwnerSettings{
+		Self: id, Tolerance: tolerance, Groups: 1, Log: discardLog(), Nodes: nodes, Stores: nodes, Client: http.DefaultClient,
+		Lease: func(context.Context, api.GroupID) (Lease, *api.Error) {
+			if f.currentLeader() != id {
+				return Lease{}, api.NewError("lease group", "", api.CodeNotLeader, api.OutcomeNotRun, "not the leader")
+			}
+			return Lease{Term: 1, Start: clock.Now().Add(-time.Hour), Until: clock.Now().Add(time.Hour)}, nil
+		},
+		Holders: func(api.GroupID) ([]string, *api.Error) {
+			f.mutex.Lock()
+			defer f.mutex.Unlock()
+			return slices.Clone(f.registered), nil
+		},
+		Register: func(_ context.Context, _ api.GroupID, holder string, _ bool) *api.Error {
+			f.mutex.Lock()
+			defer f.mutex.Unlock()
+			f.registered = append(f.registered, holder)
+			return nil
+		},
+		Leader: func(api.GroupID) (api.Node, bool) { return find(f.currentLeader()) },
+	})
+}
+
+func (f *groupFixture) currentLeader() api.NodeID {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.leader
+}
+
+// ask sends a request for a token to a store.
+func (f *groupFixture) ask(t *testing.T, id api.NodeID, instance, sequence uint64) (ratelimit.Grant, *api.Error) {
+	t.Helper()
+	return f.owners[id].answer(t.Context(), 0, ratelimit.TokenRequest{
+		Tenant: clinic.Name, Limit: clinic.Limit, Version: 1, Tokens: 1, Holder: "h", Instance: instance, Sequence: sequence,
+	})
+}
+
+// awaitLeases advances the leader until leases have started.
+func (f *groupFixture) awaitLeases(t *testing.T) {
+	t.Helper()
+	for !f.owners[f.leader].advance(t.Context(), 0) {
+		select {
+		case <-time.After(20 * time.Millisecond):
+		case <-t.Context().Done():
+			t.Fatal("leases have not started")
+		}
+	}
+}
+
+// A leader must not grant under leases while a store of the build before may grant beside it.
+func TestLeasesStartOnceAllStoresKnowThem(t *testing.T) {
+	f := newGroupFixture(t, "store-2")
+	leader := f.owners["store-0"]
+	for range 5 {
+		if leader.advance(t.Context(), 0) {
+			t.Fatal("leases started beside a store that knows none")
+		}
+	}
+	for i, id := range []api.NodeID{"store-0", "store-1"} {
+		if grant, failure := f.ask(t, id, 1, uint64(i+1)); failure != nil || grant.Epoch != 0 {
+			t.Errorf("%s granted %+v, %v, want a grant by order", id, grant, failure)
+		}
+	}
+	f.start(t, "store-2", false)
+	f.awaitLeases(t)
+	if !slices.Contains(f.registered, leasesMarker) {
+		t.Error("the start of leases is not in the group's log")
+	}
+	if grant, failure := f.ask(t, "store-0", 1, 11); failure != nil || grant.Epoch == 0 {
+		t.Errorf("the leader granted %+v, %v, want a grant under a lease", grant, failure)
+	}
+	if grant, failure := f.ask(t, "store-1", 1, 12); failure == nil {
+		t.Errorf("a follower granted %+v beside the leader", grant)
+	}
+}
+
+// Processes of the build before ask stores by order. They must get the leader's tokens once
+// leases are in use, and holders of this build its name.
+func TestFollowerUnderLeases(t *testing.T) {
+	f := newGroupFixture(t)
+	f.registered = []string{leasesMarker}
+	if grant, failure := f.ask(t, "store-1", 0, 1); failure != nil || grant.Tokens != 1 || grant.Epoch != 1 {
+		t.Errorf("forwarded request: %+v, %v", grant, failure)
+	}
+	if _, failure := f.ask(t, "store-1", 1, 2); failure == nil || failure.Code != api.CodeNotLeader || failure.Leader != "store-0" {
+		t.Errorf("%v, want a refusal that names the leader", failure)
+	}
+}
+
+// A follower may grant only while the leader permits it.
+func TestFollowerGrantsByOrderOnlyWithPermit(t *testing.T) {
+	tests := []struct {
+		name       string
+		leader     api.NodeID
+		before     []api.NodeID
+		registered []string
+		want       bool
+	}{
+		{"leases have not started", "store-0", nil, nil, true},
+		{"leases have started", "store-0", nil, []string{leasesMarker}, false},
+		{"holders are registered by another build", "store-0", nil, []string{"h"}, false},
+		{"leader of the build before", "store-0", []api.NodeID{"store-0"}, nil, true},
+		{"no leader", "", nil, nil, false},
+		{"leader that does not exist", "store-9", nil, nil, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newGroupFixture(t, test.before...)
+			f.leader, f.registered = test.leader, test.registered
+			if grant, failure := f.ask(t, "store-1", 1, 1); (failure == nil) != test.want {
+				t.Errorf("%+v, %v", grant, failure)
+			}
+		})
+	}
+}
+
+// Beside a live store that precedes it in the order, a store grants a part of the rate only.
+func TestIsBackup(t *testing.T) {
+	nodes := placement.RankStores("t", []api.Node{{ID: "a", Role: api.RoleStore}, {ID: "b", Role: api.RoleStore}, {ID: "f", Role: api.RoleFrontend}})
+	first, second := nodes[0], nodes[1]
+	suspected, leaving := first, first
+	suspected.Suspected, leaving.Leaving = true, true
+	tests := []struct {
+		name string
+		self api.NodeID
+		view []api.Node
+		want bool
+	}{
+		{"first in placement order", first.ID, nodes, false},
+		{"second in placement order", second.ID, nodes, true},
+		{"first is suspected", second.ID, []api.Node{suspected, second}, false},
+		{"first is leaving", second.ID, []api.Node{leaving, second}, false},
+		{"only store", second.ID, []api.Node{second}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			owner := NewOwner(OwnerSettings{Tolerance: tolerance, Self: test.self, Nodes: func() []api.Node { return test.view }})
+			if got := owner.isBackup("t"); got != test.want {
+				t.Errorf("%t", got)
+			}
+		})
+	}
+}
--- a/internal/limiter/owner.go
+++ b/internal/limiter/owner.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/clock"
@@ -33,8 +35,12 @@
 	Start, Until time.Time
 }
 
+// includes reports whether the lease is in force.
+func (l Lease) includes(now time.Time) bool { return !now.Before(l.Start) && now.Before(l.Until) }
+
 // OwnerSettings are the parameters of NewOwner.
 type OwnerSettings struct {
+	Self      api.NodeID
 	Tolerance ratelimit.Tolerance
 	Groups    int // tenants are assigned to groups by placement.TenantGroup
 	// Lease returns this store's lease on a group, or api.CodeNotLeader.
@@ -43,22 +49,36 @@
 	// removed since. Both are called only by a store that has the group's lease.
 	Holders  func(group api.GroupID) ([]string, *api.Error)
 	Register func(ctx context.Context, group api.GroupID, holder string, removed bool) *api.Error
-	Log      *logrus.Entry
+	// Leader returns the leader of a group as far as is known.
+	Leader func(group api.GroupID) (api.Node, bool)
+	// Nodes returns the membership view, and Stores all stores that may grant: also those that
+	// are only registered with the platform's store.
+	Nodes  func() []api.Node
+	Stores func() []api.Node
+	Client *http.Client // to other stores
+	Log    *logrus.Entry
 }
 
-// Owner owns the limits of the tenants of those groups on which this store has a lease. It is
+// Owner owns the limits of the tenants of those groups on which this store has a lease. While
+// not all stores know leases, it grants by order, as far as the groups' leaders permit it. It is
 // safe for concurrent use.
 type Owner struct {
 	settings OwnerSettings
+	renewals singleflight.Group // of permits, by group
 
-	mutex sync.Mutex // guards terms
-	terms map[api.GroupID]*ownerTerm
+	mutex   sync.Mutex // guards all below
+	terms   map[api.GroupID]*ownerTerm
+	order   *ratelimit.OrderOwner
+	permits map[api.GroupID]ratelimit.OrderPermit
+	support map[api.NodeID]storeSupport
 }
 
 // ownerTerm is the state of a group's limits in one term.
 type ownerTerm struct {
-	term  uint64
-	owner *ratelimit.Owner
+	term       uint64
+	activation *ratelimit.Activation
+	owner      *ratelimit.Owner // grants only while leases are active
+	marked     bool             // leasesMarker is registered
 	// changing are the holders whose registrations are being committed.
 	changing map[string]bool
 	sweptAt  time.Time // of expired holders
@@ -66,7 +86,10 @@
 
 // NewOwner returns the Owner of a store.
 func NewOwner(settings OwnerSettings) *Owner {
-	return &Owner{settings: settings, terms: map[api.GroupID]*ownerTerm{}}
+	return &Owner{
+		settings: settings, terms: map[api.GroupID]*ownerTerm{}, order: ratelimit.NewOrderOwner(settings.Tolerance),
+		permits: map[api.GroupID]ratelimit.OrderPermit{}, support: map[api.NodeID]storeSupport{},
+	}
 }
 
 // ServeHTTP handles token requests.
@@ -83,12 +106,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), leaseTimeout)
 	defer cancel()
 	group := placement.TenantGroup(api.TenantID(request.Tenant), o.settings.Groups)
-	lease, failure := o.settings.Lease(ctx, group)
-	if failure != nil {
-		transport.WriteError(w, failure)
-		return
-	}
-	grant, failure := o.grant(group, lease, request)
+	grant, failure := o.answer(ctx, group, request)
 	if failure != nil {
 		transport.WriteError(w, failure)
 		return
@@ -96,26 +114,62 @@
 	transport.WriteJSON(w, http.StatusOK, grant)
 }
 
-// grant answers a request under a lease.
-func (o *Owner) grant(group api.GroupID, lease Lease, request ratelimit.TokenRequest) (ratelimit.Grant, *api.Error) {
+// answer answers a request under this store's lease on the group, or else as a follower.
+func (o *Owner) answer(ctx context.Context, group api.GroupID, request ratelimit.TokenRequest) (ratelimit.Grant, *api.Error) {
+	lease, failure := o.settings.Lease(ctx, group)
+	if now := clock.Now(); failure == nil && !lease.includes(now) {
+		failure = api.NewError("grant tokens", "", api.CodeNotLeader, api.OutcomeNotRun,
+			"the lease on group %d starts in %v and ends in %v", group, lease.Start.Sub(now), lease.Until.Sub(now))
+	}
+	switch {
+	case failure == nil:
+		return o.grantAsLeader(group, lease, request)
+	case request.Probe:
+		return ratelimit.Grant{}, failure
+	default:
+		return o.grantAsFollower(ctx, group, request, failure)
+	}
+}
+
+// grantAsLeader answers a request under a lease. The lease is checked again, since time may have
+// passed.
+func (o *Owner) grantAsLeader(group api.GroupID, lease Lease, request ratelimit.TokenRequest) (ratelimit.Grant, *api.Error) {
 	o.mutex.Lock()
-	defer o.mutex.Unlock()
 	now := clock.Now()
-	if now.Before(lease.Start) || !now.Before(lease.Until) {
-		return ratelimit.Grant{}, api.NewError("grant tokens", "", api.CodeNotLeader, api.OutcomeNotRun,
-			"the lease on group %d starts in %v and ends in %v", group, lease.Start.Sub(now), lease.Until.Sub(now))
+	if !lease.includes(now) {
+		o.mutex.Unlock()
+		return ratelimit.Grant{}, api.NewError("grant tokens", "", api.CodeNotLeader, api.OutcomeNotRun, "the lease on group %d has ended", group)
 	}
 	state, failure := o.termState(group, lease)
 	if failure != nil {
+		o.mutex.Unlock()
 		return ratelimit.Grant{}, failure
 	}
+	orderFor := state.activation.Permit(now)
+	switch {
+	case request.Probe:
+		o.mutex.Unlock()
+		return ratelimit.Grant{Epoch: lease.Term, OrderFor: orderFor}, nil
+	case orderFor > 0:
+		o.mutex.Unlock()
+		return o.grantByOrder(now, request), nil
+	case !state.activation.Active():
+		o.mutex.Unlock()
+		return ratelimit.Grant{}, api.NewError("grant tokens", "", api.CodeNotLeader, api.OutcomeNotRun, "leases on group %d are about to start", group)
+	}
+	defer o.mutex.Unlock()
+	return o.grantUnderLease(now, group, lease, state, request), nil
+}
+
+// grantUnderLease grants tokens as the tenant's owner; the mutex must be held.
+func (o *Owner) grantUnderLease(now time.Time, group api.GroupID, lease Lease, state *ownerTerm, request ratelimit.TokenRequest) ratelimit.Grant {
 	o.updateHolders(now, group, state, request)
 	opened := !state.owner.HasBucket(request.Tenant)
 	grant := state.owner.HandleRequest(now, request)
 	if opened {
-		o.logOpened(request, grant, lease, now)
+		o.logOpened(request, grant, logrus.Fields{"term": lease.Term, "term_ms": now.Sub(lease.Start).Milliseconds()})
 	}
-	return grant, nil
+	return grant
 }
 
 // termState returns the state of the lease's term; the mutex must be held.
@@ -131,18 +185,23 @@
 	if failure != nil {
 		return nil, failure
 	}
-	state = &ownerTerm{term: lease.Term, owner: ratelimit.NewOwner(o.settings.Tolerance, lease.Term, lease.Start, holders), changing: map[string]bool{}}
+	registered := len(holders)
+	holders = slices.DeleteFunc(holders, func(holder string) bool { return holder == leasesMarker })
+	state = &ownerTerm{
+		term: lease.Term, activation: ratelimit.NewActivation(registered > 0), owner: ratelimit.NewOwner(o.settings.Tolerance, lease.Term, lease.Start, holders),
+		marked: len(holders) < registered, changing: map[string]bool{},
+	}
 	o.terms[group] = state
 	return state, nil
 }
 
-// logOpened logs that this store began to grant the tokens of a tenant. Terms of several stores
-// that overlap mean that the tenant had several owners.
-func (o *Owner) logOpened(request ratelimit.TokenRequest, grant ratelimit.Grant, lease Lease, now time.Time) {
+// logOpened logs that this store began to grant the tokens of a tenant. Several stores that grant
+// at the same time mean that the tenant has several owners.
+func (o *Owner) logOpened(request ratelimit.TokenRequest, grant ratelimit.Grant, fields logrus.Fields) {
 	o.settings.Log.WithFields(logrus.Fields{
 		"event": "limit_bucket_opened", "tenant": request.Tenant, "rate": request.Limit.Rate, "burst": request.Limit.Burst, "version": request.Version,
-		"holder": request.Holder, "granted": grant.Tokens, "left": grant.Level, "term": lease.Term, "term_ms": now.Sub(lease.Start).Milliseconds(),
-	}).Info("This store now grants the tokens of a tenant's limit.")
+		"holder": request.Holder, "granted": grant.Tokens, "left": grant.Level,
+	}).WithFields(fields).Info("This store now grants the tokens of a tenant's limit.")
 }
 
 // check validates a token request.
--- a/internal/limiter/registration.go
+++ b/internal/limiter/registration.go
@@ -28,7 +28,12 @@
 		return
 	}
 	state.sweptAt = now
-	for _, expired := range state.owner.ExpiredHolders(now) {
+	expiredHolders := state.owner.ExpiredHolders(now)
+	if len(expiredHolders) > 0 && !state.marked {
+		o.startChange(group, state, leasesMarker, false)
+		return // the holders are removed once the marker is committed
+	}
+	for _, expired := range expiredHolders {
 		if !state.changing[expired] {
 			state.owner.Unregister(now, expired)
 			o.startChange(group, state, expired, true)
@@ -50,7 +55,11 @@
 		o.mutex.Lock()
 		defer o.mutex.Unlock()
 		delete(state.changing, holder)
-		if failure == nil && !removed {
+		switch {
+		case failure != nil || removed:
+		case holder == leasesMarker:
+			state.marked = true
+		default:
 			state.owner.Register(clock.Now(), holder)
 		}
 		if failure != nil {
--- a/internal/limiter/relay_test.go
+++ b/internal/limiter/relay_test.go
@@ -30,7 +30,7 @@
 	p := &relayFixture{fixture: newFixture(t, 2)}
 	p.timeout = 20 * time.Second // the tests check who answers, not when
 	first := p.nodes[0].ID
-	p.owner = newOwner(p.lease(first))
+	p.owner = newOwner(first, p.lease(first), func() []api.Node { return nil })
 	count := func(w http.ResponseWriter, r *http.Request) {
 		p.requestsReceived.Add(1)
 		p.owner.ServeHTTP(w, r)
@@ -82,7 +82,7 @@
 func TestDuplicateThroughPeerCountsOnce(t *testing.T) {
 	p := newRelayFixture(t, true)
 	lease, _ := p.lease(p.nodes[0].ID)(t.Context(), 0)
-	if _, failure := p.owner.grant(0, lease, ratelimit.TokenRequest{Tenant: clinic.Name, Limit: clinic.Limit, Version: 1}); failure != nil {
+	if _, failure := p.owner.grantAsLeader(0, lease, ratelimit.TokenRequest{Tenant: clinic.Name, Limit: clinic.Limit, Version: 1}); failure != nil {
 		t.Fatal(failure)
 	}
 	result := p.admit(t)
--- a/ratelimit/holder.go
+++ b/ratelimit/holder.go
@@ -49,6 +49,7 @@
 type domainState struct {
 	epoch  uint64 // newest known; 0: none
 	report bool   // requests report all leases
+	leased bool   // owners grant under leases, as far as is known
 }
 
 type backoff struct {
@@ -235,8 +236,12 @@
 	}
 	t := h.tenant(request.Tenant)
 	h.accumulate(now, t, request.Limit)
-	// A lease of an earlier epoch would be unknown to the owner that all leases are reported to.
-	if d := h.domain(h.settings.Domain(request.Tenant)); grant.Epoch >= d.epoch {
+	d := h.domain(h.settings.Domain(request.Tenant))
+	d.leased = grant.Epoch > 0 || grant.Lease != nil
+	switch {
+	case !d.leased: // whoever grants by order knows nothing of the lease
+		t.lease, t.level = nil, 0
+	case grant.Epoch >= d.epoch: // the newest owner would not know of a lease of an earlier epoch
 		d.epoch, d.report = grant.Epoch, grant.Unheard
 		t.replaceLease(now, sentAt, request, grant)
 	}
@@ -248,6 +253,18 @@
 	return min(grant.Tokens, waiting), true
 }
 
+// ExpectsLeases reports whether a tenant's limit is granted under leases, as far as is known. Then
+// its owner is the leader of its domain, else the first live store in placement order.
+func (h *Holder) ExpectsLeases(tenant string) bool {
+	return h.domain(h.settings.Domain(tenant)).leased
+}
+
+// RecordLeader records that a store named another one as the owner, as only stores do that grant
+// under leases.
+func (h *Holder) RecordLeader(tenant string) {
+	h.domain(h.settings.Domain(tenant)).leased = true
+}
+
 // replaceLease replaces the lease by that of a grant.
 func (t *tenantState) replaceLease(now, sentAt time.Time, request TokenRequest, grant Grant) {
 	if t.lease == nil {
--- a/ratelimit/owner.go
+++ b/ratelimit/owner.go
@@ -37,6 +37,8 @@
 	FaultForgetLeases       Fault = "a new owner ignores the leases of earlier ones"
 	FaultRefillFully        Fault = "an owner grants the rate beside the leases"
 	FaultCountDuplicates    Fault = "each copy of a request takes tokens"
+	FaultIgnorePermits      Fault = "leases start while stores may grant by order"
+	FaultIgnoreBuilds       Fault = "leases start before every store knows them"
 )
 
 // bucket is the token bucket of one tenant. Its level is negative after more tokens were spent
@@ -47,7 +49,7 @@
 	level    float64
 	promised float64 // tokens that rejected requests will retry for
 	at       time.Time
-	leases   *leaseTable
+	leases   *leaseTable // nil in an OrderOwner
 }
 
 // NewOwner returns an Owner without buckets that grants from start on. The caller guarantees
@@ -65,15 +67,15 @@
 // NewOwner have to guarantee.
 func MinTerm() time.Duration { return minOwnerTerm }
 
-// sweep removes the buckets of idle tenants.
-func (o *Owner) sweep(now time.Time) {
-	if now.Sub(o.sweptAt) < bucketTTL {
+// sweepBuckets removes the buckets of idle tenants, at most once per bucketTTL.
+func sweepBuckets(buckets map[string]*bucket, sweptAt *time.Time, now time.Time) {
+	if now.Sub(*sweptAt) < bucketTTL {
 		return
 	}
-	o.sweptAt = now
-	for tenant, b := range o.buckets {
+	*sweptAt = now
+	for tenant, b := range buckets {
 		if now.Sub(b.at) > bucketTTL {
-			delete(o.buckets, tenant)
+			delete(buckets, tenant)
 		}
 	}
 }
@@ -81,7 +83,7 @@
 // HandleRequest answers a request for tokens. A duplicate of a recent request gets the same
 // grant and takes no tokens. A holder that is not registered gets no lease.
 func (o *Owner) HandleRequest(now time.Time, request TokenRequest) Grant {
-	o.sweep(now)
+	sweepBuckets(o.buckets, &o.sweptAt, now)
 	if request.Holder == "" || o.fault == FaultCountDuplicates {
 		return o.grant(now, request, false)
 	}
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -127,6 +127,9 @@
 	// the owner's epoch. From that request on the holder accepts no lease of earlier epochs.
 	Leases      []HeldLease `json:"leases,omitempty"`
 	CompleteFor uint64      `json:"complete_for,omitempty"`
+	// Probe asks only how limits are granted. A store that does not own them answers that it is
+	// not the leader, or, if it knows no leases, with a Grant without an Epoch. Tokens is 0.
+	Probe bool `json:"probe,omitempty"`
 }
 
 // HeldLease is the lease of a tenant that a holder reports.
@@ -161,8 +164,11 @@
 	// are left.
 	RetryAfter time.Duration `json:"retry_after,omitempty"`
 	Level      float64       `json:"level"` // tokens left
-	Epoch      uint64        `json:"epoch,omitempty"`
-	Lease      *Lease        `json:"lease,omitempty"`
+	// Epoch of the owner; 0: granted by order.
+	Epoch uint64 `json:"epoch,omitempty"`
+	// OrderFor is, in the answer to a probe, how long the sender may grant by order.
+	OrderFor time.Duration `json:"order_for,omitempty"`
+	Lease    *Lease        `json:"lease,omitempty"`
 	// Reserve is the number of tokens, 0 or 1, to keep under the lease.
 	Reserve int `json:"reserve,omitempty"`
 	// Unheard asks the holder to report all its leases with the next request.
--- /dev/null
+++ b/ratelimit/replacement_test.go
@@ -0,0 +1,444 @@
+package ratelimit
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/dykewing/dykewing/route"
+)
+
+// build is what a process knows of leases.
+type build int
+
+const (
+	withoutLeases build = iota // stores grant by order; holders spend a share without an owner
+	ungated                    // a leader grants under leases, whatever other stores do
+	gated                      // this one
+)
+
+func (b build) String() string { return [...]string{"without leases", "ungated", "gated"}[b] }
+
+// replacement simulates a group whose processes are replaced by another build, one after the
+// other, under a tenant that sends a multiple of its limit or less than it.
+type replacement struct {
+	from, to     build
+	stores       int
+	holders      int
+	limit        route.RateLimit
+	load         float64 // requests, as a fraction of the rate
+	gap          time.Duration
+	abortAfter   int           // processes replaced after which they are replaced back; 0: none
+	killInterval time.Duration // between kills of the leader; 0: none
+	joins        int           // stores of the new build that join
+	firstIsLast  bool          // the first store in placement order is replaced last
+	loss         float64       // fraction of requests for tokens that get no answer
+	fault        Fault
+
+	random     *rand.Rand
+	now        time.Time
+	members    []*simStore // in placement order
+	replaced   []*simStore // those that are replaced
+	frontends  []*simFrontend
+	registered map[string]bool // in the group's log
+	term       uint64
+	leader     *simStore // nil: none
+	leaderAt   time.Time // from when its lease is in force
+	electAt    time.Time
+	sequence   uint64
+	admitted   []time.Duration
+	asked      int
+}
+
+type simStore struct {
+	id          int
+	build       build
+	incarnation int
+	upAt        time.Time // down before
+	goneAt      time.Time // from when views lack it, while it is down
+	order       *OrderOwner
+	permit      OrderPermit
+	term        uint64 // of the two below
+	owner       *Owner
+	activation  *Activation
+	support     map[[2]int]bool // stores by incarnation
+}
+
+type simFrontend struct {
+	id       int
+	build    build
+	upAt     time.Time
+	holder   *Holder
+	previous *previousHolder
+}
+
+const (
+	simStep      = time.Millisecond
+	viewLag      = 300 * time.Millisecond
+	storeRestart = 900 * time.Millisecond
+	simStart     = 5 * time.Second // of replacement
+	simLength    = 30 * time.Second
+)
+
+func (r *replacement) begin(seed uint64) time.Time {
+	r.random = rand.New(rand.NewPCG(seed, 2))
+	start := time.Unix(1_700_000_000, 0)
+	r.now, r.registered = start, map[string]bool{}
+	for i := range r.stores {
+		s := &simStore{id: i}
+		r.members, r.replaced = append(r.members, s), append(r.replaced, s)
+		r.restart(s, r.from, -time.Hour)
+	}
+	for i := range r.holders {
+		f := &simFrontend{id: i}
+		r.frontends = append(r.frontends, f)
+		r.restartFrontend(f, r.from, -time.Hour)
+	}
+	r.electAt = start
+	return start
+}
+
+func (r *replacement) restart(s *simStore, to build, after time.Duration) {
+	*s = simStore{
+		id: s.id, build: to, incarnation: s.incarnation + 1, upAt: r.now.Add(after), goneAt: r.now.Add(min(viewLag, after)),
+		order: NewOrderOwner(tolerance), support: map[[2]int]bool{},
+	}
+	if r.leader == s {
+		r.leader, r.electAt = nil, r.now.Add(electionTime)
+	}
+}
+
+func (r *replacement) restartFrontend(f *simFrontend, to build, after time.Duration) {
+	f.build, f.upAt = to, r.now.Add(after)
+	f.holder = newHolder(fmt.Sprint("h", f.id), uint64(r.now.UnixNano()))
+	f.previous = newPreviousHolder(tolerance)
+}
+
+func (r *replacement) up(s *simStore) bool { return !r.now.Before(s.upAt) }
+
+// inView reports whether processes believe that a store is alive.
+func (r *replacement) inView(s *simStore) bool { return r.up(s) || r.now.Before(s.goneAt) }
+
+// elect makes a random store the leader. Its lease starts after that of an earlier one has ended.
+func (r *replacement) elect() {
+	if r.leader != nil || r.now.Before(r.electAt) {
+		return
+	}
+	candidates := slices.DeleteFunc(slices.Clone(r.members), func(s *simStore) bool { return !r.up(s) })
+	if len(candidates) == 0 {
+		return
+	}
+	r.term++
+	r.leader, r.leaderAt = candidates[r.random.IntN(len(candidates))], r.now.Add(minOwnerTerm)
+}
+
+// leads makes the state of the leader's term, and reports whether a store has the lease.
+func (r *replacement) leads(s *simStore) bool {
+	if s != r.leader || r.now.Before(r.leaderAt) {
+		return false
+	}
+	if s.term != r.term {
+		holders := slices.Sorted(maps.Keys(r.registered))
+		active := len(holders) > 0 || s.build == ungated
+		holders = slices.DeleteFunc(holders, func(holder string) bool { return holder == "marker" })
+		s.term, s.owner, s.activation = r.term, NewOwner(tolerance, r.term, r.leaderAt, holders), NewActivation(active)
+		s.activation.fault = r.fault
+	}
+	return true
+}
+
+// advance takes the leader's steps towards leases.
+func (r *replacement) advance() {
+	if r.leader == nil || r.leader.build != gated || !r.leads(r.leader) || r.leader.activation.Active() {
+		return
+	}
+	leader, supported := r.leader, true
+	for _, s := range r.members {
+		key := [2]int{s.id, s.incarnation}
+		if s == leader || !r.inView(s) {
+			continue
+		}
+		if _, known := leader.support[key]; !known && r.up(s) {
+			grant, owns := r.answer(s, TokenRequest{Tenant: "probe", Limit: route.RateLimit{Rate: 1}, Probe: true})
+			leader.support[key] = !owns || grant.Epoch > 0
+		}
+		supported = supported && leader.support[key]
+	}
+	if leader.activation.Update(r.now, supported || r.fault == FaultIgnoreBuilds) {
+		r.registered["marker"] = true
+		leader.activation.Activate()
+		leader.owner = NewOwner(tolerance, r.term, r.now, nil)
+	}
+}
+
+// answer is the answer of a store that is up; owns is false if another one owns the limit.
+func (r *replacement) answer(s *simStore, request TokenRequest) (grant Grant, owns bool) {
+	leads := r.leads(s)
+	switch {
+	case s.build == withoutLeases:
+		return s.order.HandleRequest(r.now, request, r.isBackup(s)), true
+	case leads && request.Probe:
+		return Grant{Epoch: r.term, OrderFor: s.activation.Permit(r.now)}, true
+	case leads && s.activation.Active():
+		if request.Instance > 0 {
+			r.registered[request.Holder] = true
+			s.owner.Register(r.now, request.Holder)
+		}
+		return s.owner.HandleRequest(r.now, request), true
+	case leads && s.activation.Permit(r.now) > 0:
+		return s.order.HandleRequest(r.now, request, r.isBackup(s)), true
+	case leads || s.build == ungated || request.Probe:
+		return Grant{}, false
+	}
+	if s.permit.Expiring(r.now) && r.leader != nil && r.leader != s {
+		if grant, owns := r.answer(r.leader, TokenRequest{Tenant: "probe", Limit: route.RateLimit{Rate: 1}, Probe: true}); owns {
+			s.permit.Apply(r.now, grant)
+		}
+	}
+	switch {
+	case s.permit.Allowed(r.now):
+		return s.order.HandleRequest(r.now, request, r.isBackup(s)), true
+	case s.permit.LeasesInUse(r.now) && request.Instance == 0 && r.leader != nil && r.leader != s:
+		return r.answer(r.leader, request)
+	}
+	return Grant{}, false
+}
+
+func (r *replacement) isBackup(s *simStore) bool {
+	return slices.ContainsFunc(r.members[:slices.Index(r.members, s)], r.inView)
+}
+
+// candidates returns the stores that a holder asks in turn.
+func (r *replacement) candidates(leaderFirst bool) []*simStore {
+	list := slices.DeleteFunc(slices.Clone(r.members), func(s *simStore) bool { return !r.inView(s) })
+	if leaderFirst && r.leader != nil {
+		list = slices.DeleteFunc(list, func(s *simStore) bool { return s == r.leader })
+		list = slices.Insert(list, 0, r.leader)
+	}
+	return list
+}
+
+func (r *replacement) arrive(f *simFrontend) (admitted bool) {
+	if f.build == withoutLeases {
+		return r.arrivePrevious(f)
+	}
+	if verdict := f.holder.Decide(r.now, "t", r.limit); verdict.Decision != AskOwner {
+		return verdict.Decision == Admit
+	}
+	tried, refused := 0, map[*simStore]bool{}
+	for tried < 2 && len(refused) < 3 {
+		candidates := r.candidates(f.build == ungated || f.holder.ExpectsLeases("t"))
+		i := slices.IndexFunc(candidates, func(s *simStore) bool { return !refused[s] && f.holder.Available(r.now, fmt.Sprint(s.id)) })
+		if i < 0 {
+			break
+		}
+		s := candidates[i]
+		if !r.reaches(s) {
+			f.holder.MarkUnresponsive(r.now, fmt.Sprint(s.id))
+			tried++
+			continue
+		}
+		request := f.holder.NewRequest(r.now, "t", r.limit, 1, 1)
+		r.sequence++
+		request.Sequence = r.sequence
+		grant, owns := r.answer(s, request)
+		if !owns {
+			refused[s] = true
+			if f.build == gated && r.leader != nil && r.leads(r.leader) && r.leader.activation.Active() {
+				f.holder.RecordLeader("t")
+			}
+			continue
+		}
+		n, ok := f.holder.ApplyGrant(r.now, r.now, fmt.Sprint(s.id), request, grant, 1)
+		return ok && n == 1 || f.holder.DecideLocally(r.now, "t", r.limit).Decision == Admit
+	}
+	return f.holder.DecideLocally(r.now, "t", r.limit).Decision == Admit
+}
+
+// reaches reports whether a request for tokens reaches a store and is answered.
+func (r *replacement) reaches(s *simStore) bool { return r.up(s) && r.random.Float64() >= r.loss }
+
+func (r *replacement) arrivePrevious(f *simFrontend) (admitted bool) {
+	h := f.previous
+	if decided, admitted := h.decide(r.now); decided {
+		return admitted
+	}
+	tried := 0
+	for _, s := range r.candidates(false) {
+		if !h.available(r.now, s.id) || tried == 2 {
+			continue
+		}
+		tried++
+		request := h.request(r.limit, fmt.Sprint("h", f.id), s.id)
+		r.sequence++
+		request.Sequence = r.sequence
+		grant, owns := Grant{}, false
+		if r.reaches(s) {
+			grant, owns = r.answer(s, request)
+		}
+		if owns {
+			return h.apply(r.now, s.id, grant)
+		}
+		h.markUnresponsive(r.now, s.id)
+	}
+	return h.decideLocally(r.now, r.limit, r.holders, r.random.Float64())
+}
+
+// replaceNext replaces the nth process.
+func (r *replacement) replaceNext(n int, order []int) {
+	to := r.to
+	if r.abortAfter > 0 && n >= r.abortAfter {
+		n, to = 2*r.abortAfter-1-n, r.from
+	}
+	if n < 0 || n >= len(order) {
+		return
+	}
+	if i := order[n]; i < r.stores {
+		r.restart(r.replaced[i], to, storeRestart)
+	} else {
+		r.restartFrontend(r.frontends[i-r.stores], to, viewLag)
+	}
+}
+
+func (r *replacement) run(seed uint64) (above, refused int) {
+	start := r.begin(seed)
+	order := r.random.Perm(r.stores + r.holders)
+	if r.firstIsLast {
+		order = append(slices.DeleteFunc(order, func(i int) bool { return i == 0 }), 0)
+	}
+	replaced, killed := 0, 0
+	for at := time.Duration(0); at < simLength; at += simStep {
+		r.now = start.Add(at)
+		if at >= simStart+time.Duration(replaced)*r.gap {
+			r.replaceNext(replaced, order)
+			replaced++
+		}
+		if r.joins > 0 && at == simStart+7*r.gap {
+			for range r.joins {
+				s := &simStore{id: len(r.members)}
+				r.members = slices.Insert(r.members, r.random.IntN(len(r.members)+1), s)
+				r.restart(s, r.to, 0)
+			}
+		}
+		if r.killInterval > 0 && r.leader != nil && at >= simStart+time.Duration(killed)*r.killInterval {
+			killed++
+			r.restart(r.leader, r.leader.build, storeRestart)
+		}
+		r.elect()
+		if at%(250*time.Millisecond) == 0 {
+			r.advance()
+		}
+		for range poisson(r.random, r.load*r.limit.Rate*simStep.Seconds()) {
+			f := r.frontends[r.random.IntN(len(r.frontends))]
+			if r.now.Before(f.upAt) {
+				continue
+			}
+			r.asked++
+			if r.arrive(f) {
+				r.admitted = append(r.admitted, at)
+			}
+		}
+	}
+	return excess(r.admitted, tolerance.Bound(r.limit)), r.asked - len(r.admitted)
+}
+
+// replacements returns the ways to replace processes under a load relative to the limit.
+func replacements(load float64) []struct {
+	name string
+	replacement
+} {
+	type named = struct {
+		name string
+		replacement
+	}
+	usual := replacement{stores: 10, holders: 20, limit: route.RateLimit{Rate: 100, Burst: 20}, load: load, gap: 400 * time.Millisecond}
+	with := func(change func(*replacement)) replacement {
+		r := usual
+		change(&r)
+		return r
+	}
+	return []named{
+		{"without leases, replaced", with(func(r *replacement) { r.from, r.to = withoutLeases, gated })},
+		{"without leases, replaced fast", with(func(r *replacement) { r.from, r.to, r.gap = withoutLeases, gated, 100*time.Millisecond })},
+		{"without leases, leaders killed", with(func(r *replacement) { r.from, r.to, r.killInterval = withoutLeases, gated, 3*time.Second })},
+		{"without leases, messages lost", with(func(r *replacement) { r.from, r.to, r.loss = withoutLeases, gated, 0.1 })},
+		{"without leases, messages lost, first store last", with(func(r *replacement) { r.from, r.to, r.loss, r.firstIsLast = withoutLeases, gated, 0.2, true })},
+		{"without leases, stores join", with(func(r *replacement) { r.from, r.to, r.joins = withoutLeases, gated, 2 })},
+		{"without leases, rolled back halfway", with(func(r *replacement) { r.from, r.to, r.abortAfter = withoutLeases, gated, 12 })},
+		{"ungated, replaced", with(func(r *replacement) { r.from, r.to = ungated, gated })},
+		{"ungated, messages lost", with(func(r *replacement) { r.from, r.to, r.loss = ungated, gated, 0.1 })},
+		{"ungated, leaders killed", with(func(r *replacement) { r.from, r.to, r.killInterval = ungated, gated, 3*time.Second })},
+		{"ungated, rolled back halfway", with(func(r *replacement) { r.from, r.to, r.abortAfter = ungated, gated, 12 })},
+		{"ungated, rolled back", with(func(r *replacement) { r.from, r.to = gated, ungated })},
+		{"gated, replaced", with(func(r *replacement) { r.from, r.to = gated, gated })},
+	}
+}
+
+// A tenant must not exceed its limit while processes of two builds grant its tokens.
+func TestLimitHoldsWhileProcessesAreReplaced(t *testing.T) {
+	for _, test := range replacements(7.5) {
+		t.Run(test.name, func(t *testing.T) {
+			for seed := range uint64(10) {
+				r := test.replacement
+				if above, _ := r.run(seed); above > 0 {
+					t.Errorf("seed %d: %d requests above the bound of %.0f", seed, above, tolerance.Bound(r.limit))
+				}
+			}
+		})
+	}
+}
+
+// Builds that start leases beside stores that grant by order, or while such stores have
+// permits, must be detected.
+func TestFaultsOfReplacementExceedBound(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault Fault
+		to    build
+	}{
+		{"leases without regard to other stores", FaultNone, ungated},
+		{string(FaultIgnoreBuilds), FaultIgnoreBuilds, gated},
+		{string(FaultIgnorePermits), FaultIgnorePermits, gated},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			worst := -1 << 30
+			for _, from := range replacements(7.5)[:6] {
+				for seed := range uint64(10) {
+					r := from.replacement
+					r.fault, r.to = test.fault, test.to
+					above, _ := r.run(seed)
+					worst = max(worst, above)
+				}
+			}
+			if worst <= 0 {
+				t.Errorf("the fault was not detected: excess %d", worst)
+			}
+		})
+	}
+}
+
+// Below its limit, a tenant gets no more refusals while another build is replaced, within 5 in
+// 1,000 requests, than while processes are replaced by the same build.
+func TestReplacementRefusesNoMoreThanSameBuild(t *testing.T) {
+	refusals := func(from build) (refused, asked int) {
+		for seed := range uint64(10) {
+			r := replacements(0.6)[0].replacement
+			r.from = from
+			_, n := r.run(seed)
+			refused, asked = refused+n, asked+r.asked
+		}
+		return refused, asked
+	}
+	same, askedSame := refusals(gated)
+	for _, from := range []build{withoutLeases, ungated} {
+		refused, asked := refusals(from)
+		t.Logf("from %v: %d of %d refused, from this build %d of %d", from, refused, asked, same, askedSame)
+		if share := float64(refused)/float64(asked) - float64(same)/float64(askedSame); share > 0.005 {
+			t.Errorf("from a build %v: %d of %d refused, from this build %d of %d", from, refused, asked, same, askedSame)
+		}
+	}
+}
