Limits: operators end leases before a build without them comes back

What callers would see: once leases are in use, stores of a build without them that come back grant the whole rate by order beside the leader.

Change: `dykewingctl limits by-order on` at any store. Each group's leader commits the decision to the group's log, grants no more leases and withdraws those of holders that ask. After a minute all have expired; it then takes holders and marker out of the log and permits grants by order. `off` lets leases start again.

It works since a lease's life passes between the last grant under leases and the first by order, also over changes of the leader, which start that wait anew. A level that falls by itself was weighed and not taken: an older store grants at once, while leases last 20 s.

Read, with no run: leaders of a build without leases take registered holders of limits for routers with shares of ceilings. No deployment has both, since stores own limits only on a platform and routers run only without one.

--- a/cmd/dykewingctl/main.go
+++ b/cmd/dykewingctl/main.go
@@ -44,6 +44,7 @@
 	registerNodes(application, s)
 	registerJobs(application, s, action)
 	registerQuarantine(application, s)
+	registerLimits(application, s)
 	registerTable(application, s)
 	registerTraffic(application, s)
 	registerCost(application, s)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -176,12 +176,13 @@
 			lease, failure := part.LeaderLease(ctx, group)
 			return limiter.Lease(lease), failure
 		},
-		Holders: part.LimitHolders, Register: part.RegisterLimitHolder,
+		Holders: part.LimitHolders, Register: part.RegisterLimitHolder, Leads: part.LeadingTerm,
 		Leader: func(group api.GroupID) (api.Node, bool) { return leaders.Leader(common.Nodes(), group) },
 		Nodes:  common.Nodes, Stores: func() []api.Node { return storesOf(runner.RegisteredStores().Extend(common.Nodes())) },
 		Client: common.Control,
 	})
 	common.Mux.Handle("POST "+limiter.PathTokens, limits)
+	common.Mux.HandleFunc("POST "+limiter.PathByOrder, limits.ServeByOrder)
 	return func(ctx context.Context) error {
 		background, stop := context.WithCancel(context.Background())
 		var running sync.WaitGroup
--- a/internal/limiter/activation.go
+++ b/internal/limiter/activation.go
@@ -21,6 +21,8 @@
 	// leasesMarker is registered like a holder. It keeps in the group's log that limits are
 	// granted under leases while no holder is registered.
 	leasesMarker = "/leases"
+	// byOrderMarker is registered while operators want limits to be granted by order.
+	byOrderMarker = "/by-order"
 )
 
 // storeSupport is what is known of a process of a store.
@@ -31,27 +33,34 @@
 	leases      bool // it grants only under a lease or with a permit
 }
 
-// Run starts leases for the groups that this store leads, once every store knows them, until ctx
-// ends.
+// Run starts and ends leases for the groups that this store leads, until ctx ends.
 func (o *Owner) Run(ctx context.Context) {
 	ticker := time.NewTicker(activationInterval)
 	defer ticker.Stop()
-	active := map[api.GroupID]bool{}
-	for len(active) < o.settings.Groups {
+	for {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
 			return
 		}
 		for group := range api.GroupID(o.settings.Groups) {
-			if !active[group] && o.advance(ctx, group) {
-				active[group] = true
+			if term, leads := o.settings.Leads(group); leads && !o.isSettled(group, term) {
+				o.advance(ctx, group)
 			}
 		}
 	}
 }
 
-// advance takes the next step towards leases in a group, and reports whether they have started.
+// isSettled reports whether leases are in use in a term, and are to be.
+func (o *Owner) isSettled(group api.GroupID, term uint64) bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	state := o.terms[group]
+	return state != nil && state.term == term && state.activation.Active() && !state.activation.ByOrder()
+}
+
+// advance takes the next step towards leases in a group, or away from them, and reports whether
+// they are in use.
 func (o *Owner) advance(ctx context.Context, group api.GroupID) (active bool) {
 	ctx, cancel := context.WithTimeout(ctx, registrationTimeout)
 	defer cancel()
@@ -61,30 +70,66 @@
 	}
 	o.mutex.Lock()
 	state, failure := o.termState(group, lease)
-	pending := failure == nil && !state.activation.Active()
 	o.mutex.Unlock()
-	if !pending {
-		return failure == nil
+	if failure != nil {
+		o.settings.Log.WithField("group", group).WithError(failure).Debug("The holders of limits could not be read.")
+		return false
 	}
 	supported := o.allStoresKnowLeases(ctx)
 	o.mutex.Lock()
-	due := state.activation.Update(clock.Now(), supported)
+	step := state.activation.Update(clock.Now(), supported)
 	o.mutex.Unlock()
-	if !due {
-		return false
+	switch step {
+	case ratelimit.StepStart:
+		failure = o.startLeases(ctx, group, state)
+	case ratelimit.StepEnd:
+		failure = o.endLeases(ctx, group, state)
 	}
-	if failure := o.settings.Register(ctx, group, leasesMarker, false); failure != nil {
+	if failure != nil {
 		o.settings.Log.WithFields(logrus.Fields{"event": "limit_leases_delayed", "group": group}).WithError(failure).
-			Warn("The start of leases could not be committed; the group's limits have no owner until it is.")
-		return false
+			Warn("The start or end of leases could not be committed; it is tried again.")
+	}
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return state.activation.Active()
+}
+
+// startLeases commits that leases are in use from now on.
+func (o *Owner) startLeases(ctx context.Context, group api.GroupID, state *ownerTerm) *api.Error {
+	if failure := o.settings.Register(ctx, group, leasesMarker, false); failure != nil {
+		return failure
 	}
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	state.activation.Activate()
+	state.marked = true
 	state.owner = ratelimit.NewOwner(o.settings.Tolerance, state.term, clock.Now(), nil)
 	o.settings.Log.WithFields(logrus.Fields{"event": "limit_leases_started", "group": group, "term": state.term}).
 		Info("All stores know leases; from now on the leader owns the group's limits.")
-	return true
+	return nil
+}
+
+// endLeases commits that leases, which have all expired, are no longer in use.
+func (o *Owner) endLeases(ctx context.Context, group api.GroupID, state *ownerTerm) *api.Error {
+	registered, failure := o.settings.Holders(group)
+	if failure != nil {
+		return failure
+	}
+	for _, holder := range registered {
+		if holder == byOrderMarker {
+			continue
+		}
+		if failure := o.settings.Register(ctx, group, holder, true); failure != nil {
+			return failure
+		}
+	}
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	state.activation.Deactivate()
+	state.marked = false
+	o.settings.Log.WithFields(logrus.Fields{"event": "limit_leases_ended", "group": group, "term": state.term}).
+		Info("All leases have expired; from now on stores grant the group's limits by order, as operators decided.")
+	return nil
 }
 
 // allStoresKnowLeases probes stores that are not known yet, and reports whether all grant only
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -59,6 +59,7 @@
 		Holders:  func(api.GroupID) ([]string, *api.Error) { return []string{leasesMarker}, nil },
 		Register: func(context.Context, api.GroupID, string, bool) *api.Error { return nil },
 		Leader:   func(api.GroupID) (api.Node, bool) { return api.Node{}, false },
+		Leads:    func(api.GroupID) (uint64, bool) { return 0, false },
 	})
 }
 
--- a/internal/limiter/order_test.go
+++ b/internal/limiter/order_test.go
@@ -15,11 +15,13 @@
 	"github.com/dykewing/dykewing/internal/transport"
 	"github.com/dykewing/dykewing/placement"
 	"github.com/dykewing/dykewing/ratelimit"
+	"github.com/dykewing/dykewing/route"
 )
 
 // groupFixture is a group of stores of which the one named by leader has the lease. Stores of
 // the build before know no leases.
 type groupFixture struct {
+	startedAt  time.Time // of the leader's lease
 	mutex      sync.Mutex
 	nodes      []api.Node
 	owners     map[api.NodeID]*Owner // without those of the build before
@@ -28,7 +30,7 @@
 }
 
 func newGroupFixture(t *testing.T, before ...api.NodeID) *groupFixture {
-	f := &groupFixture{owners: map[api.NodeID]*Owner{}, leader: "store-0"}
+	f := &groupFixture{startedAt: clock.Now().Add(-time.Second), owners: map[api.NodeID]*Owner{}, leader: "store-0"}
 	for _, id := range []api.NodeID{"store-0", "store-1", "store-2"} {
 		f.start(t, id, slices.Contains(before, id))
 	}
@@ -39,13 +41,16 @@
 func (f *groupFixture) start(t *testing.T, id api.NodeID, before bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	var handler http.Handler = http.HandlerFunc(grantWithoutLeases)
+	mux := http.NewServeMux()
 	delete(f.owners, id)
-	if !before {
+	if before {
+		mux.HandleFunc("POST "+PathTokens, grantWithoutLeases)
+	} else {
 		f.owners[id] = f.newOwner(id)
-		handler = f.owners[id]
+		mux.Handle("POST "+PathTokens, f.owners[id])
+		mux.HandleFunc("POST "+PathByOrder, f.owners[id].ServeByOrder)
 	}
-	server := httptest.NewServer(handler)
+	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
 	i := slices.IndexFunc(f.nodes, func(node api.Node) bool { return node.ID == id })
 	if i < 0 {
@@ -81,24 +86,28 @@
 		return list[i], true
 	}
 	return NewOwner(OwnerSettings{
-		Self: id, Tolerance: tolerance, Groups: 1, Log: discardLog(), Nodes: nodes, Stores: nodes, Client: http.DefaultClient,
+		Self: id, Tolerance: ratelimit.Tolerance{Window: 5 * time.Second, Overshoot: 0.1, Allowance: 20}, Groups: 1, Log: discardLog(), Nodes: nodes, Stores: nodes, Client: http.DefaultClient,
 		Lease: func(context.Context, api.GroupID) (Lease, *api.Error) {
 			if f.currentLeader() != id {
 				return Lease{}, api.NewError("lease group", "", api.CodeNotLeader, api.OutcomeNotRun, "not the leader")
 			}
-			return Lease{Term: 1, Start: clock.Now().Add(-time.Hour), Until: clock.Now().Add(time.Hour)}, nil
+			return Lease{Term: 1, Start: f.startedAt, Until: clock.Now().Add(time.Hour)}, nil
 		},
 		Holders: func(api.GroupID) ([]string, *api.Error) {
 			f.mutex.Lock()
 			defer f.mutex.Unlock()
 			return slices.Clone(f.registered), nil
 		},
-		Register: func(_ context.Context, _ api.GroupID, holder string, _ bool) *api.Error {
+		Register: func(_ context.Context, _ api.GroupID, holder string, removed bool) *api.Error {
 			f.mutex.Lock()
 			defer f.mutex.Unlock()
-			f.registered = append(f.registered, holder)
+			f.registered = slices.DeleteFunc(f.registered, func(other string) bool { return other == holder })
+			if !removed {
+				f.registered = append(f.registered, holder)
+			}
 			return nil
 		},
+		Leads:  func(api.GroupID) (uint64, bool) { return 1, f.currentLeader() == id },
 		Leader: func(api.GroupID) (api.Node, bool) { return find(f.currentLeader()) },
 	})
 }
@@ -113,7 +122,7 @@
 func (f *groupFixture) ask(t *testing.T, id api.NodeID, instance, sequence uint64) (ratelimit.Grant, *api.Error) {
 	t.Helper()
 	return f.owners[id].answer(t.Context(), 0, ratelimit.TokenRequest{
-		Tenant: clinic.Name, Limit: clinic.Limit, Version: 1, Tokens: 1, Holder: "h", Instance: instance, Sequence: sequence,
+		Tenant: clinic.Name, Limit: route.RateLimit{Rate: 50, Burst: 50}, Version: 1, Tokens: 1, Holder: "h", Instance: instance, Sequence: sequence, CompleteFor: 1,
 	})
 }
 
@@ -196,6 +205,39 @@
 	}
 }
 
+// An operator's decision at any store must reach the leader and its log, and end the granting of
+// leases; without it, leases must start again.
+func TestOperatorEndsLeases(t *testing.T) {
+	f := newGroupFixture(t)
+	f.registered = []string{leasesMarker, "h"}
+	if grant, failure := f.ask(t, "store-0", 1, 1); failure != nil || grant.Lease == nil {
+		t.Fatalf("%+v, %v, want a lease", grant, failure)
+	}
+	decide := func(byOrder bool) ByOrderResult {
+		t.Helper()
+		var result ByOrderResult
+		if err := transport.Call(t.Context(), http.DefaultClient, "decide", f.nodes[1].Address, PathByOrder, ByOrderDecision{ByOrder: byOrder}, &result); err != nil {
+			t.Fatal(err)
+		}
+		return result
+	}
+	if result := decide(true); len(result.Leased) != 1 || !slices.Contains(f.registered, byOrderMarker) {
+		t.Errorf("%+v, registered %v", result, f.registered)
+	}
+	if grant, failure := f.ask(t, "store-0", 1, 2); failure != nil || grant.Lease != nil || grant.Epoch == 0 {
+		t.Errorf("%+v, %v, want a grant without a lease until all leases have expired", grant, failure)
+	}
+	leader := f.owners["store-0"]
+	if failure := leader.endLeases(t.Context(), 0, leader.terms[0]); failure != nil || !slices.Equal(f.registered, []string{byOrderMarker}) {
+		t.Errorf("%v, registered %v", failure, f.registered)
+	}
+	if grant, failure := f.ask(t, "store-1", 1, 3); failure != nil || grant.Epoch != 0 {
+		t.Errorf("%+v, %v, want a grant by order", grant, failure)
+	}
+	decide(false)
+	f.awaitLeases(t)
+}
+
 // Beside a live store that precedes it in the order, a store grants a part of the rate only.
 func TestIsBackup(t *testing.T) {
 	nodes := placement.RankStores("t", []api.Node{{ID: "a", Role: api.RoleStore}, {ID: "b", Role: api.RoleStore}, {ID: "f", Role: api.RoleFrontend}})
--- a/internal/limiter/owner.go
+++ b/internal/limiter/owner.go
@@ -49,6 +49,8 @@
 	// removed since. Both are called only by a store that has the group's lease.
 	Holders  func(group api.GroupID) ([]string, *api.Error)
 	Register func(ctx context.Context, group api.GroupID, holder string, removed bool) *api.Error
+	// Leads returns the term in which this store leads a group, as far as it knows.
+	Leads func(group api.GroupID) (term uint64, ok bool)
 	// Leader returns the leader of a group as far as is known.
 	Leader func(group api.GroupID) (api.Node, bool)
 	// Nodes returns the membership view, and Stores all stores that may grant: also those that
@@ -185,11 +187,14 @@
 	if failure != nil {
 		return nil, failure
 	}
-	registered := len(holders)
-	holders = slices.DeleteFunc(holders, func(holder string) bool { return holder == leasesMarker })
+	byOrder, marked := slices.Contains(holders, byOrderMarker), slices.Contains(holders, leasesMarker)
+	holders = slices.DeleteFunc(holders, func(holder string) bool { return holder == leasesMarker || holder == byOrderMarker })
 	state = &ownerTerm{
-		term: lease.Term, activation: ratelimit.NewActivation(registered > 0), owner: ratelimit.NewOwner(o.settings.Tolerance, lease.Term, lease.Start, holders),
-		marked: len(holders) < registered, changing: map[string]bool{},
+		term: lease.Term, activation: ratelimit.NewActivation(lease.Start, marked || len(holders) > 0, byOrder),
+		owner: ratelimit.NewOwner(o.settings.Tolerance, lease.Term, lease.Start, holders), marked: marked, changing: map[string]bool{},
+	}
+	if byOrder {
+		state.owner.StopLeasing()
 	}
 	o.terms[group] = state
 	return state, nil
--- a/internal/limiter/registration.go
+++ b/internal/limiter/registration.go
@@ -21,6 +21,9 @@
 // updateHolders registers the sender of a request in the background, and removes expired
 // holders; the mutex must be held.
 func (o *Owner) updateHolders(now time.Time, group api.GroupID, state *ownerTerm, request ratelimit.TokenRequest) {
+	if state.activation.ByOrder() {
+		return // holders get no leases
+	}
 	if request.Holder != "" && request.Instance > 0 && !state.owner.IsRegistered(request.Holder) {
 		o.startChange(group, state, request.Holder, false)
 	}
--- a/internal/store/leaderlease.go
+++ b/internal/store/leaderlease.go
@@ -42,6 +42,15 @@
 	return group.leaderLease(ctx)
 }
 
+// LeadingTerm returns the term in which this replica leads a group, as far as it knows.
+func (s *Store) LeadingTerm(id api.GroupID) (term uint64, leads bool) {
+	group, ok := s.group(id)
+	if !ok {
+		return 0, false
+	}
+	return group.leadingTerm()
+}
+
 func (g *group) leaderLease(ctx context.Context) (LeaderLease, *api.Error) {
 	term, leads := g.leadingTerm()
 	if !leads {
--- a/ratelimit/activation.go
+++ b/ratelimit/activation.go
@@ -17,22 +17,40 @@
 // Activation is the decision of a group's leader whether the group's limits are granted by order
 // or under leases. Stores grant by order only with a permit of the leader. Leases start once
 // every store knows them and all permits have expired, so that a tenant never has owners of
-// both kinds. The caller keeps in the group's log that they have started.
+// both kinds. They end only by an operator's decision, once all leases have expired. The caller
+// keeps in the group's log whether they are in use and what the operator decided.
 //
-// Its leader's lease must have started when it is created, and a leader must give permits only
-// under its lease: permits of earlier leaders have then expired orderPermitTTL later.
+// A leader must give permits only under its leader's lease: permits of earlier leaders have then
+// expired orderPermitTTL after the lease's start.
 type Activation struct {
-	active bool
-	at     time.Time // when leases may start; zero: not every store knows them
-	fault  Fault
+	active     bool
+	byOrder    bool      // the operator's decision
+	leasingEnd time.Time // since when no leases are granted, by the operator's decision
+	at         time.Time // when leases may start; zero: not every store knows them
+	fault      Fault
 }
 
-// NewActivation returns the state of a new leader. active is what the group's log says.
-func NewActivation(active bool) *Activation { return &Activation{active: active} }
+// NewActivation returns the state of a leader whose lease starts at a time. active and byOrder
+// are what the group's log says.
+func NewActivation(start time.Time, active, byOrder bool) *Activation {
+	return &Activation{active: active, byOrder: byOrder, leasingEnd: start}
+}
 
 // Active reports whether limits are granted under leases.
 func (a *Activation) Active() bool { return a.active }
 
+// ByOrder reports whether the operator decided that limits are granted by order. Then the owner
+// must grant no leases, also while Active.
+func (a *Activation) ByOrder() bool { return a.byOrder }
+
+// SetByOrder records the operator's decision, once the group's log has it.
+func (a *Activation) SetByOrder(now time.Time, byOrder bool) {
+	if byOrder && !a.byOrder {
+		a.leasingEnd = now
+	}
+	a.byOrder, a.at = byOrder, time.Time{}
+}
+
 // Permit returns how long a store that asks now may grant by order; 0: it may not.
 func (a *Activation) Permit(now time.Time) time.Duration {
 	switch {
@@ -45,15 +63,27 @@
 	}
 }
 
+// Step is what the caller of Activation.Update has to do next.
+type Step int
+
+// Steps. StepStart and StepEnd are due until the caller has recorded in the group's log that leases
+// are in use, or no more, and calls Activate or Deactivate.
+const (
+	StepNone Step = iota
+	StepStart
+	StepEnd
+)
+
 // Update records whether every store that may grant is known to do so only under a lease or with
-// a permit. It reports whether leases may start: the caller then records that in the group's log
-// and calls Activate. Once it has returned true, it does so until Activate.
-func (a *Activation) Update(now time.Time, supported bool) (due bool) {
+// a permit, and returns the step that is due.
+func (a *Activation) Update(now time.Time, supported bool) Step {
 	switch {
-	case a.active:
-		return false
+	case a.active && a.byOrder && now.Sub(a.leasingEnd) >= accumulatedTTL+leaseMargin:
+		return StepEnd
+	case a.active || a.byOrder:
+		return StepNone
 	case !a.at.IsZero() && !now.Before(a.at):
-		return true
+		return StepStart
 	case !supported:
 		a.at = time.Time{}
 	case a.at.IsZero():
@@ -62,12 +92,15 @@
 			a.at = now
 		}
 	}
-	return false
+	return StepNone
 }
 
 // Activate starts the leases.
 func (a *Activation) Activate() { a.active = true }
 
+// Deactivate records that leases are no longer in use.
+func (a *Activation) Deactivate() { a.active, a.at = false, time.Time{} }
+
 // OrderPermit is what a store knows about how a group's limits are granted. The zero value
 // permits nothing.
 type OrderPermit struct {
--- a/ratelimit/owner.go
+++ b/ratelimit/owner.go
@@ -24,6 +24,7 @@
 	buckets      map[string]*bucket
 	recentGrants grantCache
 	sweptAt      time.Time
+	stopped      bool // grants no leases
 	fault        Fault
 }
 
@@ -67,6 +68,13 @@
 // NewOwner have to guarantee.
 func MinTerm() time.Duration { return minOwnerTerm }
 
+// StopLeasing makes the owner grant no more leases, and withdraw those of holders that ask. All
+// have expired a minute later.
+func (o *Owner) StopLeasing() { o.stopped = true }
+
+// ResumeLeasing makes the owner grant leases again.
+func (o *Owner) ResumeLeasing() { o.stopped = false }
+
 // sweepBuckets removes the buckets of idle tenants, at most once per bucketTTL.
 func sweepBuckets(buckets map[string]*bucket, sweptAt *time.Time, now time.Time) {
 	if now.Sub(*sweptAt) < bucketTTL {
@@ -170,7 +178,10 @@
 
 // lease renews the holder's lease, with a token in reserve if the bucket is well filled.
 func (o *Owner) lease(now time.Time, b *bucket, request TokenRequest, grant *Grant) {
-	budget := o.tolerance.budget(b.limit)
+	var budget budget
+	if !o.stopped {
+		budget = o.tolerance.budget(b.limit)
+	}
 	var scaled Lease
 	if request.Lease != nil {
 		scaled = o.scale(*request.Lease, request.Limit, b.limit)
--- a/ratelimit/replacement_test.go
+++ b/ratelimit/replacement_test.go
@@ -34,6 +34,8 @@
 	abortAfter   int           // processes replaced after which they are replaced back; 0: none
 	killInterval time.Duration // between kills of the leader; 0: none
 	joins        int           // stores of the new build that join
+	wait         time.Duration // before the replacement
+	byOrder      bool          // operators end leases as the wait begins
 	firstIsLast  bool          // the first store in placement order is replaced last
 	loss         float64       // fraction of requests for tokens that get no answer
 	fault        Fault
@@ -142,17 +144,22 @@
 	}
 	if s.term != r.term {
 		holders := slices.Sorted(maps.Keys(r.registered))
+		byOrder := s.build == gated && r.registered["by order"]
+		holders = slices.DeleteFunc(holders, func(holder string) bool { return holder == "by order" })
 		active := len(holders) > 0 || s.build == ungated
 		holders = slices.DeleteFunc(holders, func(holder string) bool { return holder == "marker" })
-		s.term, s.owner, s.activation = r.term, NewOwner(tolerance, r.term, r.leaderAt, holders), NewActivation(active)
+		s.term, s.owner, s.activation = r.term, NewOwner(tolerance, r.term, r.leaderAt, holders), NewActivation(r.leaderAt, active, byOrder)
 		s.activation.fault = r.fault
+		if byOrder {
+			s.owner.StopLeasing()
+		}
 	}
 	return true
 }
 
 // advance takes the leader's steps towards leases.
 func (r *replacement) advance() {
-	if r.leader == nil || r.leader.build != gated || !r.leads(r.leader) || r.leader.activation.Active() {
+	if r.leader == nil || r.leader.build != gated || !r.leads(r.leader) || r.leader.activation.Active() && !r.leader.activation.ByOrder() {
 		return
 	}
 	leader, supported := r.leader, true
@@ -167,10 +174,15 @@
 		}
 		supported = supported && leader.support[key]
 	}
-	if leader.activation.Update(r.now, supported || r.fault == FaultIgnoreBuilds) {
+	switch leader.activation.Update(r.now, supported || r.fault == FaultIgnoreBuilds) {
+	case StepStart:
 		r.registered["marker"] = true
 		leader.activation.Activate()
 		leader.owner = NewOwner(tolerance, r.term, r.now, nil)
+	case StepEnd:
+		clear(r.registered)
+		r.registered["by order"] = true
+		leader.activation.Deactivate()
 	}
 }
 
@@ -183,7 +195,7 @@
 	case leads && request.Probe:
 		return Grant{Epoch: r.term, OrderFor: s.activation.Permit(r.now)}, true
 	case leads && s.activation.Active():
-		if request.Instance > 0 {
+		if request.Instance > 0 && !s.activation.ByOrder() {
 			r.registered[request.Holder] = true
 			s.owner.Register(r.now, request.Holder)
 		}
@@ -306,27 +318,35 @@
 func (r *replacement) run(seed uint64) (above, refused int) {
 	start := r.begin(seed)
 	order := r.random.Perm(r.stores + r.holders)
+	replaceAt := simStart + r.wait
 	if r.firstIsLast {
 		order = append(slices.DeleteFunc(order, func(i int) bool { return i == 0 }), 0)
 	}
 	replaced, killed := 0, 0
-	for at := time.Duration(0); at < simLength; at += simStep {
+	for at := time.Duration(0); at < simLength+r.wait; at += simStep {
 		r.now = start.Add(at)
-		if at >= simStart+time.Duration(replaced)*r.gap {
+		if at >= replaceAt+time.Duration(replaced)*r.gap {
 			r.replaceNext(replaced, order)
 			replaced++
 		}
-		if r.joins > 0 && at == simStart+7*r.gap {
+		if r.joins > 0 && at == replaceAt+7*r.gap {
 			for range r.joins {
 				s := &simStore{id: len(r.members)}
 				r.members = slices.Insert(r.members, r.random.IntN(len(r.members)+1), s)
 				r.restart(s, r.to, 0)
 			}
 		}
-		if r.killInterval > 0 && r.leader != nil && at >= simStart+time.Duration(killed)*r.killInterval {
+		if r.killInterval > 0 && r.leader != nil && at >= replaceAt+time.Duration(killed)*r.killInterval {
 			killed++
 			r.restart(r.leader, r.leader.build, storeRestart)
 		}
+		if r.byOrder && at == simStart {
+			r.registered["by order"] = true
+			if r.leader != nil && r.leads(r.leader) {
+				r.leader.activation.SetByOrder(r.now, true)
+				r.leader.owner.StopLeasing()
+			}
+		}
 		r.elect()
 		if at%(250*time.Millisecond) == 0 {
 			r.advance()
@@ -373,6 +393,9 @@
 		{"ungated, leaders killed", with(func(r *replacement) { r.from, r.to, r.killInterval = ungated, gated, 3*time.Second })},
 		{"ungated, rolled back halfway", with(func(r *replacement) { r.from, r.to, r.abortAfter = ungated, gated, 12 })},
 		{"ungated, rolled back", with(func(r *replacement) { r.from, r.to = gated, ungated })},
+		{"rolled back to a build without leases", with(func(r *replacement) {
+			r.from, r.to, r.wait, r.byOrder = gated, withoutLeases, accumulatedTTL+2*time.Second, true
+		})},
 		{"gated, replaced", with(func(r *replacement) { r.from, r.to = gated, gated })},
 	}
 }
