Dev fleet: a wait that fails says what is missing, a wrong answer which step refused

TestExercise and TestUploadErrorNamesLine fail only beside a load, and their output could not tell the causes apart: "not ready after 20s" and "503".

With it, beside 45 busy loops on 8 cores with the race detector: TestExercise failed 3 of 5 runs, with "routers report 6 of 6 workers, stores leaders of 0 of 3 groups", a 503 when a batch is created, and "read group: no_quorum: confirm leadership: not_leader". In the last of these runs the groups changed their leader 26 times in 40 s: the stores' processes do not run for longer than the election timeout of 300 ms. Beside 22 loops 4 of 4 runs passed, TestUploadErrorNamesLine in all 9.

--- a/internal/dev/ceiling_test.go
+++ b/internal/dev/ceiling_test.go
@@ -17,7 +17,7 @@
 // TestCeilingHoldsAcrossRouters sends more concurrent requests over both routers than a row's ceiling
 // allows.
 func TestCeilingHoldsAcrossRouters(t *testing.T) {
-	logger, err := logging.New(config.Log{Level: "error", Format: "text"}, t.Output())
+	logger, err := logging.New(config.Log{Level: "info", Format: "text"}, t.Output())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/dev/exercise.go
+++ b/internal/dev/exercise.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"strings"
@@ -47,6 +48,9 @@
 	}
 	s.wrong++
 	s.note = err.Error()
+	if refusal := new(openai.Error); errors.As(err, &refusal) {
+		s.note += ": " + refusal.Message
+	}
 }
 
 // Exercise sends requests through the fleet and prints a table of the results. It returns an error if
--- a/internal/dev/fleet.go
+++ b/internal/dev/fleet.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -232,19 +233,23 @@
 func (f *Fleet) awaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	for !f.ready() {
+	for {
+		missing := f.missing()
+		if missing == nil {
+			return nil
+		}
 		select {
 		case <-time.After(heartbeatInterval / 2):
 		case <-ctx.Done():
-			return fmt.Errorf("wait for the fleet: not ready after %v", readyTimeout)
+			return fmt.Errorf("wait for the fleet: not ready after %v: %w", readyTimeout, missing)
 		}
 	}
-	return nil
 }
 
-func (f *Fleet) ready() bool {
+// missing returns what the fleet lacks to be ready; nil if it is ready.
+func (f *Fleet) missing() error {
 	if f.sidecar.Node.Table() == nil {
-		return false
+		return errors.New("the sidecar has no table")
 	}
 	workers, leaders := 0, map[api.GroupID]bool{}
 	for _, node := range f.sidecar.Node.Nodes() {
@@ -257,7 +262,10 @@
 			}
 		}
 	}
-	return workers == len(f.workers) && len(leaders) == config.Default().Store.Groups
+	if groups := config.Default().Store.Groups; workers != len(f.workers) || len(leaders) != groups {
+		return fmt.Errorf("routers report %d of %d workers, stores leaders of %d of %d groups", workers, len(f.workers), len(leaders), groups)
+	}
+	return nil
 }
 
 // NodeAddress returns the internal address of a router, for operator tools.
--- a/internal/dev/fleet_test.go
+++ b/internal/dev/fleet_test.go
@@ -10,7 +10,7 @@
 )
 
 func TestExercise(t *testing.T) {
-	logger, err := logging.New(config.Log{Level: "error", Format: "text"}, t.Output())
+	logger, err := logging.New(config.Log{Level: "info", Format: "text"}, t.Output())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/dev/jobs_test.go
+++ b/internal/dev/jobs_test.go
@@ -20,7 +20,7 @@
 
 func startFleet(t *testing.T) (*Fleet, openai.Client) {
 	t.Helper()
-	logger, err := logging.New(config.Log{Level: "error", Format: "text"}, t.Output())
+	logger, err := logging.New(config.Log{Level: "info", Format: "text"}, t.Output())
 	if err != nil {
 		t.Fatal(err)
 	}
