worker: unknown load counts as the mean of the known ones

What callers saw: requests waited at full workers while most slots were free.

Cause: a choice took a worker of which this process knows nothing for an empty one, so that all processes chose the same unknown workers at once.

Change: the expected load of a worker is its report, which fades with age, and for the rest the mean of the candidates' reports. A worker added while the service is in use counts as empty until it reports, since it is, and slow start limits the rush to it. Admission still uses the plain estimate. Why it works: the unknown are no better than the average, so that they get no more than their share.

--- a/worker/choose.go
+++ b/worker/choose.go
@@ -79,6 +79,7 @@
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
+	prior := p.meanOtherLoad(now, candidates)
 	mean, paced := p.meanPace(now, query.Service)
 	if paced {
 		candidates = p.drawCandidates(now, applySlowStart(now, candidates, random), mean, query, random)
@@ -88,7 +89,7 @@
 	large := p.Count(query.Service) > maxCompared // in small fleets, connections to all workers stay open
 	best, lowest, baseline := Choice{}, math.Inf(1), p.baseline(now, query.Service)
 	for _, e := range candidates {
-		choice := p.newChoice(now, e, query)
+		choice := p.newChoice(now, e, query, prior)
 		if paced {
 			choice.Pace = e.paceOf(now, mean)
 		}
@@ -161,7 +162,41 @@
 	return usable, fallback
 }
 
-func (p *Pool) newChoice(now time.Time, e *entry, query Query) Choice {
+// meanOtherLoad returns the mean load by other processes of the workers that have reported
+// lately; 0 if none has.
+func (p *Pool) meanOtherLoad(now time.Time, candidates []*entry) float64 {
+	sum, known := 0.0, 0
+	for _, e := range candidates {
+		if p.reportWeight(now, e) > 0 {
+			sum, known = sum+e.otherInFlight, known+1
+		}
+	}
+	return sum / float64(max(known, 1))
+}
+
+// expectedLoad is like estimateLoad, but takes a worker of which nothing is known for one of
+// mean load rather than for an empty one: otherwise all processes choose such workers at once.
+func (p *Pool) expectedLoad(now time.Time, e *entry, mean float64) float64 {
+	if e.addedLater && e.reportedAt.IsZero() {
+		mean = 0 // it has just started; slow start keeps processes from choosing it at once
+	}
+	weight := p.reportWeight(now, e)
+	return float64(e.inFlight) + weight*e.otherInFlight + (1-weight)*mean
+}
+
+// reportWeight returns the weight, from 1 to 0, of the reported load of a worker, which fades
+// with its age.
+func (p *Pool) reportWeight(now time.Time, e *entry) float64 {
+	switch {
+	case e.otherExact:
+		return 1
+	case e.reportedAt.IsZero():
+		return 0
+	}
+	return max(1-float64(now.Sub(e.reportedAt))/float64(p.settings.LoadTTL), 0)
+}
+
+func (p *Pool) newChoice(now time.Time, e *entry, query Query, meanOther float64) Choice {
 	total := query.Tokens
 	if total == 0 {
 		for _, part := range query.Parts {
@@ -174,7 +209,7 @@
 	}
 	return Choice{
 		Worker: e.Worker, UncachedTokens: max(total-e.parts.cachedTokens(query.Parts), 0),
-		Load: p.estimateLoad(now, e), Slots: e.slots, ReportAge: age,
+		Load: p.expectedLoad(now, e, meanOther), Slots: e.slots, ReportAge: age,
 	}
 }
 
