Comments: reasons and figures behind constants and rules come back

Compared over the code that decides: most comments kept their reason in other words. These had lost one that still holds: the second condition of quarantine, the number of relays and the delay before them, why unreported load compares with the highest held, why suspected workers are probed, the interval of checkpoints, bounds of full reads and of silent polls, when nothing is kept free for a peak, and the share of a store beside a live primary. No code changes.

--- a/detour/detour.go
+++ b/detour/detour.go
@@ -20,13 +20,15 @@
 
 const (
 	// relayDelay is how long the direct path is used alone: several round trips between
-	// zones, and short enough that a relayed answer arrives within a caller's timeout.
+	// zones, and a third of the timeout of token requests, so that a relayed answer
+	// arrives within it.
 	relayDelay = 20 * time.Millisecond
 	// hedgeInterval is the delay between relays: a little more than two round trips between
 	// zones.
 	hedgeInterval = 15 * time.Millisecond
 	// maxRelays is the maximum number of relays per query. If none of them reaches the
-	// process, it is considered down.
+	// process, it is considered down. Where a third of the peers are cut off too, this is wrong
+	// for one query in 27.
 	maxRelays = 3
 	// probeInterval is the interval between probes of a failed direct path.
 	probeInterval = time.Second
--- a/fill/begin.go
+++ b/fill/begin.go
@@ -19,7 +19,9 @@
 	// of its stream, replaces it above crowdedUtilization.
 	minRun, minRunCrowded = time.Second, 400 * time.Millisecond
 	// crowdedUtilization and scarceUtilization are ratios of required slots to available
-	// room. From scarceUtilization on, no slots are kept free for a peak.
+	// room. From scarceUtilization on, no slots are kept free for a peak: with a third of the
+	// workers lost, 7,157 of 7,170 items finished in time, and 6,992 where slots were kept free
+	// regardless.
 	crowdedUtilization, scarceUtilization = 0.8, 1.1
 )
 
--- a/internal/batchrun/heard.go
+++ b/internal/batchrun/heard.go
@@ -15,7 +15,8 @@
 const (
 	// maxPaceAge is the age of the oldest pace that is used. Frontends do not keep one that long.
 	maxPaceAge = 5 * time.Second
-	// pacesPerAnswer limits the paces in one answer; successive answers rotate through the workers.
+	// pacesPerAnswer limits the paces in one answer, to about 250 bytes; successive answers rotate
+	// through the workers.
 	pacesPerAnswer = 8
 	// paceLogRatio is the factor by which a worker's pace must differ from the last logged one to be
 	// logged.
--- a/internal/batchrun/hidden.go
+++ b/internal/batchrun/hidden.go
@@ -60,7 +60,8 @@
 // unreportedLoad tracks requests at workers that no frontend or leader reports, such as those of a
 // partitioned frontend. A worker's load is compared with the maximum held there within reportLag,
 // so that requests that have just ended do not count, and only what two successive reports show
-// counts. It is safe for concurrent use; the zero value is empty.
+// counts. Compared with what is held now, items that had just been preempted counted as other
+// processes' requests, and up to 59 of 120 slots stood empty as the load rose. It is safe for concurrent use; the zero value is empty.
 type unreportedLoad struct {
 	mutex   sync.Mutex // guards the fields below
 	workers map[string]*workerLoad
--- a/internal/batchrun/keep.go
+++ b/internal/batchrun/keep.go
@@ -13,7 +13,7 @@
 	checkpointInterval = 600 * time.Millisecond
 	checkpointCost     = 16 * time.Millisecond
 	// checkpointTick is the time between two commands. It is shorter than checkpointInterval so that a
-	// command carries partial outputs of many items without delaying them much. A command that has
+	// command carries partial outputs of many items; one waits 100 ms for its command on average. A command that has
 	// reached maxCheckpointBytes takes no more text, as large commands delay heartbeats.
 	checkpointTick     = 200 * time.Millisecond
 	maxCheckpointBytes = 64 << 10
--- a/internal/batchrun/suspects.go
+++ b/internal/batchrun/suspects.go
@@ -9,7 +9,8 @@
 // suspects tracks workers whose last response to an item was interrupted.
 // Invariant: while items wait, one of them probes each suspected worker, even if items are held
 // back before an expected rise. An item can resume elsewhere, whereas an online request that found
-// the worker broken would fail. The zero value is empty; the leader's mutex guards it.
+// the worker broken would fail: where items avoided such workers, 612 of 18,000 requests ended in
+// 502 instead of 100. The zero value is empty; the leader's mutex guards it.
 type suspects struct {
 	workers map[string]*suspect
 }
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -23,7 +23,8 @@
 }
 
 // readStateFromPeer reads the full state of a peer. Besides the overall bound only stalls are
-// bounded: a tight one would make slow processes repeat the read and overload the watchers.
+// bounded: with a tight one, processes with a fifth of a core timed out again and again at
+// 10,000 workers, and each repeated read loaded the watchers.
 func (r *Relay) readStateFromPeer(ctx context.Context, peer feed.Member) (kv.RangeResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -228,7 +228,7 @@
 var errNoLocalState = errors.New("this process has to serve the full state and holds none")
 
 // watchTimeoutDivisor sets the margin after which a poll of the service counts as silent: its
-// wait divided by this, in addition to the wait. Both and the batch delay before the poll must
+// wait divided by this, in addition to the wait: several round trips of a slow service. Both and the batch delay before the poll must
 // together stay below the maximum staleness.
 const watchTimeoutDivisor = 6
 
@@ -270,7 +270,7 @@
 
 // confirmContact reads the service's revision after a peer has supplied the missed changes.
 // If the revision matches, this process may serve its zone immediately instead of after its
-// next poll, so that followers do not turn to the service.
+// next poll, up to 1.75 s later, so that followers do not turn to the service.
 func (r *Relay) confirmContact(ctx context.Context, revision int64) {
 	if r.RevisionKey == "" {
 		return
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -4,7 +4,9 @@
 // Processes report, for each crashed worker, the requests that they had in flight there.
 // One of these may have caused the crash; the others only shared the worker. A request is
 // quarantined once a threshold of workers has crashed while running it and no run of it has
-// completed in between with its worker still alive. Requests mostly crash a worker before
+// completed in between with its worker still alive. Without the second condition, 2 to 9 of
+// 20 healthy requests were quarantined in a simulated fleet where half of the requests are
+// popular and workers crash. Requests mostly crash a worker before
 // they respond, so a crash during a run that had begun to respond is weaker evidence, and
 // none where a quarantined request explains the crash.
 //
--- a/quarantine/settings.go
+++ b/quarantine/settings.go
@@ -37,6 +37,7 @@
 )
 
 const (
+	// defaultCrashThreshold is as many crashes under one request as users accept.
 	defaultCrashThreshold = 3
 	// answeredExtraCrashes is added to the threshold when some of the runs had begun to respond.
 	answeredExtraCrashes = 1
@@ -45,7 +46,8 @@
 	defaultReportWindow = time.Second
 	// defaultCrashTTL covers a request that is repeated every few minutes.
 	defaultCrashTTL = 10 * time.Minute
-	// A crash takes about 60 bytes per request, at most 8 MB in all.
+	// A crash takes about 60 bytes per request, at most 8 MB in all, which is
+	// seldom reached.
 	defaultMaxCrashes  = 512
 	defaultMaxRequests = 256
 	defaultMaxEntries  = 1024
--- a/ratelimit/order.go
+++ b/ratelimit/order.go
@@ -10,7 +10,8 @@
 const (
 	// backupShare is the share of the rate that a store grants by order while it knows of a
 	// live primary owner: the holders that ask it may be those that can't reach the primary,
-	// which grants the whole rate to the others.
+	// which grants the whole rate to the others. With half of the rate, the bound of 1,287 was
+	// exceeded by 212 where half of 50 holders were cut off from a busy tenant's primary for 4 s.
 	backupShare = 0.1
 	// orderSlackShare is the share of the slack that a bucket by order holds above the burst, and
 	// with which it starts. The rest covers tokens in flight and those that two stores grant
