--- a/ratelimit/replacement_test.go
+++ b/ratelimit/replacement_test.go
@@ -404,6 +404,7 @@
 func TestLimitHoldsWhileProcessesAreReplaced(t *testing.T) {
 	for _, test := range replacements(7.5) {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(10) {
 				r := test.replacement
 				if above, _ := r.run(seed); above > 0 {
@@ -428,6 +429,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			worst := -1 << 30
 			for _, from := range replacements(7.5)[:6] {
 				for seed := range uint64(10) {
