--- a/internal/limiter/order.go
+++ b/internal/limiter/order.go
@@ -59,6 +59,8 @@
 	now := clock.Now()
 	switch {
 	case permit.Allowed(now):
+		o.mutex.Lock()
+		defer o.mutex.Unlock()
 		return o.grantByOrder(now, request), nil
 	case !permit.LeasesInUse(now):
 		return ratelimit.Grant{}, notOwner
@@ -81,11 +83,9 @@
 	return grant, nil
 }
 
-// grantByOrder grants tokens without a lease.
+// grantByOrder grants tokens without a lease; the mutex must be held.
 func (o *Owner) grantByOrder(now time.Time, request ratelimit.TokenRequest) ratelimit.Grant {
 	backup := o.isBackup(request.Tenant)
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
 	opened := !o.order.HasBucket(request.Tenant)
 	grant := o.order.HandleRequest(now, request, backup)
 	if opened {
--- a/internal/limiter/owner.go
+++ b/internal/limiter/owner.go
@@ -136,30 +136,26 @@
 // grantAsLeader answers a request under a lease. The lease is checked again, since time may have
 // passed.
 func (o *Owner) grantAsLeader(group api.GroupID, lease Lease, request ratelimit.TokenRequest) (ratelimit.Grant, *api.Error) {
+	const step = "grant tokens"
 	o.mutex.Lock()
+	defer o.mutex.Unlock()
 	now := clock.Now()
 	if !lease.includes(now) {
-		o.mutex.Unlock()
-		return ratelimit.Grant{}, api.NewError("grant tokens", "", api.CodeNotLeader, api.OutcomeNotRun, "the lease on group %d has ended", group)
+		return ratelimit.Grant{}, api.NewError(step, "", api.CodeNotLeader, api.OutcomeNotRun, "the lease on group %d has ended", group)
 	}
 	state, failure := o.termState(group, lease)
 	if failure != nil {
-		o.mutex.Unlock()
 		return ratelimit.Grant{}, failure
 	}
 	orderFor := state.activation.Permit(now)
 	switch {
 	case request.Probe:
-		o.mutex.Unlock()
 		return ratelimit.Grant{Epoch: lease.Term, OrderFor: orderFor}, nil
 	case orderFor > 0:
-		o.mutex.Unlock()
 		return o.grantByOrder(now, request), nil
 	case !state.activation.Active():
-		o.mutex.Unlock()
-		return ratelimit.Grant{}, api.NewError("grant tokens", "", api.CodeNotLeader, api.OutcomeNotRun, "leases on group %d are about to start", group)
+		return ratelimit.Grant{}, api.NewError(step, "", api.CodeNotLeader, api.OutcomeNotRun, "leases on group %d are about to start", group)
 	}
-	defer o.mutex.Unlock()
 	return o.grantUnderLease(now, group, lease, state, request), nil
 }
 
