--- a/ratelimit/views_test.go
+++ b/ratelimit/views_test.go
@@ -156,3 +156,22 @@
 		t.Errorf("%d requests above the bound of %.0f", excess, tolerance.Bound(after))
 	}
 }
+
+// An owner of the build before, which knows no leases, must not grant beside the new one.
+func TestLimitHoldsBesideOwnerOfBuildBefore(t *testing.T) {
+	limit := route.RateLimit{Rate: 100, Burst: 100}
+	start := time.Unix(1_700_000_000, 0)
+	owners := []*Owner{NewOwner(tolerance, 1, start, nil), NewOwner(tolerance, 2, start, nil)}
+	var ran []time.Duration
+	for now := time.Duration(0); now < 10*time.Second; now += 2 * time.Millisecond {
+		for i, owner := range owners {
+			request := TokenRequest{Tenant: "t", Limit: limit, Version: 1, Tokens: 1, Holder: fmt.Sprint("h", i), Sequence: uint64(now) + 1}
+			for range owner.HandleRequest(start.Add(now), request).Tokens {
+				ran = append(ran, now)
+			}
+		}
+	}
+	if excess := excess(ran, tolerance.Bound(limit)); excess > 0 {
+		t.Errorf("%d requests above the bound of %.0f", excess, tolerance.Bound(limit))
+	}
+}
