membership: a process that is not settled publishes no summary of its zone

Cause: a process that has just started knows few members of its zone, often only itself, and then ranks first among the zone's representatives. It published the summary of the zone at once, with a newer version than any before, and all other zones replaced theirs by it, until a settled representative published again. Stores that grant limits by order then took themselves for the first in the order beside the one that was, in views of other zones, gone.

Change: a representative publishes only once it is settled, which it is with a member's view of its zone, or after ten ticks without one. Before that it only asks other zones for theirs.

--- a/membership/zones.go
+++ b/membership/zones.go
@@ -37,7 +37,9 @@
 }
 
 // representZone publishes the zone's summary and exchanges it with other zones, if
-// this node is among the representatives that rendezvous hashing selects.
+// this node is among the representatives that rendezvous hashing selects. A node that
+// is not settled publishes nothing: it knows few members, and other zones would take
+// the rest for gone.
 func (m *Machine) representZone(now time.Time) []Action {
 	if (m.ticks+m.phase())%m.settings.ZoneTicks != 0 {
 		return nil
@@ -48,24 +50,32 @@
 		return nil
 	}
 	var actions []Action
+	if m.Settled() {
+		actions = m.updateSummary(now, gateways, rank)
+	}
+	return append(actions, m.exchangeZoneSummaries()...)
+}
+
+// updateSummary publishes the zone's summary if it is due, and pushes it if it has changed.
+func (m *Machine) updateSummary(now time.Time, gateways []Contact, rank int) []Action {
 	summary := m.buildSummary(gateways)
 	own, published := m.zones[m.self.Location]
 	period := time.Duration(m.settings.PublishTicks*(1+rank)) * m.settings.Interval
 	switch {
 	case published && (m.pushPending || differsUrgently(own.summary, summary)):
 		m.publish(now, summary)
-		actions = append(actions, m.pushZoneSummary(now)...)
+		return m.pushZoneSummary(now)
 	case !published || now.Sub(own.received) >= period:
 		m.publish(now, summary)
 	}
-	return append(actions, m.exchangeZoneSummaries()...)
+	return nil
 }
 
 // publishUrgent publishes and pushes the zone's summary at once, if this node is a
-// representative.
+// settled representative.
 func (m *Machine) publishUrgent(now time.Time) []Action {
 	gateways := m.gateways()
-	if m.rank(gateways) >= representativesPerZone {
+	if !m.Settled() || m.rank(gateways) >= representativesPerZone {
 		return nil
 	}
 	m.publish(now, m.buildSummary(gateways))
