membership: a zone's summary is published after four ticks, not with the first view

Cause: the view with which a member joins may come from one that has just started itself. Two processes of a zone that restart together then settle on each other's view, in which the zone's other members are missing, and publish it.

Change: a representative publishes from its fourth tick on, by which its heartbeats have completed the view. A zone that starts as a whole is first published at tick 4 to 7 instead of tick 1 to 4.

--- a/membership/zone_summary_test.go
+++ b/membership/zone_summary_test.go
@@ -8,12 +8,13 @@
 	"github.com/dykewing/dykewing/api"
 )
 
-// hiddenStores returns the running stores of other zones that a member's view lacks.
-func hiddenStores(fleet *Fleet, holder *Member, except *Member) []api.NodeID {
+// hiddenStores returns the stores of other zones that a member's view lacks, except those that
+// have just restarted.
+func hiddenStores(fleet *Fleet, holder *Member, restarted []*Member) []api.NodeID {
 	view := holder.Machine.Nodes()
 	var hidden []api.NodeID
 	for _, member := range fleet.Members {
-		if member.Node.Role != api.RoleStore || member == except || member.Node.Location == holder.Node.Location {
+		if member.Node.Role != api.RoleStore || slices.Contains(restarted, member) || member.Node.Location == holder.Node.Location {
 			continue
 		}
 		if !slices.ContainsFunc(view, func(node api.Node) bool { return node.ID == member.Node.ID }) {
@@ -23,25 +24,51 @@
 	return hidden
 }
 
-// A process that has just started and knows few members must not hide the stores of its zone
+// Processes that have just started and know few members must not hide the stores of their zone
 // from other zones.
 func TestRestartsDoNotHideStoresFromOtherZones(t *testing.T) {
-	for seed := range uint64(5) {
-		options := DefaultFleetOptions()
-		options.Seed, options.MeasureEvery, options.Regions, options.Zones, options.RoutersPerZone, options.StoresPerZone = seed, 0, 1, 3, 6, 3
-		fleet := NewFleet(options)
-		fleet.Simulation.Run(settleTime)
-		for _, member := range fleet.Members {
+	tests := []struct {
+		name     string
+		restarts int // at the same time
+	}{
+		{"one at a time", 1},
+		{"two at a time", 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(5) {
+				checkRestarts(t, seed, test.restarts)
+			}
+		})
+	}
+}
+
+// checkRestarts restarts each member of a fleet, together with those that follow it.
+func checkRestarts(t *testing.T, seed uint64, together int) {
+	t.Helper()
+	options := DefaultFleetOptions()
+	options.Seed, options.MeasureEvery, options.Regions, options.Zones, options.RoutersPerZone, options.StoresPerZone = seed, 0, 1, 3, 6, 3
+	fleet := NewFleet(options)
+	fleet.Simulation.Run(settleTime)
+	for i := range fleet.Members {
+		restarted := fleet.Members[i:min(i+together, len(fleet.Members))]
+		for _, member := range restarted {
 			member.Process.Crash()
-			fleet.Simulation.Run(time.Second)
+		}
+		fleet.Simulation.Run(time.Second)
+		for _, member := range restarted {
 			member.Process.Restart()
 			fleet.Start(member, member.Node.Incarnation+1)
-			for range 60 {
-				fleet.Simulation.Run(50 * time.Millisecond)
-				for _, holder := range fleet.Members {
-					if hidden := hiddenStores(fleet, holder, member); holder != member && len(hidden) > 0 {
-						t.Fatalf("seed %d, %v after the restart of %s: %s does not see %v", seed, fleet.Simulation.Now(), member.Node.ID, holder.Node.ID, hidden)
-					}
+		}
+		for range 60 {
+			fleet.Simulation.Run(50 * time.Millisecond)
+			for _, holder := range fleet.Members {
+				if slices.Contains(restarted, holder) {
+					continue
+				}
+				if hidden := hiddenStores(fleet, holder, restarted); len(hidden) > 0 {
+					t.Fatalf("seed %d, after a restart of %s: %s does not see %v", seed, restarted[0].Node.ID, holder.Node.ID, hidden)
 				}
 			}
 		}
--- a/membership/zones.go
+++ b/membership/zones.go
@@ -18,6 +18,10 @@
 	staleFactor = 6
 	// maxHeartbeatZones bounds the zone summaries in the reply to a heartbeat.
 	maxHeartbeatZones = 3
+	// publishAfterTicks is the number of ticks from a node's start until it publishes its
+	// zone's summary. The view that it joined with may be that of a member that had just
+	// started itself, and is completed by heartbeats.
+	publishAfterTicks = 4
 	// minPushTicks is the minimum time between pushes to all zones, in intervals.
 	minPushTicks = 2
 )
@@ -38,7 +42,7 @@
 
 // representZone publishes the zone's summary and exchanges it with other zones, if
 // this node is among the representatives that rendezvous hashing selects. A node that
-// is not settled publishes nothing: it knows few members, and other zones would take
+// has just started publishes nothing: it knows few members, and other zones would take
 // the rest for gone.
 func (m *Machine) representZone(now time.Time) []Action {
 	if (m.ticks+m.phase())%m.settings.ZoneTicks != 0 {
@@ -50,12 +54,15 @@
 		return nil
 	}
 	var actions []Action
-	if m.Settled() {
+	if m.knowsZone() {
 		actions = m.updateSummary(now, gateways, rank)
 	}
 	return append(actions, m.exchangeZoneSummaries()...)
 }
 
+// knowsZone reports whether this node's view of its zone may be taken for complete.
+func (m *Machine) knowsZone() bool { return m.Settled() && m.ticks >= publishAfterTicks }
+
 // updateSummary publishes the zone's summary if it is due, and pushes it if it has changed.
 func (m *Machine) updateSummary(now time.Time, gateways []Contact, rank int) []Action {
 	summary := m.buildSummary(gateways)
@@ -72,10 +79,10 @@
 }
 
 // publishUrgent publishes and pushes the zone's summary at once, if this node is a
-// settled representative.
+// representative that knows its zone.
 func (m *Machine) publishUrgent(now time.Time) []Action {
 	gateways := m.gateways()
-	if !m.Settled() || m.rank(gateways) >= representativesPerZone {
+	if !m.knowsZone() || m.rank(gateways) >= representativesPerZone {
 		return nil
 	}
 	m.publish(now, m.buildSummary(gateways))
