Limits under leases hold beside stores of builds without leases, however they come

What callers saw: a tenant gets twice its limit while a store of a build without leases grants it by order beside the leader.

Cause: leases start and last on the leader's own belief. A store that it did not reach for 10 s counted as gone, though others reached it. Once leases were in use no store was asked any more, so that one of the build before which came later granted beside the leader. And an owner granted in full whether or not somebody had checked that it is the only one: that was the caller's duty, in a comment.

Evidence: real handlers, one store of the build before, on the code before this change: 1,018 tokens in 5 s beside a store that comes later, 592 may (426 above the bound), and 1,002 beside one that is cut from the leader only (410 above).

Change: ratelimit.Support is what a leader knows of each store's process: from its answer, or its absence from the view and of answers; silence of a member proves nothing. Stores are checked for as long as a store leads, and in each term. An Owner grants in full, and leases, only while it has evidence (Confirm), which lasts 2 s after a check; without it, as much as fits into the tolerance beside a store that grants the whole limit. Where a store that is first in a tenant's order is known to grant by order, the leader sends requests on to it, and reports to it what leases accumulate until they have ended.

It works since the build before grants what it is asked for, but counts what is reported as spent elsewhere; the leader's own part is within what that store leaves of the tolerance.

Result: TestLimitHoldsBesideLaterStoreWithoutLeases and TestStoreCutFromLeaderHoldsUpLeases failed before with the figures above and pass; TestSupport, TestOwnerGrantsInFullOnlyWithEvidence and TestLeaderGrantsLeasesWithEvidence test new functions. Simulated, "rolled back without a decision": passes, up to 235 above 592 where later stores are ignored (planted fault), as up to 232 before this change. TestLimitHoldsBesideOwnerOfBuildBefore, unchanged, passes: its two owners have no evidence. All other tests that make an Owner by hand give it evidence (newSoleOwner), so that their bounds are tested against owners that grant in full.

--- a/internal/limiter/order_test.go
+++ b/internal/limiter/order_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -25,12 +27,18 @@
 	mutex      sync.Mutex
 	nodes      []api.Node
 	owners     map[api.NodeID]*Owner // without those of the build before
+	before     map[api.NodeID]*storeWithoutLeases
+	cut        map[api.NodeID]bool // from the leader only
+	tolerance  ratelimit.Tolerance
 	leader     api.NodeID
 	registered []string // in the group's log
 }
 
 func newGroupFixture(t *testing.T, before ...api.NodeID) *groupFixture {
-	f := &groupFixture{startedAt: clock.Now().Add(-time.Second), owners: map[api.NodeID]*Owner{}, leader: "store-0"}
+	f := &groupFixture{
+		startedAt: clock.Now().Add(-time.Second), owners: map[api.NodeID]*Owner{}, before: map[api.NodeID]*storeWithoutLeases{}, cut: map[api.NodeID]bool{},
+		tolerance: ratelimit.Tolerance{Window: 5 * time.Second, Overshoot: 0.1, Allowance: 20}, leader: "store-0",
+	}
 	for _, id := range []api.NodeID{"store-0", "store-1", "store-2"} {
 		f.start(t, id, slices.Contains(before, id))
 	}
@@ -44,7 +52,9 @@
 	mux := http.NewServeMux()
 	delete(f.owners, id)
 	if before {
-		mux.HandleFunc("POST "+PathTokens, grantWithoutLeases)
+		store := &storeWithoutLeases{tolerance: f.tolerance}
+		f.before[id] = store
+		mux.Handle("POST "+PathTokens, store)
 	} else {
 		f.owners[id] = f.newOwner(id)
 		mux.Handle("POST "+PathTokens, f.owners[id])
@@ -61,14 +71,39 @@
 	f.nodes[i].Incarnation++
 }
 
-// grantWithoutLeases is the handler of a build without leases.
-func grantWithoutLeases(w http.ResponseWriter, r *http.Request) {
+// storeWithoutLeases grants the whole limit of one tenant to whoever asks, as the first store in
+// the tenant's order does in a build without leases.
+type storeWithoutLeases struct {
+	tolerance ratelimit.Tolerance
+	mutex     sync.Mutex // guards all below
+	level     float64
+	at        time.Time
+	asked     int
+}
+
+func (s *storeWithoutLeases) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var request ratelimit.TokenRequest
 	if failure := transport.ReadJSON(w, r, "read question for tokens", maxRequestBytes, &request); failure != nil {
 		transport.WriteError(w, failure)
 		return
 	}
-	transport.WriteJSON(w, http.StatusOK, ratelimit.Grant{Tokens: request.Tokens})
+	transport.WriteJSON(w, http.StatusOK, s.grant(clock.Now(), request))
+}
+
+func (s *storeWithoutLeases) grant(now time.Time, request ratelimit.TokenRequest) ratelimit.Grant {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.asked++
+	limit := request.Limit
+	slack := (s.tolerance.Bound(limit) - limit.Rate*s.tolerance.Window.Seconds() - limit.Burst) / 4
+	if s.at.IsZero() {
+		s.at, s.level = now, max(slack, 1)
+	}
+	s.level = min(s.level+limit.Rate*now.Sub(s.at).Seconds(), limit.Burst+slack) - float64(request.SpentElsewhere)
+	s.at = now
+	granted := max(min(float64(request.Tokens), math.Floor(s.level)), 0)
+	s.level -= granted
+	return ratelimit.Grant{Tokens: int(granted), Level: s.level}
 }
 
 func (f *groupFixture) newOwner(id api.NodeID) *Owner {
@@ -86,7 +121,7 @@
 		return list[i], true
 	}
 	return NewOwner(OwnerSettings{
-		Self: id, Tolerance: ratelimit.Tolerance{Window: 5 * time.Second, Overshoot: 0.1, Allowance: 20}, Groups: 1, Log: discardLog(), Nodes: nodes, Stores: nodes, Client: http.DefaultClient,
+		Self: id, Tolerance: f.tolerance, Groups: 1, Log: discardLog(), Nodes: nodes, Stores: nodes, Client: &http.Client{Transport: f.network(id)},
 		Lease: func(context.Context, api.GroupID) (Lease, *api.Error) {
 			if f.currentLeader() != id {
 				return Lease{}, api.NewError("lease group", "", api.CodeNotLeader, api.OutcomeNotRun, "not the leader")
@@ -112,6 +147,24 @@
 	})
 }
 
+// network returns the connections of a store, which fail towards stores that are cut from it.
+func (f *groupFixture) network(from api.NodeID) http.RoundTripper {
+	return roundTripper(func(r *http.Request) (*http.Response, error) {
+		f.mutex.Lock()
+		i := slices.IndexFunc(f.nodes, func(node api.Node) bool { return node.Address == r.URL.Host })
+		cut := i >= 0 && from == f.leader && f.cut[f.nodes[i].ID]
+		f.mutex.Unlock()
+		if cut {
+			return nil, errors.New("no way to this store")
+		}
+		return http.DefaultTransport.RoundTrip(r)
+	})
+}
+
+type roundTripper func(*http.Request) (*http.Response, error)
+
+func (f roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
 func (f *groupFixture) currentLeader() api.NodeID {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -126,10 +179,18 @@
 	})
 }
 
+// advance lets the leader check the stores and take its next step, and reports whether leases are
+// in use.
+func (f *groupFixture) advance(t *testing.T) bool {
+	leader := f.owners[f.leader]
+	leader.checkStores(t.Context())
+	return leader.advance(t.Context(), 0)
+}
+
 // awaitLeases advances the leader until leases have started.
 func (f *groupFixture) awaitLeases(t *testing.T) {
 	t.Helper()
-	for !f.owners[f.leader].advance(t.Context(), 0) {
+	for !f.advance(t) {
 		select {
 		case <-time.After(20 * time.Millisecond):
 		case <-t.Context().Done():
@@ -141,9 +202,8 @@
 // A leader must not grant under leases while a store of the build before may grant beside it.
 func TestLeasesStartOnceAllStoresKnowThem(t *testing.T) {
 	f := newGroupFixture(t, "store-2")
-	leader := f.owners["store-0"]
 	for range 5 {
-		if leader.advance(t.Context(), 0) {
+		if f.advance(t) {
 			t.Fatal("leases started beside a store that knows none")
 		}
 	}
@@ -210,6 +270,7 @@
 func TestOperatorEndsLeases(t *testing.T) {
 	f := newGroupFixture(t)
 	f.registered = []string{leasesMarker, "h"}
+	f.advance(t)
 	if grant, failure := f.ask(t, "store-0", 1, 1); failure != nil || grant.Lease == nil {
 		t.Fatalf("%+v, %v, want a lease", grant, failure)
 	}
--- a/internal/limiter/owner.go
+++ b/internal/limiter/owner.go
@@ -73,7 +73,9 @@
 	terms   map[api.GroupID]*ownerTerm
 	order   *ratelimit.OrderOwner
 	permits map[api.GroupID]ratelimit.OrderPermit
-	support map[api.NodeID]storeSupport
+	support *ratelimit.Support
+	// checkedAt is when the stores were last checked for builds without leases.
+	checkedAt time.Time
 }
 
 // ownerTerm is the state of a group's limits in one term.
@@ -91,7 +93,7 @@
 func NewOwner(settings OwnerSettings) *Owner {
 	return &Owner{
 		settings: settings, terms: map[api.GroupID]*ownerTerm{}, order: ratelimit.NewOrderOwner(settings.Tolerance),
-		permits: map[api.GroupID]ratelimit.OrderPermit{}, support: map[api.NodeID]storeSupport{}, startedAt: clock.Now(),
+		permits: map[api.GroupID]ratelimit.OrderPermit{}, support: ratelimit.NewSupport(), startedAt: clock.Now(),
 	}
 }
 
@@ -125,7 +127,12 @@
 			"the lease on group %d starts in %v and ends in %v", group, lease.Start.Sub(now), lease.Until.Sub(now))
 	}
 	switch {
+	case failure == nil && request.Probe:
+		return o.grantAsLeader(group, lease, request)
 	case failure == nil:
+		if primary, ok := o.primaryByOrder(request.Tenant); ok {
+			return o.grantBeside(ctx, group, lease, primary, request)
+		}
 		return o.grantAsLeader(group, lease, request)
 	case request.Probe:
 		return ratelimit.Grant{}, failure
@@ -193,6 +200,9 @@
 	if byOrder {
 		state.owner.StopLeasing()
 	}
+	if now := clock.Now(); o.isChecked(now) {
+		state.owner.Confirm(lease.Start, o.checkedAt.Add(evidenceTTL))
+	}
 	o.terms[group] = state
 	return state, nil
 }
--- a/ratelimit/answered_test.go
+++ b/ratelimit/answered_test.go
@@ -33,7 +33,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			o := NewOwner(tolerance, 1, start, nil)
+			o := newSoleOwner(1, start, nil)
 			o.fault = test.fault
 			o.HandleRequest(start, TokenRequest{Tenant: "t", Limit: limit, Version: 1})
 			now := start.Add(3 * time.Second)
@@ -50,7 +50,7 @@
 
 func TestGrantCacheIsBounded(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
-	o := NewOwner(tolerance, 1, now, nil)
+	o := newSoleOwner(1, now, nil)
 	for i := range 3 * maxCachedGrants {
 		o.HandleRequest(now, TokenRequest{Tenant: fmt.Sprint(i % 10), Limit: route.RateLimit{Rate: 1}, Tokens: 1, Holder: "f", Sequence: uint64(i)})
 	}
--- a/ratelimit/model_test.go
+++ b/ratelimit/model_test.go
@@ -64,7 +64,7 @@
 // elect begins the epoch of a new owner.
 func (m *modelRun) elect(start time.Time) {
 	m.epoch++
-	m.owner = NewOwner(tolerance, m.epoch, start, slices.Sorted(maps.Keys(m.registered)))
+	m.owner = newSoleOwner(m.epoch, start, slices.Sorted(maps.Keys(m.registered)))
 	m.owner.fault = m.fault
 }
 
--- a/ratelimit/owner.go
+++ b/ratelimit/owner.go
@@ -1,7 +1,9 @@
 package ratelimit
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/dykewing/dykewing/route"
@@ -25,7 +27,9 @@
 	recentGrants grantCache
 	sweptAt      time.Time
 	stopped      bool // grants no leases
-	fault        Fault
+	// soleUntil is until when no other process is known to grant the same tenants' tokens.
+	soleUntil time.Time
+	fault     Fault
 }
 
 // Fault is a defect that tests inject.
@@ -40,6 +44,7 @@
 	FaultCountDuplicates    Fault = "each copy of a request takes tokens"
 	FaultIgnorePermits      Fault = "leases start while stores may grant by order"
 	FaultIgnoreBuilds       Fault = "leases start before every store knows them"
+	FaultIgnoreLater        Fault = "stores without leases are ignored once leases are in use"
 )
 
 // bucket is the token bucket of one tenant. Its level is negative after more tokens were spent
@@ -51,12 +56,15 @@
 	promised float64 // tokens that rejected requests will retry for
 	at       time.Time
 	leases   *leaseTable // nil in an OrderOwner
+	// sharedUntil is until when another process is known to grant the tenant's tokens.
+	sharedUntil time.Time
 }
 
-// NewOwner returns an Owner without buckets that grants from start on. The caller guarantees
-// that epoch is larger than those of all earlier owners of the same tenants, that none of them
-// grants after start, and that at least MinTerm lies between the starts of two owners. holders
-// are all that were registered with earlier owners and not unregistered since.
+// NewOwner returns an Owner without buckets that grants from start on, and in full while Confirm
+// holds. The caller guarantees that epoch is larger than those of all earlier owners of the same
+// tenants, that none of them grants after start, and that at least MinTerm lies between the
+// starts of two owners. holders are all that were registered with earlier owners and not
+// unregistered since.
 func NewOwner(tolerance Tolerance, epoch uint64, start time.Time, holders []string) *Owner {
 	return &Owner{
 		tolerance: tolerance, epoch: epoch, start: start, registry: newRegistry(start, holders), buckets: map[string]*bucket{},
@@ -75,6 +83,53 @@
 // ResumeLeasing makes the owner grant leases again.
 func (o *Owner) ResumeLeasing() { o.stopped = false }
 
+// Confirm records evidence that until a time no process but this owner, and holders under its
+// leases, grants the tokens of its tenants. Without it the owner may be beside one that grants
+// the whole limit: it grants no leases, and only as much as fits into the tolerance beside that.
+func (o *Owner) Confirm(now, until time.Time) {
+	if now.After(o.soleUntil) {
+		for _, b := range o.buckets {
+			o.refill(b, now) // what has accumulated without evidence
+		}
+		o.start = maxTime(o.start, now)
+	}
+	o.soleUntil = until
+}
+
+// Share records that until a time another process grants the tokens of a request's tenant.
+func (o *Owner) Share(now, until time.Time, request TokenRequest) {
+	b := o.bucket(request.Tenant, request.Limit, request.Version)
+	o.refill(b, now)
+	b.sharedUntil = until
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// isSole reports whether no other process is known to grant the tokens of a bucket.
+func (o *Owner) isSole(b *bucket, now time.Time) bool {
+	return now.Before(o.soleUntil) && !now.Before(b.sharedUntil)
+}
+
+// LeasedTokens returns, for each tenant with leases that may be in force, the tokens that they
+// accumulate in a period.
+func (o *Owner) LeasedTokens(now time.Time, period time.Duration) []TokenRequest {
+	var list []TokenRequest
+	for tenant, b := range o.buckets {
+		o.refill(b, now)
+		b.leases.sweep(now)
+		if n := int(math.Ceil(b.leases.leased() * b.limit.Rate * period.Seconds())); n > 0 {
+			list = append(list, TokenRequest{Tenant: tenant, Limit: b.limit, Version: b.version, SpentElsewhere: n})
+		}
+	}
+	slices.SortFunc(list, func(a, b TokenRequest) int { return cmp.Compare(a.Tenant, b.Tenant) })
+	return list
+}
+
 // sweepBuckets removes the buckets of idle tenants, at most once per bucketTTL.
 func sweepBuckets(buckets map[string]*bucket, sweptAt *time.Time, now time.Time) {
 	if now.Sub(*sweptAt) < bucketTTL {
@@ -170,7 +225,12 @@
 	}
 	if rejected := request.Tokens - grant.Tokens; grant.Tokens == 0 && rejected > 0 {
 		b.promised += float64(rejected)
-		grant.RetryAfter = time.Duration((b.promised - b.level) / (b.limit.Rate * max(1-b.leases.leased(), 1-maxLeased)) * float64(time.Second))
+		share := max(1-b.leases.leased(), 1-maxLeased)
+		if !o.isSole(b, now) {
+			share, _ = o.tolerance.beside(b.limit)
+			share = max(share, minRetryShare)
+		}
+		grant.RetryAfter = time.Duration((b.promised - b.level) / (b.limit.Rate * share) * float64(time.Second))
 	}
 	grant.Level = b.level
 	return grant
@@ -179,7 +239,7 @@
 // lease renews the holder's lease, with a token in reserve if the bucket is well filled.
 func (o *Owner) lease(now time.Time, b *bucket, request TokenRequest, grant *Grant) {
 	var budget budget
-	if !o.stopped {
+	if !o.stopped && o.isSole(b, now) {
 		budget = o.tolerance.budget(b.limit)
 	}
 	var scaled Lease
@@ -225,19 +285,28 @@
 		o.addTokens(b, until)
 	}
 	b.leases.expireInherited(b.at, o.registry)
+	for _, until := range []time.Time{o.soleUntil, b.sharedUntil} {
+		if b.at.Before(until) && until.Before(now) {
+			o.addTokens(b, until)
+		}
+	}
 	o.addTokens(b, now)
 	b.leases.expireInherited(now, o.registry)
 }
 
 func (o *Owner) addTokens(b *bucket, now time.Time) {
-	share := 1 - b.leases.leased()
+	share, capacity := 1-b.leases.leased(), o.tolerance.budget(b.limit).capacity
 	if o.fault == FaultRefillFully {
 		share = 1
 	}
+	if !o.isSole(b, b.at) {
+		besideShare, besideCapacity := o.tolerance.beside(b.limit)
+		share, capacity = min(share, besideShare), min(capacity, besideCapacity)
+	}
 	added := share * b.limit.Rate * max(now.Sub(b.at), 0).Seconds()
 	if now.After(b.at) {
 		b.at = now
 	}
-	b.level = min(b.level+added, o.tolerance.budget(b.limit).capacity)
+	b.level = min(b.level+added, capacity)
 	b.promised = max(b.promised-added, 0)
 }
--- a/ratelimit/replacement_test.go
+++ b/ratelimit/replacement_test.go
@@ -25,22 +25,23 @@
 // replacement simulates a group whose processes are replaced by another build, one after the
 // other, under a tenant that sends a multiple of its limit or less than it.
 type replacement struct {
-	from, to     build
-	stores       int
-	holders      int
-	limit        route.RateLimit
-	load         float64 // requests, as a fraction of the rate
-	gap          time.Duration
-	abortAfter   int           // processes replaced after which they are replaced back; 0: none
-	killInterval time.Duration // between kills of the leader; 0: none
-	joins        int           // stores of the new build that join
-	wait         time.Duration // before the replacement
-	byOrder      bool          // operators end leases as the wait begins
-	firstIsLast  bool          // the first store in placement order is replaced last
-	leaderFirst  bool          // half of the frontends ask the leader first
-	keepFirst    bool          // the first store in placement order is not replaced
-	loss         float64       // fraction of requests for tokens that get no answer
-	fault        Fault
+	from, to      build
+	stores        int
+	holders       int
+	limit         route.RateLimit
+	load          float64 // requests, as a fraction of the rate
+	gap           time.Duration
+	abortAfter    int           // processes replaced after which they are replaced back; 0: none
+	killInterval  time.Duration // between kills of the leader; 0: none
+	joins         int           // stores of the new build that join
+	wait          time.Duration // before the replacement
+	byOrder       bool          // operators end leases as the wait begins
+	firstIsLast   bool          // the first store in placement order is replaced last
+	keepFirst     bool          // the first store in placement order is not replaced
+	cutFromLeader bool          // leaders of this build don't reach stores without leases
+	leaderFirst   bool          // half of the frontends ask the leader first
+	loss          float64       // fraction of requests for tokens that get no answer
+	fault         Fault
 
 	random     *rand.Rand
 	now        time.Time
@@ -69,7 +70,7 @@
 	term        uint64 // of the two below
 	owner       *Owner
 	activation  *Activation
-	support     map[[2]int]bool // stores by incarnation
+	support     *Support
 }
 
 type simFrontend struct {
@@ -85,7 +86,10 @@
 	viewLag      = 300 * time.Millisecond
 	storeRestart = 900 * time.Millisecond
 	simStart     = 5 * time.Second // of replacement
-	simLength    = 30 * time.Second
+	// As in package limiter.
+	simCheckInterval = 250 * time.Millisecond
+	simEvidenceTTL   = 2 * time.Second
+	simLength        = 30 * time.Second
 )
 
 func (r *replacement) begin(seed uint64) time.Time {
@@ -109,7 +113,7 @@
 func (r *replacement) restart(s *simStore, to build, after time.Duration) {
 	*s = simStore{
 		id: s.id, build: to, incarnation: s.incarnation + 1, upAt: r.now.Add(after), goneAt: r.now.Add(min(viewLag, after)),
-		order: NewOrderOwner(tolerance), previous: previousOwner{tolerance: tolerance}, support: map[[2]int]bool{},
+		order: NewOrderOwner(tolerance), previous: previousOwner{tolerance: tolerance}, support: NewSupport(),
 	}
 	if r.leader == s {
 		r.leader, r.electAt = nil, r.now.Add(electionTime)
@@ -153,6 +157,9 @@
 		holders = slices.DeleteFunc(holders, func(holder string) bool { return holder == "marker" })
 		s.term, s.owner, s.activation = r.term, NewOwner(tolerance, r.term, r.leaderAt, holders), NewActivation(r.leaderAt, active, byOrder)
 		s.activation.fault = r.fault
+		if s.build == ungated || r.fault == FaultIgnoreLater {
+			s.owner.Confirm(r.leaderAt, r.leaderAt.Add(24*time.Hour))
+		}
 		if byOrder {
 			s.owner.StopLeasing()
 		}
@@ -160,28 +167,22 @@
 	return true
 }
 
-// advance takes the leader's steps towards leases.
+// advance checks how stores grant, and takes the leader's steps towards leases.
 func (r *replacement) advance() {
-	if r.leader == nil || r.leader.build != gated || !r.leads(r.leader) || r.leader.activation.Active() && !r.leader.activation.ByOrder() {
+	if r.leader == nil || r.leader.build != gated || !r.leads(r.leader) {
 		return
 	}
-	leader, supported := r.leader, true
-	for _, s := range r.members {
-		key := [2]int{s.id, s.incarnation}
-		if s == leader || !r.inView(s) {
-			continue
-		}
-		if _, known := leader.support[key]; !known && r.up(s) {
-			grant, owns := r.answer(s, TokenRequest{Tenant: "probe", Limit: route.RateLimit{Rate: 1}, Probe: true})
-			leader.support[key] = !owns || grant.Epoch > 0
-		}
-		supported = supported && leader.support[key]
+	leader := r.leader
+	r.check(leader)
+	if leader.activation.Active() && !leader.activation.ByOrder() {
+		return
 	}
-	switch leader.activation.Update(r.now, supported || r.fault == FaultIgnoreBuilds) {
+	switch leader.activation.Update(r.now, leader.support.AllKnowLeases(r.now) || r.fault == FaultIgnoreBuilds) {
 	case StepStart:
 		r.registered["marker"] = true
 		leader.activation.Activate()
 		leader.owner = NewOwner(tolerance, r.term, r.now, nil)
+		leader.owner.Confirm(r.now, r.now.Add(simEvidenceTTL))
 	case StepEnd:
 		clear(r.registered)
 		r.registered["by order"] = true
@@ -189,6 +190,64 @@
 	}
 }
 
+// check probes the stores that the leader doesn't know and reaches, and reports leased tokens.
+func (r *replacement) check(leader *simStore) {
+	var stores []Store
+	for _, s := range r.members {
+		if s != leader {
+			stores = append(stores, Store{ID: fmt.Sprint(s.id), Incarnation: uint64(s.incarnation), Member: r.inView(s)})
+		}
+	}
+	leader.support.Update(r.now, stores)
+	due := leader.support.Due(r.now, stores)
+	for _, s := range r.members {
+		if !slices.Contains(due, fmt.Sprint(s.id)) || !r.up(s) || r.isCut(leader, s) {
+			continue
+		}
+		grant, owns := r.answer(s, TokenRequest{Tenant: "probe", Limit: route.RateLimit{Rate: 1}, Probe: true})
+		leader.support.Record(r.now, Store{ID: fmt.Sprint(s.id), Incarnation: uint64(s.incarnation)}, !owns || grant.Epoch > 0)
+	}
+	leader.owner.Confirm(r.now, r.now.Add(simEvidenceTTL))
+	primary := r.primaryByOrder(leader)
+	if primary == nil || !leader.activation.Active() || r.isCut(leader, primary) {
+		return
+	}
+	for _, report := range leader.owner.LeasedTokens(r.now, simCheckInterval) {
+		r.answer(primary, report)
+	}
+}
+
+// primaryByOrder returns the first store in the order if the leader knows that it grants by order.
+func (r *replacement) primaryByOrder(leader *simStore) *simStore {
+	i := slices.IndexFunc(r.members, r.inView)
+	ignored := r.fault == FaultIgnoreBuilds || r.fault == FaultIgnoreLater
+	if i < 0 || ignored || !leader.support.GrantsByOrder(fmt.Sprint(r.members[i].id)) {
+		return nil
+	}
+	return r.members[i]
+}
+
+// isCut reports whether the leader does not reach a store, which others reach.
+func (r *replacement) isCut(leader, s *simStore) bool {
+	return s.build == withoutLeases && r.cutFromLeader && s != leader
+}
+
+// answerAsOwner is the answer of the leader under leases.
+func (r *replacement) answerAsOwner(s *simStore, request TokenRequest) Grant {
+	if primary := r.primaryByOrder(s); primary != nil && s.build == gated {
+		s.owner.Share(r.now, r.now.Add(time.Second), request)
+		if request.Instance > 0 && !r.isCut(s, primary) && r.up(primary) {
+			grant, _ := r.answer(primary, request)
+			return grant
+		}
+	}
+	if request.Instance > 0 && !s.activation.ByOrder() {
+		r.registered[request.Holder] = true
+		s.owner.Register(r.now, request.Holder)
+	}
+	return s.owner.HandleRequest(r.now, request)
+}
+
 // answer is the answer of a store that is up; owns is false if another one owns the limit.
 func (r *replacement) answer(s *simStore, request TokenRequest) (grant Grant, owns bool) {
 	leads := r.leads(s)
@@ -198,11 +257,7 @@
 	case leads && request.Probe:
 		return Grant{Epoch: r.term, OrderFor: s.activation.Permit(r.now)}, true
 	case leads && s.activation.Active():
-		if request.Instance > 0 && !s.activation.ByOrder() {
-			r.registered[request.Holder] = true
-			s.owner.Register(r.now, request.Holder)
-		}
-		return s.owner.HandleRequest(r.now, request), true
+		return r.answerAsOwner(s, request), true
 	case leads && s.activation.Permit(r.now) > 0:
 		return s.order.HandleRequest(r.now, request, r.isBackup(s)), true
 	case leads || s.build == ungated || request.Probe:
@@ -355,7 +410,7 @@
 			}
 		}
 		r.elect()
-		if at%(250*time.Millisecond) == 0 {
+		if at%simCheckInterval == 0 {
 			r.advance()
 		}
 		for range poisson(r.random, r.load*r.limit.Rate*simStep.Seconds()) {
@@ -399,6 +454,10 @@
 		{"without leases, messages lost, first store not replaced", with(func(r *replacement) { r.from, r.to, r.loss, r.keepFirst = withoutLeases, gated, 0.2, true })},
 		{"without leases, stores join", with(func(r *replacement) { r.from, r.to, r.joins = withoutLeases, gated, 2 })},
 		{"without leases, rolled back halfway", with(func(r *replacement) { r.from, r.to, r.abortAfter = withoutLeases, gated, 12 })},
+		{"without leases, first store cut from leaders", with(func(r *replacement) {
+			r.from, r.to, r.keepFirst, r.cutFromLeader, r.loss = withoutLeases, gated, true, true, 0.2
+		})},
+		{"rolled back without a decision", with(func(r *replacement) { r.from, r.to = gated, withoutLeases })},
 		{"ungated, replaced", with(func(r *replacement) { r.from, r.to = ungated, gated })},
 		{"ungated, messages lost", with(func(r *replacement) { r.from, r.to, r.loss = ungated, gated, 0.1 })},
 		{"ungated, leaders killed", with(func(r *replacement) { r.from, r.to, r.killInterval = ungated, gated, 3*time.Second })},
@@ -475,6 +534,34 @@
 	return worst
 }
 
+// A leader that ignores stores of a build without leases, because they don't answer it or come
+// later, must be detected.
+func TestIgnoredStoresWithoutLeasesExceedBound(t *testing.T) {
+	tests := []struct {
+		scenario string
+		fault    Fault
+	}{
+		{"without leases, first store cut from leaders", FaultIgnoreBuilds},
+		{"rolled back without a decision", FaultIgnoreLater},
+	}
+	for _, test := range tests {
+		t.Run(test.scenario, func(t *testing.T) {
+			t.Parallel()
+			list := replacements(7.5)
+			i := slices.IndexFunc(list, func(each struct {
+				name string
+				replacement
+			}) bool {
+				return each.name == test.scenario
+			})
+			worst := list[i].worst(test.fault, list[i].to)
+			if worst <= 0 {
+				t.Errorf("the fault was not detected: excess %d", worst)
+			}
+		})
+	}
+}
+
 // Below its limit, a tenant gets no more refusals while another build is replaced than while
 // processes are replaced by the same build.
 func TestReplacementRefusesNoMoreThanSameBuild(t *testing.T) {
--- a/ratelimit/simulation_test.go
+++ b/ratelimit/simulation_test.go
@@ -135,11 +135,18 @@
 	return list
 }
 
+// newSoleOwner returns an Owner that has evidence that no other process grants.
+func newSoleOwner(epoch uint64, start time.Time, holders []string) *Owner {
+	owner := NewOwner(tolerance, epoch, start, holders)
+	owner.Confirm(start, start.Add(24*time.Hour))
+	return owner
+}
+
 // handle handles a request at the owner of a term. Holders are registered, as by requests of
 // other tenants.
 func (t *term) handle(now time.Time, request TokenRequest, registered map[string]bool, fault Fault) Grant {
 	if t.state == nil {
-		t.state = NewOwner(tolerance, t.epoch, t.startAt, slices.Sorted(maps.Keys(registered)))
+		t.state = newSoleOwner(t.epoch, t.startAt, slices.Sorted(maps.Keys(registered)))
 		t.state.fault = fault
 	}
 	registered[request.Holder] = true
--- a/ratelimit/views_test.go
+++ b/ratelimit/views_test.go
@@ -49,7 +49,7 @@
 func TestLateReturnedTokensStayWithinLimit(t *testing.T) {
 	limit := route.RateLimit{Rate: 40, Burst: 40}
 	start := time.Unix(1_700_000_000, 0)
-	holder, owner := newHolder("h", 1), NewOwner(tolerance, 1, start, nil)
+	holder, owner := newHolder("h", 1), newSoleOwner(1, start, nil)
 	owner.Register(start, "h")
 	var waiting, ran []time.Duration
 	sequence := uint64(0)
@@ -89,7 +89,7 @@
 func TestRestartWithEarlierClockGetsTokens(t *testing.T) {
 	limit := route.RateLimit{Rate: 40, Burst: 40}
 	start := time.Unix(1_700_000_000, 0)
-	owner := NewOwner(tolerance, 1, start.Add(-time.Hour), nil)
+	owner := newSoleOwner(1, start.Add(-time.Hour), nil)
 	owner.Register(start, "h")
 	for _, instance := range []uint64{2_000, 1_000} {
 		h := newHolder("h", instance)
@@ -106,7 +106,7 @@
 // A holder of a build that spends no leases must not tie up shares of the rate.
 func TestHolderWithoutInstanceGetsNoLease(t *testing.T) {
 	start := time.Unix(1_700_000_000, 0)
-	owner := NewOwner(tolerance, 1, start.Add(-time.Hour), []string{"h"})
+	owner := newSoleOwner(1, start.Add(-time.Hour), []string{"h"})
 	request := TokenRequest{Tenant: "t", Limit: route.RateLimit{Rate: 40, Burst: 40}, Version: 1, Tokens: 1, Holder: "h", Sequence: 1, Demand: 5}
 	if grant := owner.HandleRequest(start, request); grant.Tokens != 1 || grant.Lease != nil || grant.Unheard {
 		t.Errorf("%+v", grant)
@@ -124,7 +124,7 @@
 		ids = append(ids, fmt.Sprint("h", i))
 		holders = append(holders, newHolder(ids[i], 1))
 	}
-	first := NewOwner(tolerance, 1, start.Add(-time.Hour), ids)
+	first := newSoleOwner(1, start.Add(-time.Hour), ids)
 	sequence := uint64(0)
 	ask := func(now time.Duration, owner *Owner, i int, limit route.RateLimit, version int64) bool {
 		at := start.Add(now)
@@ -142,7 +142,7 @@
 		ask(now, first, int(now/(5*time.Millisecond))%n, before, 1)
 	}
 	// The next owner hears one holder only; the others are cut off and know the new limit.
-	next := NewOwner(tolerance, 2, start.Add(changed), ids)
+	next := newSoleOwner(2, start.Add(changed), ids)
 	var ran []time.Duration
 	for now := changed; now < changed+12*time.Second; now += 5 * time.Millisecond {
 		for i := range n {
