membership: other zones are told the incarnation of a zone's stores

What callers saw: nothing yet; without it a leader notices only by a probe every 5 s that a store of another zone has been replaced by an older build, which then grants beside it.

Cause: a zone's summary named its stores without their incarnation, so that a restarted store looked like its predecessor in other zones, and was not checked again.

Change: StoreContact carries the incarnation; processes that do not know the field pass on summaries without it, and the probe stays.

Result: TestOtherZonesSeeRestartOfStore tests the new field; the tests of membership, node, store and storeclient pass.

--- a/membership/messages.go
+++ b/membership/messages.go
@@ -33,9 +33,10 @@
 // StoreContact is a store and the groups that it leads.
 type StoreContact struct {
 	Contact
-	Groups   []api.GroupSummary `json:"groups,omitempty"`
-	Replica  string             `json:"replica,omitempty"` // identity of its disk
-	DiskFull bool               `json:"disk_full,omitempty"`
+	Incarnation uint64             `json:"incarnation,omitempty"` // 0: not told
+	Groups      []api.GroupSummary `json:"groups,omitempty"`
+	Replica     string             `json:"replica,omitempty"` // identity of its disk
+	DiskFull    bool               `json:"disk_full,omitempty"`
 }
 
 // ZoneSummary is what other zones know about a zone. The highest Version wins.
--- a/membership/view.go
+++ b/membership/view.go
@@ -44,6 +44,7 @@
 	}
 	for _, store := range zone.summary.Stores {
 		node := m.remoteNode(zone, store.Contact)
+		node.Incarnation = store.Incarnation
 		node.Summary = api.LoadSummary{Sequence: uint64(zone.summary.Version), Groups: store.Groups, Replica: store.Replica, DiskFull: store.DiskFull}
 		nodes = append(nodes, node)
 	}
--- a/membership/zone_summary_test.go
+++ b/membership/zone_summary_test.go
@@ -74,3 +74,23 @@
 		}
 	}
 }
+
+// A store that has been replaced by another process must be told from its predecessor in other
+// zones too.
+func TestOtherZonesSeeRestartOfStore(t *testing.T) {
+	options := DefaultFleetOptions()
+	options.MeasureEvery, options.Regions, options.Zones, options.RoutersPerZone, options.StoresPerZone = 0, 1, 2, 4, 2
+	fleet := NewFleet(options)
+	fleet.Simulation.Run(settleTime)
+	store, holder := fleet.Member("store-00-01"), fleet.Member("router-01-00")
+	store.Process.Crash()
+	fleet.Simulation.Run(time.Second)
+	store.Process.Restart()
+	fleet.Start(store, 7)
+	_, err := runUntil(fleet, 15*time.Second, func() bool {
+		return slices.ContainsFunc(holder.Machine.Nodes(), func(node api.Node) bool { return node.ID == store.Node.ID && node.Incarnation == 7 })
+	})
+	if err != nil {
+		t.Errorf("restarted store in another zone: %v", err)
+	}
+}
--- a/membership/zones.go
+++ b/membership/zones.go
@@ -173,7 +173,7 @@
 	}
 	if node.Role == api.RoleStore {
 		store := StoreContact{
-			Contact: Contact{ID: node.ID, Role: node.Role, Address: node.Address},
+			Contact: Contact{ID: node.ID, Role: node.Role, Address: node.Address}, Incarnation: node.Incarnation,
 			Replica: node.Summary.Replica, DiskFull: node.Summary.DiskFull,
 		}
 		for _, group := range node.Summary.Groups {
