--- a/ratelimit/replacement_test.go
+++ b/ratelimit/replacement_test.go
@@ -40,6 +40,7 @@
 	keepFirst     bool          // the first store in placement order is not replaced
 	cutFromLeader bool          // leaders of this build don't reach stores without leases
 	leaderFirst   bool          // half of the frontends ask the leader first
+	splitFor      time.Duration // from simStart on, half of the processes see the first two stores in the other order
 	loss          float64       // fraction of requests for tokens that get no answer
 	fault         Fault
 
@@ -92,10 +93,15 @@
 	simLength        = 30 * time.Second
 )
 
+var simEpoch = time.Unix(1_700_000_000, 0)
+
 func (r *replacement) begin(seed uint64) time.Time {
 	r.random = rand.New(rand.NewPCG(seed, 2))
-	start := time.Unix(1_700_000_000, 0)
-	r.now, r.registered = start, map[string]bool{}
+	start := simEpoch
+	r.now = start
+	if r.registered == nil {
+		r.registered = map[string]bool{}
+	}
 	for i := range r.stores {
 		s := &simStore{id: i}
 		r.members, r.replaced = append(r.members, s), append(r.replaced, s)
@@ -278,12 +284,24 @@
 }
 
 func (r *replacement) isBackup(s *simStore) bool {
+	if r.isSplit() && s == r.members[1] {
+		return false
+	}
 	return slices.ContainsFunc(r.members[:slices.Index(r.members, s)], r.inView)
 }
 
+// isSplit reports whether processes differ about the first store.
+func (r *replacement) isSplit() bool {
+	at := r.now.Sub(simEpoch)
+	return at >= simStart && at < simStart+r.splitFor
+}
+
 // candidates returns the stores that a holder asks in turn.
-func (r *replacement) candidates(leaderFirst bool) []*simStore {
+func (r *replacement) candidates(f *simFrontend, leaderFirst bool) []*simStore {
 	list := slices.DeleteFunc(slices.Clone(r.members), func(s *simStore) bool { return !r.inView(s) })
+	if r.isSplit() && f.id%2 == 1 {
+		list[0], list[1] = list[1], list[0]
+	}
 	if leaderFirst && r.leader != nil {
 		list = slices.DeleteFunc(list, func(s *simStore) bool { return s == r.leader })
 		list = slices.Insert(list, 0, r.leader)
@@ -300,7 +318,7 @@
 	}
 	tried, refused := 0, map[*simStore]bool{}
 	for tried < 2 && len(refused) < 3 {
-		candidates := r.candidates(f.build == ungated || f.holder.ExpectsLeases("t") || r.leaderFirst && f.id%2 == 0)
+		candidates := r.candidates(f, f.build == ungated || f.holder.ExpectsLeases("t") || r.leaderFirst && f.id%2 == 0)
 		i := slices.IndexFunc(candidates, func(s *simStore) bool { return !refused[s] && f.holder.Available(r.now, fmt.Sprint(s.id)) })
 		if i < 0 {
 			break
@@ -338,7 +356,7 @@
 		return admitted
 	}
 	tried := 0
-	for _, s := range r.candidates(false) {
+	for _, s := range r.candidates(f, false) {
 		if !h.available(r.now, s.id) || tried == 2 {
 			continue
 		}
@@ -562,6 +580,23 @@
 	}
 }
 
+// Views that name different first stores must not multiply a limit that is granted by order.
+func TestDifferentOrdersOfStoresStayWithinLimit(t *testing.T) {
+	for _, rate := range []float64{3, 30, 120} {
+		t.Run(fmt.Sprintf("%g a second", rate), func(t *testing.T) {
+			for seed := range uint64(6) {
+				r := replacements(7.5)[0].replacement
+				r.from, r.to, r.limit, r.byOrder, r.keepFirst = gated, gated, route.RateLimit{Rate: rate, Burst: rate}, true, true
+				r.splitFor = 4 * time.Second
+				r.registered = map[string]bool{"by order": true}
+				if above, _ := r.run(seed); above > 0 {
+					t.Errorf("seed %d: %d requests above the bound of %.0f", seed, above, tolerance.Bound(r.limit))
+				}
+			}
+		})
+	}
+}
+
 // Below its limit, a tenant gets no more refusals while another build is replaced than while
 // processes are replaced by the same build.
 func TestReplacementRefusesNoMoreThanSameBuild(t *testing.T) {
