sidecar: a stream is not resumed at the same dead router again and again

What callers saw: a stream that was cut when a router was killed ended with outcome unknown, though its engine still had it and other routers lived (TestKillAndStopEachRole, 1 lost of 266 and of 223, "ask router to resume at router-0: ... connection refused").

Cause: each of the four attempts to resume drew a router at random among all that count as alive, and so could draw the one that had just been killed each time: one in 81 streams with three routers, one in 16 with two.

Evidence: the texts of both failures name router-0, the killed one, as the one asked. TestStreamsResumeBesideDeadRouter, one router alive and one dead, fails before at stream 7 of 100 with the same text.

Change: an attempt draws among the routers that have not failed this stream yet, if any.

Result: the new test passes (100 of 100 streams), the package's tests pass.

--- a/internal/sidecar/online_test.go
+++ b/internal/sidecar/online_test.go
@@ -151,6 +151,22 @@
 	}
 }
 
+// A stream must be resumed beside a router that has ended and still counts as alive.
+func TestStreamsResumeBesideDeadRouter(t *testing.T) {
+	f := newFixture(t, streamRouter(true, func(w http.ResponseWriter, r *http.Request) {
+		r.Header.Set(api.HeaderRequestID, strings.TrimPrefix(r.URL.Path, api.PathResumes))
+		writeResponse(w, r, stream, eventTwo+done)
+	}))
+	dead := httptest.NewServer(http.NotFoundHandler())
+	dead.Close()
+	f.sidecar.setHomes(append(f.nodes, api.Node{ID: "router-dead", Role: api.RoleRouter, Address: dead.Listener.Addr().String()}))
+	for i := range 100 {
+		if reply := f.postModel(); reply.err != nil || !strings.HasSuffix(reply.body, done) || strings.Contains(reply.body, "dykewing_outcome") {
+			t.Fatalf("stream %d: %q, %v", i, reply.body, reply.err)
+		}
+	}
+}
+
 func TestUnresumableStreamIsAborted(t *testing.T) {
 	f := newFixture(t, streamRouter(true, refuseWith(api.CodeNotFound, api.OutcomeUnknown)))
 	reply := f.postModel()
--- a/internal/sidecar/resume.go
+++ b/internal/sidecar/resume.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"slices"
 	"time"
 
 	"github.com/dykewing/dykewing/api"
@@ -34,11 +35,17 @@
 		return failure
 	}
 	answer.resumes++
+	var failed []api.NodeID
 	for number := range resumeAttempts {
 		if !sleep.For(ctx, time.Duration(number)*resumeBackoff) {
 			break
 		}
-		response, err := s.requestResume(ctx, request, answer.worker, passed)
+		router, ok := chooseRouter(s.homes.Load().routers, failed)
+		if !ok {
+			failure.Err = fmt.Errorf("%w; no router is known", cause)
+			continue
+		}
+		response, err := s.requestResume(ctx, request, router, answer.worker, passed)
 		if err == nil {
 			answer.response.Body.Close()
 			answer.response = response
@@ -46,18 +53,27 @@
 			s.metrics.resumed.Inc()
 			return nil
 		}
+		failed = append(failed, router.ID)
 		failure.Err = fmt.Errorf("%w; %w", cause, err)
 	}
 	return failure
 }
 
-func (s *Sidecar) requestResume(ctx context.Context, request *onlineRequest, worker string, from int) (*http.Response, error) {
-	const step = "ask router to resume"
-	routers := s.homes.Load().routers
+// chooseRouter returns a random router, one that has not failed if there is one: the stream of a
+// router that has just ended is resumed while it still counts as alive.
+func chooseRouter(routers []api.Node, failed []api.NodeID) (api.Node, bool) {
+	untried := slices.DeleteFunc(slices.Clone(routers), func(router api.Node) bool { return slices.Contains(failed, router.ID) })
+	if len(untried) > 0 {
+		routers = untried
+	}
 	if len(routers) == 0 {
-		return nil, api.NewError(step, "", api.CodeNoCapacity, api.OutcomeUnknown, "no router is known")
+		return api.Node{}, false
 	}
-	router := routers[rand.IntN(len(routers))]
+	return routers[rand.IntN(len(routers))], true
+}
+
+func (s *Sidecar) requestResume(ctx context.Context, request *onlineRequest, router api.Node, worker string, from int) (*http.Response, error) {
+	const step = "ask router to resume"
 	address := fmt.Sprintf("http://%s%s%s?from=%d", router.Address, api.PathResumes, url.PathEscape(string(request.routed.ID)), from)
 	outgoing, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
