ratelimit: what others granted counts as spent elsewhere for one window

What callers saw: nothing yet. A store by order that was away for long would be told all that others granted meanwhile, start far below zero, and refuse requests below the limit.

Cause: the reports that came in with had no end, as those of builds without leases.

Change: holders report what others granted in the last window of the tolerance (spending). Leased tokens are reported only for the terms in which this store leads.

--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -263,7 +263,7 @@
 	request := l.holder.NewRequest(now, tenant, q.tenant.Limit, q.version, len(q.waiters))
 	l.sequence++
 	request.Sequence = l.sequence
-	request.SpentElsewhere = l.holder.SpentElsewhere(string(owner.ID), tenant)
+	request.SpentElsewhere = l.holder.SpentElsewhere(now, string(owner.ID), tenant)
 	return owner, request, true
 }
 
--- a/internal/limiter/support.go
+++ b/internal/limiter/support.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,11 +33,9 @@
 	due := o.support.Due(clock.Now(), stores)
 	o.mutex.Unlock()
 	var probes sync.WaitGroup
-	for _, id := range due {
-		for i, store := range stores {
-			if store.ID == id {
-				probes.Go(func() { o.probeSupport(ctx, nodes[i], store) })
-			}
+	for i, store := range stores {
+		if slices.Contains(due, store.ID) {
+			probes.Go(func() { o.probeSupport(ctx, nodes[i], store) })
 		}
 	}
 	probes.Wait()
@@ -101,9 +100,9 @@
 // leases: it grants the whole limit to whoever asks it.
 func (o *Owner) primaryByOrder(tenant string) (api.Node, bool) {
 	o.mutex.Lock()
-	any := o.support.AnyByOrder()
+	byOrder := o.support.AnyByOrder()
 	o.mutex.Unlock()
-	if !any {
+	if !byOrder {
 		return api.Node{}, false
 	}
 	for _, node := range placement.RankStores(tenant, o.settings.Nodes()) {
@@ -152,8 +151,8 @@
 func (o *Owner) reportLeased(ctx context.Context, period time.Duration) {
 	var reports []ratelimit.TokenRequest
 	o.mutex.Lock()
-	for _, state := range o.terms {
-		if state.activation.Active() {
+	for group, state := range o.terms {
+		if term, leads := o.settings.Leads(group); leads && term == state.term && state.activation.Active() {
 			reports = append(reports, state.owner.LeasedTokens(clock.Now(), period)...)
 		}
 	}
--- a/ratelimit/holder.go
+++ b/ratelimit/holder.go
@@ -69,9 +69,8 @@
 	rejectUntil time.Time
 	nextRetryAt time.Time     // retry time of the next rejected request
 	spacing     time.Duration // between retry times
-	// elsewhere is, for each store that did not answer, the number of tokens that others have
-	// granted by order since.
-	elsewhere map[string]int
+	// elsewhere is, for each store that did not answer, what others have granted by order since.
+	elsewhere map[string]spending
 	demand    float64 // moving average before the last request, requests per second
 	usedAt    time.Time
 }
@@ -239,7 +238,7 @@
 	}
 	t := h.tenant(request.Tenant)
 	if len(t.elsewhere) > 0 {
-		t.countElsewhere(owner, request.SpentElsewhere, grant)
+		t.countElsewhere(now, owner, request.SpentElsewhere, grant, h.settings.Tolerance.Window)
 	}
 	h.accumulate(now, t, request.Limit)
 	d := h.domain(h.settings.Domain(request.Tenant))
@@ -318,25 +317,29 @@
 	h.MarkUnresponsive(now, owner)
 	t := h.tenant(tenant)
 	if t.elsewhere == nil {
-		t.elsewhere = map[string]int{}
+		t.elsewhere = map[string]spending{}
 	}
-	t.elsewhere[owner] += 0
+	t.elsewhere[owner] = t.elsewhere[owner].since(now.Add(-h.settings.Tolerance.Window))
 }
 
 // SpentElsewhere returns the number of tokens to report to an owner with the next request.
-func (h *Holder) SpentElsewhere(owner, tenant string) int { return h.tenant(tenant).elsewhere[owner] }
+func (h *Holder) SpentElsewhere(now time.Time, owner, tenant string) int {
+	return h.tenant(tenant).elsewhere[owner].since(now.Add(-h.settings.Tolerance.Window)).total()
+}
 
-// countElsewhere updates the tokens to be reported to owners after one has answered.
-func (t *tenantState) countElsewhere(owner string, reported int, grant Grant) {
-	if t.elsewhere[owner] -= reported; t.elsewhere[owner] <= 0 {
+// countElsewhere updates what is to be reported to owners after one has answered.
+func (t *tenantState) countElsewhere(now time.Time, owner string, reported int, grant Grant, window time.Duration) {
+	if left := t.elsewhere[owner].since(now.Add(-window)).without(reported); left.total() > 0 {
+		t.elsewhere[owner] = left
+	} else {
 		delete(t.elsewhere, owner)
 	}
 	if grant.Epoch > 0 {
 		return
 	}
-	for other := range t.elsewhere {
+	for other, spent := range t.elsewhere {
 		if other != owner {
-			t.elsewhere[other] += grant.Tokens
+			t.elsewhere[other] = spent.since(now.Add(-window)).with(now, grant.Tokens)
 		}
 	}
 }
--- a/ratelimit/replacement_test.go
+++ b/ratelimit/replacement_test.go
@@ -332,7 +332,7 @@
 		request := f.holder.NewRequest(r.now, "t", r.limit, 1, 1)
 		r.sequence++
 		request.Sequence = r.sequence
-		request.SpentElsewhere = f.holder.SpentElsewhere(fmt.Sprint(s.id), "t")
+		request.SpentElsewhere = f.holder.SpentElsewhere(r.now, fmt.Sprint(s.id), "t")
 		grant, owns := r.answer(s, request)
 		if !owns {
 			refused[s] = true
