ratelimit: a leader knows without a search whether a store grants by order

Cause: each request for tokens asked Support.AnyByOrder, which went over all stores: 150 of them at 3,600 requests a second and leader.

Change: the number of such stores is counted when a store's answer or the list changes.

--- a/ratelimit/support.go
+++ b/ratelimit/support.go
@@ -26,7 +26,8 @@
 // grant by order to whoever asks, all others only under a lease or with a permit. A store that
 // does not answer proves nothing; others may reach it.
 type Support struct {
-	stores map[string]*storeSupport
+	stores  map[string]*storeSupport
+	byOrder int // stores that are known to grant by order
 }
 
 type storeSupport struct {
@@ -75,6 +76,16 @@
 			delete(s.stores, id)
 		}
 	}
+	s.countByOrder()
+}
+
+func (s *Support) countByOrder() {
+	s.byOrder = 0
+	for _, known := range s.stores {
+		if known.mode == modeOrder {
+			s.byOrder++
+		}
+	}
 }
 
 // Due returns the stores to be probed now, sorted.
@@ -95,7 +106,7 @@
 }
 
 // Record records that the process of a store that was probed answered. leases reports whether it
-// grants only under a lease or with a permit. It returns false if the answer changes nothing.
+// grants only under a lease or with a permit. It returns false if that was known.
 func (s *Support) Record(now time.Time, store Store, leases bool) (changed bool) {
 	known := s.stores[store.ID]
 	if known == nil || store.Incarnation != 0 && store.Incarnation != known.incarnation {
@@ -107,6 +118,7 @@
 	}
 	changed = known.mode != mode
 	known.mode, known.answeredAt = mode, now
+	s.countByOrder()
 	return changed
 }
 
@@ -130,11 +142,4 @@
 }
 
 // AnyByOrder reports whether a store is known to be of a build without leases.
-func (s *Support) AnyByOrder() bool {
-	for _, known := range s.stores {
-		if known.mode == modeOrder {
-			return true
-		}
-	}
-	return false
-}
+func (s *Support) AnyByOrder() bool { return s.byOrder > 0 }
