detour: the replay's owners have evidence that no other process grants

Change: the replay confirms them, as the leader's checks do. Its checks stay.

Result: the package's tests pass.

--- a/detour/replay_test.go
+++ b/detour/replay_test.go
@@ -47,7 +47,9 @@
 	for i := range 8 {
 		node := api.Node{ID: api.NodeID(fmt.Sprint("store-", i)), Role: api.RoleStore}
 		f.stores = append(f.stores, node)
-		f.owners[node.ID] = ratelimit.NewOwner(tolerance, 1, testStart.Add(-time.Hour), nil)
+		owner := ratelimit.NewOwner(tolerance, 1, testStart.Add(-time.Hour), nil)
+		owner.Confirm(testStart.Add(-time.Hour), testStart.Add(time.Hour))
+		f.owners[node.ID] = owner
 	}
 	for i := range 30 {
 		zone := api.ZoneName(fmt.Sprint(i % 3))
