--- a/ratelimit/holder.go
+++ b/ratelimit/holder.go
@@ -311,39 +311,6 @@
 	b.until = now.Add(b.duration)
 }
 
-// MarkOwnerUnresponsive records that an owner did not answer a request for a tenant's tokens.
-// What others grant by order from then on is reported to it by SpentElsewhere.
-func (h *Holder) MarkOwnerUnresponsive(now time.Time, owner, tenant string) {
-	h.MarkUnresponsive(now, owner)
-	t := h.tenant(tenant)
-	if t.elsewhere == nil {
-		t.elsewhere = map[string]spending{}
-	}
-	t.elsewhere[owner] = t.elsewhere[owner].since(now.Add(-h.settings.Tolerance.Window))
-}
-
-// SpentElsewhere returns the number of tokens to report to an owner with the next request.
-func (h *Holder) SpentElsewhere(now time.Time, owner, tenant string) int {
-	return h.tenant(tenant).elsewhere[owner].since(now.Add(-h.settings.Tolerance.Window)).total()
-}
-
-// countElsewhere updates what is to be reported to owners after one has answered.
-func (t *tenantState) countElsewhere(now time.Time, owner string, reported int, grant Grant, window time.Duration) {
-	if left := t.elsewhere[owner].since(now.Add(-window)).without(reported); left.total() > 0 {
-		t.elsewhere[owner] = left
-	} else {
-		delete(t.elsewhere, owner)
-	}
-	if grant.Epoch > 0 {
-		return
-	}
-	for other, spent := range t.elsewhere {
-		if other != owner {
-			t.elsewhere[other] = spent.since(now.Add(-window)).with(now, grant.Tokens)
-		}
-	}
-}
-
 // MarkResponsive records that an owner or a peer answered.
 func (h *Holder) MarkResponsive(process string) { delete(h.backoffs, process) }
 
--- a/ratelimit/owner.go
+++ b/ratelimit/owner.go
@@ -91,7 +91,9 @@
 		for _, b := range o.buckets {
 			o.refill(b, now) // what has accumulated without evidence
 		}
-		o.start = maxTime(o.start, now)
+		if now.After(o.start) {
+			o.start = now
+		}
 	}
 	o.soleUntil = until
 }
@@ -103,13 +105,6 @@
 	b.sharedUntil = until
 }
 
-func maxTime(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // isSole reports whether no other process is known to grant the tokens of a bucket.
 func (o *Owner) isSole(b *bucket, now time.Time) bool {
 	return now.Before(o.soleUntil) && !now.Before(b.sharedUntil)
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -13,7 +13,9 @@
 //   - the capacity of the owner's bucket, the depths of all leases that may be in force, and
 //     the tokens that may run in a later window than they were granted in are together within
 //     the burst and the tolerance (see Tolerance.budget);
-//   - owners don't overlap: each grants from a time after which no earlier one grants.
+//   - owners don't overlap: each grants from a time after which no earlier one grants;
+//   - an owner grants in full only while it has evidence that no store grants by order beside
+//     it (see Owner.Confirm), and otherwise what such a store leaves of the tolerance.
 //
 // It relies on clocks whose rates differ by at most maxClockDrift; their readings do not matter.
 //
