Logs name the worker's software version and the attempt that a stream goes on from

Cause: a worker's entry carries the version of its software, and a client that takes a stream up again names the attempt that received its first event; neither was read, so no log tells which way a stream came to another version.

Change: worker.Worker has the version, backend.Request the attempt; lines of requests and items carry worker_version, resumes and last_event. Nothing decides by them yet.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -17,6 +17,7 @@
 	ID           string
 	Remaining    time.Duration // remaining time before the client's deadline; 0 if not given
 	LastEvent    string        // ID of the last event received, after which a stream resumes
+	Resumes      string        // ID of the request that received the first event of that stream; empty if not given
 	Parts        []worker.Part // of the prompt, in order
 	PromptTokens int
 	OutputTokens int // estimate; 0 if not given
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -52,7 +52,7 @@
 	l.service.metrics.attempts.WithLabelValues(string(verdict)).Inc()
 	if verdict != verdictDone {
 		l.log.WithFields(logrus.Fields{
-			"event": "item_send_ended", "request": i.job.ID, "digest": i.digest, "index": i.index, "worker": ticket.Worker.ID, "verdict": verdict,
+			"event": "item_send_ended", "request": i.job.ID, "digest": i.digest, "index": i.index, "worker": ticket.Worker.ID, "worker_version": ticket.Worker.Version, "verdict": verdict,
 			"sends": i.attempts, "failures": i.failures, "last_event": i.lastEventID, "bytes": len(i.text) - sent, "took_ms": time.Since(began).Milliseconds(),
 			"load": ticket.Load, "load_age_ms": ticket.ReportAge.Milliseconds(), "left_ms": time.Until(i.job.Due()).Milliseconds(),
 		}).WithError(err).Info("Item attempt ended before its output was complete.")
--- a/internal/frontend/online.go
+++ b/internal/frontend/online.go
@@ -104,7 +104,7 @@
 		if !x.canRetry(last) || wait.sendsLeft == 0 && !x.awaitCapacity(ctx, &wait, last) {
 			break
 		}
-		x.logEntry("request_retried", last.failure).WithField("worker", ticket.Worker.ID).WithField("load", ticket.Load).
+		x.logEntry("request_retried", last.failure).WithField("worker", ticket.Worker.ID).WithField("worker_version", ticket.Worker.Version).WithField("load", ticket.Load).
 			WithField("load_age_ms", ticket.ReportAge.Milliseconds()).WithFields(paceFields(ticket)).Info("A request goes to another worker.")
 	}
 	if x.refusal != nil && last.status != attemptWorkerError && x.runs == 0 {
@@ -361,7 +361,7 @@
 	if x.sends == 1 && !x.frontend.successLogs.Allow() {
 		return
 	}
-	x.logEntry("request_served", nil).WithField("worker", ticket.Worker.ID).WithField("load", ticket.Load).WithField("unread", ticket.UncachedTokens).
+	x.logEntry("request_served", nil).WithField("worker", ticket.Worker.ID).WithField("worker_version", ticket.Worker.Version).WithField("load", ticket.Load).WithField("unread", ticket.UncachedTokens).
 		WithField("load_age_ms", ticket.ReportAge.Milliseconds()).WithField("first_ms", x.timeToFirstByte.Milliseconds()).WithFields(paceFields(ticket)).Info("A request was served.")
 }
 
--- a/internal/frontend/serve.go
+++ b/internal/frontend/serve.go
@@ -261,6 +261,9 @@
 	if x.digest != "" {
 		entry = entry.WithField("digest", x.digest)
 	}
+	if x.request.LastEvent != "" {
+		entry = entry.WithFields(logrus.Fields{"resumes": x.request.Resumes, "last_event": x.request.LastEvent})
+	}
 	if failure != nil {
 		entry = entry.WithFields(logrus.Fields{"code": failure.Code, "outcome": failure.Outcome, "peer": failure.Peer, "step": failure.Step})
 		if failure.Err != nil {
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -31,6 +31,7 @@
 	Service    string
 	Address    string // host:port
 	Zone       string
+	Version    string        // of its software; empty if unknown
 	Slots      int           // number of requests served concurrently; 0 if unknown
 	Draining   bool          // draining: accepts no new requests
 	WarmupTime time.Duration // warm-up time after a start, during which it is slow
