Streams and items go on at the software version that began them

Cause: nothing that goes on with begun work knew the version that began it. A frontend's next attempt within an answer, a caller's own try at any frontend, and a leader that went on with an item each took any worker of the service. Class: an identity (the service) that is too narrow for what it guards (events of one writer).

Change: a stream's origin (service and version) is recorded with its first event and told, without waiting, to two stores and a frontend of the zone; who takes the stream up again finds it there and binds the choice of a worker, and the reservation of a slot, to it. An unknown version or one without workers is rejected at once, never guessed. A part of an item's output in the log names its origin; output of unknown origin, or whose version is gone, is discarded. A request that waits for a slot of its version holds up no other.

The test of the reservation queue fails without either half of its change.

--- a/api/outcome.go
+++ b/api/outcome.go
@@ -21,32 +21,33 @@
 
 // Error codes seen by callers, operators and other nodes, with their HTTP status.
 const (
-	CodeBadRequest          ErrorCode = "bad_request"       // 400
-	CodeUnauthorized        ErrorCode = "unauthorized"      // 401: no valid API key
-	CodeTooLarge            ErrorCode = "request_too_large" // 413
-	CodeNotFound            ErrorCode = "not_found"         // 404
-	CodeConflict            ErrorCode = "conflict"          // 409
-	CodeUnknownService      ErrorCode = "model_not_found"   // 404
-	CodeCeiling             ErrorCode = "ceiling_reached"   // 429
-	CodeRateLimit           ErrorCode = "rate_limit"        // 429: the tenant's request limit is exceeded
-	CodeQueueFull           ErrorCode = "queue_full"        // 429: the route's queue is full
-	CodeNoCapacity          ErrorCode = "no_capacity"       // 503
-	CodeNoTable             ErrorCode = "no_table"          // 503
-	CodeNotLeader           ErrorCode = "not_leader"        // 503, internal
-	CodeNoQuorum            ErrorCode = "no_quorum"         // 503
-	CodeKeyValueUnavailable ErrorCode = "no_contact"        // 503, internal: the key-value service does not respond
-	CodeLeaving             ErrorCode = "leaving"           // 503
-	CodePreempted           ErrorCode = "preempted"         // 503, batch only
-	CodeDiskFull            ErrorCode = "disk_full"         // 507
-	CodeDeadline            ErrorCode = "deadline_exceeded" // 504
-	CodeUpstream            ErrorCode = "upstream_failed"   // 502
-	CodeOutcomeUnknown      ErrorCode = "outcome_unknown"   // 502
-	CodeClientCancelled     ErrorCode = "client_cancelled"  // 499
-	CodeInProgress          ErrorCode = "in_progress"       // 409
-	CodeInternal            ErrorCode = "internal_error"    // 500
-	CodeOverloaded          ErrorCode = "overloaded"        // 503: this process is at its capacity
-	CodeQuarantined         ErrorCode = "quarantined"       // 502: the request is suspected of crashing workers
-	CodeRequestTimeout      ErrorCode = "request_timeout"   // 408: the caller sends too slowly
+	CodeBadRequest          ErrorCode = "bad_request"         // 400
+	CodeUnauthorized        ErrorCode = "unauthorized"        // 401: no valid API key
+	CodeTooLarge            ErrorCode = "request_too_large"   // 413
+	CodeNotFound            ErrorCode = "not_found"           // 404
+	CodeConflict            ErrorCode = "conflict"            // 409
+	CodeUnknownService      ErrorCode = "model_not_found"     // 404
+	CodeCeiling             ErrorCode = "ceiling_reached"     // 429
+	CodeRateLimit           ErrorCode = "rate_limit"          // 429: the tenant's request limit is exceeded
+	CodeQueueFull           ErrorCode = "queue_full"          // 429: the route's queue is full
+	CodeNoCapacity          ErrorCode = "no_capacity"         // 503
+	CodeNoTable             ErrorCode = "no_table"            // 503
+	CodeNotLeader           ErrorCode = "not_leader"          // 503, internal
+	CodeNoQuorum            ErrorCode = "no_quorum"           // 503
+	CodeKeyValueUnavailable ErrorCode = "no_contact"          // 503, internal: the key-value service does not respond
+	CodeLeaving             ErrorCode = "leaving"             // 503
+	CodePreempted           ErrorCode = "preempted"           // 503, batch only
+	CodeDiskFull            ErrorCode = "disk_full"           // 507
+	CodeDeadline            ErrorCode = "deadline_exceeded"   // 504
+	CodeUpstream            ErrorCode = "upstream_failed"     // 502
+	CodeOutcomeUnknown      ErrorCode = "outcome_unknown"     // 502
+	CodeClientCancelled     ErrorCode = "client_cancelled"    // 499
+	CodeInProgress          ErrorCode = "in_progress"         // 409
+	CodeInternal            ErrorCode = "internal_error"      // 500
+	CodeOverloaded          ErrorCode = "overloaded"          // 503: this process is at its capacity
+	CodeQuarantined         ErrorCode = "quarantined"         // 502: the request is suspected of crashing workers
+	CodeVersionUnavailable  ErrorCode = "version_unavailable" // 503: a stream can't go on at the software version that began it
+	CodeRequestTimeout      ErrorCode = "request_timeout"     // 408: the caller sends too slowly
 )
 
 var httpStatus = map[ErrorCode]int{
@@ -55,7 +56,7 @@
 	CodeNotLeader: 503, CodeNoQuorum: 503, CodeKeyValueUnavailable: 503, CodeLeaving: 503, CodePreempted: 503,
 	CodeDiskFull: 507, CodeDeadline: 504, CodeUpstream: 502, CodeOutcomeUnknown: 502,
 	CodeClientCancelled: 499, CodeInProgress: 409, CodeInternal: 500,
-	CodeOverloaded: 503, CodeQuarantined: 502, CodeRequestTimeout: 408,
+	CodeOverloaded: 503, CodeQuarantined: 502, CodeVersionUnavailable: 503, CodeRequestTimeout: 408,
 }
 
 // HTTPStatus returns the HTTP status for the code; 500 if the code is unknown.
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,12 +20,20 @@
 	changed func()
 
 	generation atomic.Uint64
+
+	versions map[string]versionPeriod // by service; guarded by mutex
+}
+
+// versionPeriod is a period in which all workers of a service had one software version.
+type versionPeriod struct {
+	version string
+	since   time.Time
 }
 
 // NewPool returns an empty pool. changed may be nil; it is called without the lock held
 // after a change of the worker list, the configuration or the evacuated zones.
 func NewPool(settings worker.Settings, changed func()) *Pool {
-	return &Pool{pool: worker.NewPool(settings), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), changed: changed}
+	return &Pool{pool: worker.NewPool(settings), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), changed: changed, versions: map[string]versionPeriod{}}
 }
 
 // Assignment is a request's assignment to a worker, from Take until End. It is not safe for
@@ -264,6 +273,7 @@
 				pool.Put(change.Worker)
 			}
 		}
+		p.trackVersions(pool, changes)
 	})
 	p.generation.Add(1)
 	if p.changed != nil {
@@ -271,6 +281,52 @@
 	}
 }
 
+// trackVersions begins or ends the periods in which the workers of a service have one software
+// version. The caller holds the mutex.
+func (p *Pool) trackVersions(pool *worker.Pool, changes []catalog.Change) {
+	services := map[string]bool{}
+	for _, change := range changes {
+		services[change.Worker.Service] = true
+	}
+	for service := range p.versions { // a removal does not name the service
+		services[service] = true
+	}
+	for service := range services {
+		versions := pool.Versions(service)
+		switch {
+		case len(versions) != 1:
+			delete(p.versions, service)
+		case p.versions[service].version != versions[0] || p.versions[service].since.IsZero():
+			p.versions[service] = versionPeriod{version: versions[0], since: time.Now()}
+		}
+	}
+}
+
+// SoleVersion returns the software version of a service's workers if this process has listed no
+// other one for at least the given time.
+func (p *Pool) SoleVersion(service string, atLeast time.Duration) (string, bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	known, ok := p.versions[service]
+	if !ok || time.Since(known.since) < atLeast || !slices.Equal(p.pool.Versions(service), []string{known.version}) {
+		return "", false
+	}
+	return known.version, true
+}
+
+// VersionOf returns the software version of a listed worker.
+func (p *Pool) VersionOf(id string) (version string, ok bool) {
+	p.withLock(func(pool *worker.Pool) { version, ok = pool.VersionOf(id) })
+	return version, ok
+}
+
+// ServesVersion reports whether a worker of a service with a software version accepts requests,
+// limited to the given groups if there are any.
+func (p *Pool) ServesVersion(service, version string, groups ...int) (serves bool) {
+	p.withLock(func(pool *worker.Pool) { serves = pool.ServesVersion(service, version, groups...) })
+	return serves
+}
+
 // ConfigurationChanged sets the cache capacity of each service's engines.
 func (p *Pool) ConfigurationChanged(configuration *route.Configuration) {
 	p.withLock(func(pool *worker.Pool) {
--- a/internal/batchrun/commit.go
+++ b/internal/batchrun/commit.go
@@ -28,7 +28,9 @@
 	}
 	result := jobs.InlineResult{Job: i.job.ID, Index: i.index, ItemID: stored.ID, Outcome: outcome, Text: text}
 	i.outputMutex.Lock()
-	result.CheckpointBytes = min(i.committedBytes, len(text))
+	if !i.detached {
+		result.CheckpointBytes = min(i.committedBytes, len(text))
+	}
 	i.outputMutex.Unlock()
 	select {
 	case l.results <- result:
--- a/internal/batchrun/dispatch.go
+++ b/internal/batchrun/dispatch.go
@@ -146,9 +146,7 @@
 	if l.quarantined(i) {
 		return false
 	}
-	if !matched.Allows(i.service) {
-		i.service = matched.Shares[0].Service
-	}
+	l.chooseService(i, matched)
 	l.planService(now, i.service, b)
 	if full[i.service] && i.standing != fill.Urgent {
 		return false
@@ -167,13 +165,13 @@
 	if i.avoidWorker != "" {
 		query.Excluded = []string{i.avoidWorker}
 	}
-	ticket, ok := l.takeWorker(now, i.standing, query)
+	ticket, ok := l.takeVersion(now, i, query)
 	if !ok && heldBack {
 		return false
 	}
 	if !ok {
 		i.avoidWorker = ""
-		full[i.service] = i.standing != fill.Urgent
+		full[i.service] = i.standing != fill.Urgent && i.origin == nil
 		return false
 	}
 	if b.probes[ticket.Worker.ID] == i.service {
@@ -208,6 +206,10 @@
 	}
 	i.text, i.lastEventID, i.proposedBytes, i.committedBytes = []byte(partial.Text), partial.LastEvent, len(partial.Text), len(partial.Text)
 	i.failures, i.proposedFailures = partial.Failures, partial.Failures
+	i.origin = partial.Origin
+	if partial.LastEvent != "" && partial.Origin == nil {
+		l.restart(i, "the version that wrote its output is unknown")
+	}
 	i.path, i.host, i.parts, i.tokens = stored.Path, i.job.Host, request.Parts, request.PromptTokens
 	i.digest = quarantine.Identity{Tenant: string(i.job.Tenant), Host: i.host, Target: stored.Path, Body: stored.Body}.Digest()
 	return true
--- a/internal/batchrun/keep.go
+++ b/internal/batchrun/keep.go
@@ -89,12 +89,17 @@
 func (i *item) nextPart(now time.Time, interval time.Duration, room bool) (jobs.InlinePart, bool) {
 	i.outputMutex.Lock()
 	defer i.outputMutex.Unlock()
-	due := room && len(i.text)-i.proposedBytes >= minPartBytes && now.Sub(i.proposedAt) >= interval
+	due := room && !i.detached && len(i.text)-i.proposedBytes >= minPartBytes && now.Sub(i.proposedAt) >= interval
 	if !due && i.failures == i.proposedFailures {
 		return jobs.InlinePart{}, false
 	}
+	if i.detached {
+		i.proposedFailures = i.failures
+		return jobs.InlinePart{Job: i.job.ID, Index: i.index, Offset: i.proposedBytes, Failures: i.failures}, true
+	}
 	part := jobs.InlinePart{
 		Job: i.job.ID, Index: i.index, Offset: i.proposedBytes, Text: string(i.text[i.proposedBytes:]), LastEvent: i.lastEventID, Failures: i.failures,
+		Origin: i.origin,
 	}
 	i.proposedBytes, i.proposedFailures, i.proposedAt = len(i.text), i.failures, now
 	return part, true
--- a/internal/batchrun/leader.go
+++ b/internal/batchrun/leader.go
@@ -13,6 +13,7 @@
 	"github.com/dykewing/dykewing/fill"
 	"github.com/dykewing/dykewing/internal/dispatch"
 	"github.com/dykewing/dykewing/jobs"
+	"github.com/dykewing/dykewing/origin"
 	"github.com/dykewing/dykewing/quarantine"
 	"github.com/dykewing/dykewing/worker"
 )
@@ -39,18 +40,21 @@
 	parts            []worker.Part
 	tokens           int
 	service          string
-	attempts         int        // including retries
-	notBefore        time.Time  // retry backoff
-	outputMutex      sync.Mutex // guards the fields up to proposedFailures while the item runs
-	failures         int        // failed runs, under all leaders
-	text             []byte     // data of complete events so far
-	lastEventID      string     // ID of the last complete event
-	lastEventAt      time.Time  // when it arrived
-	proposedBytes    int        // bytes of text that were proposed as partial output
-	committedBytes   int        // of proposedBytes, those known to be committed
-	proposedAt       time.Time  // when proposedBytes last changed
-	proposedFailures int        // failures that were proposed
-	avoidWorker      string     // worker of the previous attempt
+	attempts         int            // including retries
+	notBefore        time.Time      // retry backoff
+	outputMutex      sync.Mutex     // guards the fields up to proposedFailures while the item runs
+	failures         int            // failed runs, under all leaders
+	text             []byte         // data of complete events so far
+	lastEventID      string         // ID of the last complete event
+	origin           *origin.Origin // of text; nil while text is empty
+	detached         bool           // text does not continue the stored partial output
+	lastEventAt      time.Time      // when it arrived
+	proposedBytes    int            // bytes of text that were proposed as partial output
+	committedBytes   int            // of proposedBytes, those known to be committed
+	proposedAt       time.Time      // when proposedBytes last changed
+	proposedFailures int            // failures that were proposed
+	avoidWorker      string         // worker of the previous attempt
+	blockedSince     time.Time      // no worker of its version had a slot since then; zero if one had
 	cancel           context.CancelFunc
 	worker           string       // ID of the worker that runs it
 	startedAt        time.Time    // start of the current run
--- a/internal/batchrun/places.go
+++ b/internal/batchrun/places.go
@@ -103,7 +103,7 @@
 	if ask.Wait > 0 && ask.Returning {
 		queue.RecordArrival(now, waiter) // before the grant, so that an earlier promise counts
 	}
-	if queue.Len() == 0 {
+	if !queue.TakesAnySlot() {
 		if answer, ok := b.grant(now, leaders, waiter); ok {
 			b.recordArrival(now, queue, waiter)
 			return nil, answer
@@ -200,6 +200,9 @@
 		}
 		for _, waiter := range queue.Sorted(now) {
 			answer, ok := b.grant(now, leaders, waiter)
+			if !ok && waiter.Request.HasVersion {
+				continue // others may use slots that it must not
+			}
 			if !ok {
 				break
 			}
@@ -313,11 +316,12 @@
 func (b *slotBroker) chooseWorker(leaders []*Leader, ask reservation.Request, fits func(worker.Occupancy) bool) (string, bool) {
 	pool := b.service.pool
 	if wanted, listed := pool.OccupancyOf(ask.Worker); listed && wanted.Service == ask.Service && ownedByAny(leaders, ask.Worker) &&
-		!slices.Contains(ask.Excluded, ask.Worker) && fits(wanted) && !pool.PaceKnown(ask.Service) && pool.Slowness(ask.Worker) == 1 {
+		!slices.Contains(ask.Excluded, ask.Worker) && (!ask.HasVersion || wanted.Version == ask.Version) && fits(wanted) && !pool.PaceKnown(ask.Service) && pool.Slowness(ask.Worker) == 1 {
 		return ask.Worker, true
 	}
 	choice, ok := pool.Choose(worker.Query{
 		Service: ask.Service, Parts: ask.Parts, Tokens: ask.Tokens, Zone: ask.Zone, Excluded: ask.Excluded,
+		Version: ask.Version, HasVersion: ask.HasVersion,
 		Groups: groupsOf(leaders), FilterOccupancy: fits,
 	})
 	if ok && choice.Pace.Source != worker.PaceUnknown {
--- a/internal/batchrun/places_test.go
+++ b/internal/batchrun/places_test.go
@@ -16,6 +16,13 @@
 	return &reservation.Request{Service: "lm", Worker: worker, TimeToTarget: time.Second, TimeToDeadline: time.Minute, Wait: wait}
 }
 
+// askForVersion is askFor with a software version.
+func askForVersion(worker, version string, wait time.Duration) *reservation.Request {
+	ask := askFor(worker, wait)
+	ask.Version, ask.HasVersion = version, true
+	return ask
+}
+
 // heldReport returns a frontend's report of held slots.
 func heldReport(sequence uint64, held map[string]int) reservation.Report {
 	return reservation.Report{Node: "front", Sequence: sequence, InFlight: held}
@@ -36,6 +43,8 @@
 		{"one free slot", 1, map[string]int{"w0": 11}, askFor("w0", 0), "w0", false},
 		{"no free slot", 2, map[string]int{"w0": 12, "w1": 13}, askFor("w1", 0), "", true},
 		{"other worker is excluded", 2, map[string]int{"w1": 12}, &reservation.Request{Service: "lm", Worker: "w1", Excluded: []string{"w0"}, TimeToTarget: time.Second, TimeToDeadline: time.Minute}, "", true},
+		{"no worker of the version", 2, nil, askForVersion("w1", "v9", 0), "", true},
+		{"version of the workers", 2, nil, askForVersion("w1", "", 0), "w1", false},
 		{"unknown service", 2, nil, &reservation.Request{Service: "other", Worker: "w0", TimeToDeadline: time.Minute}, "", true},
 	}
 	for _, test := range tests {
@@ -119,6 +128,30 @@
 	}
 }
 
+// A waiting stream whose version has no slot must not hold up requests that may run anywhere.
+func TestStreamThatWaitsForItsVersionHoldsUpNoOther(t *testing.T) {
+	l := testLeader(t, 0, 1)
+	broker, now := l.service.slots, time.Now()
+	full := heldReport(1, map[string]int{"w0": 12})
+	bound, other := askForVersion("w0", "v9", time.Minute), askFor("w0", time.Minute)
+	bound.Rank = waitorder.Rank{Tenant: -1}
+	var waiters []*reservation.Waiter
+	for _, ask := range []*reservation.Request{bound, other} {
+		waiter, got := broker.handle(now, l.service.currentLeaders(), reservation.Message{Report: full, Request: ask})
+		if waiter == nil {
+			t.Fatalf("%+v", got)
+		}
+		waiters = append(waiters, waiter)
+	}
+	broker.handle(now, l.service.currentLeaders(), reservation.Message{Report: heldReport(2, map[string]int{"w0": 11})})
+	if len(waiters[0].Response) != 0 || len(waiters[1].Response) != 1 {
+		t.Errorf("granted: %d of the version, %d other, want 0 and 1", len(waiters[0].Response), len(waiters[1].Response))
+	}
+	if _, got := broker.handle(now, l.service.currentLeaders(), reservation.Message{Report: heldReport(3, map[string]int{"w0": 10}), Request: askFor("w0", 0)}); got.Worker != "w0" {
+		t.Errorf("a later request got %+v, want the free slot", got)
+	}
+}
+
 func TestRequestThatCannotBeInTimeIsRefusedAtOnce(t *testing.T) {
 	l := testLeader(t, 0, 1)
 	ask := askFor("w0", time.Minute)
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -16,6 +16,7 @@
 	"github.com/dykewing/dykewing/internal/backend"
 	"github.com/dykewing/dykewing/internal/engine"
 	"github.com/dykewing/dykewing/jobs"
+	"github.com/dykewing/dykewing/origin"
 	"github.com/dykewing/dykewing/worker"
 )
 
@@ -57,7 +58,11 @@
 			"load": ticket.Load, "load_age_ms": ticket.ReportAge.Milliseconds(), "left_ms": time.Until(i.job.Due()).Milliseconds(),
 		}).WithError(err).Info("Item attempt ended before its output was complete.")
 	}
-	l.finishRun(i, verdict, maximumFailures, ticket.Worker.ID, len(i.text)-sent)
+	received := len(i.text) - sent
+	if listed, ok := l.service.pool.VersionOf(ticket.Worker.ID); verdict != verdictDone && received > 0 && ok && listed != ticket.Worker.Version {
+		l.restart(i, "its worker was replaced by one of another version")
+	}
+	l.finishRun(i, verdict, maximumFailures, ticket.Worker.ID, received)
 	l.wakeUp()
 }
 
@@ -207,15 +212,19 @@
 		}
 		idle.reset()
 		ticket.RecordPromptRead()
-		i.appendEvent(event)
+		i.appendEvent(event, origin.Origin{Service: ticket.Worker.Service, Version: ticket.Worker.Version})
 	}
 }
 
-// appendEvent adds an event to the item's text. The event's data lines are joined with line feeds.
-func (i *item) appendEvent(event []byte) {
+// appendEvent adds an event of a worker to the item's text. The event's data lines are joined with
+// line feeds.
+func (i *item) appendEvent(event []byte, from origin.Origin) {
 	i.outputMutex.Lock()
 	defer i.outputMutex.Unlock()
 	i.lastEventAt = time.Now()
+	if i.origin == nil {
+		i.origin = &from
+	}
 	first := i.lastEventID == ""
 	for line := range bytes.Lines(event) {
 		line = bytes.TrimRight(line, "\r\n")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/dykewing/dykewing/internal/limiter"
 	"github.com/dykewing/dykewing/internal/node"
 	"github.com/dykewing/dykewing/internal/relay"
+	"github.com/dykewing/dykewing/internal/resume"
 	"github.com/dykewing/dykewing/internal/router"
 	"github.com/dykewing/dykewing/internal/sidecar"
 	"github.com/dykewing/dykewing/internal/startup"
@@ -183,6 +184,7 @@
 		Nodes:  common.Nodes, Stores: func() []api.Node { return storesOf(runner.RegisteredStores().Extend(common.Nodes())) },
 		Client: common.Control,
 	})
+	resume.New(resume.Settings{Client: common.Control, Log: common.Logger("resume")}).Register(common.Mux)
 	common.Mux.Handle("POST "+limiter.PathTokens, limits)
 	common.Mux.HandleFunc("POST "+limiter.PathByOrder, limits.ServeByOrder)
 	return func(ctx context.Context) error {
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -23,6 +23,7 @@
 	"github.com/dykewing/dykewing/internal/limiter"
 	"github.com/dykewing/dykewing/internal/node"
 	"github.com/dykewing/dykewing/internal/relayed"
+	"github.com/dykewing/dykewing/internal/resume"
 	"github.com/dykewing/dykewing/internal/startup"
 	"github.com/dykewing/dykewing/internal/storeclient"
 	"github.com/dykewing/dykewing/internal/transport"
@@ -65,6 +66,7 @@
 	limiter     *limiter.Limiter
 	registered  *storeclient.Registrations
 	guard       *guard.Guard
+	origins     *resume.Registry
 	metrics     *metrics
 	memory      *memoryBudget // bounds request and response bytes held in memory
 	port        string        // of settings.Address; the same on all machines
@@ -147,6 +149,8 @@
 	}
 	f.catalog.AddView(common.Settings.KeyValueService.Prefix+guard.Prefix, f.guard.View())
 	f.guard.RegisterAdmin(common.Mux)
+	f.origins = resume.New(resume.Settings{Holders: f.originHolders, Client: common.Control, Log: common.Logger("resume")})
+	f.origins.Register(common.Mux)
 	f.catalog.AddView(common.Settings.KeyValueService.Prefix+storeclient.PrefixStores, registered)
 	f.catalog.AddView(common.Settings.KeyValueService.Prefix+storeclient.PrefixGroups, f.leaders)
 	common.Mux.HandleFunc("GET "+catalog.PathConfiguration, f.catalog.ServeConfiguration)
--- a/internal/frontend/online.go
+++ b/internal/frontend/online.go
@@ -16,7 +16,6 @@
 	"github.com/dykewing/dykewing/internal/engine"
 	"github.com/dykewing/dykewing/pressure"
 	"github.com/dykewing/dykewing/route"
-	"github.com/dykewing/dykewing/worker"
 )
 
 const (
@@ -57,12 +56,15 @@
 	defer context.AfterFunc(f.shutdownCtx, cancel)()
 	x.service = f.drawService(x.route)
 	x.lastEventID = x.request.LastEvent
+	if !x.findOrigin(ctx) {
+		return
+	}
 	last := attemptResult{failure: api.NewError("choose worker", "", api.CodeNoCapacity, api.OutcomeNotRun, "no worker of service %s is available", x.service)}
 	wait := capacityWait{sendsLeft: maxSends}
 	defer x.stopWaiting(&wait)
 	for {
 		// Checked before waiting for a slot, since the refusal is final.
-		if refusal := x.checkQuarantine(ctx); refusal != nil {
+		if refusal := x.checkSend(ctx); refusal != nil {
 			x.reject(refusal)
 			return
 		}
@@ -88,6 +90,7 @@
 		x.sends++
 		wait.sendsLeft--
 		f.capacity.requestSent(time.Now(), x.service)
+		events := x.events
 		last = x.attempt(ctx, ticket)
 		f.capacity.requestEnded(time.Now(), x.service, last.status != attemptNotRun)
 		x.reportRun(ticket, last)
@@ -98,6 +101,9 @@
 			return
 		}
 		x.tried = append(x.tried, ticket.Worker.ID)
+		if x.events > events {
+			x.verifyOrigin(ticket)
+		}
 		if x.callerCancelled() {
 			x.abortCallerGone("send to worker", x.r.Context().Err())
 		}
@@ -113,6 +119,14 @@
 	x.giveUp(last)
 }
 
+// checkSend returns an error if the request must not be sent to any worker.
+func (x *exchange) checkSend(ctx context.Context) *api.Error {
+	if refusal := x.checkVersion(); refusal != nil {
+		return refusal
+	}
+	return x.checkQuarantine(ctx)
+}
+
 // reject answers a request that must not be sent, or not again.
 func (x *exchange) reject(refusal *api.Error) {
 	if x.headerWritten {
@@ -159,10 +173,6 @@
 	x.logEntry("place_dropped", nil).WithField("worker", ticket.Worker.ID).Info("The worker left during the reservation of a slot; another one is chosen.")
 }
 
-func (x *exchange) workerQuery() worker.Query {
-	return worker.Query{Service: x.service, Parts: x.request.Parts, Tokens: x.request.PromptTokens, Excluded: x.tried}
-}
-
 // canRetry tells whether another worker may be tried: always if no worker ran the
 // request, else only on repeatable routes and up to the route's maximum of attempts.
 func (x *exchange) canRetry(last attemptResult) bool {
--- a/internal/frontend/places.go
+++ b/internal/frontend/places.go
@@ -311,6 +311,7 @@
 func (r *reservations) requestSlot(ctx context.Context, peer api.Node, ticket *backend.Assignment, query worker.Query, entry waitorder.Request, ask reservation.Request) (reservation.Response, error) {
 	wait := ask.Wait
 	ask.Service, ask.Worker, ask.Parts, ask.Tokens, ask.Excluded = query.Service, ticket.Worker.ID, query.Parts, query.Tokens, query.Excluded
+	ask.Version, ask.HasVersion = query.Version, query.HasVersion
 	ask.Zone, ask.Rank, ask.TimeToTarget, ask.TimeToDeadline = r.zone, entry.Rank, time.Until(entry.Target), time.Until(entry.Deadline)
 	if !entry.Promised.IsZero() {
 		due := time.Until(entry.Promised)
--- a/internal/frontend/serve.go
+++ b/internal/frontend/serve.go
@@ -13,6 +13,7 @@
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/internal/backend"
 	"github.com/dykewing/dykewing/internal/transport"
+	"github.com/dykewing/dykewing/origin"
 	"github.com/dykewing/dykewing/pressure"
 	"github.com/dykewing/dykewing/quarantine"
 	"github.com/dykewing/dykewing/route"
@@ -108,6 +109,9 @@
 	lastEventID     string // of the last event written to the caller
 	events          int
 	timeToFirstByte time.Duration // since arrival
+
+	origin        *origin.Origin // of the stream; nil before its first event
+	originUnknown bool           // origin may be wrong: the stream must not go on
 }
 
 // timeLimit returns the time limit of the request, counted from its arrival.
--- a/internal/frontend/stream.go
+++ b/internal/frontend/stream.go
@@ -41,6 +41,7 @@
 		if !x.headerWritten {
 			x.copyHeader(incoming.Response.Header)
 			_ = controller.SetWriteDeadline(x.deadline)
+			x.recordOrigin(ticket)
 			x.writeHeader(incoming.Response.StatusCode)
 		}
 		if err := memory.beginEvent(ctx, len(event), cancel); err != nil {
--- a/jobs/inline.go
+++ b/jobs/inline.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/origin"
 )
 
 // An inline job is submitted together with its items. Its results form a list in the
@@ -53,6 +54,8 @@
 	Text      string `json:"text,omitempty"`
 	LastEvent string `json:"last,omitempty"`     // ID of the last event in Text
 	Failures  int    `json:"failures,omitempty"` // total; never decreases
+	// Origin is the software that wrote Text; nil if unknown, as in parts of earlier builds.
+	Origin *origin.Origin `json:"origin,omitempty"`
 }
 
 // InlinePartial is the stored partial output of an item that is not listed yet.
@@ -60,6 +63,8 @@
 	Text      string `json:"text"`
 	LastEvent string `json:"last"`
 	Failures  int    `json:"failures,omitempty"`
+	// Origin is the software that wrote all of Text; nil if unknown.
+	Origin *origin.Origin `json:"origin,omitempty"`
 }
 
 // EndInline ends a job, which accepts no further results.
@@ -226,10 +231,25 @@
 	}
 	c.put(key, InlinePartial{
 		Text: kept.Text + part.Text, LastEvent: cmp.Or(part.LastEvent, kept.LastEvent), Failures: max(kept.Failures, part.Failures),
+		Origin: originOf(kept, part),
 	})
 	return true
 }
 
+// originOf returns the software that wrote a stored text and its next part, or nil if that is
+// unknown or not the same.
+func originOf(kept InlinePartial, part InlinePart) *origin.Origin {
+	switch {
+	case part.Text == "":
+		return kept.Origin
+	case kept.Text == "":
+		return part.Origin
+	case kept.Origin == nil || part.Origin == nil || *kept.Origin != *part.Origin:
+		return nil
+	}
+	return kept.Origin
+}
+
 func (c *change) endInline(command EndInline) Result {
 	job, ok := c.inlineJob(command.Job)
 	if !ok || !job.VisibleTo(command.Tenant) {
--- a/jobs/inline_test.go
+++ b/jobs/inline_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/dykewing/dykewing/origin"
 )
 
 func inlineItems(count int) []InlineItem {
@@ -235,3 +237,37 @@
 		t.Error("no violation was detected with AcceptSecondResult")
 	}
 }
+
+// A text is bound to the version that wrote it only while every part of it is known to be of that
+// version; leaders of earlier builds store parts without one.
+func TestInlinePartialKnowsItsOrigin(t *testing.T) {
+	v1, v2 := &origin.Origin{Service: "s", Version: "v1"}, &origin.Origin{Service: "s", Version: "v2"}
+	tests := []struct {
+		name  string
+		parts []InlinePart
+		want  *origin.Origin
+	}{
+		{"one version", []InlinePart{{Text: "a", Origin: v1}, {Offset: 1, Text: "b", Origin: v1}}, v1},
+		{"two versions", []InlinePart{{Text: "a", Origin: v1}, {Offset: 1, Text: "b", Origin: v2}}, nil},
+		{"later part of an earlier build", []InlinePart{{Text: "a", Origin: v1}, {Offset: 1, Text: "b"}}, nil},
+		{"earlier part of an earlier build", []InlinePart{{Text: "a"}, {Offset: 1, Text: "b", Origin: v1}}, nil},
+		{"failures only", []InlinePart{{Text: "a", Origin: v1}, {Offset: 1, Failures: 1}}, v1},
+		{"failures before the text", []InlinePart{{Failures: 1}, {Text: "a", Origin: v1}}, v1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newInlineState(t, Faults{})
+			s.apply(Command{SubmitInline: &SubmitInline{Job: "j", Items: inlineItems(1)}})
+			for n := range test.parts {
+				test.parts[n].Job = "j"
+			}
+			if got := s.apply(Command{CheckpointInline: &CheckpointInline{Parts: test.parts}}).Accepted; got != len(test.parts) {
+				t.Fatalf("%d parts accepted", got)
+			}
+			partial, err := s.state.InlinePartial("j", 0)
+			if err != nil || (partial.Origin == nil) != (test.want == nil) || test.want != nil && *partial.Origin != *test.want {
+				t.Errorf("origin %v, want %v, error %v", partial.Origin, test.want, err)
+			}
+		})
+	}
+}
--- a/reservation/queue.go
+++ b/reservation/queue.go
@@ -41,6 +41,12 @@
 
 func (q *Queue) Len() int { return len(q.waiters) }
 
+// TakesAnySlot reports whether a waiting request can use any slot, so that none is free for later
+// ones. A request that is bound to a version may wait while other slots are free.
+func (q *Queue) TakesAnySlot() bool {
+	return slices.ContainsFunc(q.waiters, func(w *Waiter) bool { return !w.Request.HasVersion })
+}
+
 // RecordArrival records the arrival of a request. A request that returns after a rejection takes
 // over the promise of an earlier one and precedes new requests of its rank.
 func (q *Queue) RecordArrival(now time.Time, w *Waiter) {
--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -67,13 +67,17 @@
 
 // Request is a request for a slot at a worker of a service.
 type Request struct {
-	Service  string         `json:"service"`
-	Worker   string         `json:"worker"` // the frontend's choice
-	Parts    []worker.Part  `json:"parts,omitempty"`
-	Tokens   int            `json:"tokens,omitempty"`
-	Excluded []string       `json:"excluded,omitempty"`
-	Zone     string         `json:"zone,omitempty"` // of the frontend
-	Rank     waitorder.Rank `json:"rank"`
+	Service  string        `json:"service"`
+	Worker   string        `json:"worker"` // the frontend's choice
+	Parts    []worker.Part `json:"parts,omitempty"`
+	Tokens   int           `json:"tokens,omitempty"`
+	Excluded []string      `json:"excluded,omitempty"`
+	// Version is the only software version that may serve the request if HasVersion is set. A
+	// process of an earlier build ignores it, so the frontend checks what it is granted.
+	Version    string         `json:"version,omitempty"`
+	HasVersion bool           `json:"has_version,omitempty"`
+	Zone       string         `json:"zone,omitempty"` // of the frontend
+	Rank       waitorder.Rank `json:"rank"`
 	// TimeToTarget is the time left until the request must start to meet its target. It is
 	// negative once that has passed.
 	TimeToTarget time.Duration `json:"begin"`
--- a/worker/choose.go
+++ b/worker/choose.go
@@ -16,6 +16,9 @@
 	Parts    []Part // prompt parts in order
 	Tokens   int    // length of the whole prompt; 0 if unknown
 	Excluded []string
+	// Version restricts the choice to workers of this software version if HasVersion is set.
+	Version    string
+	HasVersion bool
 	// WorkerID restricts the choice to one worker; empty allows any.
 	WorkerID string
 	// Groups restricts the choice to workers of these groups; nil allows all.
@@ -148,6 +151,7 @@
 	for _, e := range list {
 		switch {
 		case !p.accepts(e) || slices.Contains(query.Excluded, e.ID):
+		case query.HasVersion && e.Version != query.Version:
 		case query.Filter != nil && !query.Filter(e.ID):
 		case query.FilterOccupancy != nil && !query.FilterOccupancy(p.occupancy(now, e)):
 		case query.MaxUtilization > 0 && p.estimateLoad(now, e)+1 > query.MaxUtilization*float64(e.slots):
--- a/worker/roster.go
+++ b/worker/roster.go
@@ -16,15 +16,16 @@
 	zones        map[string]*sortedEntries
 	ring         sortedEntries // by the hash of the ID
 	unseen       []*entry
-	withPace     []*entry // with a known pace
-	withInterval []*entry // with observed streams
-	withOutcomes []*entry // with reported outcomes
-	recent       []*entry // most recently used by this process first
+	withPace     []*entry       // with a known pace
+	withInterval []*entry       // with observed streams
+	withOutcomes []*entry       // with reported outcomes
+	recent       []*entry       // most recently used by this process first
+	versions     map[string]int // number of workers by software version
 }
 
 func newServiceIndex() *serviceIndex {
 	return &serviceIndex{
-		all: sortedEntries{compare: byID}, ring: sortedEntries{compare: byHash}, groups: map[int]*sortedEntries{}, zones: map[string]*sortedEntries{},
+		all: sortedEntries{compare: byID}, ring: sortedEntries{compare: byHash}, groups: map[int]*sortedEntries{}, zones: map[string]*sortedEntries{}, versions: map[string]int{},
 	}
 }
 
@@ -39,9 +40,18 @@
 	orderFor(r.groups, e.group).add(e)
 	orderFor(r.zones, e.Zone).add(e)
 	r.unseen = append(r.unseen, e)
+	r.countVersion(e.Version, 1)
+}
+
+// countVersion changes the number of workers of a software version.
+func (r *serviceIndex) countVersion(version string, by int) {
+	if r.versions[version] += by; r.versions[version] == 0 {
+		delete(r.versions, version)
+	}
 }
 
 func (r *serviceIndex) remove(e *entry) {
+	r.countVersion(e.Version, -1)
 	r.all.remove(e)
 	r.ring.remove(e)
 	orderFor(r.groups, e.group).remove(e)
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -4,6 +4,7 @@
 package worker
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -130,6 +131,10 @@
 		if listed.Zone != w.Zone {
 			p.index(w.Service).move(listed, w.Zone)
 		}
+		if listed.Version != w.Version {
+			p.index(w.Service).countVersion(listed.Version, -1)
+			p.index(w.Service).countVersion(w.Version, 1)
+		}
 		listed.Worker = w
 		if w.Slots > 0 {
 			listed.slots = w.Slots
@@ -222,6 +227,34 @@
 // Count returns the number of workers listed for a service.
 func (p *Pool) Count(service string) int { return p.index(service).all.len() }
 
+// VersionOf returns the software version of a worker, and whether the worker is listed.
+func (p *Pool) VersionOf(id string) (version string, ok bool) {
+	e, ok := p.entries[id]
+	if !ok {
+		return "", false
+	}
+	return e.Version, true
+}
+
+// Versions returns the software versions of a service's workers, sorted.
+func (p *Pool) Versions(service string) []string {
+	return slices.Sorted(maps.Keys(p.index(service).versions))
+}
+
+// ServesVersion reports whether a worker of a service with a software version accepts requests,
+// limited to the given groups if any.
+func (p *Pool) ServesVersion(service, version string, groups ...int) bool {
+	if p.index(service).versions[version] == 0 {
+		return false
+	}
+	for _, part := range p.index(service).lists(groups) {
+		if slices.ContainsFunc(part, func(e *entry) bool { return e.Version == version && p.accepts(e) }) {
+			return true
+		}
+	}
+	return false
+}
+
 // Begin records a request sent to a worker, with the number of prompt tokens to be read.
 func (p *Pool) Begin(id string, tokens int) {
 	if e, ok := p.entries[id]; ok {
