A part of a prompt that crashes workers is quarantined

Cause: what may crash a worker was identified by tenant, host, target and the whole body, so that requests which share only a part of their prompts never added up. Class: an identity that is too narrow for what it guards. Besides, a stream with neither a length nor chunks whose worker crashed after the head was passed on as a whole, empty 200, and counted as a survival of what crashed it.

Change: the parts of a prompt, all but the last, are reported, cleared and held beside the request, as digests of tenant, service and part; the detector, its owner and the records stay as they are. Only a whole answer clears a part. Of a request several of whose digests are held, one is tried, so that not each request with the part gets a run. An answer without length or chunks is whole only if its worker still listens, and a stream of that kind only with an event.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -108,6 +108,18 @@
 		"response carries the id of another request, %q", i.RequestID)
 }
 
+// Complete reports whether a body that ended without an error is whole. One with neither a length nor
+// chunks ends with its connection, also when its worker crashes: it is whole only if the worker
+// still listens.
+func (i *WorkerResponse) Complete(ctx context.Context, w worker.Worker) bool {
+	return i.Framed() || transport.Listening(ctx, w.Address)
+}
+
+// Framed reports whether the body has a length or chunks, so that its end is recognized.
+func (i *WorkerResponse) Framed() bool {
+	return i.Response.ContentLength >= 0 || len(i.Response.TransferEncoding) > 0
+}
+
 // DropConnectionHeaders removes hop-by-hop headers, including those that the
 // Connection header names.
 func DropConnectionHeaders(header http.Header) {
--- a/internal/batchrun/dispatch.go
+++ b/internal/batchrun/dispatch.go
@@ -143,10 +143,10 @@
 		l.abandon(i, "failed often enough")
 		return true
 	}
+	l.chooseService(i, matched)
 	if l.quarantined(i) {
 		return false
 	}
-	l.chooseService(i, matched)
 	l.planService(now, i.service, b)
 	if full[i.service] && i.standing != fill.Urgent {
 		return false
@@ -190,7 +190,21 @@
 // until a run is granted or its retention or failure limit is reached.
 func (l *Leader) quarantined(i *item) bool {
 	guard := l.service.guard
-	return guard.Active() && guard.IsQuarantined(i.digest) && !guard.TakeTrial(i.digest)
+	if !guard.Active() {
+		return false
+	}
+	held, ok := guard.Quarantined(i.digests())
+	return ok && !guard.TakeTrial(held)
+}
+
+// digests returns the digests of what may crash the workers that run the item: the item itself,
+// then the shared parts of its prompt.
+func (i *item) digests() []quarantine.Digest {
+	if i.digestService != i.service || i.allDigests == nil {
+		i.digestService = i.service
+		i.allDigests = append([]quarantine.Digest{i.digest}, quarantine.PartDigests(string(i.job.Tenant), i.service, worker.PartIDs(i.parts))...)
+	}
+	return i.allDigests
 }
 
 // loadItem reads from the state what the choice of a worker needs.
--- a/internal/batchrun/leader.go
+++ b/internal/batchrun/leader.go
@@ -36,7 +36,9 @@
 	index            int
 	path             string
 	host             string
-	digest           quarantine.Digest // set with path
+	digest           quarantine.Digest // of the item; set with path
+	digestService    string            // service for which allDigests was computed
+	allDigests       []quarantine.Digest
 	parts            []worker.Part
 	tokens           int
 	service          string
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -134,9 +134,17 @@
 	switch verdict {
 	case verdictInterrupted:
 		if i.digest != "" && !errors.Is(err, context.Canceled) {
-			guard.RecordBrokenResponse(ticket.Worker, i.digest, i.lastEventID != "")
+			for _, digest := range i.digests() {
+				guard.RecordBrokenResponse(ticket.Worker, digest, i.lastEventID != "")
+			}
+		}
+	case verdictDone:
+		if i.digest != "" && guard.Active() {
+			for _, digest := range i.digests() {
+				guard.RecordSurvival(digest)
+			}
 		}
-	case verdictDone, verdictFailed, verdictImpossible:
+	case verdictFailed, verdictImpossible: // do not clear the parts: the worker may not have begun to answer
 		if i.digest != "" && guard.Active() {
 			guard.RecordSurvival(i.digest)
 		}
@@ -205,7 +213,7 @@
 	for {
 		event, err := events.Next()
 		if err == io.EOF && !events.Truncated() {
-			return verdictDone, nil
+			return l.endOfStream(ctx, i, ticket, incoming)
 		}
 		if err != nil {
 			return verdictInterrupted, err
@@ -216,6 +224,19 @@
 	}
 }
 
+// endOfStream returns the verdict on a stream that ended after a whole event. Without a length or
+// chunks it may have ended because its worker crashed.
+func (l *Leader) endOfStream(ctx context.Context, i *item, ticket *backend.Assignment, incoming *backend.WorkerResponse) (verdict, error) {
+	if !incoming.Framed() && i.lastEventID == "" || !incoming.Complete(ctx, ticket.Worker) {
+		return verdictInterrupted, errWorkerGone
+	}
+	return verdictDone, nil
+}
+
+// errWorkerGone means that a response ended with its connection, which the crash of its worker
+// closes as well.
+var errWorkerGone = errors.New("the response has neither a length nor chunks, and its worker is gone")
+
 // appendEvent adds an event of a worker to the item's text. The event's data lines are joined with
 // line feeds.
 func (i *item) appendEvent(event []byte, from origin.Origin) {
--- a/internal/frontend/guard.go
+++ b/internal/frontend/guard.go
@@ -6,50 +6,65 @@
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/internal/backend"
 	"github.com/dykewing/dykewing/quarantine"
+	"github.com/dykewing/dykewing/worker"
 )
 
-// requestDigest returns the request's digest. It is computed on first use, since it is
-// only needed while a request is suspected of crashing workers.
-func (x *exchange) requestDigest() quarantine.Digest {
+// requestDigests returns the digests of what may crash the workers that run the request: the request
+// itself, then the shared parts of its prompt. They are computed on first use, since they are only
+// needed while something is suspected of crashing workers.
+func (x *exchange) requestDigests() []quarantine.Digest {
 	if x.digest == "" {
 		x.digest = quarantine.Identity{
 			Tenant: x.identity.tenant.Name, Host: hostOf(x.r), Target: x.r.URL.RequestURI(), Body: x.body,
 		}.Digest()
+		x.digests = append([]quarantine.Digest{x.digest}, quarantine.PartDigests(x.identity.tenant.Name, x.service, worker.PartIDs(x.request.Parts))...)
 	}
-	return x.digest
+	return x.digests
 }
 
-// checkQuarantine returns an error if the request is quarantined because workers crash
-// while they run it, and nil if it may be sent. The request may have run before, so the
-// error does not use a status that promises otherwise (503 or 429). A run that the guard
-// grants on trial is allowed.
+// checkQuarantine returns an error if the request or a part of its prompt is quarantined because
+// workers crash while they run it, and nil if it may be sent. The request may have run before, so
+// the error does not use a status that promises otherwise (503 or 429). A run that the guard grants
+// on trial is allowed.
 func (x *exchange) checkQuarantine(ctx context.Context) *api.Error {
 	guard := x.frontend.guard
-	if x.trialGranted || !guard.Active() || !guard.IsQuarantined(x.requestDigest()) {
+	if x.trialGranted || !guard.Active() {
 		return nil
 	}
-	granted, wait := guard.RequestTrial(ctx, x.digest)
+	held, ok := guard.Quarantined(x.requestDigests())
+	if !ok {
+		return nil
+	}
+	granted, wait := guard.RequestTrial(ctx, held)
 	if granted {
 		x.trialGranted = true
-		x.logEntry("request_tried", nil).Info("A quarantined request runs once on trial.")
+		x.logEntry("request_tried", nil).WithField("held", held).Info("A quarantined request runs once on trial.")
 		return nil
 	}
-	failure := api.NewError("look for ended workers", "", api.CodeQuarantined, api.OutcomeUnknown, "workers crash while running request %s", x.digest)
+	failure := api.NewError("look for ended workers", "", api.CodeQuarantined, api.OutcomeUnknown, "workers crash while running requests with %s", held)
 	failure.RetryAfter = wait
 	return failure
 }
 
 // reportRun tells the guard whether the response broke off or the worker survived the
-// run.
+// run. A part of a prompt only crashes workers that begin to answer, so an error response does not
+// clear it.
 func (x *exchange) reportRun(ticket *backend.Assignment, last attemptResult) {
 	guard := x.frontend.guard
 	switch {
 	case last.status == attemptNotRun:
 		return
 	case last.status == attemptMaybeRun && last.failure.Code == api.CodeUpstream:
-		guard.RecordBrokenResponse(ticket.Worker, x.requestDigest(), x.headerWritten || x.request.LastEvent != "")
-	case last.status != attemptMaybeRun && guard.Active():
-		guard.RecordSurvival(x.requestDigest())
+		for _, digest := range x.requestDigests() {
+			guard.RecordBrokenResponse(ticket.Worker, digest, x.headerWritten || x.request.LastEvent != "")
+		}
+	case last.status == attemptServed && guard.Active():
+		for _, digest := range x.requestDigests() {
+			guard.RecordSurvival(digest)
+		}
+	case last.status == attemptWorkerError && guard.Active():
+		x.requestDigests()
+		guard.RecordSurvival(x.digest)
 	}
 	x.trialGranted = false
 }
--- a/internal/frontend/online.go
+++ b/internal/frontend/online.go
@@ -275,6 +275,9 @@
 // relayResponse buffers the whole response before it writes to the caller.
 func (x *exchange) relayResponse(ctx context.Context, ticket *backend.Assignment, incoming *backend.WorkerResponse) attemptResult {
 	chunks, err := x.allocateResponse().readResponse(ctx, incoming.Response.Body, maxResponseBytes)
+	if err == nil && !incoming.Complete(ctx, ticket.Worker) {
+		err = errWorkerGone
+	}
 	if err != nil {
 		failure := api.NewError("read answer", ticket.Worker.ID, readErrorCode(err), api.OutcomeUnknown, "%w", err)
 		return attemptResult{status: attemptMaybeRun, failure: failure}
--- a/internal/frontend/serve.go
+++ b/internal/frontend/serve.go
@@ -17,6 +17,7 @@
 	"github.com/dykewing/dykewing/pressure"
 	"github.com/dykewing/dykewing/quarantine"
 	"github.com/dykewing/dykewing/route"
+	"github.com/dykewing/dykewing/worker"
 )
 
 const (
@@ -88,8 +89,9 @@
 	version      int64 // of the configuration that matched the route
 	service      string
 	body         []byte
-	digest       quarantine.Digest // computed on first use
-	trialGranted bool              // the next run of a quarantined request is granted
+	digest       quarantine.Digest // of the request; computed on first use, like digests
+	digests      []quarantine.Digest
+	trialGranted bool // the next run of a quarantined request is granted
 	arrived      time.Time
 	tokenAt      time.Time // limiter.Result.TokenAt; zero without a rate limit
 	deadline     time.Time
@@ -263,7 +265,7 @@
 		"known_ms": x.frontend.catalog.ContactAge().Milliseconds(),
 	})
 	if x.digest != "" {
-		entry = entry.WithField("digest", x.digest)
+		entry = entry.WithFields(logrus.Fields{"digest": x.digest, "parts": worker.PartIDs(x.request.Parts), "part_digests": x.digests[1:]})
 	}
 	if x.request.LastEvent != "" {
 		entry = entry.WithFields(logrus.Fields{"resumes": x.request.Resumes, "last_event": x.request.LastEvent})
--- a/internal/frontend/stream.go
+++ b/internal/frontend/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -25,6 +26,9 @@
 	var pace streamPace
 	for {
 		event, err := events.Next()
+		if err == io.EOF && !events.Truncated() && !x.wholeStream(ctx, ticket, incoming, pace.events) {
+			err = errWorkerGone
+		}
 		if err == io.EOF && !events.Truncated() {
 			if !x.headerWritten {
 				x.writeResponse(incoming, nil)
@@ -62,6 +66,19 @@
 	}
 }
 
+// errWorkerGone means that a response ended with its connection, which the crash of its worker
+// closes as well.
+var errWorkerGone = errors.New("the response has neither a length nor chunks, and its worker is gone")
+
+// wholeStream reports whether a stream that ended after some events is whole. Without a length or
+// chunks, one that has no event is not, unless it had only to confirm the end of a resumed one.
+func (x *exchange) wholeStream(ctx context.Context, ticket *backend.Assignment, incoming *backend.WorkerResponse, events int) bool {
+	if events == 0 && x.lastEventID == "" && !incoming.Framed() {
+		return false
+	}
+	return incoming.Complete(ctx, ticket.Worker)
+}
+
 // eventID returns the id field of an event.
 func eventID(event []byte) (string, bool) {
 	for line := range bytes.Lines(event) {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -178,14 +178,18 @@
 	return crash
 }
 
+// probeInterval is the time between the two probes of a worker: one that has just crashed may still
+// accept a connection.
+const probeInterval = 200 * time.Millisecond
+
 // probe finds out whether a worker that broke off responses has crashed, and queues a report
 // if so.
 func (g *Guard) probe(known *brokenWorker) {
-	crashed := !listening(g.ctx, known.worker.Address)
+	crashed := !transport.Listening(g.ctx, known.worker.Address)
 	if !sleep.For(g.ctx, probeInterval) {
 		return
 	}
-	crashed = crashed || !listening(g.ctx, known.worker.Address) || g.restarted(known.worker)
+	crashed = crashed || !transport.Listening(g.ctx, known.worker.Address) || g.restarted(known.worker)
 	now := clock.Now()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
@@ -256,6 +260,19 @@
 	}
 }
 
+// Quarantined returns the last of a request's digests that is quarantined. Callers pass the digest of
+// the request first, then those of its parts in the order of the prompt: a part explains the crashes
+// of all requests that have it, which must not get a trial run each, and of two parts the earlier
+// one is more likely to be shared with requests that can clear it.
+func (g *Guard) Quarantined(digests []quarantine.Digest) (quarantine.Digest, bool) {
+	for _, digest := range slices.Backward(digests) {
+		if g.IsQuarantined(digest) {
+			return digest, true
+		}
+	}
+	return "", false
+}
+
 // IsQuarantined reports whether a request is quarantined.
 func (g *Guard) IsQuarantined(request quarantine.Digest) bool {
 	if g.published.contains(request) {
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -15,6 +15,15 @@
 	Tokens int
 }
 
+// PartIDs returns the IDs of parts, in order.
+func PartIDs(parts []Part) []string {
+	ids := make([]string, len(parts))
+	for i, part := range parts {
+		ids[i] = part.ID
+	}
+	return ids
+}
+
 // Load is a worker's own report of its load.
 type Load struct {
 	Running int
