Streams without a request ID have no recorded origin; lines of failures name the parts

Cause: streams of callers that send no ID would have shared one key, whose origins contradict each other. The lines of served requests need not repeat the parts.

Change: no key without an ID, so such a stream goes on within one answer only, or while one version serves.

The tests of streams and versions pass.

--- a/internal/frontend/resume.go
+++ b/internal/frontend/resume.go
@@ -41,13 +41,13 @@
 func first(nodes []api.Node, n int) []api.Node { return nodes[:min(len(nodes), n)] }
 
 // streamKey identifies the stream to which the request belongs: by the request that received its
-// first event, which is this one unless it resumes another.
-func (x *exchange) streamKey() origin.Key {
+// first event, which is this one unless it resumes another. It returns false if that has no ID.
+func (x *exchange) streamKey() (origin.Key, bool) {
 	id := x.request.ID
 	if x.request.LastEvent != "" {
 		id = x.request.Resumes
 	}
-	return origin.KeyOf(x.identity.tenant.Name, hostOf(x.r), id)
+	return origin.KeyOf(x.identity.tenant.Name, hostOf(x.r), id), id != ""
 }
 
 // findOrigin finds out which software version began the stream that the request resumes, if it
@@ -75,8 +75,8 @@
 // workers that may have begun the stream have the same version.
 func (x *exchange) knownOrigin(ctx context.Context) (origin.Origin, bool) {
 	f := x.frontend
-	if x.request.Resumes != "" {
-		if found, ok := f.origins.Find(ctx, x.streamKey()); ok {
+	if key, ok := x.streamKey(); ok {
+		if found, ok := f.origins.Find(ctx, key); ok {
 			return found, true
 		}
 	}
@@ -122,7 +122,9 @@
 
 // keepOrigin tells the holders of the stream's origin.
 func (x *exchange) keepOrigin() {
-	x.frontend.origins.Record(x.streamKey(), *x.origin, time.Until(x.deadline)+originTTLMargin)
+	if key, ok := x.streamKey(); ok {
+		x.frontend.origins.Record(key, *x.origin, time.Until(x.deadline)+originTTLMargin)
+	}
 }
 
 // verifyOrigin checks, after a stream broke off, that its worker is still listed with the version
--- a/internal/frontend/serve.go
+++ b/internal/frontend/serve.go
@@ -265,7 +265,10 @@
 		"known_ms": x.frontend.catalog.ContactAge().Milliseconds(),
 	})
 	if x.digest != "" {
-		entry = entry.WithFields(logrus.Fields{"digest": x.digest, "parts": worker.PartIDs(x.request.Parts), "part_digests": x.digests[1:]})
+		entry = entry.WithField("digest", x.digest)
+	}
+	if x.digest != "" && failure != nil {
+		entry = entry.WithFields(logrus.Fields{"parts": worker.PartIDs(x.request.Parts), "part_digests": x.digests[1:]})
 	}
 	if x.request.LastEvent != "" {
 		entry = entry.WithFields(logrus.Fields{"resumes": x.request.Resumes, "last_event": x.request.LastEvent})
