A stream that has run and can't go on gets no status that promises otherwise

What callers could see: 503 for a request that a worker had begun to run, once no worker of the version that began its stream was left. 503 promises that it has not run.

Cause: the error's code maps to 503 whatever its outcome says; found by reading.

Change: after a run it is 502 upstream_failed.

Result: TestVersionErrorPromisesNothingAfterARun.

--- a/internal/frontend/resume.go
+++ b/internal/frontend/resume.go
@@ -103,12 +103,14 @@
 	return x.versionError("no worker of service %s has version %s, which began the stream", x.service, x.origin.Version)
 }
 
+// versionError returns the error for a stream that can't go on. Once this request has run, the error
+// does not use a status that promises otherwise.
 func (x *exchange) versionError(format string, args ...any) *api.Error {
-	outcome := api.OutcomeNotRun
+	code, outcome := api.CodeVersionUnavailable, api.OutcomeNotRun
 	if x.runs > 0 {
-		outcome = api.OutcomeUnknown
+		code, outcome = api.CodeUpstream, api.OutcomeUnknown
 	}
-	return api.NewError("choose version", "", api.CodeVersionUnavailable, outcome, format, args...)
+	return api.NewError("choose version", "", code, outcome, format, args...)
 }
 
 // recordOrigin records the version that has begun to write the stream, with its first event.
