Items run by the configuration that accepted their job, or a newer one

Cause: the leader of a group decided about items by the configuration of its own process, which it learns independently of the frontend that accepted the job. It may be older by tenths of a second, by seconds, or be none that the frontend's is older than: a leader that has just started, takes over, or is cut off from the key-value service. A route that it did not know yet was taken for one that had gone; the same look-up gave the limit of failed runs, the service and whether the caller's credentials are removed.

Change: a job is stored with its terms: version, routes of its items, whether there are tenants. A leader uses the newer of its configuration and the terms, so nothing waits for a version and nothing depends on its ever coming. A job that is accepted again under a newer version takes its terms. Jobs of builds without terms may be placed by the leader's configuration, but end by it only after it was read from the key-value service since the leader learned of the job. An item's last failure is judged by the configuration at the end of its run, not at its start.

--- a/internal/batchrun/commit.go
+++ b/internal/batchrun/commit.go
@@ -11,10 +11,17 @@
 
 // abandon gives up an item and records it as abandoned. The caller holds the mutex.
 func (l *Leader) abandon(i *item, why string) {
-	l.log.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"event": "item_abandoned", "request": i.job.ID, "index": i.index, "why": why, "failures": i.failures,
 		"age_ms": time.Since(i.job.Created).Milliseconds(),
-	}).Warn("Item abandoned.")
+	}
+	if rule, known := l.ruleFor(i); known {
+		fields["version"] = rule.version
+	}
+	if i.terms != nil {
+		fields["accepted_version"] = i.terms.Version
+	}
+	l.log.WithFields(fields).Warn("Item abandoned.")
 	l.backlog.finish(i)
 	go l.enqueueResult(i, jobs.InlineAbandoned, "")
 }
--- a/internal/batchrun/dispatch.go
+++ b/internal/batchrun/dispatch.go
@@ -11,7 +11,6 @@
 	"github.com/dykewing/dykewing/internal/sleep"
 	"github.com/dykewing/dykewing/placement"
 	"github.com/dykewing/dykewing/quarantine"
-	"github.com/dykewing/dykewing/route"
 	"github.com/dykewing/dykewing/worker"
 )
 
@@ -130,33 +129,33 @@
 	if i.path == "" && !l.loadItem(i) {
 		return false
 	}
-	matched, known, found := l.service.matchRoute(i.host, i.path)
-	if !known {
-		return false
-	}
-	if !found {
-		l.abandon(i, "no route")
-		return true
-	}
 	if i.job.AbandonAfter > 0 && time.Since(i.job.Created) > i.job.AbandonAfter {
 		l.abandon(i, "kept long enough")
 		return true
 	}
-	if i.failures >= matched.MaxAttempts {
-		l.abandon(i, "failed often enough")
+	rule, known := l.ruleFor(i)
+	if !known {
+		return false
+	}
+	if why := rule.endOf(i); why != "" {
+		if !rule.binding {
+			l.service.confirmConfiguration(now)
+			return false
+		}
+		l.abandon(i, why)
 		return true
 	}
-	l.chooseService(i, matched)
+	l.chooseService(i, rule.route)
 	held, quarantined := l.quarantinedBy(i)
 	if quarantined && !l.service.guard.TrialPossible(held) {
 		return false
 	}
-	return l.startRun(now, i, matched, held, b, full)
+	return l.startRun(now, i, rule, held, b, full)
 }
 
 // startRun starts an item if its service has room for it, on trial if held is not empty. The caller holds
 // the mutex.
-func (l *Leader) startRun(now time.Time, i *item, matched route.Route, held quarantine.Digest, b budget, full map[string]bool) bool {
+func (l *Leader) startRun(now time.Time, i *item, rule rule, held quarantine.Digest, b budget, full map[string]bool) bool {
 	l.planService(now, i.service, b)
 	if full[i.service] && i.standing != fill.Urgent {
 		return false
@@ -199,7 +198,7 @@
 	}
 	l.running[i] = true
 	l.suspects.started(i.worker, i)
-	go l.run(ctx, i, matched.MaxAttempts, ticket)
+	go l.run(ctx, i, rule, ticket)
 	return true
 }
 
--- a/internal/batchrun/leader.go
+++ b/internal/batchrun/leader.go
@@ -33,6 +33,8 @@
 // item is a job item that has no committed result.
 type item struct {
 	job              jobs.InlineJob
+	terms            *jobs.Terms // of the job; nil if it has none
+	addedAt          time.Time   // when this leader learned of the item
 	index            int
 	path             string
 	host             string
@@ -126,9 +128,11 @@
 			return err
 		}
 		l.backlog.addOpen(job, tokens, indexes)
-		for _, index := range indexes {
-			l.waiting = append(l.waiting, &item{job: job, index: index, standing: fill.Normal})
+		terms, err := l.state.InlineTerms(job.ID)
+		if err != nil {
+			return err
 		}
+		l.addItems(job, terms, indexes)
 	}
 	l.sortWaiting()
 	l.log.WithFields(logrus.Fields{"event": "batch_leading", "jobs": len(open), "items": len(l.waiting)}).Info("Leadership started; running the group's open inline jobs.")
@@ -154,31 +158,46 @@
 func (l *Leader) Applied(command jobs.Command, result jobs.Result) {
 	switch {
 	case command.SubmitInline != nil && result.Inline != nil && !result.Duplicate:
-		l.add(*result.Inline, command.SubmitInline.Items)
+		l.add(*result.Inline, *command.SubmitInline)
 	case command.SubmitInline != nil && result.Inline != nil:
-		l.resubmitted(*result.Inline)
+		l.resubmitted(*result.Inline, command.SubmitInline.Terms)
 	case command.EndInline != nil && result.Code == "" && !result.Duplicate:
 		l.endJob(command.EndInline.Job)
 	}
 }
 
-func (l *Leader) add(job jobs.InlineJob, items []jobs.InlineItem) {
+func (l *Leader) add(job jobs.InlineJob, submitted jobs.SubmitInline) {
 	l.mutex.Lock()
-	l.backlog.addSubmitted(job, items)
-	for index := range items {
-		l.waiting = append(l.waiting, &item{job: job, index: index, standing: fill.Normal})
+	l.backlog.addSubmitted(job, submitted.Items)
+	indexes := make([]int, 0, len(submitted.Items))
+	for index := range submitted.Items {
+		indexes = append(indexes, index)
 	}
+	l.addItems(job, submitted.Terms, indexes)
 	l.sortWaiting()
 	l.mutex.Unlock()
 	l.wakeUp()
 }
 
-// resubmitted reports a job's backlog again, since its queue may have counted the duplicate
-// submission.
-func (l *Leader) resubmitted(job jobs.InlineJob) {
+// addItems adds items of a job to those that wait. The caller holds the mutex, or has not started
+// the leader yet.
+func (l *Leader) addItems(job jobs.InlineJob, terms *jobs.Terms, indexes []int) {
+	l.logTerms(job, terms)
+	now := time.Now()
+	for _, index := range indexes {
+		l.waiting = append(l.waiting, &item{job: job, terms: terms, addedAt: now, index: index, standing: fill.Normal})
+	}
+}
+
+// resubmitted handles the duplicate submission of a job. It reports the job's backlog again, since
+// its queue may have counted the duplicate.
+func (l *Leader) resubmitted(job jobs.InlineJob, submitted *jobs.Terms) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.backlog.resend(job)
+	if submitted != nil {
+		l.reloadTerms(job)
+	}
 }
 
 // sortWaiting orders waiting items by deadline; those that will miss it come last. The caller
--- /dev/null
+++ b/internal/batchrun/rule_test.go
@@ -0,0 +1,98 @@
+package batchrun
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/dykewing/dykewing/jobs"
+)
+
+// adopt puts a configuration into force whose only route is a batch route with a prefix.
+func (l *Leader) adopt(t *testing.T, version int, prefix string, maxAttempts int) {
+	t.Helper()
+	raw := fmt.Sprintf(`{"version": %d, "services": [{"name": "lm"}], "routes": [
+		{"name": "batch", "host": "h", "pathPrefix": %q, "routeKind": "batch", "service": "lm", "maxAttempts": %d}]}`, version, prefix, maxAttempts)
+	if err := l.service.catalog.Adopt([]byte(raw), "test"); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a decision by a configuration that is older than the one that accepted the job.
+func TestRuleIsOfNewestConfiguration(t *testing.T) {
+	terms := func(version int64) *jobs.Terms {
+		return &jobs.Terms{Version: version, HasTenants: true, Routes: []jobs.ItemRoute{{Prefix: "/batch/", Services: []string{"other"}, MaxAttempts: 9}}}
+	}
+	tests := []struct {
+		name      string
+		terms     *jobs.Terms
+		confirmed bool // the configuration was read after the item came
+		want      rule
+		service   string
+	}{
+		{"terms are newer", terms(6), false, rule{version: 6, found: true, hasTenants: true, binding: true}, "other"},
+		{"terms are of the same version", terms(5), false, rule{version: 5, found: true, binding: true}, "lm"},
+		{"terms are older", terms(4), false, rule{version: 5, found: true, binding: true}, "lm"},
+		{"no terms", nil, false, rule{version: 5, found: true}, "lm"},
+		{"no terms, configuration confirmed", nil, true, rule{version: 5, found: true, binding: true}, "lm"},
+		{"newer terms without a route", &jobs.Terms{Version: 6}, false, rule{version: 6, binding: true}, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l := testLeader(t, 1, 0)
+			l.adopt(t, 5, "/batch/", 3)
+			i := l.waiting[0]
+			if !l.loadItem(i) {
+				t.Fatal("the item is not stored")
+			}
+			i.terms = test.terms
+			if test.confirmed {
+				l.service.confirmation.begin(time.Now())
+				l.service.confirmation.end(true)
+			}
+			got, known := l.ruleFor(i)
+			service := ""
+			if got.found {
+				service = got.route.Shares[0].Service
+			}
+			got.route = test.want.route
+			if !known || service != test.service || fmt.Sprint(got) != fmt.Sprint(test.want) {
+				t.Errorf("rule %+v for service %q, want %+v for %q", got, service, test.want, test.service)
+			}
+		})
+	}
+}
+
+// Guards against an item that is abandoned after its last failure by the limit that was in force when
+// its run began.
+func TestFailuresAreJudgedByNewestConfiguration(t *testing.T) {
+	for _, test := range []struct{ before, after, waiting int }{{3, 3, 0}, {3, 5, 1}, {5, 3, 0}} {
+		l := testLeader(t, 1, 0)
+		i := l.waiting[0]
+		i.terms = &jobs.Terms{Version: 1}
+		l.adopt(t, 2, "/batch/", test.before)
+		if !l.loadItem(i) {
+			t.Fatal("the item is not stored")
+		}
+		i.failures = 2
+		began, _ := l.ruleFor(i)
+		l.waiting, l.running[i] = nil, true
+		l.adopt(t, 3, "/batch/", test.after)
+		l.finishRun(i, verdictFailed, began, "w0", 0)
+		if len(l.waiting) != test.waiting {
+			t.Errorf("third failure, limit %d at its start and %d at its end: %d items wait, want %d", test.before, test.after, len(l.waiting), test.waiting)
+		}
+	}
+}
+
+// Guards against a leader that never places items of a service which its configuration does not name.
+func TestItemsOfNewerTermsArePlaced(t *testing.T) {
+	l := testLeader(t, 3, 2)
+	l.adopt(t, 2, "/elsewhere/", 3)
+	for _, i := range l.waiting {
+		i.terms = &jobs.Terms{Version: 3, Routes: []jobs.ItemRoute{{Prefix: "/batch/", Services: []string{"lm"}, MaxAttempts: 3}}}
+	}
+	if n := l.dispatch(); n != 3 {
+		t.Errorf("%d of 3 items started", n)
+	}
+}
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -41,9 +41,9 @@
 }
 
 // run sends an item to the ticket's worker and handles the outcome.
-func (l *Leader) run(ctx context.Context, i *item, maximumFailures int, ticket *backend.Assignment) {
+func (l *Leader) run(ctx context.Context, i *item, rule rule, ticket *backend.Assignment) {
 	began, sent := time.Now(), len(i.text)
-	verdict, err := l.send(ctx, i, ticket)
+	verdict, err := l.send(ctx, i, rule, ticket)
 	ticket.End()
 	if ctx.Err() != nil {
 		verdict = verdictCancelled
@@ -62,13 +62,13 @@
 	if listed, ok := l.service.pool.VersionOf(ticket.Worker.ID); verdict != verdictDone && received > 0 && ok && listed != ticket.Worker.Version {
 		l.restart(i, "its worker was replaced by one of another version")
 	}
-	l.finishRun(i, verdict, maximumFailures, ticket.Worker.ID, received)
+	l.finishRun(i, verdict, rule, ticket.Worker.ID, received)
 	l.wakeUp()
 }
 
 // finishRun handles the end of a run that gave received bytes: the item is completed, abandoned or
 // requeued.
-func (l *Leader) finishRun(i *item, verdict verdict, maximumFailures int, workerID string, received int) {
+func (l *Leader) finishRun(i *item, verdict verdict, rule rule, workerID string, received int) {
 	switch verdict {
 	case verdictDone:
 		l.service.metrics.itemSeconds.Observe(time.Since(i.job.Created).Seconds())
@@ -77,7 +77,7 @@
 		i.setFailures(i.failures + 1)
 		defer signal(l.checkpointNow)
 	case verdictImpossible:
-		i.setFailures(maximumFailures)
+		i.setFailures(rule.route.MaxAttempts)
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -103,7 +103,7 @@
 	if verdict == verdictDone || verdict == verdictCancelled && (l.ended[i.job.ID] || l.ctx.Err() != nil) {
 		return
 	}
-	if i.failures >= maximumFailures {
+	if newest, known := l.ruleFor(i); verdict == verdictImpossible || known && newest.binding && newest.endOf(i) == endFailures {
 		l.abandon(i, string(verdict))
 		return
 	}
@@ -154,7 +154,7 @@
 
 // send makes one attempt to run an item and collects its events. Complete events stay in the item
 // if the attempt fails.
-func (l *Leader) send(ctx context.Context, i *item, ticket *backend.Assignment) (verdict, error) {
+func (l *Leader) send(ctx context.Context, i *item, rule rule, ticket *backend.Assignment) (verdict, error) {
 	stored, found, err := l.state.InlineItem(i.job.ID, i.index)
 	if err != nil || !found {
 		return verdictInterrupted, fmt.Errorf("read item: found %t: %w", found, err)
@@ -168,7 +168,7 @@
 	defer idle.stop()
 	incoming, failure := l.service.caller.Send(idle.ctx, backend.WorkerRequest{
 		Method: http.MethodPost, Path: path, Query: query, Host: i.host, Header: requestHeader(stored), Body: stored.Body,
-		Call: backend.Call{ID: stored.ID, LastEvent: i.lastEventID, HasTenants: l.service.hasTenants(), Tenant: string(i.job.Tenant)}, ID: stored.ID, Worker: ticket.Worker,
+		Call: backend.Call{ID: stored.ID, LastEvent: i.lastEventID, HasTenants: rule.hasTenants, Tenant: string(i.job.Tenant)}, ID: stored.ID, Worker: ticket.Worker,
 	})
 	if failure != nil {
 		if failure.Outcome == api.OutcomeNotRun {
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -24,7 +24,6 @@
 	"github.com/dykewing/dykewing/jobs"
 	"github.com/dykewing/dykewing/placement"
 	"github.com/dykewing/dykewing/reservation"
-	"github.com/dykewing/dykewing/route"
 	"github.com/dykewing/dykewing/worker"
 )
 
@@ -43,9 +42,10 @@
 	metrics  *metrics
 	guard    *guard.Guard
 
-	unreported  unreportedLoad
-	slots       *slotBroker
-	zoneWorkers *zoneWorkers
+	unreported   unreportedLoad
+	slots        *slotBroker
+	zoneWorkers  *zoneWorkers
+	confirmation confirmation
 
 	mutex   sync.Mutex // guards leaders
 	leaders map[*Leader]bool
@@ -178,24 +178,6 @@
 	delete(s.leaders, leader)
 }
 
-// matchRoute returns the batch route for an item's request. known is false while there is no
-// configuration.
-func (s *Service) matchRoute(host, path string) (matched route.Route, known, found bool) {
-	configuration := s.catalog.Configuration()
-	if configuration == nil {
-		return route.Route{}, false, false
-	}
-	matched, found = configuration.Match(host, path)
-	return matched, true, found
-}
-
-// hasTenants reports whether items are sent with the job's tenant. The tenant never comes from the
-// job's caller.
-func (s *Service) hasTenants() bool {
-	configuration := s.catalog.Configuration()
-	return configuration != nil && configuration.HasTenants()
-}
-
 type metrics struct {
 	items       *prometheus.CounterVec // by outcome
 	attempts    *prometheus.CounterVec // by verdict
@@ -205,6 +187,7 @@
 	refused     prometheus.Counter // requests that cannot get a slot in time
 	lostSeconds prometheus.Counter // run time of preempted items since their last event
 	heldBack    prometheus.Gauge
+	newerTerms  prometheus.Counter   // jobs accepted under a newer configuration than this process had
 	itemSeconds prometheus.Histogram // from submission to result
 
 	workers *workerMetrics
@@ -233,11 +216,14 @@
 		heldBack: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "dykewing_batch_items_held_back", Help: "Items that wait beside free slots for a rise of online requests that is expected.",
 		}),
+		newerTerms: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "dykewing_batch_jobs_newer_terms_total", Help: "Jobs accepted under a newer configuration than this process had.",
+		}),
 		itemSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "dykewing_batch_item_seconds", Help: "Time from a job's submission to an item's result.",
 			Buckets: prometheus.ExponentialBuckets(0.25, 2, 12),
 		}),
 	}
-	registry.MustRegister(m.items, m.attempts, m.waiting, m.running, m.preempted, m.refused, m.lostSeconds, m.heldBack, m.itemSeconds)
+	registry.MustRegister(m.items, m.attempts, m.waiting, m.running, m.preempted, m.refused, m.lostSeconds, m.heldBack, m.newerTerms, m.itemSeconds)
 	return m
 }
--- a/internal/catalog/configuration.go
+++ b/internal/catalog/configuration.go
@@ -1,6 +1,9 @@
 package catalog
 
 import (
+	"context"
+	"fmt"
+
 	"github.com/sirupsen/logrus"
 
 	"github.com/dykewing/dykewing/clock"
@@ -40,6 +43,19 @@
 	return nil
 }
 
+// Refresh reads the configuration from the service. On success the configuration in force here is at
+// least as new as any that was in force in another process when Refresh was called.
+func (c *Catalog) Refresh(ctx context.Context) error {
+	pair, _, err := c.service.Read(ctx, c.source.ConfigurationPrefix)
+	if err != nil {
+		return fmt.Errorf("read configuration: %w", err)
+	}
+	if pair == nil {
+		return nil // it was deleted; the last one stays in force
+	}
+	return c.Adopt(pair.Value, "key-value service")
+}
+
 // configurationView adopts configurations from the service.
 type configurationView struct{ catalog *Catalog }
 
--- a/internal/frontend/jobs.go
+++ b/internal/frontend/jobs.go
@@ -12,6 +12,7 @@
 	"github.com/dykewing/dykewing/internal/storeclient"
 	"github.com/dykewing/dykewing/jobs"
 	"github.com/dykewing/dykewing/placement"
+	"github.com/dykewing/dykewing/route"
 )
 
 const (
@@ -27,8 +28,9 @@
 	return placement.TenantGroup(api.TenantID(job), f.node.Settings.Store.Groups)
 }
 
-// submitJob submits a batch job to the stores and answers 202 once it is committed.
-func (x *exchange) submitJob() {
+// submitJob submits a batch job, of a route of the configuration, to the stores and answers 202 once
+// it is committed.
+func (x *exchange) submitJob(configuration *route.Configuration) {
 	f := x.frontend
 	items, err := f.protocol.DecodeJob(x.body)
 	if err == nil {
@@ -44,9 +46,10 @@
 		x.refuseJob(failure)
 		return
 	}
+	host := hostOf(x.r)
 	command := jobs.Command{SubmitInline: &jobs.SubmitInline{
-		Job: jobs.JobID(x.request.ID), Tenant: api.TenantID(x.identity.tenant.Name), Host: hostOf(x.r), Queue: x.queueName(), Items: items, RunTarget: x.route.CompletionTarget, AbandonAfter: x.route.AbandonAfter,
-		Retention: max(x.route.AbandonAfter, f.node.Settings.Batch.Retention) + retainMargin,
+		Job: jobs.JobID(x.request.ID), Tenant: api.TenantID(x.identity.tenant.Name), Host: host, Queue: x.queueName(), Items: items, RunTarget: x.route.CompletionTarget, AbandonAfter: x.route.AbandonAfter,
+		Retention: max(x.route.AbandonAfter, f.node.Settings.Batch.Retention) + retainMargin, Terms: jobs.NewTerms(configuration, host, items),
 	}}
 	result, err := f.stores.Command(ctx, f.jobGroup(x.request.ID), command)
 	if err != nil {
--- a/internal/frontend/serve.go
+++ b/internal/frontend/serve.go
@@ -62,7 +62,7 @@
 		return
 	}
 	if matched.Kind == route.KindBatch {
-		x.submitJob()
+		x.submitJob(configuration)
 		return
 	}
 	if x.admit() {
--- a/jobs/inline.go
+++ b/jobs/inline.go
@@ -20,7 +20,8 @@
 	Tokens  int               `json:"tokens,omitempty"` // of the prompt, plus the maximum it may generate
 }
 
-// SubmitInline creates an inline job. Submitting the same Job again has no effect.
+// SubmitInline creates an inline job. Submitting the same Job again has no effect, except that newer
+// Terms replace the stored ones.
 type SubmitInline struct {
 	Job JobID `json:"job"`
 	// Tenant is the only one that may read and end the job; empty allows all.
@@ -31,6 +32,7 @@
 	RunTarget    time.Duration `json:"run_target,omitempty"` // time in which all results are due
 	AbandonAfter time.Duration `json:"keep,omitempty"`       // time after which items may be abandoned; 0: never
 	Retention    time.Duration `json:"retain,omitempty"`     // retention; 0: the default
+	Terms        *Terms        `json:"terms,omitempty"`      // nil in commands of builds before Terms
 }
 
 // CompleteInline appends results to the lists of their jobs. Results of items that are
@@ -152,6 +154,9 @@
 		if !known.VisibleTo(command.Tenant) {
 			return failure(api.CodeConflict, "batch job %s belongs to another tenant", command.Job)
 		}
+		if known.Open() {
+			c.renewTerms(known, command)
+		}
 		return Result{Inline: &known, Duplicate: true}
 	}
 	retain := command.Retention
@@ -170,6 +175,7 @@
 		tokens = append(tokens, item.Tokens)
 	}
 	c.put(nameKey(keyInlineTokens, string(job.ID)), tokens)
+	c.putTerms(job.ID, command.Terms)
 	return Result{Inline: &job}
 }
 
@@ -304,5 +310,6 @@
 		c.Delete(inlineKey(keyInlinePartial, id, index))
 	}
 	c.Delete(nameKey(keyInlineTokens, string(id)))
+	c.Delete(inlineTermsKey(id))
 	c.Delete(inlineJobKey(id))
 }
--- a/jobs/storage.go
+++ b/jobs/storage.go
@@ -59,6 +59,7 @@
 	keyInlinePartial   = 'O' // inline job, index: InlinePartial, until the item is listed
 	keyInlineRetention = 'R' // end of retention, inline job: empty
 	keyInlineTokens    = 'W' // inline job: tokens of each item, by index
+	keyInlineTerms     = 'V' // inline job: Terms
 
 	keyQueueTotal = 'T' // queue: waiting tokens
 	keyQueueEntry = 'U' // inline job: queueEntry
