The body of an item is that item's own

Cause: State.InlineItemByID decoded all items of a job into one variable, and JSON leaves out empty fields, which so kept the values of the item before. Other reads of jobs decode into a variable of their own.

The new test fails on the code before (item "bare" has the body, headers and tokens of item "full"; an unknown item is not empty) and passes now.

--- a/jobs/inline_test.go
+++ b/jobs/inline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"testing"
 	"time"
 
@@ -271,3 +272,22 @@
 		})
 	}
 }
+
+// Guards against an item that is returned with the body, headers or tokens of another item of its job.
+func TestInlineItemByIDIsThatItemAlone(t *testing.T) {
+	s := newInlineState(t, Faults{})
+	items := []InlineItem{
+		{ID: "full", Path: "/a", Headers: map[string]string{"Name": "value"}, Body: []byte("body"), Tokens: 7},
+		{ID: "bare", Path: "/b"},
+	}
+	s.apply(Command{SubmitInline: &SubmitInline{Job: "j", Items: items}})
+	for _, want := range items {
+		got, found, err := s.state.InlineItemByID("j", "", want.ID)
+		if err != nil || !found || !reflect.DeepEqual(got, want) {
+			t.Errorf("item %s: %+v, %t, %v, want %+v", want.ID, got, found, err, want)
+		}
+	}
+	if got, found, err := s.state.InlineItemByID("j", "", "none"); err != nil || found || !reflect.DeepEqual(got, InlineItem{}) {
+		t.Errorf("unknown item: %+v, %t, %v", got, found, err)
+	}
+}
--- a/jobs/read_inline.go
+++ b/jobs/read_inline.go
@@ -55,11 +55,12 @@
 			return err
 		}
 		for index := range job.Total {
-			if _, err := get(r, inlineKey(keyInlineItem, id, index), &item); err != nil {
+			var stored InlineItem // a new one: fields that are left out keep their value when decoded
+			if _, err := get(r, inlineKey(keyInlineItem, id, index), &stored); err != nil {
 				return err
 			}
-			if item.ID == itemID {
-				found = true
+			if stored.ID == itemID {
+				item, found = stored, true
 				return nil
 			}
 		}
