A request without a body is sent at most once, whatever its method

Cause: net/http repeats a request on a broken reused connection also if its method is GET, HEAD, OPTIONS or TRACE and it has no body. transport.Send only took away GetBody and the headers that mark a request as idempotent, so the repeat happened below package retry, which knows the route's kind.

Change: for these methods Send sets a body without bytes, which net/http does not take for a missing one; it finds out that the body is empty before it writes the head, so that GET, HEAD and OPTIONS arrive as before (test). Only package retry decides about repeats. The stand-in of the tests no longer sends a body as an answer to HEAD.

--- a/internal/transport/send.go
+++ b/internal/transport/send.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 
 	"github.com/dykewing/dykewing/api"
@@ -15,16 +17,22 @@
 // them.
 var idempotencyHeaders = []string{api.HeaderIdempotencyKey, "X-Idempotency-Key"}
 
+// idempotentMethods are those that net/http retries if the request has no body.
+var idempotentMethods = []string{"", http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace}
+
+// emptyBody is a body without bytes that net/http does not take for a missing one.
+type emptyBody struct{}
+
+func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
+func (emptyBody) Close() error             { return nil }
+
 // Send sends the request at most once and returns the response once its header has
-// arrived. net/http retries a request on a broken reused connection if GetBody is set or a
-// header marks it as idempotent. Send removes both from the request, since only package
-// retry decides about retries. The outcome of the error says whether any byte of the
-// request may have been sent.
+// arrived. net/http retries a request on a broken reused connection if GetBody is set, if a
+// header marks it as idempotent, or if its method is idempotent and it has no body. Send
+// changes the request so that none holds, since only package retry decides about retries.
+// The outcome of the error says whether any byte of the request may have been sent.
 func Send(client *http.Client, request *http.Request, step, peer string) (*http.Response, *api.Error) {
-	request.GetBody = nil
-	for _, name := range idempotencyHeaders {
-		request.Header.Del(name)
-	}
+	preventRetries(request)
 	var watch connTrace
 	trace := &httptrace.ClientTrace{GotConn: watch.gotConn}
 	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
@@ -35,6 +43,16 @@
 	return response, nil
 }
 
+func preventRetries(request *http.Request) {
+	request.GetBody = nil
+	for _, name := range idempotencyHeaders {
+		request.Header.Del(name)
+	}
+	if (request.Body == nil || request.Body == http.NoBody) && slices.Contains(idempotentMethods, request.Method) {
+		request.Body = emptyBody{}
+	}
+}
+
 // roundTrip bypasses http.Client, whose handling of redirects and cookies is not needed and
 // copies the header.
 func roundTrip(client *http.Client, request *http.Request) (*http.Response, error) {
--- a/internal/transport/send_test.go
+++ b/internal/transport/send_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -55,7 +56,10 @@
 		if served == 1 {
 			return
 		}
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n")
+		if request.Method != http.MethodHead {
+			_, _ = io.WriteString(conn, "ok")
+		}
 	}
 }
 
@@ -95,6 +99,68 @@
 	}
 }
 
+// TestSendNeverSendsMethodTwice guards against net/http, which retries requests without a body whose
+// method is idempotent by definition, although their route may not be.
+func TestSendNeverSendsMethodTwice(t *testing.T) {
+	methods := []string{"", http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace, http.MethodDelete, http.MethodPut, http.MethodPost, "PROPFIND"}
+	bodies := []struct {
+		name string
+		new  func() io.Reader
+	}{
+		{"no body", func() io.Reader { return nil }},
+		{"empty body", func() io.Reader { return bytes.NewReader(nil) }},
+		{"a body", func() io.Reader { return bytes.NewReader([]byte("b")) }},
+	}
+	for _, method := range methods {
+		for _, body := range bodies {
+			t.Run(method+" "+body.name, func(t *testing.T) {
+				server := newClosingServer(t)
+				client := NewClient(2)
+				for n, wantFailure := range []bool{false, true} {
+					request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+server.listener.Addr().String(), body.new())
+					if err != nil {
+						t.Fatal(err)
+					}
+					request.Method = method
+					response, failure := Send(client, request, "send", "peer")
+					if (failure != nil) != wantFailure || failure != nil && failure.Outcome != api.OutcomeUnknown {
+						t.Fatalf("request %d: %v", n, failure)
+					}
+					if failure == nil {
+						discard(response)
+					}
+				}
+				if got := server.requests.Load(); got != 2 {
+					t.Errorf("%d requests arrived of 2 sent", got)
+				}
+			})
+		}
+	}
+}
+
+// TestSendChangesNoRequest guards against a request without a body that arrives with one.
+func TestSendChangesNoRequest(t *testing.T) {
+	arrived := make(chan *http.Request, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		arrived <- r
+	}))
+	defer server.Close()
+	for _, method := range []string{http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodDelete, http.MethodPost} {
+		request, _ := http.NewRequestWithContext(t.Context(), method, server.URL+"/a?b=c", nil)
+		response, failure := Send(NewClient(1), request, "send", "peer")
+		if failure != nil {
+			t.Fatal(failure)
+		}
+		discard(response)
+		got := <-arrived
+		if body, _ := io.ReadAll(got.Body); got.Method != method || got.RequestURI != "/a?b=c" || len(body) > 0 || len(got.TransferEncoding) > 0 || got.ContentLength != 0 {
+			t.Errorf("%s: arrived as %s %s, %d bytes, length %d, encoding %v", method, got.Method, got.RequestURI, len(body), got.ContentLength, got.TransferEncoding)
+		}
+	}
+}
+
 // TestPlainClientSendsTwice checks the premise of TestSendNeverSendsTwice: without Send,
 // net/http retries a request with an idempotency key.
 func TestPlainClientSendsTwice(t *testing.T) {
