Items are run again within seconds after any number of crashes

What callers saw elsewhere, and here by a test: servers crash while they run the same sound item; then all is calm and the item is never placed again.

Cause: items that are owed were held like online requests whose callers repeat them. Five crashes quarantine an item, fail its first trial run, and the next one is due after 5 minutes, then 30, then each hour. The evidence was shared as well: crashes under items held online requests with the same part of a prompt.

Change: deferred requests are quarantined under digests of their own. The owner grants their runs 2 s after the quarantine, 5 s after the last crash once a trial's worker crashed alone, whatever the count; while no worker crashes the number of runs doubles each second, so that items of a sound part do not wait for a whole run. One that truly crashes workers crashes at most one in 5 s. Owners of the build before ignore the new field and hold items as before.

--- a/internal/batchrun/dispatch.go
+++ b/internal/batchrun/dispatch.go
@@ -147,7 +147,7 @@
 	}
 	l.chooseService(i, rule.route)
 	held, quarantined := l.quarantinedBy(i)
-	if quarantined && !l.service.guard.TrialPossible(held) {
+	if quarantined && !l.service.guard.DeferredTrialPossible(held) {
 		return false
 	}
 	return l.startRun(now, i, rule, held, b, full)
@@ -183,7 +183,7 @@
 		full[i.service] = i.standing != fill.Urgent && i.origin == nil
 		return false
 	}
-	if held != "" && !l.service.guard.TakeTrial(held) {
+	if held != "" && !l.service.guard.TakeDeferredTrial(held) {
 		ticket.End()
 		return false
 	}
@@ -203,7 +203,7 @@
 }
 
 // quarantinedBy returns the digest for which an item is quarantined, if it is. Such an item waits
-// until a run is granted or its retention or failure limit is reached.
+// until a run is granted, which it is within seconds once no more workers crash under it.
 func (l *Leader) quarantinedBy(i *item) (held quarantine.Digest, quarantined bool) {
 	guard := l.service.guard
 	if !guard.Active() {
@@ -234,7 +234,10 @@
 func (i *item) digests() []quarantine.Digest {
 	if i.digestService != i.service || i.allDigests == nil {
 		i.digestService = i.service
-		i.allDigests = append([]quarantine.Digest{i.digest}, quarantine.PartDigests(string(i.job.Tenant), i.service, worker.PartIDs(i.parts))...)
+		i.allDigests = []quarantine.Digest{i.digest}
+		for _, part := range quarantine.PartDigests(string(i.job.Tenant), i.service, worker.PartIDs(i.parts)) {
+			i.allDigests = append(i.allDigests, part.Deferred())
+		}
 	}
 	return i.allDigests
 }
@@ -257,6 +260,6 @@
 		l.restart(i, "the version that wrote its output is unknown")
 	}
 	i.path, i.host, i.parts, i.tokens = stored.Path, i.job.Host, request.Parts, request.PromptTokens
-	i.digest = quarantine.Identity{Tenant: string(i.job.Tenant), Host: i.host, Target: stored.Path, Body: stored.Body}.Digest()
+	i.digest = quarantine.Identity{Tenant: string(i.job.Tenant), Host: i.host, Target: stored.Path, Body: stored.Body}.Digest().Deferred()
 	return true
 }
--- a/internal/guard/messages.go
+++ b/internal/guard/messages.go
@@ -63,8 +63,9 @@
 
 // TrialRequest asks for a trial run of a quarantined request.
 type TrialRequest struct {
-	From   api.NodeID        `json:"from,omitempty"`
-	Digest quarantine.Digest `json:"digest"`
+	From     api.NodeID        `json:"from,omitempty"`
+	Digest   quarantine.Digest `json:"digest"`
+	Deferred bool              `json:"deferred,omitempty"` // the request is deferred
 }
 
 // TrialResponse is the response to a request for a trial run, which is granted for
@@ -72,6 +73,7 @@
 // time after which to ask again.
 type TrialResponse struct {
 	Granted bool  `json:"granted"`
+	Runs    int   `json:"runs,omitempty"` // granted runs of deferred requests; 0: one
 	WaitMs  int64 `json:"wait_ms,omitempty"`
 }
 
--- a/internal/guard/owner.go
+++ b/internal/guard/owner.go
@@ -144,7 +144,7 @@
 func (o *owner) grantTrial(now time.Time, request TrialRequest) TrialResponse {
 	published, removing := o.guard.published.state(request.Digest)
 	if removing {
-		return TrialResponse{Granted: true}
+		return TrialResponse{Granted: true, Runs: quarantine.MaxDeferredRuns}
 	}
 	o.mutex.Lock()
 	if published && !o.detector.IsQuarantined(request.Digest) {
@@ -154,11 +154,21 @@
 		o.mutex.Unlock()
 		return TrialResponse{WaitMs: unknownWait.Milliseconds()}
 	}
-	granted, wait := o.detector.Trial(now, request.Digest)
+	response := o.trial(now, request)
 	o.mutex.Unlock()
-	if granted {
-		o.guard.log.WithFields(logrus.Fields{"event": "request_tried", "digest": request.Digest, "peer": request.From}).Info("A trial run of a quarantined request is granted.")
+	if response.Granted {
+		o.guard.log.WithFields(logrus.Fields{"event": "request_tried", "digest": request.Digest, "peer": request.From, "runs": max(response.Runs, 1)}).Info("A trial run of a quarantined request is granted.")
+	}
+	return response
+}
+
+// trial asks the detector for a trial run. The mutex must be held.
+func (o *owner) trial(now time.Time, request TrialRequest) TrialResponse {
+	if request.Deferred {
+		runs, wait := o.detector.DeferredTrial(now, request.Digest)
+		return TrialResponse{Granted: runs > 0, Runs: runs, WaitMs: wait.Milliseconds()}
 	}
+	granted, wait := o.detector.Trial(now, request.Digest)
 	return TrialResponse{Granted: granted, WaitMs: wait.Milliseconds()}
 }
 
--- a/internal/guard/trial.go
+++ b/internal/guard/trial.go
@@ -20,10 +20,10 @@
 	trial time.Time // expected time of the next trial
 }
 
-// grant is a trial run that the owner granted to this process.
+// grant is what the owner granted to this process.
 type grant struct {
 	expiresAt time.Time // end of the owner's lease
-	taken     bool      // a run has begun or is about to
+	runs      int       // trial runs that have not been taken
 }
 
 const (
@@ -41,7 +41,7 @@
 func (g *Guard) RequestTrial(ctx context.Context, request quarantine.Digest) (granted bool, wait time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, trialTimeout)
 	defer cancel()
-	if wait = g.askForTrial(ctx, request); wait > 0 {
+	if wait = g.askForTrial(ctx, TrialRequest{From: g.self, Digest: request}); wait > 0 {
 		return false, wait
 	}
 	if !g.takeGrant(request) {
@@ -50,27 +50,29 @@
 	return true, 0
 }
 
-// TrialPossible reports whether TakeTrial would take a trial run of a quarantined request, or ask for one.
-func (g *Guard) TrialPossible(request quarantine.Digest) bool {
+// DeferredTrialPossible reports whether TakeDeferredTrial would take a trial run of a quarantined request,
+// or ask for one.
+func (g *Guard) DeferredTrialPossible(request quarantine.Digest) bool {
 	now := clock.Now()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	return g.granted(now, request) || !now.Before(g.trials[request].until)
 }
 
-// TakeTrial takes a trial run that is granted to this process, and reports whether there is one. The
-// caller runs the request once, or returns the trial. Otherwise it asks the owner in the background,
-// without blocking; the callback in the settings is called once a run is granted. Callers that could
-// not run the request should not call it: the grant ends after quarantine.TrialLease.
-func (g *Guard) TakeTrial(request quarantine.Digest) bool {
+// TakeDeferredTrial takes a trial run of a deferred request that is granted to this process, and reports
+// whether there is one. The caller runs a request once, or returns the trial. Otherwise it asks the
+// owner in the background, without blocking; the callback in the settings is called once a run is
+// granted. Callers that could not run the request should not call it: the grant ends after
+// quarantine.TrialLease.
+func (g *Guard) TakeDeferredTrial(request quarantine.Digest) bool {
 	if g.takeGrant(request) {
 		return true
 	}
-	if !g.TrialPossible(request) {
+	if !g.DeferredTrialPossible(request) {
 		return false
 	}
 	go func() {
-		if g.askForTrial(g.ctx, request) == 0 && g.onTrialGranted != nil {
+		if g.askForTrial(g.ctx, TrialRequest{From: g.self, Digest: request, Deferred: true}) == 0 && g.onTrialGranted != nil {
 			g.onTrialGranted()
 		}
 	}()
@@ -80,7 +82,7 @@
 // granted reports whether a trial run is granted and not taken. The mutex must be held.
 func (g *Guard) granted(now time.Time, request quarantine.Digest) bool {
 	held, ok := g.grants[request]
-	return ok && !held.taken && now.Before(held.expiresAt)
+	return ok && held.runs > 0 && now.Before(held.expiresAt)
 }
 
 // takeGrant takes a trial run if one is granted.
@@ -90,7 +92,8 @@
 	if !g.granted(clock.Now(), request) {
 		return false
 	}
-	g.grants[request] = grant{expiresAt: g.grants[request].expiresAt, taken: true}
+	held := g.grants[request]
+	g.grants[request] = grant{expiresAt: held.expiresAt, runs: held.runs - 1}
 	return true
 }
 
@@ -100,14 +103,14 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if held, ok := g.grants[request]; ok {
-		g.grants[request] = grant{expiresAt: held.expiresAt}
+		g.grants[request] = grant{expiresAt: held.expiresAt, runs: held.runs + 1}
 	}
 }
 
 // askForTrial asks the owner for a trial run unless one is granted to this process. It returns 0 if one
 // is granted, or the time after which to ask again.
-func (g *Guard) askForTrial(ctx context.Context, request quarantine.Digest) (wait time.Duration) {
-	now := clock.Now()
+func (g *Guard) askForTrial(ctx context.Context, ask TrialRequest) (wait time.Duration) {
+	now, request := clock.Now(), ask.Digest
 	g.mutex.Lock()
 	known, granted := g.trials[request], g.granted(now, request)
 	if !granted && !now.Before(known.until) {
@@ -120,7 +123,7 @@
 	case now.Before(known.until):
 		return max(known.trial.Sub(now), minTrialInterval)
 	}
-	trial, err := g.sendTrialRequest(ctx, request)
+	trial, err := g.sendTrialRequest(ctx, ask)
 	if err != nil {
 		g.log.WithFields(logrus.Fields{"event": "quarantine_owner_silent", "digest": request}).WithError(err).Warn("No store answered a request for a trial run.")
 		return minTrialInterval
@@ -128,7 +131,7 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if trial.Granted {
-		g.grants[request] = grant{expiresAt: now.Add(quarantine.TrialLease)}
+		g.grants[request] = grant{expiresAt: now.Add(quarantine.TrialLease), runs: max(trial.Runs, 1)}
 		return 0
 	}
 	wait = max(time.Duration(trial.WaitMs)*time.Millisecond, minTrialInterval)
@@ -137,7 +140,7 @@
 }
 
 // sendTrialRequest asks the owner, or the next stores in placement order while one does not answer.
-func (g *Guard) sendTrialRequest(ctx context.Context, request quarantine.Digest) (TrialResponse, error) {
+func (g *Guard) sendTrialRequest(ctx context.Context, request TrialRequest) (TrialResponse, error) {
 	owners := placement.RankStores(ownerKey, g.owners())
 	if len(owners) == 0 {
 		return TrialResponse{}, api.NewError("ask for a trial", "", api.CodeKeyValueUnavailable, api.OutcomeNotRun, "no store is known")
@@ -153,9 +156,9 @@
 	return TrialResponse{}, failures
 }
 
-func (g *Guard) sendTrialRequestTo(ctx context.Context, owner api.Node, request quarantine.Digest) (trial TrialResponse, err error) {
+func (g *Guard) sendTrialRequestTo(ctx context.Context, owner api.Node, request TrialRequest) (trial TrialResponse, err error) {
 	ctx, cancel := context.WithTimeout(ctx, trialTimeout)
 	defer cancel()
-	err = transport.Call(ctx, g.client, "ask for a trial", owner.Address, PathTrials, TrialRequest{From: g.self, Digest: request}, &trial)
+	err = transport.Call(ctx, g.client, "ask for a trial", owner.Address, PathTrials, request, &trial)
 	return trial, err
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -50,6 +50,10 @@
 	failed      *crashRecord // crash of the last trial run's worker, until it is evaluated
 	retryAt     time.Time    // next trial unless that crash is the request's fault
 	trialFailed bool         // TakeFailedTrials has not returned it since
+
+	heldSince    time.Time // start of the quarantine or, if later, its last crash
+	nextDeferred time.Time // next grant of deferred runs, if some were granted since then
+	deferredRuns int       // deferred runs granted since then
 }
 
 func New(settings Settings) *Detector {
@@ -112,6 +116,7 @@
 		entry.Trials++
 	}
 	entry.nextTrial = later(entry.nextTrial, now.Add(d.trialDelay(entry)))
+	entry.holdDeferred(known.at)
 }
 
 func insertSorted(sorted []string, worker string) []string {
@@ -192,7 +197,7 @@
 
 // quarantine adds a request to the quarantined ones.
 func (d *Detector) quarantine(now time.Time, request Digest) Entry {
-	entry := &Entry{Digest: request, Workers: slices.Sorted(maps.Keys(d.crashesByRequest[request])), lastSeen: now}
+	entry := &Entry{Digest: request, Workers: slices.Sorted(maps.Keys(d.crashesByRequest[request])), lastSeen: now, heldSince: now}
 	entry.nextTrial = now.Add(d.trialDelay(entry))
 	d.entries[request] = entry
 	d.enforceLimits()
@@ -241,10 +246,11 @@
 		if trials > known.Trials {
 			known.Trials = trials
 			known.nextTrial = later(known.nextTrial, now.Add(d.trialDelay(known)))
+			known.holdDeferred(now)
 		}
 		return
 	}
-	entry := &Entry{Digest: request, Trials: trials, lastSeen: now}
+	entry := &Entry{Digest: request, Trials: trials, lastSeen: now, heldSince: now}
 	entry.nextTrial = now.Add(d.trialDelay(entry))
 	d.entries[request] = entry
 	d.enforceLimits()
--- a/quarantine/settings.go
+++ b/quarantine/settings.go
@@ -19,6 +19,9 @@
 	// those whose worker crashed; the last delay repeats. Trials release requests that were quarantined only because they shared workers
 	// with another one, and requests that a newer version of the worker handles.
 	TrialBackoff []time.Duration
+	// DeferredBackoff is the backoff schedule of the runs of a quarantined deferred request (see
+	// DeferredTrial), indexed like TrialBackoff.
+	DeferredBackoff []time.Duration
 	// IdleTimeout is how long a quarantined request is kept after its last arrival.
 	IdleTimeout time.Duration
 
@@ -74,6 +77,18 @@
 // workers a request crashes while it stays quarantined.
 var defaultTrialBackoff = []time.Duration{2 * time.Second, 5 * time.Minute, 30 * time.Minute, time.Hour}
 
+// defaultDeferredBackoff is short, since deferred requests are owed. The last delay bounds the workers
+// that such a request crashes to one in that time.
+var defaultDeferredBackoff = []time.Duration{2 * time.Second, 5 * time.Second}
+
+const (
+	// deferredRampInterval is the time in which the number of granted deferred runs may double. A crash
+	// is reported within it.
+	deferredRampInterval = time.Second
+	// minDeferredWait is the shortest wait that is returned.
+	minDeferredWait = 100 * time.Millisecond
+)
+
 func (s Settings) withDefaults() Settings {
 	setDefault(&s.CrashThreshold, defaultCrashThreshold)
 	setDefault(&s.ReportWindow, defaultReportWindow)
@@ -84,6 +99,9 @@
 	if len(s.TrialBackoff) == 0 {
 		s.TrialBackoff = defaultTrialBackoff
 	}
+	if len(s.DeferredBackoff) == 0 {
+		s.DeferredBackoff = defaultDeferredBackoff
+	}
 	setDefault(&s.IdleTimeout, defaultIdleTimeout)
 	return s
 }
