A success without the worker's signature is not passed on

Cause: a frontend treats such an answer as a failure of the worker, and passes failures on as they are, except for the statuses that promise that the request has not run. A success among them was passed on too. Now it is answered with 502, or tried elsewhere where the route allows, as before.

--- a/internal/frontend/online.go
+++ b/internal/frontend/online.go
@@ -339,7 +339,7 @@
 	if x.headerWritten {
 		x.abortResponse(last.failure)
 	}
-	if last.status == attemptWorkerError && !promisesNotRun(last.incoming.Response.StatusCode) {
+	if last.status == attemptWorkerError && isFailure(last.incoming.Response.StatusCode) {
 		x.logEntry("worker_failed", last.failure).Warn("A worker's error response is passed on.")
 		x.frontend.metrics.requests.WithLabelValues(string(x.route.Kind), "worker_failed").Inc()
 		x.writeResponse(last.incoming, last.body)
@@ -361,6 +361,12 @@
 	x.refuse(&failure)
 }
 
+// isFailure tells whether a status that a worker gave may be passed on as its failure. A success without
+// the worker's signature may be anybody's.
+func isFailure(status int) bool {
+	return status/100 != 2 && !promisesNotRun(status)
+}
+
 // promisesNotRun tells whether a status promises that the request has not run.
 func promisesNotRun(status int) bool {
 	return slices.Contains([]int{
