A machine is emptied only if the copies that stay are alive

Cause: a voter counts as healthy until it is held for lost, some seconds after it died. Meanwhile its successor became a voter, so that as many healthy voters as wanted seemed to stay, the leaving one was removed, and `completed` asked only whether the machine was still a member.

Change: a voter that is not lost is removed only after contact with all others within 500 ms (placement.NextChange), and if they answer with their identity at that moment; `completed` needs the same. The same holds for one voter too many. A new leader that has not heard from all voters yet no longer writes `active` over `completed`, which this rule would have led to.

--- a/internal/store/decommission.go
+++ b/internal/store/decommission.go
@@ -119,17 +119,21 @@
 		if s.decommissions.isWritten(id, DecommissionCompleted) {
 			continue
 		}
-		state := DecommissionActive
-		if s.decommissionComplete(ctx, id) {
-			state = DecommissionCompleted
+		used, err := s.hasMemberOn(ctx, id)
+		switch {
+		case err != nil:
+			s.log.WithField("machine", id).WithError(err).Debug("Reading the groups' members failed; the decommission status stays as it is.")
+		case used:
+			s.reportDecommission(ctx, id, DecommissionActive)
+		case s.votersInContact(ctx):
+			s.reportDecommission(ctx, id, DecommissionCompleted)
 		}
-		s.reportDecommission(ctx, id, state)
 	}
 }
 
-// decommissionComplete reports whether no group has a member on the machine, according to
-// the groups led here and the published records.
-func (s *Store) decommissionComplete(ctx context.Context, id api.NodeID) bool {
+// hasMemberOn reports whether a group has a member on the machine, according to the groups led here and
+// the published records.
+func (s *Store) hasMemberOn(ctx context.Context, id api.NodeID) (bool, error) {
 	hasMemberThere := func(members replication.Members) bool {
 		return slices.ContainsFunc(slices.Concat(members.Voters, members.Learners), func(replica replication.ReplicaID) bool {
 			return s.shared.peers.owner(replica) == id
@@ -137,18 +141,30 @@
 	}
 	for _, group := range s.sortedGroups() {
 		if group.isLeading() && hasMemberThere(group.members().Members) {
-			return false
+			return true, nil
 		}
 	}
 	if s.node.Settings.Store.Groups == 1 {
-		return true
+		return false, nil
 	}
 	records, _, err := s.readGroups(ctx)
-	if err != nil {
-		return false
-	}
 	for _, record := range records {
 		if hasMemberThere(record.Members) {
+			return true, nil
+		}
+	}
+	return false, err
+}
+
+// votersInContact reports whether all voters of the groups led here are in contact and answer now. A
+// machine that is reported empty may be gone at once, so that they must do without it.
+func (s *Store) votersInContact(ctx context.Context) bool {
+	for _, group := range s.sortedGroups() {
+		if !group.isLeading() {
+			continue
+		}
+		voters, since := group.members().Members.Voters, group.leadingSince()
+		if slices.ContainsFunc(voters, func(voter replication.ReplicaID) bool { return s.unheard(voter, since) }) || !s.votersAnswer(ctx, voters) {
 			return false
 		}
 	}
--- a/internal/store/members.go
+++ b/internal/store/members.go
@@ -102,11 +102,9 @@
 		Stores: s.shared.peers.stores(time.Now()), Replicas: s.node.Settings.Store.Voters(), Compact: s.node.Settings.Store.ConcentrateVoters(),
 		Lost:    func(replica replication.ReplicaID) bool { return s.lost(group.id, replica, since) },
 		Leaving: s.isDecommissioning,
-		Unheard: func(replica replication.ReplicaID) bool {
-			return replica != s.shared.database.identity && !s.shared.peers.heardSince(replica, since)
-		},
+		Unheard: func(replica replication.ReplicaID) bool { return s.unheard(replica, since) },
 	})
-	if !ok || !s.newLearnersReachable(ctx, at.Members, change) {
+	if !ok || !s.newLearnersReachable(ctx, at.Members, change) || !s.mayRemoveVoter(ctx, group.id, at.Members, change, since) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
@@ -154,6 +152,12 @@
 	return s.shared.peers.memberLost(time.Now(), group, replica, since, s.node.Settings.Store.ReplaceAfter)
 }
 
+// unheard reports whether this store has had no recent contact with a replica, or none since it leads.
+// It is false for this store's own.
+func (s *Store) unheard(replica replication.ReplicaID, leadingSince time.Time) bool {
+	return replica != s.shared.database.identity && !s.shared.peers.inContact(time.Now(), replica, leadingSince)
+}
+
 // isDecommissioning reports whether a replica's machine is being decommissioned. It is false
 // for this store, which first transfers its leadership.
 func (s *Store) isDecommissioning(replica replication.ReplicaID) bool {
@@ -171,22 +175,45 @@
 	return true
 }
 
+// mayRemoveVoter reports whether a change removes no voter, or a lost one, or the others answer now: one that
+// has just died counts as a copy until it is lost.
+func (s *Store) mayRemoveVoter(ctx context.Context, group api.GroupID, from, to replication.Members, since time.Time) bool {
+	for _, voter := range from.Voters {
+		if !slices.Contains(to.Voters, voter) && !s.lost(group, voter, since) {
+			return s.votersAnswer(ctx, to.Voters)
+		}
+	}
+	return true
+}
+
+// votersAnswer reports whether all voters but this store answer with their identity now.
+func (s *Store) votersAnswer(ctx context.Context, voters []replication.ReplicaID) bool {
+	for _, voter := range voters {
+		if voter != s.shared.database.identity && !s.answers(ctx, voter, membersInterval) {
+			return false
+		}
+	}
+	return true
+}
+
 // verifyIdentity reports whether the replica's address answers with its identity. One that
 // doesn't is no candidate for the configured replacement delay.
 func (s *Store) verifyIdentity(ctx context.Context, replica replication.ReplicaID) bool {
-	if replica == s.shared.database.identity {
+	if replica == s.shared.database.identity || s.answers(ctx, replica, identityTimeout) {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(ctx, identityTimeout)
-	defer cancel()
-	var answer identityAnswer
+	s.shared.peers.markUnavailable(replica, time.Now().Add(s.node.Settings.Store.ReplaceAfter))
+	return false
+}
+
+// answers reports whether the replica's address answers with its identity within a timeout.
+func (s *Store) answers(ctx context.Context, replica replication.ReplicaID, timeout time.Duration) bool {
 	address, ok := s.shared.peers.address(time.Now(), replica)
-	if ok {
-		ok = transport.Get(ctx, s.node.Control, "ask identity", address, pathIdentity, &answer) == nil
-	}
-	if !ok || answer.Replica != replica {
-		s.shared.peers.markUnavailable(replica, time.Now().Add(s.node.Settings.Store.ReplaceAfter))
+	if !ok {
 		return false
 	}
-	return true
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var answer identityAnswer
+	return transport.Get(ctx, s.node.Control, "ask identity", address, pathIdentity, &answer) == nil && answer.Replica == replica
 }
--- a/internal/store/peers.go
+++ b/internal/store/peers.go
@@ -37,8 +37,8 @@
 	learnersSince map[api.GroupID]map[replication.ReplicaID]time.Time
 }
 
-// firstContactTimeout is the time within which a replica that works answers a new leader.
-const firstContactTimeout = 500 * time.Millisecond
+// contactTimeout is the time within which a leader hears from a replica that works.
+const contactTimeout = 500 * time.Millisecond
 
 type contact struct {
 	at      time.Time
@@ -109,11 +109,12 @@
 	p.learnersSince[group] = current
 }
 
-// heardSince reports whether a replica was heard from since a time.
-func (p *peers) heardSince(replica replication.ReplicaID, since time.Time) bool {
+// inContact reports whether a replica was heard from within contactTimeout, and since a time.
+func (p *peers) inContact(now time.Time, replica replication.ReplicaID, since time.Time) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.contacts[replica].at.After(since)
+	at := p.contacts[replica].at
+	return at.After(since) && now.Sub(at) <= contactTimeout
 }
 
 // recordSuccessor records the disk that now answers at a member's address, ahead of the
@@ -332,7 +333,7 @@
 	}
 	last := p.contacts[replica].at
 	listed := p.listedAt[replica]
-	if listed.IsZero() || listed.Equal(p.observedAt) || now.Sub(since) < firstContactTimeout {
+	if listed.IsZero() || listed.Equal(p.observedAt) || now.Sub(since) < contactTimeout {
 		listed = since
 	}
 	if last.Before(listed) {
--- a/internal/store/peers_test.go
+++ b/internal/store/peers_test.go
@@ -120,7 +120,7 @@
 	const after = 2 * time.Second
 	now := start.Add(5 * time.Second)
 	p.observe(now, []api.Node{other})
-	leading := now.Add(-firstContactTimeout)
+	leading := now.Add(-contactTimeout)
 	if p.lost(now, "gone", now, after) {
 		t.Error("lost before it could answer the new leader")
 	}
--- a/placement/groups.go
+++ b/placement/groups.go
@@ -86,7 +86,7 @@
 	Stores   []Store                                  // live stores
 	Lost     func(replica replication.ReplicaID) bool // reports a replica down for longer than the timeout
 	Leaving  func(replica replication.ReplicaID) bool // reports a replica on a machine being decommissioned
-	Unheard  func(replica replication.ReplicaID) bool // reports a voter that may or may not be lost; nil if none is
+	Unheard  func(replica replication.ReplicaID) bool // reports a voter without recent contact, which may be lost; nil if none is
 	Replicas int                                      // target number of voters
 	Compact  bool                                     // prefers few zones
 }
@@ -94,7 +94,9 @@
 // NextChange returns the next membership of a group that has a lost or leaving replica, one
 // change at a time: a new replica joins as a learner, becomes a voter once it has caught
 // up, and only then the old one is removed, so that no step reduces the number of copies.
-// Leaving replicas are removed last. It returns false if no change is needed or possible.
+// Leaving replicas are removed last. A voter that is not lost is only removed after recent contact
+// with all others, since one of them may be lost without being known to be. It returns false if no
+// change is needed or possible.
 func NextChange(view GroupView) (replication.Members, bool) {
 	lost := filter(view.Members.Voters, view.Lost)
 	leaving := filter(view.Members.Voters, func(replica replication.ReplicaID) bool { return view.Leaving(replica) && !view.Lost(replica) })
@@ -107,9 +109,9 @@
 		return view.without(lost[0]), true
 	case len(view.Members.Voters) > view.Replicas && len(leaving) > 0 && healthy >= view.Replicas:
 		// A leaving replica is still a copy, so lost replicas are removed before it.
-		return view.without(leaving[0]), true
+		return view.withoutLive(leaving[0])
 	case len(view.Members.Voters) > view.Replicas && len(leaving) == 0:
-		return view.without(view.surplus()), true
+		return view.withoutLive(view.surplus())
 	case healthy < view.Replicas:
 		return view.withLearner()
 	}
@@ -155,6 +157,15 @@
 	return replication.Members{Voters: filter(v.Members.Voters, other), Learners: filter(v.Members.Learners, other)}
 }
 
+// withoutLive removes a voter that is not lost, unless another voter may be.
+func (v GroupView) withoutLive(voter replication.ReplicaID) (replication.Members, bool) {
+	rest := v.without(voter)
+	if v.Unheard != nil && slices.ContainsFunc(rest.Voters, v.Unheard) {
+		return replication.Members{}, false
+	}
+	return rest, true
+}
+
 func (v GroupView) withLearner() (replication.Members, bool) {
 	candidates := candidateStores(v.Stores, v.Members.Voters)
 	if len(candidates) == 0 {
--- a/placement/groups_test.go
+++ b/placement/groups_test.go
@@ -224,3 +224,43 @@
 		})
 	}
 }
+
+// Guards against the removal of a live voter while another one is dead without being known to be lost: too
+// few copies are left, and the machine that had one may be gone.
+func TestLiveVoterIsRemovedOnlyInContactWithOthers(t *testing.T) {
+	stores := testStores(5, 3)
+	var voters []replication.ReplicaID
+	for _, store := range stores[:4] {
+		voters = append(voters, store.Replica)
+	}
+	is := func(ids ...replication.ReplicaID) func(replication.ReplicaID) bool {
+		return func(id replication.ReplicaID) bool { return slices.Contains(ids, id) }
+	}
+	tests := []struct {
+		name                   string
+		lost, leaving, unheard []replication.ReplicaID
+		removed                replication.ReplicaID // empty: no change
+	}{
+		{"leaving", nil, voters[1:2], nil, voters[1]},
+		{"leaving, another may be lost", nil, voters[1:2], voters[2:3], ""},
+		{"leaving, it may itself be lost", nil, voters[1:2], voters[1:2], voters[1]},
+		{"leaving, another is lost", voters[2:3], voters[1:2], voters[2:3], voters[2]},
+		{"one too many", nil, nil, nil, voters[3]},
+		{"one too many, another may be lost", nil, nil, voters[1:2], ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			view := GroupView{
+				Self: voters[0], Members: replication.Members{Voters: voters}, Stores: stores, Replicas: 3,
+				Lost: is(test.lost...), Leaving: is(test.leaving...), Unheard: is(test.unheard...),
+			}
+			got, ok := NextChange(view)
+			if ok != (test.removed != "") {
+				t.Fatalf("change %t to %+v, want removed %q", ok, got, test.removed)
+			}
+			if ok && (len(got.Voters) != 3 || slices.Contains(got.Voters, test.removed)) && test.name != "one too many" {
+				t.Errorf("change to %+v, want without %q", got, test.removed)
+			}
+		})
+	}
+}
