A leader that is to be emptied stays until another voter can lead

Cause: a leader on such a machine handed over every 250 ms to the most up-to-date voter, which was to be emptied too and handed over again. A leader that hands over takes no proposals and changes no members, so that no other voter came.

Change: it hands over to a voter that stays and is in contact, and leads on while there is none; it adds voters and writes the statuses meanwhile.

--- a/internal/store/decommission.go
+++ b/internal/store/decommission.go
@@ -98,7 +98,7 @@
 }
 
 // decommission advances the requests: replicas on those machines are replaced, leaders
-// there transfer their leadership, and the leader of group 0 writes the statuses.
+// there hand over, and the leader of group 0 writes the statuses.
 func (s *Store) decommission(ctx context.Context) {
 	nodes := s.decommissions.nodes()
 	s.shared.peers.setDecommissioning(nodes)
@@ -107,9 +107,8 @@
 	}
 	if slices.Contains(nodes, s.node.ID()) {
 		for _, group := range s.sortedGroups() {
-			group.transferLeadership()
+			s.handOver(group)
 		}
-		return
 	}
 	first, ok := s.group(0)
 	if !ok || !first.isLeading() {
@@ -131,6 +130,21 @@
 	}
 }
 
+// handOver transfers the leadership of a group to a voter that stays. While there is none, the group keeps
+// its leader: a leader that hands over changes no members, so that no other voter would be added.
+func (s *Store) handOver(group *group) {
+	if !group.isLeading() {
+		return
+	}
+	since := group.leadingSince()
+	for _, voter := range group.members().Members.Voters {
+		if voter != s.shared.database.identity && !s.shared.peers.isDecommissioning(voter) && !s.unheard(voter, since) {
+			group.transferLeadership(voter)
+			return
+		}
+	}
+}
+
 // hasMemberOn reports whether a group has a member on the machine, according to the groups led here and
 // the published records.
 func (s *Store) hasMemberOn(ctx context.Context, id api.NodeID) (bool, error) {
--- a/internal/store/group.go
+++ b/internal/store/group.go
@@ -346,11 +346,9 @@
 	g.shell.Tell(replication.TransferLeadership{})
 }
 
-// transferLeadership makes a leader hand over and continue as a follower.
-func (g *group) transferLeadership() {
-	if g.isLeading() {
-		g.shell.Tell(replication.TransferLeadership{})
-	}
+// transferLeadership makes a leader hand over to a voter and continue as a follower.
+func (g *group) transferLeadership(to replication.ReplicaID) {
+	g.shell.Tell(replication.TransferLeadership{To: to})
 }
 
 func (g *group) summary() api.GroupSummary {
--- a/internal/store/members.go
+++ b/internal/store/members.go
@@ -159,7 +159,7 @@
 }
 
 // isDecommissioning reports whether a replica's machine is being decommissioned. It is false
-// for this store, which first transfers its leadership.
+// for this store, which first hands over (handOver).
 func (s *Store) isDecommissioning(replica replication.ReplicaID) bool {
 	return replica != s.shared.database.identity && s.shared.peers.isDecommissioning(replica)
 }
