A machine that waits to be emptied takes a replica if no other can

Cause: a machine that is to be emptied was no candidate for a replica, even while a copy was missing and there was no other machine. Its old replica had been one of three copies.

Change: it is a last resort: it takes a replica while fewer copies than wanted are alive and no other store accepts one, and gives it up to the first store that does.

TestDecommissioningStoreIsLastResort states each step.

--- a/internal/store/peers.go
+++ b/internal/store/peers.go
@@ -279,7 +279,8 @@
 	for replica, node := range p.nodes {
 		stores = append(stores, placement.Store{
 			Replica: replica, Location: node.Location, Groups: len(node.Summary.Groups),
-			Leaving: p.decommissioning[node.ID] || node.Leaving || node.Summary.DiskFull || now.Before(p.unavailableUntil[replica]),
+			Leaving:         node.Leaving || node.Summary.DiskFull || now.Before(p.unavailableUntil[replica]),
+			Decommissioning: p.decommissioning[node.ID],
 		})
 	}
 	return stores
--- a/placement/groups.go
+++ b/placement/groups.go
@@ -14,7 +14,9 @@
 	Replica  replication.ReplicaID
 	Location api.Location
 	Leaving  bool // accepts no new replica
-	Groups   int  // number of replicas held
+	// Decommissioning stores accept a new replica only if a copy is missing and no other store does.
+	Decommissioning bool
+	Groups          int // number of replicas held
 }
 
 // SpreadMembers chooses the first voters of a group. They span as many zones as possible. In
@@ -41,7 +43,18 @@
 func candidateStores(stores []Store, members []replication.ReplicaID) []Store {
 	var free []Store
 	for _, store := range stores {
-		if !store.Leaving && !slices.Contains(members, store.Replica) {
+		if !store.Leaving && !store.Decommissioning && !slices.Contains(members, store.Replica) {
+			free = append(free, store)
+		}
+	}
+	return free
+}
+
+// lastResortStores returns the decommissioning stores that accept a replica and are not members.
+func lastResortStores(stores []Store, members []replication.ReplicaID) []Store {
+	var free []Store
+	for _, store := range stores {
+		if store.Decommissioning && !store.Leaving && !slices.Contains(members, store.Replica) {
 			free = append(free, store)
 		}
 	}
@@ -139,7 +152,7 @@
 func (v GroupView) resolveLearner(healthy int) (replication.Members, bool) {
 	learner := slices.Min(v.Members.Learners)
 	switch {
-	case v.departing(learner):
+	case v.Lost(learner) || v.Leaving(learner) && !v.needsLastResort():
 		return v.without(learner), true
 	case healthy >= v.Replicas && v.Unheard != nil && slices.ContainsFunc(v.Members.Voters, v.Unheard):
 		return replication.Members{}, false
@@ -168,6 +181,9 @@
 
 func (v GroupView) withLearner() (replication.Members, bool) {
 	candidates := candidateStores(v.Stores, v.Members.Voters)
+	if v.needsLastResort() {
+		candidates = lastResortStores(v.Stores, v.Members.Voters)
+	}
 	if len(candidates) == 0 {
 		return replication.Members{}, false
 	}
@@ -180,6 +196,13 @@
 	return members, true
 }
 
+// needsLastResort reports whether a copy is missing for which there are only decommissioning stores. A
+// copy there is one that a leaving voter had: it stays until there is another store.
+func (v GroupView) needsLastResort() bool {
+	copies := len(v.Members.Voters) - len(filter(v.Members.Voters, v.Lost))
+	return copies < v.Replicas && len(candidateStores(v.Stores, v.Members.Voters)) == 0
+}
+
 func (v GroupView) healthyZones() []api.Location {
 	var zones []api.Location
 	for _, store := range v.Stores {
--- a/placement/groups_test.go
+++ b/placement/groups_test.go
@@ -264,3 +264,48 @@
 		})
 	}
 }
+
+// Guards against a group that stays without a copy, since the only store for it is being decommissioned:
+// the next lost disk would make its jobs unreadable.
+func TestDecommissioningStoreIsLastResort(t *testing.T) {
+	stores := testStores(4, 3)
+	a, b, c, spare := stores[0].Replica, stores[1].Replica, stores[2].Replica, stores[3].Replica
+	wiped := Store{Replica: "a-wiped", Location: stores[0].Location, Decommissioning: true}
+	leaving := stores[0]
+	leaving.Decommissioning = true
+	is := func(ids ...replication.ReplicaID) func(replication.ReplicaID) bool {
+		return func(id replication.ReplicaID) bool { return slices.Contains(ids, id) }
+	}
+	tests := []struct {
+		name             string
+		voters, learners []replication.ReplicaID
+		stores           []Store
+		lost             []replication.ReplicaID
+		want             *replication.Members // nil: no change
+	}{
+		{"its disk is lost", []replication.ReplicaID{a, b, c}, nil, []Store{wiped, stores[1], stores[2]}, []replication.ReplicaID{a},
+			&replication.Members{Voters: []replication.ReplicaID{a, b, c}, Learners: []replication.ReplicaID{wiped.Replica}}},
+		{"its new replica has caught up", []replication.ReplicaID{a, b, c}, []replication.ReplicaID{wiped.Replica}, []Store{wiped, stores[1], stores[2]}, []replication.ReplicaID{a},
+			&replication.Members{Voters: []replication.ReplicaID{a, b, c, wiped.Replica}}},
+		{"the lost replica is still a voter", []replication.ReplicaID{a, b, c, wiped.Replica}, nil, []Store{wiped, stores[1], stores[2]}, []replication.ReplicaID{a},
+			&replication.Members{Voters: []replication.ReplicaID{b, c, wiped.Replica}}},
+		{"all copies are there", []replication.ReplicaID{b, c, wiped.Replica}, nil, []Store{wiped, stores[1], stores[2]}, nil, nil},
+		{"another store came meanwhile", []replication.ReplicaID{a, b, c}, []replication.ReplicaID{wiped.Replica}, []Store{wiped, stores[1], stores[2], stores[3]}, []replication.ReplicaID{a},
+			&replication.Members{Voters: []replication.ReplicaID{a, b, c}}},
+		{"another store is there", []replication.ReplicaID{a, b, c}, nil, []Store{wiped, stores[1], stores[2], stores[3]}, []replication.ReplicaID{a},
+			&replication.Members{Voters: []replication.ReplicaID{a, b, c}, Learners: []replication.ReplicaID{spare}}},
+		{"it has its copy", []replication.ReplicaID{a, b, c}, nil, []Store{leaving, stores[1], stores[2]}, nil, nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			view := GroupView{
+				Self: b, Members: replication.Members{Voters: test.voters, Learners: test.learners}, Stores: test.stores, Replicas: 3,
+				Lost: is(test.lost...), Leaving: is(a, wiped.Replica),
+			}
+			got, ok := NextChange(view)
+			if ok != (test.want != nil) || ok && changedReplicas(got, *test.want) != 0 {
+				t.Errorf("change %t to %+v, want %+v", ok, got, test.want)
+			}
+		})
+	}
+}
