Items are not abandoned early by a stepped clock

Cause: the age was the difference of two wall clocks at different moments: that of the leader that took the job, 2 s back at that time, and that of the leader now.

Change: a leader measures the age of items that it took itself by package clock, from when it took them. For items taken by another leader it adds 5 s for the difference of the clocks; being late is allowed. The read of the configuration for jobs without terms uses package clock too.

Evidence: TestExpiryDoesNotDependOnWallClock; the look-up before has no such function, its expression gives `expired` in the second and third case.

--- a/internal/batchrun/confirm.go
+++ b/internal/batchrun/confirm.go
@@ -14,7 +14,7 @@
 
 // confirmation records when this process last read the configuration from the key-value service. Its
 // configuration is at least as new as any that another process had in force when that read began. It
-// is safe for concurrent use; the zero value is ready.
+// is safe for concurrent use; the zero value is ready. Its times are those of package clock.
 type confirmation struct {
 	mutex       sync.Mutex // guards the fields below
 	beganAt     time.Time  // start of the last successful read; zero before the first
--- a/internal/batchrun/dispatch.go
+++ b/internal/batchrun/dispatch.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/dykewing/dykewing/clock"
 	"github.com/dykewing/dykewing/fill"
 	"github.com/dykewing/dykewing/internal/sleep"
 	"github.com/dykewing/dykewing/placement"
@@ -129,7 +130,7 @@
 	if i.path == "" && !l.loadItem(i) {
 		return false
 	}
-	if i.job.AbandonAfter > 0 && time.Since(i.job.Created) > i.job.AbandonAfter {
+	if i.expired() {
 		l.abandon(i, "kept long enough")
 		return true
 	}
@@ -139,7 +140,7 @@
 	}
 	if why := rule.endOf(i); why != "" {
 		if !rule.binding {
-			l.service.confirmConfiguration(now)
+			l.service.confirmConfiguration(clock.Now())
 			return false
 		}
 		l.abandon(i, why)
--- a/internal/batchrun/leader.go
+++ b/internal/batchrun/leader.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/clock"
 	"github.com/dykewing/dykewing/fill"
 	"github.com/dykewing/dykewing/internal/dispatch"
 	"github.com/dykewing/dykewing/jobs"
@@ -34,7 +35,8 @@
 type item struct {
 	job              jobs.InlineJob
 	terms            *jobs.Terms // of the job; nil if it has none
-	addedAt          time.Time   // when this leader learned of the item
+	addedAt          time.Time   // when this leader learned of the item, by package clock
+	submittedHere    bool        // that was when its job was submitted
 	index            int
 	path             string
 	host             string
@@ -132,7 +134,7 @@
 		if err != nil {
 			return err
 		}
-		l.addItems(job, terms, indexes)
+		l.addItems(job, terms, indexes, false)
 	}
 	l.sortWaiting()
 	l.log.WithFields(logrus.Fields{"event": "batch_leading", "jobs": len(open), "items": len(l.waiting)}).Info("Leadership started; running the group's open inline jobs.")
@@ -173,7 +175,7 @@
 	for index := range submitted.Items {
 		indexes = append(indexes, index)
 	}
-	l.addItems(job, submitted.Terms, indexes)
+	l.addItems(job, submitted.Terms, indexes, true)
 	l.sortWaiting()
 	l.mutex.Unlock()
 	l.wakeUp()
@@ -181,11 +183,11 @@
 
 // addItems adds items of a job to those that wait. The caller holds the mutex, or has not started
 // the leader yet.
-func (l *Leader) addItems(job jobs.InlineJob, terms *jobs.Terms, indexes []int) {
+func (l *Leader) addItems(job jobs.InlineJob, terms *jobs.Terms, indexes []int, submitted bool) {
 	l.logTerms(job, terms)
-	now := time.Now()
+	now := clock.Now()
 	for _, index := range indexes {
-		l.waiting = append(l.waiting, &item{job: job, terms: terms, addedAt: now, index: index, standing: fill.Normal})
+		l.waiting = append(l.waiting, &item{job: job, terms: terms, addedAt: now, submittedHere: submitted, index: index, standing: fill.Normal})
 	}
 }
 
@@ -233,6 +235,21 @@
 	return 0
 }
 
+// maxClockError bounds the difference between the clocks of two stores, and the step of one.
+const maxClockError = 5 * time.Second
+
+// expired reports whether the item may be abandoned for its age. Its age is measured from when this leader
+// took it, or else by the clocks of the leader that did and of this one.
+func (i *item) expired() bool {
+	switch {
+	case i.job.AbandonAfter <= 0:
+		return false
+	case i.submittedHere:
+		return clock.Since(i.addedAt) > i.job.AbandonAfter
+	}
+	return time.Since(i.job.Created) > i.job.AbandonAfter+maxClockError
+}
+
 func (l *Leader) wakeUp() { signal(l.wake) }
 
 // signal does a non-blocking send.
--- a/internal/batchrun/rule_test.go
+++ b/internal/batchrun/rule_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/dykewing/dykewing/clock"
 	"github.com/dykewing/dykewing/jobs"
 )
 
@@ -47,7 +48,7 @@
 			}
 			i.terms = test.terms
 			if test.confirmed {
-				l.service.confirmation.begin(time.Now())
+				l.service.confirmation.begin(clock.Now())
 				l.service.confirmation.end(true)
 			}
 			got, known := l.ruleFor(i)
@@ -96,3 +97,26 @@
 		t.Errorf("%d of 3 items started", n)
 	}
 }
+
+// Guards against items that are abandoned too early, since the clock of the store that took them, or of the
+// one that leads now, was stepped.
+func TestExpiryDoesNotDependOnWallClock(t *testing.T) {
+	const keep = time.Minute
+	ago := func(elapsed time.Duration) time.Time { return clock.Now().Add(-elapsed) }
+	tests := []struct {
+		name    string
+		item    *item
+		expired bool
+	}{
+		{"taken here, clock then ahead", &item{submittedHere: true, addedAt: ago(keep + time.Second), job: jobs.InlineJob{AbandonAfter: keep, Created: time.Now().Add(time.Hour)}}, true},
+		{"taken here, clock then back", &item{submittedHere: true, addedAt: ago(keep - time.Second), job: jobs.InlineJob{AbandonAfter: keep, Created: time.Now().Add(-time.Hour)}}, false},
+		{"taken by another leader, clock then back", &item{addedAt: ago(0), job: jobs.InlineJob{AbandonAfter: keep, Created: time.Now().Add(-keep - 4*time.Second)}}, false},
+		{"taken by another leader, long ago", &item{addedAt: ago(0), job: jobs.InlineJob{AbandonAfter: keep, Created: time.Now().Add(-keep - 6*time.Second)}}, true},
+		{"never", &item{submittedHere: true, addedAt: ago(time.Hour)}, false},
+	}
+	for _, test := range tests {
+		if got := test.item.expired(); got != test.expired {
+			t.Errorf("%s: expired %t", test.name, got)
+		}
+	}
+}
