An ended job requeues none of its items

Suspected by the review's reading: an item whose run fails just as its batch job ends is put back among those that wait and runs after the end.

Cause: finishRun looked at `ended` only for runs that were cancelled. A run that ended otherwise between the end of its job and its own was queued again.

--- a/internal/batchrun/rule_test.go
+++ b/internal/batchrun/rule_test.go
@@ -120,3 +120,21 @@
 		}
 	}
 }
+
+// Guards against an item that runs again, since its run failed just as its job was ended.
+func TestEndedJobRequeuesNoItem(t *testing.T) {
+	for _, verdict := range []verdict{verdictFailed, verdictInterrupted, verdictNotRun, verdictImpossible, verdictCancelled} {
+		l := testLeader(t, 1, 0)
+		i := l.waiting[0]
+		if !l.loadItem(i) {
+			t.Fatal("the item is not stored")
+		}
+		began, _ := l.ruleFor(i)
+		l.waiting, l.running[i] = nil, true
+		l.endJob(i.job.ID)
+		l.finishRun(i, verdict, began, "w0", 0)
+		if len(l.waiting) > 0 || len(l.running) > 0 {
+			t.Errorf("%s: %d items wait and %d run, want none", verdict, len(l.waiting), len(l.running))
+		}
+	}
+}
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -100,7 +100,7 @@
 	if verdict == verdictDone {
 		l.backlog.finish(i)
 	}
-	if verdict == verdictDone || verdict == verdictCancelled && (l.ended[i.job.ID] || l.ctx.Err() != nil) {
+	if verdict == verdictDone || l.ended[i.job.ID] || verdict == verdictCancelled && l.ctx.Err() != nil {
 		return
 	}
 	if newest, known := l.ruleFor(i); verdict == verdictImpossible || known && newest.binding && newest.endOf(i) == endFailures {
