An accepted job is not called unknown by an older configuration

Cause: the frontend identifies the caller by its own configuration, and the store takes a job of another tenant for none. That configuration may be older than the one under which the job was accepted.

Change: frontends send the version that identified the caller; the store answers 503 (no_table) instead of "not found" while the terms of the job are newer than it. Frontends of the build before send none and get 404 as before; a store of the build before ignores the version. A key that is still unknown to a frontend gets 401 as before: the stores are not asked for callers without a valid key.

--- a/internal/frontend/identity.go
+++ b/internal/frontend/identity.go
@@ -5,6 +5,7 @@
 
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/internal/backend"
+	"github.com/dykewing/dykewing/internal/storeclient"
 	"github.com/dykewing/dykewing/route"
 )
 
@@ -58,19 +59,19 @@
 	return !known && configuration.HasTenants()
 }
 
-// identifyJobCall returns the tenant of a call about a batch job. The key is optional
+// identifyJobCall returns the caller of a call about a batch job. The key is optional
 // if the host takes public jobs. If it returns false, it has written the response.
-func (f *Frontend) identifyJobCall(w http.ResponseWriter, r *http.Request, call backend.JobCall) (api.TenantID, bool) {
+func (f *Frontend) identifyJobCall(w http.ResponseWriter, r *http.Request, call backend.JobCall) (storeclient.Caller, bool) {
 	configuration := f.catalog.Configuration()
 	if configuration == nil {
 		f.writeJobError(w, "identify tenant", call, api.NewError("identify tenant", "", api.CodeNoTable, api.OutcomeNotRun, "no configuration loaded yet"))
-		return "", false
+		return storeclient.Caller{}, false
 	}
 	request := f.protocol.ReadRequest(r.Header)
 	found, ok := f.identify(configuration, request, configuration.HasPublicBatchRoute(hostOf(r)))
 	if !ok {
 		f.writeJobError(w, "identify tenant", call, f.unknownKeyError(request))
-		return "", false
+		return storeclient.Caller{}, false
 	}
-	return api.TenantID(found.tenant.Name), true
+	return storeclient.Caller{Tenant: api.TenantID(found.tenant.Name), Version: configuration.Version}, true
 }
--- a/internal/frontend/jobs.go
+++ b/internal/frontend/jobs.go
@@ -82,26 +82,26 @@
 
 // serveJobCall serves a call about a job that was submitted earlier.
 func (f *Frontend) serveJobCall(w http.ResponseWriter, r *http.Request, call backend.JobCall) {
-	tenant, ok := f.identifyJobCall(w, r, call)
+	caller, ok := f.identifyJobCall(w, r, call)
 	if !ok {
 		return
 	}
 	switch call.Action {
 	case backend.JobRead:
-		f.serveResults(w, r, call, tenant)
+		f.serveResults(w, r, call, caller)
 	case backend.JobItem:
-		f.serveItem(w, r, call, tenant)
+		f.serveItem(w, r, call, caller)
 	case backend.JobEnd:
-		f.serveJobEnd(w, r, call, tenant)
+		f.serveJobEnd(w, r, call, caller)
 	}
 }
 
-func (f *Frontend) serveResults(w http.ResponseWriter, r *http.Request, call backend.JobCall, tenant api.TenantID) {
+func (f *Frontend) serveResults(w http.ResponseWriter, r *http.Request, call backend.JobCall, caller storeclient.Caller) {
 	ctx, cancel := context.WithTimeout(r.Context(), readTimeout)
 	defer cancel()
 	group := f.jobGroup(call.Job)
 	var page jobs.InlinePage
-	if err := f.stores.Read(ctx, group, storeclient.InlineResultsPath(group, tenant, call.Job, call.From), &page); err != nil {
+	if err := f.stores.Read(ctx, group, storeclient.InlineResultsPath(group, caller, call.Job, call.From), &page); err != nil {
 		f.writeJobError(w, "read results", call, err)
 		return
 	}
@@ -114,12 +114,12 @@
 	_, _ = w.Write(body)
 }
 
-func (f *Frontend) serveItem(w http.ResponseWriter, r *http.Request, call backend.JobCall, tenant api.TenantID) {
+func (f *Frontend) serveItem(w http.ResponseWriter, r *http.Request, call backend.JobCall, caller storeclient.Caller) {
 	ctx, cancel := context.WithTimeout(r.Context(), readTimeout)
 	defer cancel()
 	group := f.jobGroup(call.Job)
 	var item jobs.InlineItem
-	if err := f.stores.Read(ctx, group, storeclient.InlineItemPath(group, tenant, call.Job, call.Item), &item); err != nil {
+	if err := f.stores.Read(ctx, group, storeclient.InlineItemPath(group, caller, call.Job, call.Item), &item); err != nil {
 		f.writeJobError(w, "read item", call, err)
 		return
 	}
@@ -127,10 +127,10 @@
 	_, _ = w.Write(item.Body)
 }
 
-func (f *Frontend) serveJobEnd(w http.ResponseWriter, r *http.Request, call backend.JobCall, tenant api.TenantID) {
+func (f *Frontend) serveJobEnd(w http.ResponseWriter, r *http.Request, call backend.JobCall, caller storeclient.Caller) {
 	ctx, cancel := context.WithTimeout(r.Context(), endJobTimeout)
 	defer cancel()
-	command := jobs.Command{EndInline: &jobs.EndInline{Job: jobs.JobID(call.Job), Tenant: tenant}}
+	command := jobs.Command{EndInline: &jobs.EndInline{Job: jobs.JobID(call.Job), Tenant: caller.Tenant, Version: caller.Version}}
 	if _, err := f.stores.Command(ctx, f.jobGroup(call.Job), command); err != nil {
 		f.writeJobError(w, "end job", call, err)
 		return
--- a/internal/frontend/queue.go
+++ b/internal/frontend/queue.go
@@ -46,8 +46,9 @@
 // handleQueueFull returns the refusal unless the job was accepted earlier.
 func (x *exchange) handleQueueFull(ctx context.Context, command jobs.AdmitToQueue, refusal *api.Error) *api.Error {
 	group := x.frontend.jobGroup(x.request.ID)
+	caller := storeclient.Caller{Tenant: api.TenantID(x.identity.tenant.Name), Version: x.version}
 	var page jobs.InlinePage
-	err := x.frontend.stores.Read(ctx, group, storeclient.InlineResultsPath(group, api.TenantID(x.identity.tenant.Name), x.request.ID, 0), &page)
+	err := x.frontend.stores.Read(ctx, group, storeclient.InlineResultsPath(group, caller, x.request.ID, 0), &page)
 	if err == nil {
 		return nil
 	}
--- a/internal/store/inline.go
+++ b/internal/store/inline.go
@@ -26,22 +26,33 @@
 type StartInlineRunner func(group api.GroupID, state *jobs.State, propose dispatch.ProposeFunc) (InlineRunner, error)
 
 func serveInlineResults(w http.ResponseWriter, r *http.Request, group *group) {
+	id, caller := jobs.JobID(r.PathValue("id")), storeclient.CallerOf(r.URL.Query())
 	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
-	page, found, err := group.jobs.InlineResults(jobs.JobID(r.PathValue("id")), tenantOf(r), max(from, 0), inlinePageBytes)
+	page, found, err := group.jobs.InlineResults(id, caller.Tenant, max(from, 0), inlinePageBytes)
 	if err == nil && !found {
-		err = notFound("batch", r.PathValue("id"))
+		err = group.inlineNotFound(id, caller, notFound("batch", string(id)))
 	}
 	writeRead(w, r, "read results", page, err)
 }
 
-func tenantOf(r *http.Request) api.TenantID {
-	return api.TenantID(r.URL.Query().Get(storeclient.ParameterTenant))
-}
-
 func serveInlineItem(w http.ResponseWriter, r *http.Request, group *group) {
-	item, found, err := group.jobs.InlineItemByID(jobs.JobID(r.PathValue("id")), tenantOf(r), r.URL.Query().Get("id"))
+	id, caller, itemID := jobs.JobID(r.PathValue("id")), storeclient.CallerOf(r.URL.Query()), r.URL.Query().Get("id")
+	item, found, err := group.jobs.InlineItemByID(id, caller.Tenant, itemID)
 	if err == nil && !found {
-		err = notFound("item", r.URL.Query().Get("id"))
+		err = group.inlineNotFound(id, caller, notFound("item", itemID))
 	}
 	writeRead(w, r, "read item", item, err)
 }
+
+// inlineNotFound returns the error for a job that its caller can't see: absent, or an unknown outcome if
+// the job was accepted under a newer configuration than the one that identified the caller.
+func (g *group) inlineNotFound(id jobs.JobID, caller storeclient.Caller, absent *api.Error) error {
+	terms, err := g.jobs.InlineTerms(id)
+	if err != nil {
+		return err
+	}
+	if terms.NewerThan(caller.Version) {
+		return api.NewError(absent.Step, "", api.CodeNoTable, api.OutcomeNotRun, "batch %s was accepted under configuration %d, and its caller identified by %d", id, terms.Version, caller.Version)
+	}
+	return absent
+}
--- a/internal/storeclient/paths.go
+++ b/internal/storeclient/paths.go
@@ -56,20 +56,42 @@
 	return groupPath(group, fmt.Sprintf("files/%s/lines?from=%d", file, from))
 }
 
-// ParameterTenant is the query parameter with the tenant that an inline job must belong to.
-// Jobs without a tenant are visible to all.
-const ParameterTenant = "tenant"
+// Caller is the caller of an inline job, as a configuration identified it.
+type Caller struct {
+	// Tenant is the one that the job must belong to; jobs without a tenant are visible to all.
+	Tenant api.TenantID
+	// Version is that of the configuration; 0: unknown.
+	Version int64
+}
+
+// Query parameters of a Caller.
+const (
+	parameterTenant  = "tenant"
+	parameterVersion = "version"
+)
+
+// CallerOf returns the caller from the query of InlineResultsPath or InlineItemPath.
+func CallerOf(query url.Values) Caller {
+	version, _ := strconv.ParseInt(query.Get(parameterVersion), 10, 64)
+	return Caller{Tenant: api.TenantID(query.Get(parameterTenant)), Version: version}
+}
+
+func (c Caller) addTo(query url.Values) string {
+	query.Set(parameterTenant, string(c.Tenant))
+	query.Set(parameterVersion, strconv.FormatInt(c.Version, 10))
+	return query.Encode()
+}
 
 // InlineResultsPath returns a jobs.InlinePage, starting at an offset.
-func InlineResultsPath(group api.GroupID, tenant api.TenantID, job string, from int) string {
-	query := url.Values{"from": {strconv.Itoa(from)}, ParameterTenant: {string(tenant)}}
-	return groupPath(group, fmt.Sprintf("inline/%s/results?%s", url.PathEscape(job), query.Encode()))
+func InlineResultsPath(group api.GroupID, caller Caller, job string, from int) string {
+	query := caller.addTo(url.Values{"from": {strconv.Itoa(from)}})
+	return groupPath(group, fmt.Sprintf("inline/%s/results?%s", url.PathEscape(job), query))
 }
 
 // InlineItemPath returns a jobs.InlineItem by its ID.
-func InlineItemPath(group api.GroupID, tenant api.TenantID, job, item string) string {
-	query := url.Values{"id": {item}, ParameterTenant: {string(tenant)}}
-	return groupPath(group, fmt.Sprintf("inline/%s/item?%s", url.PathEscape(job), query.Encode()))
+func InlineItemPath(group api.GroupID, caller Caller, job, item string) string {
+	query := caller.addTo(url.Values{"id": {item}})
+	return groupPath(group, fmt.Sprintf("inline/%s/item?%s", url.PathEscape(job), query))
 }
 
 func groupPath(group api.GroupID, rest string) string {
--- a/jobs/inline.go
+++ b/jobs/inline.go
@@ -71,8 +71,9 @@
 
 // EndInline ends a job, which accepts no further results.
 type EndInline struct {
-	Job    JobID        `json:"job"`
-	Tenant api.TenantID `json:"tenant,omitempty"`
+	Job     JobID        `json:"job"`
+	Tenant  api.TenantID `json:"tenant,omitempty"`
+	Version int64        `json:"version,omitempty"` // of the configuration that identified Tenant; 0: unknown
 }
 
 // ExpireInline deletes jobs whose retention ended at or before Before, a bounded number
@@ -259,6 +260,10 @@
 func (c *change) endInline(command EndInline) Result {
 	job, ok := c.inlineJob(command.Job)
 	if !ok || !job.VisibleTo(command.Tenant) {
+		var terms *Terms
+		if c.get(inlineTermsKey(command.Job), &terms); terms.NewerThan(command.Version) {
+			return failure(api.CodeNoTable, "batch job %s was accepted under configuration %d, and its caller identified by %d", command.Job, terms.Version, command.Version)
+		}
 		return failure(codeNoInlineJob, "no batch job %s", command.Job)
 	}
 	if job.Ended {
--- a/jobs/terms.go
+++ b/jobs/terms.go
@@ -59,6 +59,10 @@
 	return matched, ok
 }
 
+// NewerThan reports whether the terms are known to be newer than a configuration; 0: unknown. The terms
+// may be nil.
+func (t *Terms) NewerThan(version int64) bool { return t != nil && version > 0 && t.Version > version }
+
 // InlineTerms returns the terms of a job, or nil if it has none: builds before Terms stored none.
 func (s *State) InlineTerms(id JobID) (terms *Terms, err error) {
 	err = s.storage.View(func(r Reader) error {
