Logs of failed attempts tell on what evidence they count as not run

Cause: request_retried and item_send_ended had the status of a refusal, but neither the ID in it, nor whether the connection was new or kept, nor the bytes written. Change: transport.Send returns the evidence with the response or in the error, and both events log it. No decision changes: the outcome without a response rests on the count of bytes, where it rested on whether there were any.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -10,8 +10,11 @@
 	"strings"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/internal/transport"
+	"github.com/dykewing/dykewing/retry"
 	"github.com/dykewing/dykewing/worker"
 )
 
@@ -66,6 +69,7 @@
 type WorkerResponse struct {
 	ResponseInfo
 	Response *http.Response
+	Evidence retry.Evidence
 }
 
 const stepSend = "send to worker"
@@ -91,7 +95,10 @@
 	if failure != nil {
 		return nil, failure
 	}
-	incoming := &WorkerResponse{ResponseInfo: c.Protocol.ReadResponse(response.StatusCode, response.Header), Response: response}
+	incoming := &WorkerResponse{
+		ResponseInfo: c.Protocol.ReadResponse(response.StatusCode, response.Header), Response: response.Response, Evidence: response.Evidence,
+	}
+	incoming.Evidence.ResponseID = incoming.RequestID
 	if failure := incoming.checkRequestID(out); failure != nil {
 		response.Body.Close()
 		return nil, failure
@@ -104,8 +111,37 @@
 	if i.RequestID == out.ID || i.RequestID == "" && i.NotRun {
 		return nil
 	}
-	return api.NewError("read answer", out.Worker.ID, api.CodeUpstream, api.OutcomeUnknown,
-		"response carries the id of another request, %q", i.RequestID)
+	failure := api.NewError("read answer", out.Worker.ID, api.CodeUpstream, api.OutcomeUnknown, "response carries the id of another request, %q", i.RequestID)
+	failure.Err = &retry.EvidenceError{Evidence: i.Evidence, Err: failure.Err}
+	return failure
+}
+
+// RefusalError returns the error of a response that says that the request was not run.
+func (i *WorkerResponse) RefusalError(workerID string) *api.Error {
+	failure := api.NewError(stepSend, workerID, api.CodeNoCapacity, api.OutcomeNotRun, "rejected with status %d", i.Response.StatusCode)
+	failure.Err = &retry.EvidenceError{Evidence: i.Evidence, Err: failure.Err}
+	return failure
+}
+
+// EvidenceFields returns log fields with the evidence on which the outcome of a failed attempt rests;
+// nil if err has none.
+func EvidenceFields(err error) logrus.Fields {
+	evidence, ok := retry.EvidenceOf(err)
+	if !ok {
+		return nil
+	}
+	conn := "none"
+	switch {
+	case evidence.Reused:
+		conn = "kept"
+	case evidence.Connected:
+		conn = "new"
+	}
+	fields := logrus.Fields{"conn": conn, "sent_bytes": evidence.BytesWritten}
+	if evidence.Status != 0 {
+		fields["status"], fields["answer_id"] = evidence.Status, evidence.ResponseID
+	}
+	return fields
 }
 
 // Complete reports whether a body that ended without an error is whole. One with neither a length nor
--- /dev/null
+++ b/internal/backend/client_test.go
@@ -0,0 +1,117 @@
+package backend
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/worker"
+)
+
+// Headers of echoProtocol.
+const (
+	headerID     = "Test-Id"
+	headerNotRun = "Test-Not-Run"
+	headerStamp  = "Test-Stamp"
+)
+
+// echoProtocol is a Protocol that reads only the ID, the stamp and the refusal of a response.
+type echoProtocol struct{ Protocol }
+
+func (echoProtocol) WriteCall(header http.Header, call Call) { header.Set(headerID, call.ID) }
+
+func (echoProtocol) ReadResponse(_ int, header http.Header) ResponseInfo {
+	return ResponseInfo{RequestID: header.Get(headerID), NotRun: header.Get(headerNotRun) != "", Stamped: header.Get(headerStamp) != ""}
+}
+
+func (echoProtocol) ReportPath() string { return "/report" }
+
+func (echoProtocol) DecodeReport([]byte) (Report, error) { return Report{Running: 1}, nil }
+
+// scriptedWorker serves connections by a function that writes what it likes for each request. n counts
+// the requests of the connection from 1.
+func scriptedWorker(t *testing.T, write func(conn net.Conn, request *http.Request, n int)) worker.Worker {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for n := 1; ; n++ {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, request.Body)
+					write(conn, request, n)
+				}
+			}()
+		}
+	}()
+	return worker.Worker{ID: "w", Address: listener.Addr().String()}
+}
+
+func writeResponse(conn net.Conn, status int, id, headers, body string) {
+	if id != "" {
+		headers += headerID + ": " + id + "\r\n"
+	}
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d Status\r\n%sContent-Length: %d\r\n\r\n%s", status, headers, len(body), body)
+}
+
+func send(t *testing.T, c *Client, w worker.Worker, id string) (*WorkerResponse, *api.Error) {
+	t.Helper()
+	return c.Send(t.Context(), WorkerRequest{Method: http.MethodPost, Path: "/x", Header: http.Header{}, Body: []byte("b"), Call: Call{ID: id}, ID: id, Worker: w})
+}
+
+// Guards against logs that do not tell on what evidence an attempt counts as not run.
+func TestEvidenceOfAttemptIsLogged(t *testing.T) {
+	const refusal = headerNotRun + ": 1\r\n"
+	listening := scriptedWorker(t, func(conn net.Conn, request *http.Request, _ int) {
+		writeResponse(conn, http.StatusServiceUnavailable, request.Header.Get(headerID), refusal, "")
+	})
+	closed := scriptedWorker(t, func(net.Conn, *http.Request, int) {})
+	closed.Address = "127.0.0.1:1"
+	client := NewClient(echoProtocol{})
+	for _, test := range []struct {
+		name, id string
+		worker   worker.Worker
+		want     logrus.Fields
+	}{
+		{"refused on a new connection", "1", listening, logrus.Fields{"conn": "new", "status": 503, "answer_id": "1"}},
+		{"refused on a kept connection", "2", listening, logrus.Fields{"conn": "kept", "status": 503, "answer_id": "2"}},
+		{"no connection", "3", closed, logrus.Fields{"conn": "none"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			incoming, failure := send(t, client, test.worker, test.id)
+			if failure == nil {
+				_, _ = io.Copy(io.Discard, incoming.Response.Body)
+				incoming.Response.Body.Close()
+				failure = incoming.RefusalError(test.worker.ID)
+			}
+			if failure.Outcome != api.OutcomeNotRun {
+				t.Errorf("outcome is %s", failure.Outcome)
+			}
+			fields := EvidenceFields(failure)
+			sent := fields["sent_bytes"]
+			delete(fields, "sent_bytes")
+			if fmt.Sprint(fields) != fmt.Sprint(test.want) || (sent == int64(0)) != (test.want["conn"] == "none") {
+				t.Errorf("fields are %v, %v bytes sent, want %v", fields, sent, test.want)
+			}
+		})
+	}
+}
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -56,7 +56,7 @@
 			"event": "item_send_ended", "request": i.job.ID, "digest": i.digest, "index": i.index, "worker": ticket.Worker.ID, "worker_version": ticket.Worker.Version, "verdict": verdict,
 			"sends": i.attempts, "failures": i.failures, "last_event": i.lastEventID, "bytes": len(i.text) - sent, "took_ms": time.Since(began).Milliseconds(),
 			"load": ticket.Load, "load_age_ms": ticket.ReportAge.Milliseconds(), "left_ms": time.Until(i.job.Due()).Milliseconds(),
-		}).WithError(err).Info("Item attempt ended before its output was complete.")
+		}).WithFields(backend.EvidenceFields(err)).WithError(err).Info("Item attempt ended before its output was complete.")
 	}
 	received := len(i.text) - sent
 	if listed, ok := l.service.pool.VersionOf(ticket.Worker.ID); verdict != verdictDone && received > 0 && ok && listed != ticket.Worker.Version {
@@ -189,7 +189,7 @@
 	switch status := incoming.Response.StatusCode; {
 	case incoming.NotRun:
 		handleRejection(ticket, incoming)
-		return verdictNotRun, fmt.Errorf("status %d", status)
+		return verdictNotRun, incoming.RefusalError(ticket.Worker.ID)
 	case status == http.StatusUnprocessableEntity:
 		return verdictImpossible, fmt.Errorf("status %d", status)
 	case status == http.StatusInternalServerError:
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -81,11 +81,11 @@
 		response.Body.Close()
 		return nil, failure
 	}
-	return response, nil
+	return response.Response, nil
 }
 
 // checkResponse rejects responses to another request and those whose outcome is not ran.
-func checkResponse(response *http.Response, call Call) *api.Error {
+func checkResponse(response *transport.Response, call Call) *api.Error {
 	const step = "read answer of worker"
 	sent, echoed := call.Header.Get(api.HeaderRequestID), response.Header.Get(api.HeaderRequestID)
 	if echoed != "" && echoed != sent {
@@ -99,7 +99,7 @@
 	if outcome == api.OutcomeRan {
 		return nil
 	}
-	failure := transport.ReadError(step, string(call.Worker), response)
+	failure := transport.ReadError(step, string(call.Worker), response.Response)
 	failure.Outcome = outcome
 	failure.Code = api.CodeUpstream
 	if outcome == api.OutcomeNotRun {
--- a/internal/engine/resume.go
+++ b/internal/engine/resume.go
@@ -32,7 +32,7 @@
 	}
 	if response.StatusCode != http.StatusOK {
 		defer response.Body.Close()
-		failure := transport.ReadError(step, string(call.Worker), response)
+		failure := transport.ReadError(step, string(call.Worker), response.Response)
 		failure.Code, failure.Outcome = api.CodeUpstream, api.OutcomeUnknown
 		return nil, failure
 	}
@@ -40,5 +40,5 @@
 		response.Body.Close()
 		return nil, api.NewError(step, string(call.Worker), api.CodeOutcomeUnknown, api.OutcomeUnknown, "the stream is of request %q, not %q", echoed, id)
 	}
-	return response, nil
+	return response.Response, nil
 }
--- a/internal/frontend/online.go
+++ b/internal/frontend/online.go
@@ -112,7 +112,7 @@
 			break
 		}
 		x.logEntry("request_retried", last.failure).WithField("worker", ticket.Worker.ID).WithField("worker_version", ticket.Worker.Version).WithField("load", ticket.Load).
-			WithField("load_age_ms", ticket.ReportAge.Milliseconds()).WithFields(paceFields(ticket)).Info("A request goes to another worker.")
+			WithField("load_age_ms", ticket.ReportAge.Milliseconds()).WithFields(paceFields(ticket)).WithFields(backend.EvidenceFields(last.failure)).Info("A request goes to another worker.")
 	}
 	if x.refusal != nil && last.status != attemptWorkerError && x.runs == 0 {
 		last.failure = x.refusal
@@ -248,8 +248,7 @@
 	}
 	x.rejectedBy = append(x.rejectedBy, ticket.Worker.ID)
 	_, _ = io.Copy(io.Discard, io.LimitReader(incoming.Response.Body, engine.MaxEventBytes))
-	failure := api.NewError("send to worker", ticket.Worker.ID, api.CodeNoCapacity, api.OutcomeNotRun, "rejected with status %d", incoming.Response.StatusCode)
-	return attemptResult{status: attemptNotRun, failure: failure}
+	return attemptResult{status: attemptNotRun, failure: incoming.RefusalError(ticket.Worker.ID)}
 }
 
 // readErrorResponse buffers a worker's error response, which is passed on unless
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -127,7 +127,7 @@
 	defer response.Body.Close()
 	outcome := response.Header.Get(api.HeaderOutcome)
 	f.router.metrics.forwarded.WithLabelValues(outcome).Inc()
-	f.relay(w, response)
+	f.relay(w, response.Response)
 	return true
 }
 
--- a/internal/sidecar/online.go
+++ b/internal/sidecar/online.go
@@ -135,7 +135,7 @@
 		s.unavailable.recordLeaving(home.Name)
 	}
 	target.worker = response.Header.Get(api.HeaderWorker)
-	answer, failure := s.openResponse(ctx, response, request, home.Name)
+	answer, failure := s.openResponse(ctx, response.Response, request, home.Name)
 	return answer, target, failure
 }
 
--- a/internal/sidecar/resume.go
+++ b/internal/sidecar/resume.go
@@ -87,7 +87,7 @@
 	}
 	if response.Header.Get(api.HeaderOutcome) != string(api.OutcomeRan) || response.Header.Get(api.HeaderRequestID) != string(request.routed.ID) {
 		defer response.Body.Close()
-		return nil, transport.ReadError(step, string(router.ID), response)
+		return nil, transport.ReadError(step, string(router.ID), response.Response)
 	}
-	return response, nil
+	return response.Response, nil
 }
--- a/internal/transport/send.go
+++ b/internal/transport/send.go
@@ -26,21 +26,30 @@
 func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
 func (emptyBody) Close() error             { return nil }
 
+// Response is a response whose header has arrived, with what is known of its request's attempt.
+type Response struct {
+	*http.Response
+	Evidence retry.Evidence
+}
+
 // Send sends the request at most once and returns the response once its header has
 // arrived. net/http retries a request on a broken reused connection if GetBody is set, if a
 // header marks it as idempotent, or if its method is idempotent and it has no body. Send
 // changes the request so that none holds, since only package retry decides about retries.
-// The outcome of the error says whether any byte of the request may have been sent.
-func Send(client *http.Client, request *http.Request, step, peer string) (*http.Response, *api.Error) {
+// The outcome of the error says whether any byte of the request may have been sent, and
+// retry.EvidenceOf returns what it rests on.
+func Send(client *http.Client, request *http.Request, step, peer string) (*Response, *api.Error) {
 	preventRetries(request)
 	var watch connTrace
 	trace := &httptrace.ClientTrace{GotConn: watch.gotConn}
 	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
 	response, err := roundTrip(client, request)
 	if err != nil {
-		return nil, sendFailure(step, peer, err, watch.progress())
+		return nil, sendFailure(step, peer, err, watch.abandon())
 	}
-	return response, nil
+	evidence := watch.evidence()
+	evidence.Status = response.StatusCode
+	return &Response{Response: response, Evidence: evidence}, nil
 }
 
 func preventRetries(request *http.Request) {
@@ -67,12 +76,14 @@
 	mutex     sync.Mutex
 	conns     []*countingConn
 	baseline  []int64 // bytes attempted on each connection before the request
+	reused    bool    // the last connection had carried other requests
 	untracked bool    // a connection does not count bytes
 }
 
 func (w *connTrace) gotConn(info httptrace.GotConnInfo) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	w.reused = info.Reused
 	conn, ok := info.Conn.(*countingConn)
 	if !ok {
 		w.untracked = true
@@ -82,23 +93,36 @@
 	w.baseline = append(w.baseline, conn.attempted.Load())
 }
 
-// progress blocks further writes on the request's connections and reports whether any byte
-// may have been sent.
-func (w *connTrace) progress() retry.AttemptProgress {
+// abandon blocks further writes on the request's connections and returns the evidence, which is final
+// then.
+func (w *connTrace) abandon() retry.Evidence {
+	w.mutex.Lock()
+	for _, conn := range w.conns {
+		conn.blockWrites()
+	}
+	w.mutex.Unlock()
+	return w.evidence()
+}
+
+// evidence returns what is known of the attempt. More bytes may follow unless it was abandoned.
+func (w *connTrace) evidence() retry.Evidence {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	progress := retry.AttemptProgress{Connected: w.untracked || len(w.conns) > 0, BytesWritten: w.untracked}
+	evidence := retry.Evidence{Connected: w.untracked || len(w.conns) > 0, Reused: w.reused}
+	if w.untracked {
+		evidence.BytesWritten = 1
+	}
 	for i, conn := range w.conns {
-		conn.blockWrites()
-		if conn.attempted.Load() != w.baseline[i] {
-			progress.BytesWritten = true
-		}
+		evidence.BytesWritten += conn.attempted.Load() - w.baseline[i]
 	}
-	return progress
+	return evidence
 }
 
-func sendFailure(step, peer string, err error, progress retry.AttemptProgress) *api.Error {
-	return &api.Error{Step: step, Peer: peer, Code: errorCode(err), Outcome: retry.OutcomeWithoutResponse(progress), Err: err}
+func sendFailure(step, peer string, err error, evidence retry.Evidence) *api.Error {
+	return &api.Error{
+		Step: step, Peer: peer, Code: errorCode(err), Outcome: retry.OutcomeWithoutResponse(evidence),
+		Err: &retry.EvidenceError{Evidence: evidence, Err: err},
+	}
 }
 
 func errorCode(err error) api.ErrorCode {
--- a/internal/transport/send_test.go
+++ b/internal/transport/send_test.go
@@ -73,9 +73,9 @@
 	return request
 }
 
-func discard(response *http.Response) {
-	_, _ = io.Copy(io.Discard, response.Body)
-	response.Body.Close()
+func discard(body io.ReadCloser) {
+	_, _ = io.Copy(io.Discard, body)
+	body.Close()
 }
 
 func TestSendNeverSendsTwice(t *testing.T) {
@@ -87,7 +87,7 @@
 			if failure != nil {
 				t.Fatal(failure)
 			}
-			discard(response)
+			discard(response.Body)
 			_, failure = Send(client, server.request(t, body), "send", "peer")
 			if failure == nil || failure.Outcome != api.OutcomeUnknown {
 				t.Fatalf("got %v for a request that was interrupted after it was sent, want outcome unknown", failure)
@@ -127,7 +127,7 @@
 						t.Fatalf("request %d: %v", n, failure)
 					}
 					if failure == nil {
-						discard(response)
+						discard(response.Body)
 					}
 				}
 				if got := server.requests.Load(); got != 2 {
@@ -153,7 +153,7 @@
 		if failure != nil {
 			t.Fatal(failure)
 		}
-		discard(response)
+		discard(response.Body)
 		got := <-arrived
 		if body, _ := io.ReadAll(got.Body); got.Method != method || got.RequestURI != "/a?b=c" || len(body) > 0 || len(got.TransferEncoding) > 0 || got.ContentLength != 0 {
 			t.Errorf("%s: arrived as %s %s, %d bytes, length %d, encoding %v", method, got.Method, got.RequestURI, len(body), got.ContentLength, got.TransferEncoding)
@@ -171,7 +171,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		discard(response)
+		discard(response.Body)
 	}
 	if got := server.requests.Load(); got != 3 {
 		t.Fatalf("%d requests arrived, want 3: net/http no longer retries, so that Send is not needed", got)
@@ -201,7 +201,7 @@
 		before := server.requests.Load()
 		response, failure := Send(client, server.request(t, "x"), "send", "peer")
 		if failure == nil {
-			discard(response)
+			discard(response.Body)
 			continue
 		}
 		if failure.Outcome == api.OutcomeNotRun && server.requests.Load() != before {
@@ -216,8 +216,8 @@
 	conn := &countingConn{Conn: near}
 	var watch connTrace
 	watch.conns, watch.baseline = []*countingConn{conn}, []int64{0}
-	if progress := watch.progress(); progress.BytesWritten || !progress.Connected {
-		t.Fatalf("got %+v for a connection without a write", progress)
+	if evidence := watch.abandon(); evidence.BytesWritten != 0 || !evidence.Connected {
+		t.Fatalf("got %+v for a connection without a write", evidence)
 	}
 	if _, err := conn.Write([]byte("late")); err == nil {
 		t.Fatal("a write succeeded after blockWrites")
--- a/retry/outcome.go
+++ b/retry/outcome.go
@@ -1,21 +1,47 @@
 package retry
 
 import (
+	"errors"
 	"net/http"
 
 	"github.com/dykewing/dykewing/api"
 )
 
-// AttemptProgress describes how far an attempt without a response got.
-type AttemptProgress struct {
-	Connected    bool // the request got a connection
-	BytesWritten bool // a byte of the request was written to it
+// Evidence is what a sender knows of one attempt. Its decision whether the request may have run
+// rests on nothing else.
+type Evidence struct {
+	Connected    bool   // the request got a connection
+	Reused       bool   // the connection had carried other requests
+	BytesWritten int64  // upper bound of the request's bytes that were passed to the kernel
+	Status       int    // of the response; 0 without one
+	ResponseID   string // request ID in the response; empty if it has none
+}
+
+// EvidenceError is the error of an attempt together with what is known of the attempt.
+type EvidenceError struct {
+	Evidence Evidence
+	Err      error
+}
+
+// Error implements error.
+func (e *EvidenceError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the error without the evidence.
+func (e *EvidenceError) Unwrap() error { return e.Err }
+
+// EvidenceOf returns the evidence in the chain of err.
+func EvidenceOf(err error) (Evidence, bool) {
+	var found *EvidenceError
+	if !errors.As(err, &found) {
+		return Evidence{}, false
+	}
+	return found.Evidence, true
 }
 
 // OutcomeWithoutResponse returns the outcome of an attempt without a response. It is
 // api.OutcomeNotRun only if no byte of the request can have reached the peer.
-func OutcomeWithoutResponse(evidence AttemptProgress) api.Outcome {
-	if !evidence.Connected || !evidence.BytesWritten {
+func OutcomeWithoutResponse(evidence Evidence) api.Outcome {
+	if !evidence.Connected || evidence.BytesWritten == 0 {
 		return api.OutcomeNotRun
 	}
 	return api.OutcomeUnknown
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -95,12 +95,12 @@
 func TestOutcomes(t *testing.T) {
 	for _, c := range []struct {
 		name     string
-		evidence AttemptProgress
+		evidence Evidence
 		want     api.Outcome
 	}{
-		{"no connection", AttemptProgress{}, api.OutcomeNotRun},
-		{"connection, no byte", AttemptProgress{Connected: true}, api.OutcomeNotRun},
-		{"byte written", AttemptProgress{Connected: true, BytesWritten: true}, api.OutcomeUnknown},
+		{"no connection", Evidence{}, api.OutcomeNotRun},
+		{"connection, no byte", Evidence{Connected: true}, api.OutcomeNotRun},
+		{"byte written", Evidence{Connected: true, BytesWritten: 1}, api.OutcomeUnknown},
 	} {
 		if got := OutcomeWithoutResponse(c.evidence); got != c.want {
 			t.Errorf("%s: %s, want %s", c.name, got, c.want)
