--- a/internal/engine/truncation.go
+++ b/internal/engine/truncation.go
@@ -25,8 +25,8 @@
 	if framed || IsEventStream(response.Header) {
 		return response.Body
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxUnframedBytes))
-	if err == nil && !json.Valid(body) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxUnframedBytes+1))
+	if err == nil && (len(body) > maxUnframedBytes || !json.Valid(body)) {
 		err = ErrTruncated
 	}
 	if err != nil {
--- a/internal/frontend/memory.go
+++ b/internal/frontend/memory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -237,26 +238,29 @@
 	a.memory.notifyFreed(nil)
 }
 
-// readResponse reads up to limit bytes of a response, in chunks for which it reserves
-// memory first.
+// errResponseTooLong is returned for a response that may have no end.
+var errResponseTooLong = errors.New("response is longer than the limit")
+
+// readResponse reads a whole response of at most limit bytes, in chunks for which it reserves memory
+// first. A longer one is errResponseTooLong.
 func (a allocation) readResponse(ctx context.Context, r io.Reader, limit int64) (chunks net.Buffers, err error) {
-	for total := int64(0); total < limit; {
+	for total := int64(0); total <= limit; {
 		if err := a.grow(ctx, readChunkBytes); err != nil {
 			return nil, err
 		}
-		chunk, err := readChunk(r, min(readChunkBytes, limit-total))
+		chunk, err := readChunk(r, min(readChunkBytes, limit+1-total))
 		total += int64(len(chunk))
 		if len(chunk) > 0 {
 			chunks = append(chunks, chunk)
 		}
-		if err == io.EOF {
+		if err == io.EOF && total <= limit {
 			return chunks, nil
 		}
-		if err != nil {
+		if err != nil && err != io.EOF {
 			return nil, err
 		}
 	}
-	return chunks, nil
+	return nil, fmt.Errorf("%w of %d bytes", errResponseTooLong, limit)
 }
 
 // readChunk reads until the chunk is full or the reader returns an error, and returns
--- a/internal/frontend/memory_test.go
+++ b/internal/frontend/memory_test.go
@@ -269,3 +269,23 @@
 		}
 	}
 }
+
+// Guards against the first part of a response that is passed on as the whole.
+func TestResponseOverLimitIsNotWhole(t *testing.T) {
+	const limit = 3 * readChunkBytes
+	for _, test := range []struct {
+		bytes int
+		whole bool
+	}{
+		{0, true}, {limit - 1, true}, {limit, true}, {limit + 1, false}, {limit + readChunkBytes, false}, {5 * limit, false},
+	} {
+		chunks, err := allocation{}.readResponse(t.Context(), bytes.NewReader(make([]byte, test.bytes)), limit)
+		length := 0
+		for _, chunk := range chunks {
+			length += len(chunk)
+		}
+		if test.whole && (err != nil || length != test.bytes) || !test.whole && !errors.Is(err, errResponseTooLong) {
+			t.Errorf("%d of %d bytes, %v", length, test.bytes, err)
+		}
+	}
+}
