A refusal no longer holds its request until its body ends

What callers saw: a worker refuses by its head, then sends a body that is slow or never ends; the request waited for it, to its deadline where a byte came each 20 ms, and got 503 although another worker was free. Cause: the body was read, up to 1 MiB, to keep the connection, by frontends and batch leaders alike. Change: both wait at most 20 ms and 4 KiB for the rest of the body, then close the connection.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -30,6 +30,9 @@
 	dialTimeout        = 500 * time.Millisecond
 	silenceLimit       = 2 * time.Second
 	maxReportBytes     = 64 << 10
+	// A refusal's connection is kept if the rest of its body is short and there at once.
+	maxRefusalBytes = 4 << 10
+	refusalTimeout  = 20 * time.Millisecond
 )
 
 // Client sends requests to workers and fetches their reports. It is safe for
@@ -117,6 +120,15 @@
 	return failure
 }
 
+// CloseRefusal closes a response whose body does not matter. It returns within refusalTimeout.
+func (i *WorkerResponse) CloseRefusal() {
+	body := i.Response.Body
+	defer body.Close()
+	timer := time.AfterFunc(refusalTimeout, func() { body.Close() })
+	defer timer.Stop()
+	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxRefusalBytes+1)) // one more to read the end of a body of maxRefusalBytes
+}
+
 // RefusalError returns the error of a response that says that the request was not run.
 func (i *WorkerResponse) RefusalError(workerID string) *api.Error {
 	failure := api.NewError(stepSend, workerID, api.CodeNoCapacity, api.OutcomeNotRun, "rejected with status %d", i.Response.StatusCode)
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -206,7 +206,7 @@
 		return
 	}
 	ticket.RecordFull()
-	_, _ = io.Copy(io.Discard, io.LimitReader(incoming.Response.Body, engine.MaxEventBytes))
+	incoming.CloseRefusal()
 }
 
 func (l *Leader) read(ctx context.Context, i *item, ticket *backend.Assignment, incoming *backend.WorkerResponse, idle *idleTimeout) (verdict, error) {
--- a/internal/frontend/online.go
+++ b/internal/frontend/online.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -13,7 +12,6 @@
 
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/internal/backend"
-	"github.com/dykewing/dykewing/internal/engine"
 	"github.com/dykewing/dykewing/pressure"
 	"github.com/dykewing/dykewing/route"
 )
@@ -247,7 +245,7 @@
 		ticket.RecordFull()
 	}
 	x.rejectedBy = append(x.rejectedBy, ticket.Worker.ID)
-	_, _ = io.Copy(io.Discard, io.LimitReader(incoming.Response.Body, engine.MaxEventBytes))
+	incoming.CloseRefusal()
 	return attemptResult{status: attemptNotRun, failure: incoming.RefusalError(ticket.Worker.ID)}
 }
 
