Streams end at bytes that are no event, and at events that do not rise

A copy of a stream from its start, behind an answer without a length, would have been joined to it.

Cause: readers of events believed whatever ends with an empty line. Change: empty lines belong to the event after them, so that they count towards its limit; comments between two events are limited likewise; IDs that are numbers must rise; the event that is being read takes memory from the budget; the output of an item is limited to 4 MiB, beyond which it starts anew; only events reset the time after which a silent worker loses an item.

--- a/config/config.go
+++ b/config/config.go
@@ -163,7 +163,7 @@
 	// ReportInterval is the interval at which workers are polled for their load while
 	// items run.
 	ReportInterval time.Duration `koanf:"report_interval" validate:"min=10ms,max=1m"`
-	// Silence is how long a worker may send nothing before its item is moved to another.
+	// Silence is how long a worker may send no event before its item is moved to another.
 	Silence time.Duration `koanf:"silence" validate:"min=100ms,max=10m"`
 	// Retention is the default retention of jobs.
 	Retention time.Duration `koanf:"retention" validate:"min=1s"`
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -210,18 +210,55 @@
 }
 
 func (l *Leader) read(ctx context.Context, i *item, ticket *backend.Assignment, incoming *backend.WorkerResponse, idle *idleTimeout) (verdict, error) {
-	events := engine.NewEventReader(&pacedReader{ctx: ctx, source: incoming.Response.Body, interval: readInterval})
+	source := &pacedReader{ctx: ctx, source: incoming.Response.Body, interval: readInterval}
+	from := origin.Origin{Service: ticket.Worker.Service, Version: ticket.Worker.Version}
+	err := i.collect(source, from, func() {
+		idle.reset()
+		ticket.RecordPromptRead()
+	})
+	if errors.Is(err, errOutputTooLong) {
+		l.restart(i, err.Error())
+	}
+	if err != nil {
+		return verdictInterrupted, err
+	}
+	return l.endOfStream(ctx, i, ticket, incoming)
+}
+
+// maxOutputBytes bounds the output of an item.
+const maxOutputBytes = 4 << 20
+
+var (
+	errOutputTooLong = errors.New("output is longer than the limit")
+	errEventCut      = errors.New("the stream ended within an event")
+)
+
+// collect adds the events of a worker's stream to the item's text until the stream ends, and calls received
+// after each. An error means that the output is not complete.
+func (i *item) collect(stream io.Reader, from origin.Origin, received func()) error {
+	events, sequence := engine.NewEventReader(stream), engine.NewSequence(i.lastEventID)
 	for {
 		event, err := events.Next()
-		if err == io.EOF && !events.Truncated() {
-			return l.endOfStream(ctx, i, ticket, incoming)
+		if err == io.EOF && events.Truncated() {
+			return errEventCut
+		}
+		if err == io.EOF {
+			return nil
 		}
 		if err != nil {
-			return verdictInterrupted, err
+			return err
+		}
+		isEvent, err := sequence.Check(event)
+		if err != nil {
+			return err
+		}
+		if !isEvent {
+			continue
+		}
+		received()
+		if i.appendEvent(event, from); len(i.text) > maxOutputBytes {
+			return fmt.Errorf("%w of %d bytes", errOutputTooLong, maxOutputBytes)
 		}
-		idle.reset()
-		ticket.RecordPromptRead()
-		i.appendEvent(event, origin.Origin{Service: ticket.Worker.Service, Version: ticket.Worker.Version})
 	}
 }
 
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -85,6 +85,8 @@
 		{"data: 1\n\ndata: cut", []string{"data: 1\n\n"}},
 		{"data: 1\n\ndata: cut\n", []string{"data: 1\n\n"}},
 		{"data: a\ndata: b\n\n: comment\n\n", []string{"data: a\ndata: b\n\n", ": comment\n\n"}},
+		{"data: 1\n\n\n\r\ndata: 2\n\n\n", []string{"data: 1\n\n", "\n\r\ndata: 2\n\n", "\n"}},
+		{"data: 1\n\n\n\ndata: c", []string{"data: 1\n\n"}},
 	} {
 		got, err := readEvents(strings.NewReader(c.stream))
 		if err != nil || strings.Join(got, "|") != strings.Join(c.want, "|") {
@@ -94,6 +96,9 @@
 	if _, err := readEvents(strings.NewReader(strings.Repeat("x", MaxEventBytes+1))); err == nil {
 		t.Error("an event over MaximumEventBytes was read")
 	}
+	if events, err := readEvents(strings.NewReader(strings.Repeat("\n", MaxEventBytes+1))); err == nil {
+		t.Errorf("%d events were read from empty lines", len(events))
+	}
 }
 
 // FuzzEventReader checks that the events are a prefix of the stream and do not depend on
--- a/internal/engine/events.go
+++ b/internal/engine/events.go
@@ -67,21 +67,27 @@
 }
 
 // splitEvent is a bufio.SplitFunc. An event ends with an empty line, terminated by LF or
-// CRLF.
+// CRLF. Empty lines before an event belong to it, and those at the end of the stream are
+// returned like an event.
 func splitEvent(data []byte, atEOF bool) (int, []byte, error) {
-	for from := 0; from < len(data); {
+	from, blank := 0, true // whether all lines so far are empty
+	for from < len(data) {
 		end := bytes.IndexByte(data[from:], '\n')
 		if end < 0 {
 			break
 		}
-		line := data[from : from+end]
+		empty := len(bytes.TrimSuffix(data[from:from+end], []byte("\r"))) == 0
 		from += end + 1
-		if len(bytes.TrimSuffix(line, []byte("\r"))) == 0 {
+		if empty && !blank {
 			return from, data[:from], nil
 		}
+		blank = blank && empty
 	}
-	if atEOF {
-		return len(data), nil, nil
+	switch {
+	case !atEOF:
+		return 0, nil, nil
+	case blank && from == len(data) && from > 0:
+		return from, data[:from], nil
 	}
-	return 0, nil, nil
+	return len(data), nil, nil
 }
--- a/internal/frontend/stream.go
+++ b/internal/frontend/stream.go
@@ -1,9 +1,9 @@
 package frontend
 
 import (
-	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -21,7 +21,8 @@
 		failure := api.NewError("relay stream", ticket.Worker.ID, readErrorCode(err), api.OutcomeUnknown, "%w", err)
 		return attemptResult{status: attemptMaybeRun, failure: failure}
 	}
-	events := engine.NewEventReader(incoming.Response.Body)
+	body := &unreadEvent{ctx: ctx, source: incoming.Response.Body, memory: memory, reserved: streamBufferBytes}
+	events, sequence, total := engine.NewEventReader(body), engine.NewSequence(x.lastEventID), 0
 	cancel := func() { _ = controller.SetWriteDeadline(time.Now()) }
 	var pace streamPace
 	for {
@@ -37,8 +38,14 @@
 			return attemptResult{status: attemptServed}
 		}
 		if err != nil {
-			failure := api.NewError("relay stream", ticket.Worker.ID, api.CodeUpstream, api.OutcomeUnknown, "after event %q: %w", x.lastEventID, err)
-			return attemptResult{status: attemptMaybeRun, failure: failure}
+			return brokenStream(ticket, x.lastEventID, err)
+		}
+		body.taken(len(event))
+		if total += len(event); total > maxResponseBytes {
+			return brokenStream(ticket, x.lastEventID, fmt.Errorf("%w of %d bytes", errResponseTooLong, maxResponseBytes))
+		}
+		if _, err := sequence.Check(event); err != nil {
+			return brokenStream(ticket, x.lastEventID, err)
 		}
 		ticket.RecordPromptRead()
 		pace.received(time.Now())
@@ -60,12 +67,43 @@
 		memory.endEvent()
 		pace.forwarded(time.Now())
 		x.events++
-		if id, ok := eventID(event); ok {
+		if id, ok := engine.EventID(event); ok {
 			x.lastEventID = id
 		}
 	}
 }
 
+// brokenStream is the result of a stream that must not go on after its last event.
+func brokenStream(ticket *backend.Assignment, lastEvent string, err error) attemptResult {
+	failure := api.NewError("relay stream", ticket.Worker.ID, readErrorCode(err), api.OutcomeUnknown, "after event %q: %w", lastEvent, err)
+	return attemptResult{status: attemptMaybeRun, failure: failure}
+}
+
+// unreadEvent reserves memory for the event that is being read.
+type unreadEvent struct {
+	ctx      context.Context
+	source   io.Reader
+	memory   allocation
+	unread   int64 // bytes read since the last whole event
+	reserved int64
+}
+
+// Read reads from the stream, and reserves as much again for what the reader of events may copy.
+func (u *unreadEvent) Read(p []byte) (int, error) {
+	n, err := u.source.Read(p)
+	u.unread += int64(n)
+	if more := 2*u.unread - u.reserved; more > 0 {
+		if err := u.memory.grow(u.ctx, more); err != nil {
+			return n, err
+		}
+		u.reserved += more
+	}
+	return n, err
+}
+
+// taken notes that an event was taken from the bytes read.
+func (u *unreadEvent) taken(bytes int) { u.unread -= int64(bytes) }
+
 // errWorkerGone means that a response ended with its connection, which the crash of its worker
 // closes as well.
 var errWorkerGone = errors.New("the response has neither a length nor chunks, and its worker is gone")
@@ -78,13 +116,3 @@
 	}
 	return incoming.Complete(ctx, ticket.Worker)
 }
-
-// eventID returns the id field of an event.
-func eventID(event []byte) (string, bool) {
-	for line := range bytes.Lines(event) {
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(id)), true
-		}
-	}
-	return "", false
-}
