Answers that are buffered have bounds that a process can hold

Cause: errors had the limit of successes, 64 MiB, and a process without a memory setting had no budget. Change: an error is read up to 1 MiB, and counts as a broken attempt beyond; without a setting the budget is 256 MiB. A worker's report over its limit is an error, and so is the answer to a request in the place of a report.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -194,18 +194,22 @@
 		return Report{}, fmt.Errorf("ask worker %s: %w", w.ID, err)
 	}
 	defer response.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
+	info := c.Protocol.ReadResponse(response.StatusCode, response.Header)
+	if response.StatusCode != http.StatusOK || info.RequestID != "" {
+		return Report{}, fmt.Errorf("ask worker %s: status %d, answer to request %q", w.ID, response.StatusCode, info.RequestID)
+	}
+	raw, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes+1))
+	if err == nil && len(raw) > maxReportBytes {
+		err = fmt.Errorf("report is over %d bytes", maxReportBytes)
+	}
 	if err != nil {
 		return Report{}, fmt.Errorf("ask worker %s: %w", w.ID, err)
 	}
-	if response.StatusCode != http.StatusOK {
-		return Report{}, fmt.Errorf("ask worker %s: status %d", w.ID, response.StatusCode)
-	}
 	report, err := c.Protocol.DecodeReport(raw)
 	if err != nil {
 		return Report{}, fmt.Errorf("ask worker %s: %w", w.ID, err)
 	}
-	report.Pace = c.Protocol.ReadResponse(response.StatusCode, response.Header).Load.Pace
+	report.Pace = info.Load.Pace
 	return report, nil
 }
 
--- a/internal/frontend/memory.go
+++ b/internal/frontend/memory.go
@@ -17,6 +17,8 @@
 )
 
 const (
+	// defaultMemoryBytes may be held for request and response bodies in a process without a memory limit.
+	defaultMemoryBytes = 256 << 20
 	// memoryFraction of the heap may hold request and response bodies. The rest is for
 	// connections, the state of the cluster and garbage collection.
 	memoryFraction = 0.5
@@ -38,8 +40,7 @@
 var errMemoryBudget = errors.New("memory budget exhausted")
 
 // memoryBudget bounds the bytes that this process holds for requests and responses. It
-// is safe for concurrent use. A nil memoryBudget, or one without a budget, is
-// unbounded.
+// is safe for concurrent use. A nil memoryBudget is unbounded.
 type memoryBudget struct {
 	log     *logrus.Entry
 	metrics *memoryMetrics
@@ -50,10 +51,11 @@
 	freed   chan struct{}                   // closed when memory is released
 }
 
-// newMemoryBudget returns a budget of memoryFraction of heapBytes; unbounded if
-// heapBytes is 0.
+// newMemoryBudget returns a budget of memoryFraction of heapBytes, or of defaultMemoryBytes if heapBytes
+// is 0.
 func newMemoryBudget(heapBytes int64, log *logrus.Entry, registry prometheus.Registerer) *memoryBudget {
 	m := &memoryBudget{log: log, metrics: newMemoryMetrics(registry), cancels: map[*pressure.Allocation]func(){}, freed: make(chan struct{})}
+	m.budget = pressure.New(defaultMemoryBytes)
 	if heapBytes > 0 {
 		m.budget = pressure.New(int64(memoryFraction * float64(heapBytes)))
 	}
@@ -69,7 +71,7 @@
 
 // allocate reserves memory for a new body. It returns false if the budget is exhausted.
 func (m *memoryBudget) allocate(use pressure.Kind, bytes int64) (allocation, bool) {
-	if m == nil || m.budget == nil {
+	if m == nil {
 		return allocation{}, true
 	}
 	m.mutex.Lock()
--- a/internal/frontend/online.go
+++ b/internal/frontend/online.go
@@ -23,8 +23,9 @@
 	// minTimeLeft is the time before the deadline from which a request is not sent
 	// again.
 	minTimeLeft = 20 * time.Millisecond
-	// maxResponseBytes limits responses that are buffered.
+	// maxResponseBytes limits a response, maxErrorBytes one that is an error.
 	maxResponseBytes = 64 << 20
+	maxErrorBytes    = 1 << 20
 )
 
 // attemptStatus is how an attempt ended.
@@ -252,7 +253,7 @@
 // readErrorResponse buffers a worker's error response, which is passed on unless
 // another worker may be tried.
 func (x *exchange) readErrorResponse(ctx context.Context, ticket *backend.Assignment, incoming *backend.WorkerResponse) attemptResult {
-	chunks, err := x.allocateResponse().readResponse(ctx, incoming.Response.Body, maxResponseBytes)
+	chunks, err := x.allocateResponse().readResponse(ctx, incoming.Response.Body, maxErrorBytes)
 	failure := api.NewError("read answer", ticket.Worker.ID, api.CodeUpstream, api.OutcomeUnknown, "status %d", incoming.Response.StatusCode)
 	if err != nil {
 		failure.Code, failure.Err = readErrorCode(err), err
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -111,7 +111,7 @@
 	if err != nil {
 		return answer, api.NewError(step, send.Address, api.CodeUpstream, api.OutcomeUnknown, "read answer: %w", err)
 	}
-	_, _ = io.Copy(io.Discard, response.Body)
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxExchangeBytes))
 	return answer, nil
 }
 
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -131,7 +131,7 @@
 		return ReadError(step, address, response)
 	}
 	if answer == nil {
-		_, err = io.Copy(io.Discard, response.Body)
+		_, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxErrorBytes))
 	} else {
 		err = json.NewDecoder(io.LimitReader(response.Body, MaxControlBytes)).Decode(answer)
 	}
