Lines of libraries go to the structured log, bounded and without peers' bytes

What operators saw: net/http wrote a line by the standard logger for each surplus answer on an idle connection, outside the structured log, without bound, and with a part of the answer in it. Cause: nothing set the standard logger's output.

--- a/cmd/dykewing/main.go
+++ b/cmd/dykewing/main.go
@@ -89,6 +89,7 @@
 	exitOnError(err, exitSettings)
 	logger, lines, err := logging.NewQueued(settings.Log, os.Stdout)
 	exitOnError(err, exitSettings)
+	logging.RedirectStandard(logger.WithField("node", settings.Node.ID).WithField("part", "library"))
 	err = serveRole(flags.role, settings, logger)
 	if err != nil {
 		logger.WithField("part", "node").WithField("event", "ended").WithError(err).Error("The process ends.")
