A held request is not repeated once its route may not be

A request is held at a worker while operators change its route from safe to unsafe; the worker's connection breaks, and the request was repeated by the terms under which it came. Cause: the kind of a route was read once, when the request was matched. Change: a request that may have run is sent again only if the current configuration, too, lets it run more than once.

--- a/internal/frontend/online.go
+++ b/internal/frontend/online.go
@@ -176,7 +176,21 @@
 	if last.status == attemptNotRun {
 		return true
 	}
-	return x.route.Repeatable() && x.runs < x.route.MaxAttempts
+	return x.repeatable() && x.runs < x.route.MaxAttempts
+}
+
+// repeatable reports whether the request may run more than once, by the configuration that matched it
+// and by the current one.
+func (x *exchange) repeatable() bool {
+	if !x.route.Repeatable() {
+		return false
+	}
+	configuration := x.frontend.catalog.Configuration()
+	if configuration == nil || configuration.Version == x.version {
+		return true
+	}
+	current, ok := configuration.Match(hostOf(x.r), x.r.URL.EscapedPath())
+	return ok && current.Repeatable()
 }
 
 // attempt sends the request to the ticket's worker and relays the response.
