--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -73,6 +74,13 @@
 	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d Status\r\n%sContent-Length: %d\r\n\r\n%s", status, headers, len(body), body)
 }
 
+// newTestClient returns a client that keeps idle connections longer than a test may be held up.
+func newTestClient() *Client {
+	client := NewClient(echoProtocol{})
+	client.client.Transport.(*http.Transport).IdleConnTimeout = time.Hour
+	return client
+}
+
 func send(t *testing.T, c *Client, w worker.Worker, id string) (*WorkerResponse, *api.Error) {
 	t.Helper()
 	return c.Send(t.Context(), WorkerRequest{Method: http.MethodPost, Path: "/x", Header: http.Header{}, Body: []byte("b"), Call: Call{ID: id}, ID: id, Worker: w})
@@ -86,7 +94,7 @@
 	})
 	closed := scriptedWorker(t, func(net.Conn, *http.Request, int) {})
 	closed.Address = "127.0.0.1:1"
-	client := NewClient(echoProtocol{})
+	client := newTestClient()
 	for _, test := range []struct {
 		name, id string
 		worker   worker.Worker
@@ -148,7 +156,7 @@
 					writeResponse(conn, r.status, r.id, r.headers, "surplus")
 				}
 			})
-			client := NewClient(echoProtocol{})
+			client := newTestClient()
 			for n, id := range test.ids {
 				incoming, failure := send(t, client, w, id)
 				outcome := api.OutcomeRan
@@ -180,7 +188,7 @@
 	w := scriptedWorker(t, func(conn net.Conn, _ *http.Request, _ int) {
 		writeResponse(conn, http.StatusServiceUnavailable, "", headerNotRun+": 1\r\n", "")
 	})
-	incoming, failure := send(t, NewClient(echoProtocol{}), w, "1")
+	incoming, failure := send(t, newTestClient(), w, "1")
 	if failure != nil || !incoming.NotRun {
 		t.Fatalf("%+v, %v", incoming, failure)
 	}
