A field of an event begins its line

What callers saw: nothing that is known. A second answer behind a stream without a length counted as an event if a line of its head held "data:", as Metadata: does, and went to the caller. Cause: the check looked for the field anywhere. Change: it looks at the beginning of lines.

--- a/internal/engine/sequence.go
+++ b/internal/engine/sequence.go
@@ -42,8 +42,8 @@
 		return false, nil
 	}
 	s.commentsBytes = 0
-	id, found := EventID(event)
-	if !found && !bytes.Contains(event, []byte("data:")) {
+	id, found := field(event, "id:")
+	if _, hasData := field(event, "data:"); !found && !hasData {
 		return false, errNoEvent
 	}
 	if number, err := strconv.ParseUint(id, 10, 64); found && err == nil {
@@ -56,10 +56,13 @@
 }
 
 // EventID returns the ID field of an event.
-func EventID(event []byte) (string, bool) {
+func EventID(event []byte) (string, bool) { return field(event, "id:") }
+
+// field returns the first field of an event whose line begins with the prefix.
+func field(event []byte, prefix string) (string, bool) {
 	for line := range bytes.Lines(event) {
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(id)), true
+		if value, ok := bytes.CutPrefix(line, []byte(prefix)); ok {
+			return string(bytes.TrimSpace(value)), true
 		}
 	}
 	return "", false
--- a/internal/engine/sequence_test.go
+++ b/internal/engine/sequence_test.go
@@ -24,6 +24,7 @@
 		{"the same id", "", []string{"id: 1\ndata: a\n\n", "id: 1\ndata: a\n\n"}, errEventNotAfter},
 		{"a stream from its start in place of its rest", "3", []string{"id: 1\ndata: a\n\n"}, errEventNotAfter},
 		{"no field", "", []string{"HTTP/1.1 200 OK\r\n\r\n"}, errNoEvent},
+		{"a field within a line", "", []string{"HTTP/1.1 200 OK\r\nMetadata: 1\r\n\r\n"}, errNoEvent},
 		{"few comments", "", []string{comment, comment, "data: a\n\n", comment}, nil},
 		{"comments without end", "", strings.SplitAfter(strings.Repeat(comment, 1+MaxEventBytes/len(comment)), "\n\n")[:1+MaxEventBytes/len(comment)], errOnlyComments},
 		{"comments between events", "", append(strings.SplitAfter(strings.Repeat(comment, 1000), "\n\n")[:1000], "data: a\n\n", comment), nil},
