An event of empty lines takes linear time, and a broken stream has none at its end

Cause: the reader of events went through all lines again with each read, 1 MiB of empty ones in time with its square, so that the deadline came first. At the deadline the empty lines read so far counted as the end of the stream, and the answer had begun when its time was over. Change: each byte is looked at once; empty lines at the end are returned only at the end of the stream, not at an error.

--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -101,6 +101,32 @@
 	}
 }
 
+// Guards against an event that takes time with the square of its length.
+func TestEventReaderLooksAtBytesOnce(t *testing.T) {
+	for _, line := range []string{"\n", "data: d\n", "d"} {
+		reader := NewEventReader(strings.NewReader(""))
+		var data []byte
+		for len(data) < MaxEventBytes {
+			data = append(data, line...)
+			if n, event, err := reader.split(data, false); n != 0 || event != nil || err != nil {
+				t.Fatal(n, event, err)
+			}
+			if reader.searched != len(data) {
+				t.Fatalf("%d of %d bytes are known", reader.searched, len(data))
+			}
+		}
+	}
+}
+
+// Guards against empty lines of a broken stream that are passed on as its end.
+func TestEmptyLinesOfBrokenStreamAreNoEvent(t *testing.T) {
+	broken := errors.New("reset")
+	events, err := readEvents(io.MultiReader(strings.NewReader("\n\n"), errorReader{broken}))
+	if len(events) > 0 || !errors.Is(err, broken) {
+		t.Errorf("%q, %v", events, err)
+	}
+}
+
 // FuzzEventReader checks that the events are a prefix of the stream and do not depend on
 // the sizes of reads.
 func FuzzEventReader(f *testing.F) {
--- a/internal/engine/events.go
+++ b/internal/engine/events.go
@@ -13,25 +13,74 @@
 // doneLine is the last event of a complete stream of the OpenAI API.
 const doneLine = "data: [DONE]"
 
-// EventReader splits a stream of server-sent events at its blank lines.
+// EventReader splits a stream of server-sent events at its blank lines. An event ends with an empty
+// line, terminated by LF or CRLF. Empty lines before an event belong to it, and those at the end of the
+// stream are returned like an event.
 type EventReader struct {
 	scanner   *bufio.Scanner
+	source    *errorRecorder
 	truncated bool
+
+	line     int  // start of the first line of the event being read that is not complete
+	searched int  // bytes of the event in which the end of that line was looked for
+	started  bool // a line before it is not empty
+}
+
+// errorRecorder keeps the error that ended a stream.
+type errorRecorder struct {
+	io.Reader
+	err error
+}
+
+// Read implements io.Reader.
+func (r *errorRecorder) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if err != nil {
+		r.err = err
+	}
+	return n, err
 }
 
 // NewEventReader returns a reader of events of at most MaxEventBytes.
 func NewEventReader(stream io.Reader) *EventReader {
-	scanner := bufio.NewScanner(stream)
-	scanner.Buffer(make([]byte, 0, 4<<10), MaxEventBytes)
-	reader := &EventReader{scanner: scanner}
-	scanner.Split(reader.split)
+	reader := &EventReader{source: &errorRecorder{Reader: stream}}
+	reader.scanner = bufio.NewScanner(reader.source)
+	reader.scanner.Buffer(make([]byte, 0, 4<<10), MaxEventBytes)
+	reader.scanner.Split(reader.split)
 	return reader
 }
 
-func (r *EventReader) split(data []byte, atEOF bool) (int, []byte, error) {
-	advance, event, err := splitEvent(data, atEOF)
-	r.truncated = atEOF && event == nil && len(data) > 0
-	return advance, event, err
+// split is a bufio.SplitFunc. It looks at each byte once, however often it is called for an event.
+func (r *EventReader) split(data []byte, atEnd bool) (int, []byte, error) {
+	for {
+		length := bytes.IndexByte(data[r.searched:], '\n')
+		if length < 0 {
+			r.searched = len(data)
+			break
+		}
+		end := r.searched + length
+		empty := len(bytes.TrimSuffix(data[r.line:end], []byte("\r"))) == 0
+		r.line, r.searched = end+1, end+1
+		if empty && r.started {
+			return r.next(data[:r.line])
+		}
+		r.started = r.started || !empty
+	}
+	if !atEnd {
+		return 0, nil, nil
+	}
+	if onlyEmpty := !r.started && r.line == len(data); onlyEmpty && r.source.err == io.EOF && len(data) > 0 {
+		return r.next(data)
+	}
+	r.truncated = r.truncated || len(data) > 0
+	advance, _, err := r.next(data) // an incomplete event is dropped
+	return advance, nil, err
+}
+
+// next returns an event and prepares for the one after it.
+func (r *EventReader) next(event []byte) (int, []byte, error) {
+	r.line, r.searched, r.started = 0, 0, false
+	return len(event), event, nil
 }
 
 // Truncated reports, after io.EOF, whether the stream ended within an event.
@@ -65,29 +114,3 @@
 	}
 	return true
 }
-
-// splitEvent is a bufio.SplitFunc. An event ends with an empty line, terminated by LF or
-// CRLF. Empty lines before an event belong to it, and those at the end of the stream are
-// returned like an event.
-func splitEvent(data []byte, atEOF bool) (int, []byte, error) {
-	from, blank := 0, true // whether all lines so far are empty
-	for from < len(data) {
-		end := bytes.IndexByte(data[from:], '\n')
-		if end < 0 {
-			break
-		}
-		empty := len(bytes.TrimSuffix(data[from:from+end], []byte("\r"))) == 0
-		from += end + 1
-		if empty && !blank {
-			return from, data[:from], nil
-		}
-		blank = blank && empty
-	}
-	switch {
-	case !atEOF:
-		return 0, nil, nil
-	case blank && from == len(data) && from > 0:
-		return from, data[:from], nil
-	}
-	return len(data), nil, nil
-}
