Test: reports of workers without end

Cause: of the readers of a worker, that of reports had no test of bytes without end. Change: head, body, chunks, and a slow body are bounded by bytes sent and by the call's context.

--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -194,3 +196,48 @@
 	}
 	incoming.Response.Body.Close()
 }
+
+// Guards against a report without end that holds memory, or the caller beyond its time.
+func TestReportWithoutEndIsBounded(t *testing.T) {
+	const maxSent = 32 << 20 // with what the kernel holds
+	for _, test := range []struct {
+		name, head, repeated string
+		pause                time.Duration
+	}{
+		{"headers", "HTTP/1.1 200 OK\r\n", "X-A: b\r\n", 0},
+		{"body", "HTTP/1.1 200 OK\r\n\r\n", " ", 0},
+		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\n \r\n", 0},
+		{"slow body", "HTTP/1.1 200 OK\r\n\r\n", " ", 10 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			sent := make(chan int, 1)
+			w := scriptedWorker(t, func(conn net.Conn, _ *http.Request, _ int) {
+				total, chunk := 0, test.repeated
+				if test.pause == 0 {
+					chunk = strings.Repeat(chunk, 4<<10)
+				}
+				for next := test.head; ; next = chunk {
+					n, err := io.WriteString(conn, next)
+					total += n
+					if err != nil {
+						sent <- total
+						conn.Close()
+						return
+					}
+					time.Sleep(test.pause)
+				}
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			if test.pause > 0 {
+				time.AfterFunc(100*time.Millisecond, cancel)
+			}
+			if report, err := newTestClient().FetchReport(ctx, w); err == nil {
+				t.Errorf("%+v", report)
+			}
+			if total := <-sent; total > maxSent {
+				t.Errorf("%d bytes sent", total)
+			}
+		})
+	}
+}
