--- a/review/rig-2/fleet.go
+++ b/review/rig-2/fleet.go
@@ -346,7 +346,7 @@
 	if json.Unmarshal([]byte(line), &r) != nil {
 		return
 	}
-	c.note("worker %s, request %s: %s (after event %q, up to %d)", r.Worker, r.Request, r.What, r.Last, r.Sent)
+	c.note("worker %s, request %s: %s %s (after event %q, up to %d)", r.Worker, r.Request, r.What, r.Target, r.Last, r.Sent)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.reports = append(c.reports, r)
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -19,8 +19,9 @@
 
 // scenarios are the cases by name. Each returns what broke the rule, one line for each.
 var scenarios = map[string]func(c *run) ([]string, error){
-	"cut":    cut,
-	"freeze": freeze,
+	"cut":     cut,
+	"freeze":  freeze,
+	"slashes": slashes,
 }
 
 func main() {
--- a/review/rig-2/worker.go
+++ b/review/rig-2/worker.go
@@ -34,6 +34,10 @@
 	Request string `json:"request"`
 	Last    string `json:"last,omitempty"`
 	Sent    int    `json:"sent,omitempty"` // the last event or piece
+	// Of a run: the target of the request line as received, and the host and path that it names.
+	Target string `json:"target,omitempty"`
+	Host   string `json:"host,omitempty"`
+	Path   string `json:"path,omitempty"`
 }
 
 type workerServer struct {
@@ -115,7 +119,7 @@
 		total = w.events
 	}
 	first, _ := strconv.Atoi(last)
-	w.tell(report{What: "run", Request: id, Last: last})
+	w.tell(report{What: "run", Request: id, Last: last, Target: r.RequestURI, Host: r.Host, Path: r.URL.Path})
 	for n := first + 1; n <= total; n++ {
 		select {
 		case <-time.After(w.pause):
