--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -21,6 +21,7 @@
 var scenarios = map[string]func(c *run) ([]string, error){
 	"cut":     cut,
 	"freeze":  freeze,
+	"retire":  retire,
 	"slashes": slashes,
 }
 
