Early answers that are reset during the upload are not whole

What callers saw: a worker answered a long upload at once with a 200 without a length, sent part of its body and reset the connection. The caller got the part as the whole answer.

Cause: the kernel reports a reset once. If it told the upload's write, the read of the answer found the bytes that had come and then a clean end, like that of an orderly close. transport.countingConn passed both on without relating them.

Change: a read that finds the end of the stream ends a write in progress, then returns the reset that a write was told. Whoever reads bodies that end with their connection gets an error: frontends, batch leaders, reports, routers, sidecars, calls between processes.

--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -4,9 +4,12 @@
 	"context"
 	"errors"
 	"hash/maphash"
+	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -92,6 +95,9 @@
 	writesBlocked atomic.Bool
 	carried       map[uint64]bool // hashes of the IDs of the requests; used by one request at a time
 	meter         *connMeter      // nil if traffic is not counted by kind
+
+	writeMutex sync.Mutex // held during a write; guards writeReset
+	writeReset error      // of a write that found the connection reset
 }
 
 // Write counts before it writes, so that attempted is never too low.
@@ -100,18 +106,41 @@
 	if c.writesBlocked.Load() {
 		return 0, errWritesBlocked
 	}
+	c.writeMutex.Lock()
+	defer c.writeMutex.Unlock()
 	n, err := c.Conn.Write(data)
+	if errors.Is(err, syscall.ECONNRESET) {
+		c.writeReset = err
+	}
 	c.meter.sent(n)
 	return n, err
 }
 
-// Read reads from the connection and counts the bytes received.
+// Read reads from the connection and counts the bytes received. It returns io.EOF only if the peer closed
+// the connection in an orderly way.
 func (c *countingConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
 	c.meter.received(n)
+	if err == io.EOF {
+		err = c.endOfStream()
+	}
 	return n, err
 }
 
+// endOfStream returns the error of a read that found the end of the stream. The kernel reports a reset
+// only once: if a write was told, the next read finds an end like that of an orderly close.
+func (c *countingConn) endOfStream() error {
+	// Unblocks a write to a peer that does not read. Nothing is to follow on a connection that its peer has
+	// closed.
+	_ = c.Conn.SetWriteDeadline(time.Unix(1, 0))
+	c.writeMutex.Lock()
+	defer c.writeMutex.Unlock()
+	if c.writeReset != nil {
+		return c.writeReset
+	}
+	return io.EOF
+}
+
 // carry notes that a request with the ID is to be written. It returns false if the connection must not
 // carry it, since it has carried one with this ID, or as many as it can remember.
 func (c *countingConn) carry(id string) bool {
