Responses without a valid status are errors

What callers saw: a status of 000, 001 or 099 of a worker aborted the caller's connection, by a panic of WriteHeader; 101, 600 and 999 were passed on with the worker's stamp. Calls between processes took 000 to 099 for a success.

Cause: the client of net/http takes any three digits for a status, and nothing checked it.

Change: transport.RoundTripper, which all clients of NewClient use, returns an error for a status outside 200 to 599: requests, streams, items, reports, calls between processes. The request may have run, so it is not sent again unless it may be repeated. Send closes the connection of a failed request, since net/http keeps that of a response without a body.

--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/internal/transport"
 	"github.com/dykewing/dykewing/worker"
 )
 
@@ -79,7 +80,7 @@
 // newTestClient returns a client that keeps idle connections longer than a test may be held up.
 func newTestClient() *Client {
 	client := NewClient(echoProtocol{})
-	client.client.Transport.(*http.Transport).IdleConnTimeout = time.Hour
+	client.client.Transport.(*transport.RoundTripper).IdleConnTimeout = time.Hour
 	return client
 }
 
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -32,17 +32,18 @@
 
 // NewClient returns a client with its own connection pool, which keeps up to
 // connectionsPerHost idle connections to each host. Callers use one client for each class
-// of traffic, so that classes do not wait for each other. It does not follow redirects.
+// of traffic, so that classes do not wait for each other. It does not follow redirects. Its Transport is a
+// *RoundTripper.
 func NewClient(connectionsPerHost int) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: &RoundTripper{&http.Transport{
 			DialContext:            countingDial(dialer),
 			MaxIdleConnsPerHost:    connectionsPerHost,
 			IdleConnTimeout:        idleConnectionTimeout,
 			MaxResponseHeaderBytes: maxResponseHeaderBytes,
 			DisableCompression:     true,
-		},
+		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
@@ -70,7 +71,7 @@
 	dialer := &net.Dialer{Timeout: options.DialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: interval, Interval: interval, Count: keepAliveProbes,
 	}}
-	pool := client.Transport.(*http.Transport)
+	pool := client.Transport.(*RoundTripper)
 	pool.DialContext = countingDial(dialer)
 	pool.IdleConnTimeout = options.IdleTimeout
 	pool.DisableCompression = !options.AcceptGzip
--- /dev/null
+++ b/internal/transport/head_test.go
@@ -0,0 +1,72 @@
+package transport
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/dykewing/dykewing/api"
+)
+
+// headServer answers each request with an empty response whose head has the given status and lines.
+func headServer(t *testing.T, status, lines string) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, request.Body)
+					_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nContent-Length: 0\r\n%s\r\n", status, lines)
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// checkMalformed checks that a response with the head is an error to each kind of call.
+func checkMalformed(t *testing.T, status, lines string) {
+	t.Helper()
+	address, client := headServer(t, status, lines), NewClient(2)
+	for range 3 {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address, http.NoBody)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, failure := Send(client, request, "", "send", "peer"); failure == nil || failure.Outcome != api.OutcomeUnknown || !errors.Is(failure, errMalformedHead) {
+			t.Errorf("send: %v", failure)
+		}
+		if err := Call(t.Context(), client, "call", address, "/", struct{}{}, nil); !errors.Is(err, errMalformedHead) {
+			t.Errorf("call: %v", err)
+		}
+		if failure := Post(t.Context(), client, "post", address, "/", "text/plain", nil); failure == nil || !errors.Is(failure, errMalformedHead) {
+			t.Errorf("post: %v", failure)
+		}
+	}
+}
+
+// Guards against responses without a valid status that are taken for successes or passed on.
+func TestResponseWithMalformedStatusIsError(t *testing.T) {
+	for _, status := range []string{"000 None", "001 None", "099 None", "101 Switching Protocols", "600 None", "999 None"} {
+		t.Run(status, func(t *testing.T) { checkMalformed(t, status, "") })
+	}
+}
--- a/internal/transport/send.go
+++ b/internal/transport/send.go
@@ -129,12 +129,13 @@
 	return w.unsuitable
 }
 
-// abandon blocks further writes on the request's connections and returns the evidence, which is final
-// then.
+// abandon closes the request's connections, after blocking further writes, and returns the evidence, which
+// is final then. net/http may keep the connection of a response without a body that RoundTripper rejects.
 func (w *connTrace) abandon() retry.Evidence {
 	w.mutex.Lock()
 	for _, conn := range w.conns {
 		conn.blockWrites()
+		conn.Close()
 	}
 	w.mutex.Unlock()
 	return w.evidence()
--- a/internal/transport/traffic.go
+++ b/internal/transport/traffic.go
@@ -164,10 +164,10 @@
 }
 
 // Instrument instruments connections that the client opens from now on and returns the client.
-// It does nothing if t is nil or if the client's transport is not an *http.Transport. It
+// It does nothing if t is nil or if the client's transport is not a *RoundTripper. It
 // must be called before the client is used.
 func (t *Traffic) Instrument(client *http.Client, kind Kind) *http.Client {
-	pool, ok := client.Transport.(*http.Transport)
+	pool, ok := client.Transport.(*RoundTripper)
 	if t == nil || !ok {
 		return client
 	}
