Responses with a malformed field name are errors

What callers saw: an answer in whose head the name of a field held a blank was passed on. The line was dropped, but "Transfer-Encoding : chunked" and "Content-Length : 5" did not end the body: clients got the sizes of chunks, or what follows a short body, as the worker's bytes, and items were completed with part of their text.

Cause: net/http takes such a name for that of another field. Names with control bytes or separators, lines without a colon and control bytes in values it rejects.

Change: transport.checkHead returns an error for a name that is not a token, by httpguts of golang.org/x/net.

The other heads, trailers and interim responses were handled before: their tests stay. A line that begins with a blank continues the line before it (RFC 9112, 5.2), so it may be passed on as that.

--- a/internal/transport/head.go
+++ b/internal/transport/head.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // errMalformedHead means that a response's head is not one of HTTP/1.1, although net/http accepts it.
@@ -33,10 +35,16 @@
 }
 
 // checkHead returns an error if the response's head is malformed. net/http takes any three digits for a
-// status, and returns 101 although no request asks for another protocol.
+// status, and returns 101 although no request asks for another protocol. It takes a name with a blank for
+// that of another field, so that "Content-Length : 5" does not bound the body.
 func checkHead(response *http.Response) error {
 	if status := response.StatusCode; status < minFinalStatus || status > maxFinalStatus {
 		return fmt.Errorf("%w: status %03d", errMalformedHead, status)
 	}
+	for name := range response.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: field name %q", errMalformedHead, name)
+		}
+	}
 	return nil
 }
--- a/internal/transport/head_test.go
+++ b/internal/transport/head_test.go
@@ -70,3 +70,10 @@
 		t.Run(status, func(t *testing.T) { checkMalformed(t, status, "") })
 	}
 }
+
+// Guards against responses with a field whose name is malformed, which may hide where their body ends.
+func TestResponseWithMalformedFieldIsError(t *testing.T) {
+	for _, line := range []string{"Content-Length : 5", "Transfer-Encoding : chunked", "X Part: 1", "X-Part : 1"} {
+		t.Run(line, func(t *testing.T) { checkMalformed(t, "200 OK", line+"\r\n") })
+	}
+}
