A failure cut off by its worker's crash is not passed on

What callers saw: a worker sent part of a failure without a length and crashed. Clients got the part as the worker's whole answer, with its stamp. Successes and streams were handled.

Cause: readErrorResponse did not ask WorkerResponse.Complete, as relayResponse does.

Change: readWhole asks it for both.

Result: TestAnswerOfCrashedWorkerIsNotWhole fails before in its three cases of failures (5 of 5 answers) and passes after; its cases of a success and a stream pass before and after.

--- a/internal/frontend/response.go
+++ b/internal/frontend/response.go
@@ -23,7 +23,7 @@
 // readErrorResponse buffers a worker's error response, which is passed on unless
 // another worker may be tried.
 func (x *exchange) readErrorResponse(ctx context.Context, ticket *backend.Assignment, incoming *backend.WorkerResponse) attemptResult {
-	chunks, err := x.readWhole(ctx, incoming, maxErrorBytes)
+	chunks, err := x.readWhole(ctx, ticket, incoming, maxErrorBytes)
 	failure := api.NewError("read answer", ticket.Worker.ID, api.CodeUpstream, api.OutcomeUnknown, "status %d", incoming.Response.StatusCode)
 	if err != nil {
 		failure.Code, failure.Err = readErrorCode(err), err
@@ -43,10 +43,7 @@
 
 // relayResponse buffers the whole response before it writes to the caller.
 func (x *exchange) relayResponse(ctx context.Context, ticket *backend.Assignment, incoming *backend.WorkerResponse) attemptResult {
-	chunks, err := x.readWhole(ctx, incoming, maxResponseBytes)
-	if err == nil && !incoming.Complete(ctx, ticket.Worker) {
-		err = errWorkerGone
-	}
+	chunks, err := x.readWhole(ctx, ticket, incoming, maxResponseBytes)
 	if err != nil {
 		failure := api.NewError("read answer", ticket.Worker.ID, readErrorCode(err), api.OutcomeUnknown, "%w", err)
 		return attemptResult{status: attemptMaybeRun, failure: failure}
@@ -56,12 +53,17 @@
 	return attemptResult{status: attemptServed}
 }
 
-// readWhole buffers the body of a response of at most limit bytes.
-func (x *exchange) readWhole(ctx context.Context, incoming *backend.WorkerResponse, limit int64) (net.Buffers, error) {
+// readWhole buffers the body of a response of at most limit bytes. It returns an error unless it has the whole
+// body.
+func (x *exchange) readWhole(ctx context.Context, ticket *backend.Assignment, incoming *backend.WorkerResponse, limit int64) (net.Buffers, error) {
 	if length := incoming.Response.ContentLength; length > limit && x.r.Method != http.MethodHead {
 		return nil, fmt.Errorf("%w of %d bytes: %d bytes", errResponseTooLong, limit, length)
 	}
-	return x.allocateResponse().readResponse(ctx, incoming.Response.Body, limit)
+	chunks, err := x.allocateResponse().readResponse(ctx, incoming.Response.Body, limit)
+	if err == nil && !incoming.Complete(ctx, ticket.Worker) {
+		err = errWorkerGone
+	}
+	return chunks, err
 }
 
 // allocateResponse releases the memory of the previous attempt and returns a new
