A truncated answer is not the result of an item at an engine

What callers saw: nothing of this was reported; found by looking for readers of ends. An engine sent part of an answer that ends with its connection, and the item was stored as done with that part as a text.

Cause: the router reads results of items without engine.CheckedBody, which online answers go through, and keeps what is not JSON as a string.

Change: engine.ReadChecked reads a body by CheckedBody, and wants the last event of a stream that ends with its connection.

--- a/internal/router/batchitem.go
+++ b/internal/router/batchitem.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -130,7 +129,7 @@
 
 func readResult(ctx context.Context, run jobs.RunItem, response *http.Response) (jobs.ItemResult, *api.Error) {
 	const step = "read answer of worker"
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	body, err := engine.ReadChecked(response, maxResponseBytes)
 	if cause := context.Cause(ctx); err != nil && cause != nil {
 		err = cause
 	}
