A stream whose origin is lost is not joined to another version

Cause: without a record of what began a stream, a frontend took the only version that it had listed for twice the route's time limit. That limit bounds one attempt. A caller that waits for longer, or whose route's limit was lowered, comes back when that time is over, the old version is gone, and the frontend has never seen it.

Change: the period is ten minutes, the longest for which records are kept. The cost is take-ups without a record after a restart, which are refused for longer; records mostly outlive the frontend at stores.

--- a/internal/frontend/resume.go
+++ b/internal/frontend/resume.go
@@ -7,6 +7,7 @@
 
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/internal/backend"
+	"github.com/dykewing/dykewing/internal/resume"
 	"github.com/dykewing/dykewing/internal/storeclient"
 	"github.com/dykewing/dykewing/origin"
 	"github.com/dykewing/dykewing/placement"
@@ -23,6 +24,9 @@
 	// originTTLMargin is added to the time limit of a stream, for the clocks of its caller and the
 	// holders.
 	originTTLMargin = time.Second
+	// streamLifetime bounds the time from a stream's first event until its caller takes it up for the last
+	// time. Callers may wait for longer than a route's time limit, and take a stream up again and again.
+	streamLifetime = resume.MaxTTL
 	// freshContact is the age of the worker list up to which this process relies on it to know all
 	// software versions of a service.
 	freshContact = 2 * time.Second
@@ -71,8 +75,8 @@
 	return true
 }
 
-// knownOrigin returns the recorded origin of the stream. Without a record, it is known if all
-// workers that may have begun the stream have the same version.
+// knownOrigin returns the recorded origin of the stream. Without a record, it is known if the service has had
+// workers of only one version for as long as a stream lives.
 func (x *exchange) knownOrigin(ctx context.Context) (origin.Origin, bool) {
 	f := x.frontend
 	if key, ok := x.streamKey(); ok {
@@ -83,11 +87,7 @@
 	if len(x.route.Shares) != 1 || f.catalog.ContactAge() > freshContact {
 		return origin.Origin{}, false
 	}
-	limit := x.route.Timeout
-	if limit <= 0 {
-		limit = defaultTimeout
-	}
-	version, ok := f.pool.SoleVersion(x.service, 2*limit) // of the attempt that began the stream, and of this one
+	version, ok := f.pool.SoleVersion(x.service, streamLifetime)
 	return origin.Origin{Service: x.service, Version: version}, ok
 }
 
--- a/internal/resume/resume.go
+++ b/internal/resume/resume.go
@@ -48,6 +48,9 @@
 	origin.Origin
 }
 
+// MaxTTL is the longest time for which a record is kept.
+const MaxTTL = 10 * time.Minute
+
 const (
 	// maxRecords bounds the memory of a process to a few megabytes.
 	maxRecords = 16384
@@ -56,7 +59,6 @@
 	maxBatch        = 128
 	maxQueued       = 1024
 	maxMessageBytes = 64 << 10
-	maxTTL          = 10 * time.Minute
 	// sendTimeout and lookupTimeout bound one call to a holder.
 	sendTimeout   = 300 * time.Millisecond
 	lookupTimeout = 100 * time.Millisecond
@@ -211,7 +213,7 @@
 	now := clock.Now()
 	r.mutex.Lock()
 	for _, record := range message.Records {
-		r.table.Put(now, record.Key, record.Origin, min(time.Duration(record.TTLMs)*time.Millisecond, maxTTL))
+		r.table.Put(now, record.Key, record.Origin, min(time.Duration(record.TTLMs)*time.Millisecond, MaxTTL))
 	}
 	r.mutex.Unlock()
 	w.WriteHeader(http.StatusNoContent)
