What began a stream is kept for as long as its caller waits

What callers saw: a stream whose caller waits for longer than the route's time limit, and takes it up again after that, was refused with 503 while two versions served.

Cause: holders kept the record for the route's time limit and one second, although the caller tells for how long it waits.

--- a/internal/frontend/resume.go
+++ b/internal/frontend/resume.go
@@ -21,7 +21,7 @@
 	// is told, since a holder that is gone may still be in the view of one of both.
 	originStores    = 2
 	originFrontends = 1
-	// originTTLMargin is added to the time limit of a stream, for the clocks of its caller and the
+	// originTTLMargin is added to the time that a stream's caller waits, for the clocks of its caller and the
 	// holders.
 	originTTLMargin = time.Second
 	// streamLifetime bounds the time from a stream's first event until its caller takes it up for the last
@@ -122,11 +122,18 @@
 	x.keepOrigin()
 }
 
-// keepOrigin tells the holders of the stream's origin.
+// keepOrigin tells the holders of the stream's origin. They keep it for as long as the caller waits, which may be
+// longer than the route's time limit.
 func (x *exchange) keepOrigin() {
-	if key, ok := x.streamKey(); ok {
-		x.frontend.origins.Record(key, *x.origin, time.Until(x.deadline)+originTTLMargin)
+	key, ok := x.streamKey()
+	if !ok {
+		return
+	}
+	until := x.deadline
+	if waits := x.arrived.Add(x.request.Remaining); waits.After(until) {
+		until = waits
 	}
+	x.frontend.origins.Record(key, *x.origin, time.Until(until)+originTTLMargin)
 }
 
 // verifyOrigin checks, after a stream broke off, that its worker is still listed with the version
