A version that another one interrupted briefly is not the only one

What callers would see: a stream without a record, taken up at a frontend that learned of another version only after it was gone, could go on at the wrong one.

Cause: Pool.trackVersions looked only at the versions listed after a batch of changes, so that a worker of another version that came and went within one, as after an outage of the key-value service, left the period as it was. Besides, a removal names no service: after two versions, the one that remained never became the only one until one of its workers changed.

Change: a batch that names another version begins the period anew; services with several versions stay known.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -24,7 +24,8 @@
 	versions map[string]versionPeriod // by service; guarded by mutex
 }
 
-// versionPeriod is a period in which all workers of a service had one software version.
+// versionPeriod is a period in which all workers of a service had one software version. The zero value
+// means that they have several, or that there are none.
 type versionPeriod struct {
 	version string
 	since   time.Time
@@ -295,20 +296,28 @@
 		versions := pool.Versions(service)
 		switch {
 		case len(versions) != 1:
-			delete(p.versions, service)
-		case p.versions[service].version != versions[0] || p.versions[service].since.IsZero():
+			p.versions[service] = versionPeriod{}
+		case p.versions[service].version != versions[0] || p.versions[service].since.IsZero() || namesOtherVersion(changes, service, versions[0]):
 			p.versions[service] = versionPeriod{version: versions[0], since: time.Now()}
 		}
 	}
 }
 
+// namesOtherVersion reports whether a worker of a service with another version was listed within the changes,
+// which may also have removed it again.
+func namesOtherVersion(changes []catalog.Change, service, version string) bool {
+	return slices.ContainsFunc(changes, func(change catalog.Change) bool {
+		return !change.Removed && change.Worker.Service == service && change.Worker.Version != version
+	})
+}
+
 // SoleVersion returns the software version of a service's workers if this process has listed no
 // other one for at least the given time.
 func (p *Pool) SoleVersion(service string, atLeast time.Duration) (string, bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	known, ok := p.versions[service]
-	if !ok || time.Since(known.since) < atLeast || !slices.Equal(p.pool.Versions(service), []string{known.version}) {
+	if !ok || known.since.IsZero() || time.Since(known.since) < atLeast || !slices.Equal(p.pool.Versions(service), []string{known.version}) {
 		return "", false
 	}
 	return known.version, true
--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/dykewing/dykewing/internal/catalog"
 	"github.com/dykewing/dykewing/worker"
 )
 
@@ -39,3 +41,42 @@
 		})
 	}
 }
+
+// Guards against a version that counts as the only one for a time in which another one was listed briefly.
+func TestSoleVersionIsNotThatOfBrieflyMixedWorkers(t *testing.T) {
+	const period = time.Minute
+	put := func(id, version string) catalog.Change {
+		return catalog.Change{ID: id, Worker: worker.Worker{ID: id, Service: "s", Version: version, Slots: 1}}
+	}
+	removed := catalog.Change{ID: "b", Removed: true}
+	tests := []struct {
+		name    string
+		changes [][]catalog.Change // after period with a worker of v2
+		sole    bool
+	}{
+		{"no change", nil, true},
+		{"another worker of the version", [][]catalog.Change{{put("b", "v2")}, {removed}}, true},
+		{"another version, then gone", [][]catalog.Change{{put("b", "v1")}, {removed}}, false},
+		{"another version, gone in the same batch", [][]catalog.Change{{put("b", "v1"), removed}}, false},
+		{"worker updated in the same batch", [][]catalog.Change{{put("a", "v1"), put("a", "v2")}}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := NewPool(worker.DefaultSettings("a"), nil)
+				p.WorkersChanged([]catalog.Change{put("a", "v2")})
+				time.Sleep(period)
+				for _, changes := range test.changes {
+					p.WorkersChanged(changes)
+				}
+				if version, ok := p.SoleVersion("s", period); ok != test.sole || ok && version != "v2" {
+					t.Errorf("version %q, %t", version, ok)
+				}
+				time.Sleep(period)
+				if version, ok := p.SoleVersion("s", period); !ok || version != "v2" {
+					t.Errorf("version %q, %t after another period", version, ok)
+				}
+			})
+		})
+	}
+}
