A connection that timed out during the upload has not ended in order

What callers would see: as with a reset, part of an answer without a length as the whole one, if the write of the upload is told that the connection has timed out or its peer can't be reached.

Cause: only ECONNRESET of a write was related to the end that the next read finds, but the kernel reports each error once.

Change: every error number but EPIPE, which follows an orderly end.

Result: TestEndAfterBrokenWriteIsAnError, with a connection of its own: ETIMEDOUT and EHOSTUNREACH fail before, none after. Not shown with a real connection.

--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -97,8 +97,8 @@
 	carried       map[uint64]bool // hashes of the IDs of the requests; used by one request at a time
 	meter         *connMeter      // nil if traffic is not counted by kind
 
-	writeMutex sync.Mutex // held during a write; guards writeReset
-	writeReset error      // of a write that found the connection reset
+	writeMutex sync.Mutex // held during a write; guards writeError
+	writeError error      // of a write that found the connection broken, by other than an end of the peer
 }
 
 // Write counts before it writes, so that attempted is never too low.
@@ -110,8 +110,8 @@
 	c.writeMutex.Lock()
 	defer c.writeMutex.Unlock()
 	n, err := c.Conn.Write(data)
-	if errors.Is(err, syscall.ECONNRESET) {
-		c.writeReset = err
+	if breaksConnection(err) {
+		c.writeError = err
 	}
 	c.meter.sent(n)
 	return n, err
@@ -128,16 +128,24 @@
 	return n, err
 }
 
-// endOfStream returns the error of a read that found the end of the stream. The kernel reports a reset
-// only once: if a write was told, the next read finds an end like that of an orderly close.
+// breaksConnection reports whether the error of a write is the kernel's for a connection that its peer has not
+// ended in order, such as a reset or a time-out. EPIPE follows an orderly end or an error that a read has
+// returned.
+func breaksConnection(err error) bool {
+	var code syscall.Errno
+	return errors.As(err, &code) && code != syscall.EPIPE
+}
+
+// endOfStream returns the error of a read that found the end of the stream. The kernel reports what broke a
+// connection only once: if a write was told, the next read finds an end like that of an orderly close.
 func (c *countingConn) endOfStream() error {
 	// Unblocks a write to a peer that does not read. Nothing is to follow on a connection that its peer has
 	// closed.
 	_ = c.Conn.SetWriteDeadline(time.Unix(1, 0))
 	c.writeMutex.Lock()
 	defer c.writeMutex.Unlock()
-	if c.writeReset != nil {
-		return c.writeReset
+	if c.writeError != nil {
+		return c.writeError
 	}
 	return io.EOF
 }
--- a/internal/transport/reset_test.go
+++ b/internal/transport/reset_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -151,3 +153,41 @@
 		}
 	}
 }
+
+// brokenConn is a connection whose writes fail and whose reads find an end.
+type brokenConn struct {
+	net.Conn
+	writeError error
+}
+
+func (c brokenConn) Write([]byte) (int, error)        { return 0, c.writeError }
+func (c brokenConn) Read([]byte) (int, error)         { return 0, io.EOF }
+func (c brokenConn) SetWriteDeadline(time.Time) error { return nil }
+
+// Guards against an end that is taken for that of the peer although a write found the connection broken.
+func TestEndAfterBrokenWriteIsAnError(t *testing.T) {
+	tests := []struct {
+		name    string
+		err     error
+		orderly bool
+	}{
+		{"reset", syscall.ECONNRESET, false},
+		{"time-out of keep-alive or retransmissions", syscall.ETIMEDOUT, false},
+		{"unreachable", syscall.EHOSTUNREACH, false},
+		{"end of the peer", syscall.EPIPE, true},
+		{"deadline of the write", os.ErrDeadlineExceeded, true},
+		{"none", nil, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			conn := &countingConn{Conn: brokenConn{writeError: test.err}}
+			if test.err != nil {
+				conn.Conn = brokenConn{writeError: &net.OpError{Op: "write", Err: os.NewSyscallError("write", test.err)}}
+			}
+			_, _ = conn.Write([]byte("b"))
+			if _, err := conn.Read(make([]byte, 1)); (err == io.EOF) != test.orderly {
+				t.Errorf("read returned %v", err)
+			}
+		})
+	}
+}
