A history with gaps does not prove a stream's version

What callers would see: a stream without a record, taken up at a frontend that has read the whole list anew, could go on at the wrong version: another one may have come and gone in between.

Cause: the period of the only version went on over a full read, which shows no changes.

Change: catalog.HistoryAge tells for how long every change was received; knownOrigin wants it to be as long as a stream lives.

Result: TestHistoryBeginsWithLastFullRead, 20 times in a row with -race. It tests the new method, which the code before does not have.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -63,6 +63,7 @@
 	raw           atomic.Pointer[[]byte] // of the configuration in force
 	changedAt     atomic.Pointer[time.Time]
 	lastContact   atomic.Pointer[time.Time] // last answer of the service; nil before the first
+	lastFullRead  atomic.Pointer[time.Time] // nil before the first
 	startedAt     time.Time
 	restart       chan struct{} // holds one signal: the pending call is to be restarted
 	adoptMutex    sync.Mutex
@@ -128,6 +129,16 @@
 	return clock.Since(*at)
 }
 
+// HistoryAge returns for how long every change of the state has been received, in time or late: the time since
+// the last full read, or 0 before the first.
+func (c *Catalog) HistoryAge() time.Duration {
+	at := c.lastFullRead.Load()
+	if at == nil {
+		return 0
+	}
+	return clock.Since(*at)
+}
+
 // Metrics returns the collectors to register.
 func (c *Catalog) Metrics() []prometheus.Collector { return c.metrics.all() }
 
@@ -202,6 +213,8 @@
 			each.view.Reset(each.filterState(result))
 		}
 		*fullRead, *revision = false, result.Revision
+		now := clock.Now()
+		c.lastFullRead.Store(&now)
 	}
 	return c.service.Watch(ctx, "", *revision, func(batch kv.Batch) {
 		answered()
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/dykewing/dykewing/clock"
 	"github.com/dykewing/dykewing/internal/kv"
 	"github.com/dykewing/dykewing/route"
 	"github.com/dykewing/dykewing/worker"
@@ -185,6 +186,34 @@
 	r.await(t, "[4 14]", "[b]")
 }
 
+// Guards against a history that counts as complete although a full read has left out changes.
+func TestHistoryBeginsWithLastFullRead(t *testing.T) {
+	service := newFakeService()
+	service.put("workers/a", "x", 1)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	r := &recorder{workers: map[string]worker.Worker{}}
+	c := New(testSource(), service, logrus.NewEntry(log), r)
+	if age := c.HistoryAge(); age != 0 {
+		t.Errorf("%v before the first read", age)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { c.Run(ctx); close(ended) }()
+	defer func() { cancel(); <-ended }()
+	r.await(t, "[]", "[a]")
+	service.watch <- watchEvent{batch: kv.Batch{Revision: 2, Events: []kv.Event{{Pair: kv.Pair{Key: "workers/b", Value: []byte("y"), Revision: 2}}}}}
+	r.await(t, "[]", "[a b]")
+	first := c.lastFullRead.Load()
+	service.put("workers/c", "z", 4)
+	service.watch <- watchEvent{err: kv.ErrCompacted}
+	r.await(t, "[]", "[a c]")
+	service.watch <- watchEvent{batch: kv.Batch{Revision: 5}} // taken after the full read
+	if second := c.lastFullRead.Load(); !second.After(*first) || c.HistoryAge() > clock.Since(*first) {
+		t.Errorf("full reads at %v and %v", first, second)
+	}
+}
+
 func TestOlderConfigurationNeverReplacesNewer(t *testing.T) {
 	service := newFakeService()
 	service.put("config", "7", 1)
--- a/internal/frontend/resume.go
+++ b/internal/frontend/resume.go
@@ -84,7 +84,7 @@
 			return found, true
 		}
 	}
-	if len(x.route.Shares) != 1 || f.catalog.ContactAge() > freshContact {
+	if len(x.route.Shares) != 1 || f.catalog.ContactAge() > freshContact || f.catalog.HistoryAge() < streamLifetime {
 		return origin.Origin{}, false
 	}
 	version, ok := f.pool.SoleVersion(x.service, streamLifetime)
