A malformed answer of the key-value service proves nothing about a change

What operators would see: a change that was made, or not made, counted as the opposite. A status of 000 to 199 or over 599 was a refusal without effect, and a success with a malformed field name a success.

--- a/internal/kv/etcd.go
+++ b/internal/kv/etcd.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/dykewing/dykewing/internal/transport"
 )
 
 const connectionsPerHost = 4
@@ -26,7 +28,7 @@
 // NewEtcd returns a client of the endpoints, which are base URLs in order of preference.
 // Every attempt, including retries, counts against requestsPerSecond.
 func NewEtcd(endpoints []string, timeout time.Duration, requestsPerSecond float64) *Etcd {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connectionsPerHost}}
+	client := &http.Client{Transport: &transport.RoundTripper{Transport: &http.Transport{MaxIdleConnsPerHost: connectionsPerHost}}}
 	return NewEtcdWithClient(endpoints, timeout, requestsPerSecond, client)
 }
 
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -37,7 +37,7 @@
 func NewClient(connectionsPerHost int) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
 	return &http.Client{
-		Transport: &RoundTripper{&http.Transport{
+		Transport: &RoundTripper{Transport: &http.Transport{
 			DialContext:            countingDial(dialer),
 			MaxIdleConnsPerHost:    connectionsPerHost,
 			IdleConnTimeout:        idleConnectionTimeout,
