--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -242,3 +242,30 @@
 		})
 	}
 }
+
+// Guards against reports of workers that are taken from malformed or broken answers.
+func TestBrokenReportIsNotBelieved(t *testing.T) {
+	tests := []struct {
+		name, answer string
+		whole        bool
+	}{
+		{"whole", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", true},
+		{"ends with its connection", "HTTP/1.1 200 OK\r\n\r\n{}", true},
+		{"shorter than its length", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}", false},
+		{"chunks without an end", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n", false},
+		{"status 000", "HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\n{}", false},
+		{"length by a name with a blank", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n{}", false},
+		{"0x01 in a name", "HTTP/1.1 200 OK\r\nX-\x01: 2\r\n\r\n{}", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := scriptedWorker(t, func(conn net.Conn, _ *http.Request, _ int) {
+				_, _ = io.WriteString(conn, test.answer)
+				conn.Close()
+			})
+			if report, err := newTestClient().FetchReport(t.Context(), w); (err == nil) != test.whole {
+				t.Errorf("%+v, %v", report, err)
+			}
+		})
+	}
+}
