--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -25,7 +25,7 @@
 }
 
 // versionPeriod is a period in which all workers of a service had one software version. The zero value
-// means that they have several, or that there are none.
+// means that they have several.
 type versionPeriod struct {
 	version string
 	since   time.Time
@@ -295,7 +295,9 @@
 	for service := range services {
 		versions := pool.Versions(service)
 		switch {
-		case len(versions) != 1:
+		case len(versions) == 0:
+			delete(p.versions, service)
+		case len(versions) > 1:
 			p.versions[service] = versionPeriod{}
 		case p.versions[service].version != versions[0] || p.versions[service].since.IsZero() || namesOtherVersion(changes, service, versions[0]):
 			p.versions[service] = versionPeriod{version: versions[0], since: time.Now()}
