--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -14,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/internal/standin/rawhttp"
 	"github.com/dykewing/dykewing/internal/transport"
 	"github.com/dykewing/dykewing/worker"
 )
@@ -41,33 +41,7 @@
 // scriptedWorker serves connections by a function that writes what it likes for each request. n counts
 // the requests of the connection from 1.
 func scriptedWorker(t *testing.T, write func(conn net.Conn, request *http.Request, n int)) worker.Worker {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				for n := 1; ; n++ {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, request.Body)
-					write(conn, request, n)
-				}
-			}()
-		}
-	}()
-	return worker.Worker{ID: "w", Address: listener.Addr().String()}
+	return worker.Worker{ID: "w", Address: rawhttp.Serve(t, write)}
 }
 
 func writeResponse(conn net.Conn, status int, id, headers, body string) {
--- a/internal/router/batchitem_test.go
+++ b/internal/router/batchitem_test.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -10,32 +9,17 @@
 
 	"github.com/dykewing/dykewing/api"
 	"github.com/dykewing/dykewing/internal/engine"
+	"github.com/dykewing/dykewing/internal/standin/rawhttp"
 	"github.com/dykewing/dykewing/internal/transport"
 	"github.com/dykewing/dykewing/jobs"
 )
 
-// answeringEngine serves one request by writing the answer, and closes the connection.
+// answeringEngine serves each request by writing the answer, and closes the connection.
 func answeringEngine(t *testing.T, answer string) (address string) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		defer conn.Close()
-		request, err := http.ReadRequest(bufio.NewReader(conn))
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, request.Body)
+	return rawhttp.Serve(t, func(conn net.Conn, _ *http.Request, _ int) {
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+answer)
-	}()
-	return listener.Addr().String()
+		conn.Close()
+	})
 }
 
 // Guards against the first part of an answer that is stored as the whole result of an item.
--- a/internal/transport/head_test.go
+++ b/internal/transport/head_test.go
@@ -1,46 +1,21 @@
 package transport
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"testing"
 
 	"github.com/dykewing/dykewing/api"
+	"github.com/dykewing/dykewing/internal/standin/rawhttp"
 )
 
 // headServer answers each request with an empty response whose head has the given status and lines.
 func headServer(t *testing.T, status, lines string) (address string) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				for {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, request.Body)
-					_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nContent-Length: 0\r\n%s\r\n", status, lines)
-				}
-			}()
-		}
-	}()
-	return listener.Addr().String()
+	return rawhttp.Serve(t, func(conn net.Conn, _ *http.Request, _ int) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nContent-Length: 0\r\n%s\r\n", status, lines)
+	})
 }
 
 // checkMalformed checks that a response with the head is an error to each kind of call.
